--- /dev/null
+++ b/include/chutevane/balancer.hpp
@@ -0,0 +1,43 @@
+// Decides for one sidecar: where an API call goes, whether it goes again, how long it waits.
+//
+// Ask with an event, act on what comes back, and call woken() no later than next_wake(). The views
+// that are returned hold until the next call. One instance serves one thread; instances share nothing.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <span>
+
+#include "chutevane/types.hpp"
+
+namespace chutevane {
+
+using Answers = std::span<const Answer>;
+
+class Balancer {
+ public:
+  // Throws SettingError, naming key and value, when a needed setting is missing or no number.
+  Balancer(const Settings& settings, std::uint64_t seed, TimePoint now);
+  ~Balancer();
+  Balancer(Balancer&&) noexcept;
+  Balancer& operator=(Balancer&&) noexcept;
+
+  // The list of endpoints, whole or in part, or the news that asking for it failed.
+  Answers listed(ListKind kind, std::span<const ListedEndpoint> entries, TimePoint now);
+  // A new API call: exactly one answer, which may be to wait.
+  Answer arrived(const ApiCall& call, TimePoint now);
+  // A dispatch has ended. Without `call_over` the call is still owed its answer.
+  Answers ended(const DispatchEnd& end, TimePoint now);
+  // A streamed answer has begun: from here on the dispatch belongs to the client.
+  Answers started(CallId call, std::uint32_t number, TimePoint now);
+  // The client has left; nothing more is owed.
+  Answers client_left(CallId call, TimePoint now);
+  Answers woken(TimePoint now);
+  TimePoint next_wake() const;
+
+ private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+}  // namespace chutevane
--- /dev/null
+++ b/src/balance.cpp
@@ -0,0 +1,817 @@
+// All decisions of chutevane. The interface is include/chutevane/balancer.hpp.
+//
+// How to call it: make one Balancer for each sidecar and called tier, hand it every event with the time
+// of your clock, and act on the answers in order. A call that is answered `wait` stays with the balancer,
+// which comes back to it in woken() or when an endpoint frees. docs/design.md tells the why at length.
+//
+// The design (docs/design.md): each dispatch is capped at the least of client timeout, time left and
+// 3 x recent p95 of done dispatches, floor 50 ms; spent calls are not sent, short retries are skipped;
+// every 2 s shares are solved from inverse smoothed latency and drawn at random, with pass-over.
+//
+// Beside the design stand these mechanisms, six at most:
+//  1. admission: the first tier holds the calls in flight to a limit that follows how their answers sit
+//     against their soft limits; a call's place under that limit goes by its payoff
+//  2. fresh cap: a fresh or returning endpoint has a cap in flight that grows with its answers, and a cold
+//     one a budget of sends per window
+//  3. outliers: an endpoint whose high quantile is far above its fellows' gets one call at a time
+//  4. silence: an endpoint that answers nothing while its fellows do is passed over, its calls are sent
+//     elsewhere where their track permits, and it is tried again after growing pauses
+//  5. retry budget: dispatches again are a bounded share of the API calls
+//  6. short waits: a call that finds no endpoint now is held for a moment, the best paid first
+#include <algorithm>
+#include <cmath>
+#include <cstdarg>
+#include <cstdio>
+#include <cstdlib>
+#include <vector>
+
+#include "base/histogram.hpp"
+#include "base/pcg.hpp"
+#include "base/slab.hpp"
+#include "chutevane/balancer.hpp"
+
+namespace chutevane {
+namespace {
+
+// --- Constants: unit and why this size -------------------------------------------------------------
+// The design's
+constexpr double cap_multiple = 3.0;                   // x p95; the source's default
+constexpr double cap_quantile = 0.95;                  // the source's default
+constexpr Span estimate_window = Span::ms(10000);      // the design page's
+constexpr std::uint32_t estimate_samples = 20;         // done dispatches; the source's default
+constexpr Span cap_floor = Span::ms(50);               // the source's default: one scheduling hiccup
+constexpr double starved_cuts = 0.2;                   // cuts per done: more is no longer a tail being trimmed
+constexpr Span solve_every = Span::ms(2000);           // the design page's
+constexpr double latency_gain = 0.1;                   // per answer: smooths over about 20 answers
+constexpr double pass_over_factor = 1.5;               // x mean in flight: "well above" the mean
+constexpr double pass_over_extra = 1.0;                // calls: lets an idle sidecar's mean of near 0 pass one
+constexpr int draws = 4;                               // tries at the share draw before the least loaded is taken
+// Admission
+constexpr Span limit_every = Span::ms(250);            // long enough for some tens of answers on a busy sidecar
+constexpr double limit_start = 8.0;                    // calls in flight per endpoint before anything is known
+constexpr double limit_least = 1.0;                    // calls per endpoint: below that the tier idles
+constexpr double late_at = 0.7;                        // of the soft limit: answers beyond it warn of lateness
+constexpr double late_share = 0.1;                     // of answers in a step: more lowers the limit
+constexpr double limit_cut = 0.9;                      // factor per step: halves in under 2 s
+constexpr double limit_growth = 0.05;                  // per step when the limit binds: doubles in 4 s
+constexpr double payoff_slope = 0.12;                  // of the limit, per doubling of payoff over the mean
+constexpr double level_low = 0.5, level_high = 1.3;    // bounds of a call's part of the limit
+constexpr double mean_gain = 0.01;                     // per call: payoff mean over about the last 100
+// Endpoints
+constexpr double fresh_start = 1.0;                    // call in flight: enough to hear whether it answers
+constexpr double fresh_growth = 0.2;                   // per answer: doubles in about 4 round trips
+constexpr double fresh_done = 3.0;                     // x mean in flight: then the cap is lifted
+constexpr double cold_depth = 0.3;                     // of the window's budget that may go out in one burst
+constexpr double cold_least = 0.3;                     // sends/s: lets an idle sidecar hear from it at all
+constexpr double outlier_quantile = 0.9;               // high enough for tails, low enough for few answers
+constexpr double outlier_factor = 3.0;                 // x fellows' median: machines of one tier differ by 2 to 3
+constexpr std::uint32_t outlier_samples = 5;           // answers in the window before an endpoint is judged
+constexpr int misses_allowed = 3;                      // in a row: chance errors are rare and alone
+constexpr Span bar_first = Span::ms(500);              // about the time a passing fault takes to show it passed
+constexpr Span bar_most = Span::ms(4000);              // a returned endpoint is found this soon
+constexpr Span full_pause = Span::ms(50);              // a full queue drains a few calls in this time
+constexpr double silence_factor = 1.5;                 // x p95 without any answer with two or more out
+constexpr double silence_alone = 2.5;                  // x p95 with a single one out: it may just be a long call
+// Again and waiting
+constexpr double retry_share = 0.2;                    // dispatches again per API call
+constexpr double retry_depth = 20.0;                   // dispatches: a sidecar's calls on one endpoint that dies
+constexpr double wait_part = 0.15;                     // of the soft limit: leaves most of it for the answer
+constexpr Span look_every = Span::ms(50);              // how often silence and waits are looked at
+constexpr Span answer_guard = Span::ms(25);            // waits end this long before the client timeout
+constexpr Span subscribe_first = Span::ms(500), subscribe_most = Span::ms(8000);  // pause after a failed ask
+
+enum class Effect : std::uint8_t { replayable, referenced, single_use };
+enum class Group : std::uint8_t { all, zone, cell };
+
+struct Track {
+  Span soft_limit, client_timeout, repeat_window;
+  double payoff = 1.0, late_payoff = 0.0;
+  Effect effect = Effect::replayable;
+  Group group = Group::all;
+};
+
+struct Account {
+  double per_s = 0.0;   // this sidecar's part of the allowance
+  double tokens = 0.0;
+};
+
+struct Endpoint {
+  EndpointId id = 0;
+  std::uint16_t zone = 0, cell = 0;
+  Availability availability = Availability::gone;
+  TimePoint came_up, quiet_since, barred_until;
+  Span bar = bar_first;
+  int in_flight = 0, misses = 0;
+  bool outlier = false;
+  double latency_ms = 0.0;      // smoothed over done dispatches; 0: unheard
+  double fresh_cap = -1.0;      // calls in flight; negative: no cap
+  double cold_tokens = 0.0;
+  TimePoint cold_filled;
+  WindowedHistogram times{estimate_window};
+};
+
+struct Dispatch {
+  std::uint32_t endpoint = 0;
+  TimePoint sent;
+  bool out = false, cut = false, rescued = false;
+};
+
+struct Call {
+  CallId id = 0;
+  std::uint32_t track = 0;
+  double payoff = 0.0;
+  TimePoint arrived, timeout, wait_until;
+  std::uint8_t sent = 0, out = 0;
+  bool over = false, waiting = false, streaming = false, in_use = false;
+  int bound_to = -1;            // endpoint of the earliest dispatch that may have run
+  TimePoint bound_since;
+  std::array<Dispatch, 8> dispatches;
+};
+
+}  // namespace
+
+struct Balancer::State {
+  State(const Settings& s, std::uint64_t seed, TimePoint now);
+
+  // Settings
+  const std::string& text(std::string_view key) const;
+  double number(const std::string& key) const;
+  bool flag(std::string_view key) const { return text(key) == "true"; }
+
+  // The design
+  bool measured(TimePoint now) { return times.count(now) >= estimate_samples; }
+  Span cap(const Call& c, TimePoint now);
+  void solve(TimePoint now);
+  int pick(const Call& c, TimePoint now);
+
+  // Endpoints
+  bool ready(const Endpoint& e) const { return e.availability == Availability::ready; }
+  bool open_by_rules(const Call& c, const Endpoint& e, TimePoint now);
+  bool healthy(const Endpoint& e, TimePoint now);
+  bool silent(const Endpoint& e, TimePoint now);
+  double warmth(const Endpoint& e, TimePoint now) const;
+  void fill_cold(Endpoint& e, TimePoint now);
+  void miss(Endpoint& e, TimePoint now, const char* what);
+  void learn(Endpoint& e, const Dispatch& d, const DispatchEnd& end, TimePoint now);
+
+  // Calls
+  bool may_go_again(const Call& c, TimePoint now);
+  bool within_repeats(const Call& c, const Endpoint& e, TimePoint now) const;
+  Answer place(std::uint32_t at, TimePoint now);
+  Answer hold_or_give_up(std::uint32_t at, TimePoint now);
+  Answer give_up(std::uint32_t at, TimePoint now, bool crowded);
+  Answer send(std::uint32_t at, int endpoint, TimePoint now);
+  void finish(std::uint32_t at);
+  void settle(std::uint32_t at);
+  void serve_waiting(TimePoint now);
+  void rescue(TimePoint now);
+  void cancel_others(std::uint32_t at);
+  double payoff_of(const ApiCall& call, TimePoint now);
+  bool admitted(const Call& c);
+  void count_answer(const Call& c, bool done, TimePoint now);
+  void step_limit(TimePoint now);
+  void tick(TimePoint now);
+  void say(const char* format, ...) __attribute__((format(printf, 2, 3)));
+
+  const Settings settings;
+  Pcg chance;
+  bool first_tier, can_cancel, can_copy, can_come_back, must_subscribe;
+  double sidecars, cold_share, fall_multiple, over_payoff;
+  Span warm_after, fall_window, most_come_back;
+  std::uint8_t most_dispatches;
+  std::vector<Track> tracks;
+  std::vector<Account> accounts;
+  TimePoint accounts_filled;
+
+  std::vector<Endpoint> endpoints;
+  IdIndex endpoint_index;
+  std::vector<double> shares;   // cumulative, one per endpoint
+  Slab<Call> calls;
+  IdIndex call_index;
+  std::vector<std::uint32_t> waiting;
+  std::vector<Answer> answers;
+
+  WindowedHistogram times{estimate_window}, cuts{estimate_window};
+  bool starved = false, all_silent = false;
+  int in_flight = 0, ready_count = 0;   // dispatches out at ready endpoints; such endpoints
+  int calls_out = 0;                    // calls with a dispatch out, or waiting
+  double limit = 0.0, payoff_mean = 0.0, rate = 0.0, retry_tokens = retry_depth;
+  int step_late = 0, step_ends = 0, step_peak = 0, step_arrivals = 0;
+  bool limited = false;
+  TimePoint solve_at, look_at, step_at, subscribe_at = TimePoint::never(), rate_since;
+  Span subscribe_pause = subscribe_first;
+};
+
+// --- Settings --------------------------------------------------------------------------------------
+
+const std::string& Balancer::State::text(std::string_view key) const {
+  const auto found = settings.find(key);
+  if (found == settings.end()) throw SettingError(std::string(key), "missing");
+  return found->second;
+}
+
+double Balancer::State::number(const std::string& key) const {
+  const std::string& value = text(key);
+  char* end = nullptr;
+  const double v = std::strtod(value.c_str(), &end);
+  if (value.empty() || *end != '\0' || !std::isfinite(v)) throw SettingError(key, "not a number: '" + value + "'");
+  return v;
+}
+
+Balancer::State::State(const Settings& s, std::uint64_t seed, TimePoint now) : settings(s), chance(seed) {
+  first_tier = number("tier") == 0;
+  can_cancel = flag("allowed.cancel");
+  can_copy = flag("allowed.second_copies");
+  can_come_back = flag("allowed.retry_after");
+  must_subscribe = text("discovery") == "subscribe";
+  sidecars = std::max(1.0, number("sidecars"));
+  cold_share = number("rules.cold_share");
+  fall_multiple = number("rules.fall_multiple");
+  fall_window = Span::ms(number("rules.fall_ms"));
+  warm_after = Span::ms(number("rules.warm_after_ms"));
+  most_come_back = Span::ms(number("allowed.max_retry_after_ms"));
+  most_dispatches = static_cast<std::uint8_t>(std::clamp(number("allowed.max_dispatches"), 1.0, 8.0));
+  for (int i = 0; i < number("tracks.count"); ++i) {
+    const std::string at = "tracks." + std::to_string(i) + ".";
+    Track t;
+    t.soft_limit = Span::ms(number(at + "soft_limit_ms"));
+    t.client_timeout = Span::ms(number(at + "client_timeout_ms"));
+    t.payoff = number(at + "payoff");
+    t.late_payoff = number(at + "late_payoff");
+    const std::string& effect = text(at + "effect");
+    t.effect = effect == "replayable"   ? Effect::replayable
+               : effect == "referenced" ? Effect::referenced
+                                        : Effect::single_use;
+    if (t.effect == Effect::referenced) {
+      const std::string& group = text(at + "repeat_group");
+      t.group = group == "all" ? Group::all : group == "zone" ? Group::zone : Group::cell;
+      t.repeat_window = Span::ms(number(at + "repeat_window_ms"));
+    }
+    tracks.push_back(t);
+  }
+  if (settings.contains("accounts.count")) {
+    over_payoff = number("over_share_payoff");
+    for (int i = 0; i < number("accounts.count"); ++i) {
+      const double per_s = number("accounts." + std::to_string(i) + ".allowance_per_s") / sidecars;
+      accounts.push_back({per_s, per_s});
+    }
+  }
+  accounts_filled = solve_at = look_at = step_at = rate_since = now;
+  answers.reserve(64);
+}
+
+// --- The design: cap, cutoffs, shares, draw --------------------------------------------------------
+
+Span Balancer::State::cap(const Call& c, TimePoint now) {
+  Span least = std::min(tracks[c.track].client_timeout, c.timeout - now);
+  if (!measured(now) || starved) return least;
+  return std::min(least, std::max(cap_floor, times.quantile(cap_quantile, now) * cap_multiple));
+}
+
+double Balancer::State::warmth(const Endpoint& e, TimePoint now) const {
+  if (e.came_up <= TimePoint() || now - e.came_up >= warm_after) return 1.0;
+  return cold_share + (1.0 - cold_share) * std::max(0.0, (now - e.came_up) / warm_after);
+}
+
+void Balancer::State::solve(TimePoint now) {
+  double sum = 0.0;
+  int heard = 0;
+  std::vector<double>& cumulative = shares;
+  cumulative.resize(endpoints.size());
+  std::vector<double> tails;
+  ready_count = 0;
+  for (Endpoint& e : endpoints) {
+    if (!ready(e)) continue;
+    ++ready_count;
+    if (e.latency_ms > 0.0) sum += 1.0 / e.latency_ms, ++heard;
+    if (e.times.count(now) >= outlier_samples) tails.push_back(e.times.quantile(outlier_quantile, now).as_ms());
+  }
+  const double mean = heard > 0 ? sum / heard : 1.0;
+  double typical = 0.0;
+  if (tails.size() >= 3) {
+    std::nth_element(tails.begin(), tails.begin() + static_cast<long>(tails.size() / 2), tails.end());
+    typical = tails[tails.size() / 2];
+  }
+  double total = 0.0;
+  for (std::size_t i = 0; i < endpoints.size(); ++i) {
+    Endpoint& e = endpoints[i];
+    const bool was = e.outlier;
+    e.outlier = typical > 0.0 && e.times.count(now) >= outlier_samples &&
+                e.times.quantile(outlier_quantile, now).as_ms() > outlier_factor * typical;
+    if (e.outlier != was) say("endpoint %012llx %s", static_cast<unsigned long long>(e.id),
+                              e.outlier ? "answers far slower than its fellows" : "answers like its fellows again");
+    if (ready(e)) total += (e.latency_ms > 0.0 ? 1.0 / e.latency_ms : mean) * warmth(e, now);
+    cumulative[i] = total;
+  }
+  const double cut = cuts.count(now), done = times.count(now);
+  const bool was = starved;
+  starved = cut > starved_cuts * std::max(1.0, done);
+  if (starved != was) say(starved ? "cuts starve the estimate: full timeouts" : "estimate bounds dispatches again");
+  const double seconds = (now - rate_since).as_ms() / 1000.0;
+  if (seconds > 0.5) {
+    const double seen = step_arrivals / seconds;
+    rate = rate > 0.0 ? 0.5 * (rate + seen) : seen;
+    step_arrivals = 0;
+    rate_since = now;
+  }
+  solve_at = now + solve_every;
+}
+
+int Balancer::State::pick(const Call& c, TimePoint now) {
+  if (shares.size() != endpoints.size()) solve(now);
+  const double high = pass_over_factor * in_flight / std::max(1, ready_count) + pass_over_extra;
+  const auto tried = [&](std::size_t i) {
+    for (int n = 0; n < c.sent; ++n) {
+      if (c.dispatches[static_cast<std::size_t>(n)].endpoint == i) return true;
+    }
+    return false;
+  };
+  const double total = shares.empty() ? 0.0 : shares.back();
+  for (int n = 0; n < draws && total > 0.0; ++n) {
+    const auto at = std::upper_bound(shares.begin(), shares.end(), chance.unit() * total);
+    const auto i = static_cast<std::size_t>(std::min<long>(at - shares.begin(), std::ssize(shares) - 1));
+    Endpoint& e = endpoints[i];
+    if (e.in_flight <= high && !tried(i) && healthy(e, now) && open_by_rules(c, e, now)) return static_cast<int>(i);
+  }
+  // The draw met only loaded or closed ones: take the least loaded that may be used. When most are judged
+  // unhealthy the judgement is worth little (all are slow), and the rules alone decide.
+  int best = -1;
+  double best_load = 0.0;
+  int unhealthy = 0;
+  for (int pass = 0; pass < 2 && best < 0; ++pass) {
+    if (pass == 1 && unhealthy * 2 <= ready_count) break;
+    for (std::size_t i = 0; i < endpoints.size(); ++i) {
+      Endpoint& e = endpoints[i];
+      if (!ready(e)) continue;
+      const bool well = healthy(e, now);
+      unhealthy += pass == 0 && !well ? 1 : 0;
+      if ((pass == 0 && !well) || !open_by_rules(c, e, now)) continue;
+      const double load = (e.in_flight + 1) * std::max(1.0, e.latency_ms) + (tried(i) ? 1e9 : 0.0);
+      if (best < 0 || load < best_load) best = static_cast<int>(i), best_load = load;
+    }
+  }
+  return best;
+}
+
+// --- Endpoints -------------------------------------------------------------------------------------
+
+// What no judgement of health may set aside: drains, cold endpoints, and repeats within their group.
+bool Balancer::State::open_by_rules(const Call& c, const Endpoint& e, TimePoint now) {
+  if (!ready(e)) return false;
+  if (c.bound_to >= 0 && !within_repeats(c, e, now)) return false;
+  if (e.fresh_cap >= 0.0 && e.in_flight >= e.fresh_cap) return false;
+  if (warmth(e, now) >= 1.0) return true;
+  fill_cold(const_cast<Endpoint&>(e), now);
+  return e.cold_tokens >= 1.0;
+}
+
+// Guards against a cold endpoint being pushed over by all sidecars together: each sends it no more than
+// its own mean rate per endpoint, scaled by how warm it must be by now, in bursts well under the window.
+void Balancer::State::fill_cold(Endpoint& e, TimePoint now) {
+  const double per_s = std::max(cold_least, rate / std::max(1, ready_count) * warmth(e, now));
+  const double depth = std::max(1.0, per_s * fall_window.as_ms() / 1000.0 * fall_multiple * cold_depth);
+  e.cold_tokens = std::min(depth, e.cold_tokens + per_s * (now - e.cold_filled).as_ms() / 1000.0);
+  e.cold_filled = now;
+}
+
+bool Balancer::State::healthy(const Endpoint& e, TimePoint now) {
+  if (now < e.barred_until || (e.outlier && e.in_flight > 0)) return false;
+  return all_silent || !silent(e, now);
+}
+
+bool Balancer::State::silent(const Endpoint& e, TimePoint now) {
+  if (e.in_flight == 0 || !measured(now)) return false;
+  const Span patience = times.quantile(cap_quantile, now) * (e.in_flight > 1 ? silence_factor : silence_alone);
+  return now - e.quiet_since > std::max(cap_floor, patience);
+}
+
+void Balancer::State::miss(Endpoint& e, TimePoint now, const char* what) {
+  if (++e.misses < misses_allowed || now < e.barred_until) return;
+  if (e.bar == bar_first) {
+    say("endpoint %012llx passed over: %s", static_cast<unsigned long long>(e.id), what);
+  }
+  e.barred_until = now + e.bar;
+  e.bar = std::min(bar_most, e.bar * 2.0);
+  e.fresh_cap = fresh_start;
+}
+
+void Balancer::State::learn(Endpoint& e, const Dispatch& d, const DispatchEnd& end, TimePoint now) {
+  --e.in_flight;
+  --in_flight;
+  switch (end.outcome) {
+    case Outcome::done:
+      times.add(end.elapsed, now);
+      e.times.add(end.elapsed, now);
+      e.latency_ms += (end.elapsed.as_ms() - e.latency_ms) * (e.latency_ms > 0.0 ? latency_gain : 1.0);
+      if (e.bar != bar_first) say("endpoint %012llx answers again", static_cast<unsigned long long>(e.id));
+      e.misses = 0;
+      e.bar = bar_first;
+      e.quiet_since = now;
+      if (e.fresh_cap >= 0.0) {
+        e.fresh_cap += fresh_growth;
+        const double enough = fresh_done * (in_flight + 1.0) / std::max(1, ready_count);
+        if (e.fresh_cap > std::max(2.0, enough) && warmth(e, now) >= 1.0) e.fresh_cap = -1.0;
+      }
+      break;
+    case Outcome::turned_away:
+      e.quiet_since = now;
+      e.barred_until = std::max(e.barred_until, now + full_pause);
+      break;
+    case Outcome::timed_out:
+      if (d.cut) cuts.add(end.elapsed, now);
+      miss(e, now, "dispatches time out");
+      break;
+    case Outcome::not_connected: miss(e, now, "no connection"); break;
+    case Outcome::reset: miss(e, now, "connections break"); break;
+    case Outcome::cancelled:
+      if (d.rescued) miss(e, now, "silent");
+      break;
+    case Outcome::error: e.quiet_since = now; break;
+    case Outcome::not_sent: break;
+  }
+}
+
+Answers Balancer::listed(ListKind kind, std::span<const ListedEndpoint> entries, TimePoint now) {
+  State& s = *state_;
+  s.answers.clear();
+  if (kind == ListKind::failed) {
+    // The pause is drawn so that sidecars whose subscriptions broke together do not ask together.
+    s.subscribe_at = now + s.subscribe_pause * (0.5 + s.chance.unit());
+    s.subscribe_pause = std::min(subscribe_most, s.subscribe_pause * 2.0);
+    return s.answers;
+  }
+  if (kind == ListKind::cached && s.must_subscribe) {
+    Answer ask;
+    ask.verdict = Verdict::subscribe;
+    s.answers.push_back(ask);
+  } else {
+    s.subscribe_pause = subscribe_first;
+  }
+  std::vector<bool> named(s.endpoints.size(), false);
+  for (const ListedEndpoint& l : entries) {
+    std::uint32_t at = s.endpoint_index.find(l.id);
+    if (at == IdIndex::none) {
+      if (l.availability == Availability::gone) continue;
+      at = static_cast<std::uint32_t>(s.endpoints.size());
+      s.endpoint_index.put(l.id, at);
+      s.endpoints.emplace_back().id = l.id;
+    }
+    if (at < named.size()) named[at] = true;
+    Endpoint& e = s.endpoints[at];
+    // A fresh start: nothing that was known of the process before it holds.
+    if (l.availability == Availability::ready && (!s.ready(e) || l.came_up != e.came_up)) {
+      const int out = e.in_flight;
+      e = Endpoint{};
+      e.id = l.id;
+      e.in_flight = out;
+      e.quiet_since = e.cold_filled = now;
+      e.came_up = l.came_up;
+      if (s.warmth(e, now) < 1.0) e.fresh_cap = fresh_start;
+    }
+    e.zone = l.zone;
+    e.cell = l.cell;
+    e.availability = l.availability;
+  }
+  if (kind != ListKind::changes) {
+    for (std::size_t i = 0; i < named.size(); ++i) {
+      if (!named[i]) s.endpoints[i].availability = Availability::gone;
+    }
+  }
+  s.solve(now);
+  s.serve_waiting(now);
+  return s.answers;
+}
+
+// --- API calls -------------------------------------------------------------------------------------
+
+bool Balancer::State::within_repeats(const Call& c, const Endpoint& e, TimePoint now) const {
+  const Track& t = tracks[c.track];
+  if (t.effect == Effect::replayable) return true;
+  if (t.effect == Effect::single_use || now - c.bound_since >= t.repeat_window) return false;
+  const Endpoint& first = endpoints[static_cast<std::size_t>(c.bound_to)];
+  return t.group == Group::all || (t.group == Group::zone ? first.zone == e.zone : first.cell == e.cell);
+}
+
+bool Balancer::State::may_go_again(const Call& c, TimePoint now) {
+  const Track& t = tracks[c.track];
+  if (c.sent >= most_dispatches) return false;
+  if (c.bound_to >= 0 && t.effect == Effect::single_use) return false;
+  // A retry that cannot end in time is skipped (the design). At the first tier, where a late answer pays
+  // nothing, the soft limit is the time that counts.
+  Span left = c.timeout - now;
+  if (first_tier && t.late_payoff <= 0.0) left = std::min(left, c.arrived + t.soft_limit - now);
+  return left > (measured(now) ? times.quantile(0.5, now) : Span());
+}
+
+Answer Balancer::State::give_up(std::uint32_t at, TimePoint, bool crowded) {
+  Call& c = calls[at];
+  const Track& t = tracks[c.track];
+  Answer a;
+  a.call = c.id;
+  const bool may_reject = c.bound_to < 0 || t.effect == Effect::replayable ||
+                          (t.effect == Effect::referenced && t.group == Group::all);
+  a.verdict = may_reject && c.out == 0 ? Verdict::reject : Verdict::break_off;
+  if (t.effect == Effect::replayable) a.verdict = Verdict::reject;
+  if (a.verdict == Verdict::reject && can_come_back) a.span = crowded ? most_come_back : most_come_back * 0.25;
+  finish(at);
+  return a;
+}
+
+Answer Balancer::State::send(std::uint32_t at, int endpoint, TimePoint now) {
+  Call& c = calls[at];
+  Endpoint& e = endpoints[static_cast<std::size_t>(endpoint)];
+  Answer a;
+  a.verdict = Verdict::dispatch;
+  a.call = c.id;
+  a.endpoint = e.id;
+  a.number = c.sent;
+  a.span = cap(c, now);
+  Dispatch& d = c.dispatches[c.sent++];
+  d = {static_cast<std::uint32_t>(endpoint), now, true, a.span < c.timeout - now, false};
+  ++c.out;
+  c.waiting = false;
+  if (e.in_flight++ == 0) e.quiet_since = now;
+  ++in_flight;
+  if (warmth(e, now) < 1.0) e.cold_tokens -= 1.0;
+  return a;
+}
+
+Answer Balancer::State::place(std::uint32_t at, TimePoint now) {
+  Call& c = calls[at];
+  if (c.timeout <= now) return give_up(at, now, false);
+  const int endpoint = pick(c, now);
+  if (endpoint >= 0) return send(at, endpoint, now);
+  return hold_or_give_up(at, now);
+}
+
+// No endpoint takes it now. It is held for a moment if that leaves time for the answer.
+Answer Balancer::State::hold_or_give_up(std::uint32_t at, TimePoint now) {
+  Call& c = calls[at];
+  if (!c.waiting) {
+    c.waiting = true;
+    c.wait_until = std::min(now + tracks[c.track].soft_limit * wait_part, c.timeout - answer_guard - look_every);
+    if (ready_count > 0 && c.wait_until > now) waiting.push_back(at);
+  }
+  if (ready_count == 0 || c.wait_until <= now) return give_up(at, now, true);
+  Answer a;
+  a.verdict = Verdict::wait;
+  a.call = c.id;
+  a.until = c.wait_until;
+  return a;
+}
+
+void Balancer::State::finish(std::uint32_t at) {
+  Call& c = calls[at];
+  if (c.over) return;
+  c.over = true;
+  c.waiting = false;
+  --calls_out;
+  cancel_others(at);
+  settle(at);
+}
+
+// The place is reused once the client has its answer and every dispatch has ended.
+void Balancer::State::settle(std::uint32_t at) {
+  Call& c = calls[at];
+  if (!c.over || c.out > 0 || !c.in_use) return;
+  if (std::find(waiting.begin(), waiting.end(), at) != waiting.end()) std::erase(waiting, at);
+  call_index.erase(c.id);
+  c.in_use = false;
+  calls.give_back(at);
+}
+
+void Balancer::State::cancel_others(std::uint32_t at) {
+  Call& c = calls[at];
+  for (std::uint8_t n = 0; can_cancel && n < c.sent; ++n) {
+    if (!c.dispatches[n].out) continue;
+    Answer a;
+    a.verdict = Verdict::cancel;
+    a.call = c.id;
+    a.number = n;
+    answers.push_back(a);
+  }
+}
+
+void Balancer::State::serve_waiting(TimePoint now) {
+  if (waiting.empty()) return;
+  std::erase_if(waiting, [&](std::uint32_t at) { return !calls[at].waiting; });
+  std::stable_sort(waiting.begin(), waiting.end(),
+                   [&](std::uint32_t a, std::uint32_t b) { return calls[a].payoff > calls[b].payoff; });
+  for (std::size_t i = 0; i < waiting.size();) {
+    const std::uint32_t at = waiting[i];
+    const std::size_t before = waiting.size();
+    const Answer a = place(at, now);
+    if (a.verdict != Verdict::wait) {
+      answers.push_back(a);
+      if (waiting.size() == before) waiting.erase(waiting.begin() + static_cast<long>(i));
+    } else {
+      ++i;
+    }
+  }
+}
+
+// Calls out at an endpoint that has gone silent while its fellows answer go elsewhere, where the track
+// permits: as a second copy, or by cancelling where copies are barred (the cancelled end sends it again).
+// Guards against a hung or vanished endpoint holding its calls for 3 x p95, beyond their soft limits.
+void Balancer::State::rescue(TimePoint now) {
+  int quiet = 0;
+  for (const Endpoint& e : endpoints) quiet += ready(e) && silent(e, now) ? 1 : 0;
+  all_silent = quiet * 2 > ready_count;
+  if (quiet == 0 || all_silent) return;
+  for (std::uint32_t at = 0; at < calls.size(); ++at) {
+    Call& c = calls[at];
+    if (!c.in_use || c.over || c.streaming || c.out != 1 || c.sent == 0 || retry_tokens < 1.0) continue;
+    Dispatch& d = c.dispatches[c.sent - 1U];
+    Endpoint& e = endpoints[d.endpoint];
+    if (!d.out || d.rescued || tracks[c.track].effect != Effect::replayable) continue;
+    if (!silent(e, now) || now - d.sent < times.quantile(cap_quantile, now) || !may_go_again(c, now)) continue;
+    if (can_copy) {
+      const int endpoint = pick(c, now);
+      if (endpoint < 0 || endpoint == static_cast<int>(d.endpoint)) continue;
+      d.rescued = true;
+      miss(e, now, "silent");
+      answers.push_back(send(at, endpoint, now));
+    } else if (can_cancel) {
+      d.rescued = true;
+      Answer a;
+      a.verdict = Verdict::cancel;
+      a.call = c.id;
+      a.number = c.sent - 1U;
+      answers.push_back(a);
+    } else {
+      continue;
+    }
+    retry_tokens -= 1.0;
+  }
+}
+
+// --- Admission (first tier) ------------------------------------------------------------------------
+
+double Balancer::State::payoff_of(const ApiCall& call, TimePoint now) {
+  const double payoff = tracks[call.track].payoff;
+  if (!first_tier || call.account >= accounts.size()) return payoff;
+  const double seconds = (now - accounts_filled).as_ms() / 1000.0;
+  accounts_filled = now;
+  for (Account& a : accounts) a.tokens = std::min(std::max(1.0, a.per_s), a.tokens + a.per_s * seconds);
+  Account& a = accounts[call.account];
+  if (a.tokens < 1.0) return payoff * over_payoff;
+  a.tokens -= 1.0;
+  return payoff;
+}
+
+// Deeper tiers turn nothing away early: work is already in the call, and its caller was admitted.
+bool Balancer::State::admitted(const Call& c) {
+  if (!first_tier) return true;
+  const double above = std::log2(std::max(1e-6, c.payoff / std::max(1e-6, payoff_mean)));
+  const double level = std::clamp(1.0 + payoff_slope * above, level_low, level_high);
+  const double room = (limit > 0.0 ? limit : limit_start * std::max(1, ready_count)) * level;
+  if (calls_out <= room) return true;
+  limited = true;
+  return false;
+}
+
+void Balancer::State::count_answer(const Call& c, bool done, TimePoint now) {
+  if (!first_tier) return;
+  ++step_ends;
+  if (!done || (now - c.arrived) / tracks[c.track].soft_limit > late_at) ++step_late;
+}
+
+void Balancer::State::step_limit(TimePoint now) {
+  step_at = now + limit_every;
+  if (limit <= 0.0) limit = limit_start * std::max(1, ready_count);
+  if (step_ends >= 5 && step_late > late_share * step_ends) {
+    limit = std::max(limit_least * std::max(1, ready_count), std::min<double>(limit, step_peak) * limit_cut);
+  } else if (limited) {
+    limit += std::max(1.0, limit * limit_growth);
+  }
+  if (step_ends >= 5 || limited) step_ends = step_late = 0;
+  step_peak = calls_out;
+  limited = false;
+}
+
+// --- Events ----------------------------------------------------------------------------------------
+
+void Balancer::State::say(const char* format, ...) {
+  Answer& a = answers.emplace_back();
+  a.verdict = Verdict::log;
+  va_list args;
+  va_start(args, format);
+  std::vsnprintf(a.text.data(), a.text.size(), format, args);
+  va_end(args);
+}
+
+void Balancer::State::tick(TimePoint now) {
+  if (now >= subscribe_at) {
+    subscribe_at = TimePoint::never();
+    Answer ask;
+    ask.verdict = Verdict::subscribe;
+    answers.push_back(ask);
+  }
+  if (now >= solve_at) solve(now);
+  if (now >= step_at) step_limit(now);
+  if (now >= look_at) {
+    look_at = now + look_every;
+    rescue(now);
+    serve_waiting(now);
+  }
+}
+
+Balancer::Balancer(const Settings& settings, std::uint64_t seed, TimePoint now)
+    : state_(std::make_unique<State>(settings, seed, now)) {}
+Balancer::~Balancer() = default;
+Balancer::Balancer(Balancer&&) noexcept = default;
+Balancer& Balancer::operator=(Balancer&&) noexcept = default;
+
+TimePoint Balancer::next_wake() const { return std::min({state_->solve_at, state_->look_at, state_->subscribe_at}); }
+
+Answer Balancer::arrived(const ApiCall& call, TimePoint now) {
+  State& s = *state_;
+  s.answers.clear();
+  const std::uint32_t at = s.calls.take();
+  Call& c = s.calls[at];
+  c.id = call.id;
+  c.track = std::min(call.track, static_cast<std::uint32_t>(s.tracks.size() - 1));
+  c.arrived = now;
+  c.timeout = now + call.left;
+  c.in_use = true;
+  s.call_index.put(call.id, at);
+  c.payoff = s.payoff_of(call, now);
+  s.payoff_mean += (c.payoff - s.payoff_mean) * (s.payoff_mean > 0.0 ? mean_gain : 1.0);
+  s.retry_tokens = std::min(retry_depth, s.retry_tokens + retry_share);
+  ++s.step_arrivals;
+  ++s.calls_out;
+  s.step_peak = std::max(s.step_peak, s.calls_out);
+  if (!s.admitted(c)) return s.give_up(at, now, true);
+  return s.place(at, now);
+}
+
+Answers Balancer::ended(const DispatchEnd& end, TimePoint now) {
+  State& s = *state_;
+  s.answers.clear();
+  const std::uint32_t at = s.call_index.find(end.call);
+  if (at == IdIndex::none || end.number >= s.calls[at].sent) return s.answers;
+  Call& c = s.calls[at];
+  Dispatch& d = c.dispatches[end.number];
+  if (!d.out) return s.answers;
+  d.out = false;
+  --c.out;
+  s.learn(s.endpoints[d.endpoint], d, end, now);
+  const bool ran = end.outcome != Outcome::not_sent && end.outcome != Outcome::not_connected &&
+                   end.outcome != Outcome::turned_away;
+  // What may have run binds the call from the send of the first such dispatch.
+  if (ran && c.bound_to < 0) {
+    c.bound_to = static_cast<int>(d.endpoint);
+    c.bound_since = d.sent;
+  }
+  if (c.over) {
+    s.settle(at);
+  } else if (end.call_over) {
+    s.count_answer(c, end.outcome == Outcome::done, now);
+    s.finish(at);
+  } else if (c.out == 0) {
+    const bool free = !ran || d.rescued;
+    if (s.may_go_again(c, now) && (free || s.retry_tokens >= 1.0)) {
+      if (!free) s.retry_tokens -= 1.0;
+      const Answer a = s.place(at, now);
+      if (a.verdict != Verdict::wait) s.answers.push_back(a);
+    } else {
+      s.count_answer(c, false, now);
+      s.answers.push_back(s.give_up(at, now, false));
+    }
+  }
+  s.serve_waiting(now);
+  return s.answers;
+}
+
+Answers Balancer::started(CallId call, std::uint32_t number, TimePoint now) {
+  State& s = *state_;
+  s.answers.clear();
+  const std::uint32_t at = s.call_index.find(call);
+  if (at == IdIndex::none) return s.answers;
+  Call& c = s.calls[at];
+  if (c.over || number >= c.sent) return s.answers;
+  s.count_answer(c, true, now);
+  c.streaming = true;
+  c.dispatches[number].out = false;  // not to be cancelled: it belongs to the client now
+  s.finish(at);
+  c.dispatches[number].out = true;
+  return s.answers;
+}
+
+Answers Balancer::client_left(CallId call, TimePoint now) {
+  State& s = *state_;
+  s.answers.clear();
+  const std::uint32_t at = s.call_index.find(call);
+  if (at == IdIndex::none || s.calls[at].over) return s.answers;
+  s.finish(at);
+  s.serve_waiting(now);
+  return s.answers;
+}
+
+Answers Balancer::woken(TimePoint now) {
+  state_->answers.clear();
+  state_->tick(now);
+  return state_->answers;
+}
+
+}  // namespace chutevane
--- /dev/null
+++ b/tests/codec_test.cpp
@@ -0,0 +1,1 @@
+#include <gtest/gtest.h>
