Admission: start at 2 calls per endpoint and sidecar; answers count late past half the soft limit

Cause: 8 per endpoint and sidecar is 24 per endpoint at three sidecars, which chokes a tier before the first answer.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -48,9 +48,9 @@
 constexpr int draws = 4;                               // tries at the share draw before the least loaded is taken
 // Admission
 constexpr Span limit_every = Span::ms(250);            // long enough for some tens of answers on a busy sidecar
-constexpr double limit_start = 8.0;                    // calls in flight per endpoint before anything is known
+constexpr double limit_start = 2.0;                    // calls in flight per endpoint before anything is known
 constexpr double limit_least = 1.0;                    // calls per endpoint: below that the tier idles
-constexpr double late_at = 0.7;                        // of the soft limit: answers beyond it warn of lateness
+constexpr double late_at = 0.5;                        // of the soft limit: answers beyond it warn of lateness
 constexpr double late_share = 0.25;                    // of answers in a step: more lowers the limit
 constexpr double limit_cut = 0.9;                      // factor per step: halves in under 2 s
 constexpr double limit_growth = 0.05;                  // per step when the limit binds: doubles in 4 s
