Admission: floor of the limit at 5 calls per endpoint over all sidecars

Cause: the floor was 1 per endpoint and sidecar, fewer calls than the quiet tier has in flight, so long work alone shut it.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -49,7 +49,7 @@
 // Admission
 constexpr Span limit_every = Span::ms(250);            // long enough for some tens of answers on a busy sidecar
 constexpr double limit_start = 2.0;                    // calls in flight per endpoint before anything is known
-constexpr double limit_least = 1.0;                    // calls per endpoint: below that the tier idles
+constexpr double limit_least = 5.0;                    // calls per endpoint over all sidecars: fewer idle the tier
 constexpr double late_at = 0.5;                        // of the soft limit: answers beyond it warn of lateness
 constexpr double late_share = 0.25;                    // of answers in a step: more lowers the limit
 constexpr double limit_cut = 0.9;                      // factor per step: halves in under 2 s
@@ -680,7 +680,7 @@
   step_at = now + limit_every;
   if (limit <= 0.0) limit = limit_start * std::max(1, ready_count);
   if (step_ends >= 5 && step_late > late_share * step_ends) {
-    limit = std::max(limit_least * std::max(1, ready_count), std::min<double>(limit, step_peak) * limit_cut);
+    limit = std::max(limit_least / sidecars * std::max(1, ready_count), std::min<double>(limit, step_peak) * limit_cut);
   } else if (limited) {
     limit += std::max(1.0, limit * limit_growth);
   }
