--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -49,7 +49,7 @@
 // Admission
 constexpr Span limit_every = Span::ms(250);            // long enough for some tens of answers on a busy sidecar
 constexpr double limit_start = 2.0;                    // calls in flight per endpoint before anything is known
-constexpr double limit_least = 5.0;                    // calls per endpoint over all sidecars: fewer idle the tier
+constexpr double limit_least = 7.0;                    // calls per endpoint over all sidecars: fewer idle the tier
 constexpr double late_at = 0.5;                        // of the soft limit: answers beyond it warn of lateness
 constexpr double late_share = 0.25;                    // of answers in a step: more lowers the limit
 constexpr double limit_cut = 0.9;                      // factor per step: halves in under 2 s
