--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -151,7 +151,7 @@
   bool silent(const Endpoint& e, TimePoint now);
   double warmth(const Endpoint& e, TimePoint now) const;
   void fill_cold(Endpoint& e, TimePoint now);
-  void miss(Endpoint& e, TimePoint now, const char* what);
+  void miss(Endpoint& e, TimePoint now, const char* what, int weight = 1);
   void learn(Endpoint& e, const Dispatch& d, const DispatchEnd& end, TimePoint now);
 
   // Calls
@@ -385,8 +385,9 @@
   return now - e.quiet_since > std::max(cap_floor, patience);
 }
 
-void Balancer::State::miss(Endpoint& e, TimePoint now, const char* what) {
-  if (++e.misses < misses_allowed || now < e.barred_until) return;
+void Balancer::State::miss(Endpoint& e, TimePoint now, const char* what, int weight) {
+  e.misses += weight;
+  if (e.misses < misses_allowed || now < e.barred_until) return;
   if (e.bar == bar_first) {
     say("endpoint %012llx passed over: %s", static_cast<unsigned long long>(e.id), what);
   }
@@ -421,7 +422,7 @@
       if (d.cut) cuts.add(end.elapsed, now);
       miss(e, now, "dispatches time out");
       break;
-    case Outcome::not_connected: miss(e, now, "no connection"); break;
+    case Outcome::not_connected: miss(e, now, "no connection", misses_allowed); break;  // no chance error
     case Outcome::reset: miss(e, now, "connections break"); break;
     case Outcome::cancelled:
       if (d.rescued) miss(e, now, "silent");
