--- a/include/chutevane/types.hpp
+++ b/include/chutevane/types.hpp
@@ -21,7 +21,9 @@
   constexpr auto operator<=>(const Span&) const = default;
   constexpr Span operator+(Span o) const { return Span(us_ + o.us_); }
   constexpr Span operator-(Span o) const { return Span(us_ - o.us_); }
-  constexpr Span operator*(double f) const { return Span(static_cast<std::int64_t>(static_cast<double>(us_) * f)); }
+  constexpr Span operator*(double f) const {
+    return Span(static_cast<std::int64_t>(static_cast<double>(us_) * f));
+  }
   constexpr double operator/(Span o) const { return static_cast<double>(us_) / static_cast<double>(o.us_); }
 
  private:
@@ -78,7 +80,16 @@
   bool repeated = false;
 };
 
-enum class Outcome : std::uint8_t { done, error, turned_away, timed_out, not_connected, reset, cancelled, not_sent };
+enum class Outcome : std::uint8_t {
+  done,
+  error,
+  turned_away,
+  timed_out,
+  not_connected,
+  reset,
+  cancelled,
+  not_sent
+};
 
 // What an endpoint says of its load; a negative figure was not given.
 struct LoadReport {
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -35,49 +35,48 @@
 
 // --- Constants: unit and why this size -------------------------------------------------------------
 // The design's
-constexpr double cap_multiple = 3.0;                   // x p95; the source's default
-constexpr double cap_quantile = 0.95;                  // the source's default
-constexpr Span estimate_window = Span::ms(10000);      // the design page's
-constexpr std::uint32_t estimate_samples = 20;         // done dispatches; the source's default
-constexpr Span cap_floor = Span::ms(50);               // the source's default: one scheduling hiccup
-constexpr double starved_cuts = 0.2;                   // cuts per done: more is no longer a tail being trimmed
-constexpr Span solve_every = Span::ms(2000);           // the design page's
-constexpr double latency_gain = 0.1;                   // per answer: smooths over about 20 answers
-constexpr double pass_over_factor = 1.5;               // x mean in flight: "well above" the mean
-constexpr double pass_over_extra = 1.0;                // calls: lets an idle sidecar's mean of near 0 pass one
-constexpr int draws = 4;                               // tries at the share draw before the least loaded is taken
+constexpr double cap_multiple = 3.0;               // x p95; the source's default
+constexpr double cap_quantile = 0.95;              // the source's default
+constexpr Span estimate_window = Span::ms(10000);  // the design page's
+constexpr std::uint32_t estimate_samples = 20;     // done dispatches; the source's default
+constexpr Span cap_floor = Span::ms(50);           // the source's default: one scheduling hiccup
+constexpr double starved_cuts = 0.2;               // cuts per done: more is no longer a tail being trimmed
+constexpr Span solve_every = Span::ms(2000);       // the design page's
+constexpr double latency_gain = 0.1;               // per answer: smooths over about 20 answers
+constexpr double pass_over_factor = 1.5;           // x mean in flight: "well above" the mean
+constexpr double pass_over_extra = 1.0;            // calls: lets an idle sidecar's mean of near 0 pass one
+constexpr int draws = 4;                           // tries at the share draw before the least loaded is taken
 // Admission
-constexpr Span limit_every = Span::ms(250);            // long enough for some tens of answers on a busy sidecar
-constexpr double limit_start = 2.0;                    // calls in flight per endpoint before anything is known
-constexpr double limit_least = 7.0;                    // calls per endpoint over all sidecars: fewer idle the tier
-constexpr double late_at = 0.5;                        // of the soft limit: answers beyond it warn of lateness
-constexpr double late_share = 0.25;                    // of answers in a step: more lowers the limit
-constexpr double limit_cut = 0.9;                      // factor per step: halves in under 2 s
-constexpr double limit_growth = 0.05;                  // per step when the limit binds: doubles in 4 s
-constexpr double payoff_slope = 0.12;                  // of the limit, per doubling of payoff over the mean
-constexpr double level_low = 0.5, level_high = 1.3;    // bounds of a call's part of the limit
-constexpr double mean_gain = 0.01;                     // per call: payoff mean over about the last 100
+constexpr Span limit_every = Span::ms(250);  // long enough for some tens of answers on a busy sidecar
+constexpr double limit_least = 7.0;          // calls per endpoint over all sidecars: fewer idle the tier
+constexpr double late_at = 0.5;              // of the soft limit: answers beyond it warn of lateness
+constexpr double late_share = 0.25;          // of answers in a step: more lowers the limit
+constexpr double limit_cut = 0.9;            // factor per step: halves in under 2 s
+constexpr double limit_growth = 0.05;        // per step when the limit binds: doubles in 4 s
+constexpr double payoff_slope = 0.12;        // of the limit, per doubling of payoff over the mean
+constexpr double level_low = 0.5, level_high = 1.3;  // bounds of a call's part of the limit
+constexpr double mean_gain = 0.01;                   // per call: payoff mean over about the last 100
 // Endpoints
-constexpr double fresh_start = 1.0;                    // call in flight: enough to hear whether it answers
-constexpr double fresh_growth = 0.2;                   // per answer: doubles in about 4 round trips
-constexpr double fresh_done = 3.0;                     // x mean in flight: then the cap is lifted
-constexpr double cold_depth = 0.3;                     // of the window's budget that may go out in one burst
-constexpr double cold_least = 0.3;                     // sends/s: lets an idle sidecar hear from it at all
-constexpr double outlier_quantile = 0.9;               // high enough for tails, low enough for few answers
-constexpr double outlier_factor = 3.0;                 // x fellows' median: machines of one tier differ by 2 to 3
-constexpr std::uint32_t outlier_samples = 5;           // answers in the window before an endpoint is judged
-constexpr int misses_allowed = 3;                      // in a row: chance errors are rare and alone
-constexpr Span bar_first = Span::ms(500);              // about the time a passing fault takes to show it passed
-constexpr Span bar_most = Span::ms(4000);              // a returned endpoint is found this soon
-constexpr Span full_pause = Span::ms(50);              // a full queue drains a few calls in this time
-constexpr double silence_factor = 1.5;                 // x p95 without any answer with two or more out
-constexpr double silence_alone = 2.5;                  // x p95 with a single one out: it may just be a long call
+constexpr double fresh_start = 1.0;           // call in flight: enough to hear whether it answers
+constexpr double fresh_growth = 0.2;          // per answer: doubles in about 4 round trips
+constexpr double fresh_done = 3.0;            // x mean in flight: then the cap is lifted
+constexpr double cold_depth = 0.3;            // of the window's budget that may go out in one burst
+constexpr double cold_least = 0.3;            // sends/s: lets an idle sidecar hear from it at all
+constexpr double outlier_quantile = 0.9;      // high enough for tails, low enough for few answers
+constexpr double outlier_factor = 3.0;        // x fellows' median: machines of one tier differ by 2 to 3
+constexpr std::uint32_t outlier_samples = 5;  // answers in the window before an endpoint is judged
+constexpr int misses_allowed = 3;             // in a row: chance errors are rare and alone
+constexpr Span bar_first = Span::ms(500);     // about the time a passing fault takes to show it passed
+constexpr Span bar_most = Span::ms(4000);     // a returned endpoint is found this soon
+constexpr Span full_pause = Span::ms(50);     // a full queue drains a few calls in this time
+constexpr double silence_factor = 1.5;        // x p95 without any answer with two or more out
+constexpr double silence_alone = 2.5;         // x p95 with a single one out: it may just be a long call
 // Again and waiting
-constexpr double retry_share = 0.2;                    // dispatches again per API call
-constexpr double retry_depth = 20.0;                   // dispatches: a sidecar's calls on one endpoint that dies
-constexpr double wait_part = 0.15;                     // of the soft limit: leaves most of it for the answer
-constexpr Span look_every = Span::ms(50);              // how often silence and waits are looked at
-constexpr Span answer_guard = Span::ms(25);            // waits end this long before the client timeout
+constexpr double retry_share = 0.2;          // dispatches again per API call
+constexpr double retry_depth = 20.0;         // dispatches: a sidecar's calls on one endpoint that dies
+constexpr double wait_part = 0.15;           // of the soft limit: leaves most of it for the answer
+constexpr Span look_every = Span::ms(50);    // how often silence and waits are looked at
+constexpr Span answer_guard = Span::ms(25);  // waits end this long before the client timeout
 constexpr Span subscribe_first = Span::ms(500), subscribe_most = Span::ms(8000);  // pause after a failed ask
 
 enum class Effect : std::uint8_t { replayable, referenced, single_use };
@@ -91,7 +90,7 @@
 };
 
 struct Account {
-  double per_s = 0.0;   // this sidecar's part of the allowance
+  double per_s = 0.0;  // this sidecar's part of the allowance
   double tokens = 0.0;
 };
 
@@ -103,8 +102,8 @@
   Span bar = bar_first;
   int in_flight = 0, misses = 0;
   bool outlier = false;
-  double latency_ms = 0.0;      // smoothed over done dispatches; 0: unheard
-  double fresh_cap = -1.0;      // calls in flight; negative: no cap
+  double latency_ms = 0.0;  // smoothed over done dispatches; 0: unheard
+  double fresh_cap = -1.0;  // calls in flight; negative: no cap
   double cold_tokens = 0.0;
   TimePoint cold_filled;
   WindowedHistogram times{estimate_window};
@@ -123,7 +122,7 @@
   TimePoint arrived, timeout, wait_until;
   std::uint8_t sent = 0, out = 0;
   bool over = false, waiting = false, streaming = false, in_use = false;
-  int bound_to = -1;            // endpoint of the earliest dispatch that may have run
+  int bound_to = -1;  // endpoint of the earliest dispatch that may have run
   TimePoint bound_since;
   std::array<Dispatch, 8> dispatches;
 };
@@ -170,6 +169,7 @@
   bool admitted(const Call& c);
   void count_answer(const Call& c, bool done, TimePoint now);
   void step_limit(TimePoint now);
+  double least_limit() const { return limit_least / sidecars * std::max(1, ready_count); }
   void tick(TimePoint now);
   void say(const char* format, ...) __attribute__((format(printf, 2, 3)));
 
@@ -185,7 +185,7 @@
 
   std::vector<Endpoint> endpoints;
   IdIndex endpoint_index;
-  std::vector<double> shares;   // cumulative, one per endpoint
+  std::vector<double> shares;  // cumulative, one per endpoint
   Slab<Call> calls;
   IdIndex call_index;
   std::vector<std::uint32_t> waiting;
@@ -193,8 +193,8 @@
 
   WindowedHistogram times{estimate_window}, cuts{estimate_window};
   bool starved = false, all_silent = false;
-  int in_flight = 0, ready_count = 0;   // dispatches out at ready endpoints; such endpoints
-  int calls_out = 0;                    // calls with a dispatch out, or waiting
+  int in_flight = 0, ready_count = 0;  // dispatches out at ready endpoints; such endpoints
+  int calls_out = 0;                   // calls with a dispatch out, or waiting
   double limit = 0.0, payoff_mean = 0.0, rate = 0.0, retry_tokens = retry_depth;
   int step_late = 0, step_ends = 0, step_peak = 0, step_arrivals = 0;
   bool limited = false;
@@ -214,7 +214,8 @@
   const std::string& value = text(key);
   char* end = nullptr;
   const double v = std::strtod(value.c_str(), &end);
-  if (value.empty() || *end != '\0' || !std::isfinite(v)) throw SettingError(key, "not a number: '" + value + "'");
+  if (value.empty() || *end != '\0' || !std::isfinite(v))
+    throw SettingError(key, "not a number: '" + value + "'");
   return v;
 }
 
@@ -284,7 +285,8 @@
     if (!ready(e)) continue;
     ++ready_count;
     if (e.latency_ms > 0.0) sum += 1.0 / e.latency_ms, ++heard;
-    if (e.times.count(now) >= outlier_samples) tails.push_back(e.times.quantile(outlier_quantile, now).as_ms());
+    if (e.times.count(now) >= outlier_samples)
+      tails.push_back(e.times.quantile(outlier_quantile, now).as_ms());
   }
   const double mean = heard > 0 ? sum / heard : 1.0;
   double typical = 0.0;
@@ -298,15 +300,17 @@
     const bool was = e.outlier;
     e.outlier = typical > 0.0 && e.times.count(now) >= outlier_samples &&
                 e.times.quantile(outlier_quantile, now).as_ms() > outlier_factor * typical;
-    if (e.outlier != was) say("endpoint %012llx %s", static_cast<unsigned long long>(e.id),
-                              e.outlier ? "answers far slower than its fellows" : "answers like its fellows again");
+    if (e.outlier != was)
+      say("endpoint %012llx %s", static_cast<unsigned long long>(e.id),
+          e.outlier ? "answers far slower than its fellows" : "answers like its fellows again");
     if (ready(e)) total += (e.latency_ms > 0.0 ? 1.0 / e.latency_ms : mean) * warmth(e, now);
     cumulative[i] = total;
   }
   const double cut = cuts.count(now), done = times.count(now);
   const bool was = starved;
   starved = cut > starved_cuts * std::max(1.0, done);
-  if (starved != was) say(starved ? "cuts starve the estimate: full timeouts" : "estimate bounds dispatches again");
+  if (starved != was)
+    say(starved ? "cuts starve the estimate: full timeouts" : "estimate bounds dispatches again");
   const double seconds = (now - rate_since).as_ms() / 1000.0;
   if (seconds > 0.5) {
     const double seen = step_arrivals / seconds;
@@ -331,7 +335,8 @@
     const auto at = std::upper_bound(shares.begin(), shares.end(), chance.unit() * total);
     const auto i = static_cast<std::size_t>(std::min<long>(at - shares.begin(), std::ssize(shares) - 1));
     Endpoint& e = endpoints[i];
-    if (e.in_flight <= high && !tried(i) && healthy(e, now) && open_by_rules(c, e, now)) return static_cast<int>(i);
+    if (e.in_flight <= high && !tried(i) && healthy(e, now) && open_by_rules(c, e, now))
+      return static_cast<int>(i);
   }
   // The draw met only loaded or closed ones: take the least loaded that may be used. When most are judged
   // unhealthy the judgement is worth little (all are slow), and the rules alone decide.
@@ -381,7 +386,8 @@
 
 bool Balancer::State::silent(const Endpoint& e, TimePoint now) {
   if (e.in_flight == 0 || !measured(now)) return false;
-  const Span patience = times.quantile(cap_quantile, now) * (e.in_flight > 1 ? silence_factor : silence_alone);
+  const Span patience =
+      times.quantile(cap_quantile, now) * (e.in_flight > 1 ? silence_factor : silence_alone);
   return now - e.quiet_since > std::max(cap_floor, patience);
 }
 
@@ -422,13 +428,20 @@
       if (d.cut) cuts.add(end.elapsed, now);
       miss(e, now, "dispatches time out");
       break;
-    case Outcome::not_connected: miss(e, now, "no connection", misses_allowed); break;  // no chance error
-    case Outcome::reset: miss(e, now, "connections break"); break;
+    case Outcome::not_connected:
+      miss(e, now, "no connection", misses_allowed);
+      break;  // no chance error
+    case Outcome::reset:
+      miss(e, now, "connections break");
+      break;
     case Outcome::cancelled:
       if (d.rescued) miss(e, now, "silent");
       break;
-    case Outcome::error: e.quiet_since = now; break;
-    case Outcome::not_sent: break;
+    case Outcome::error:
+      e.quiet_since = now;
+      break;
+    case Outcome::not_sent:
+      break;
   }
 }
 
@@ -496,7 +509,9 @@
 bool Balancer::State::may_go_again(const Call& c, TimePoint now) {
   const Track& t = tracks[c.track];
   if (c.sent >= most_dispatches) return false;
-  if (c.bound_to >= 0 && t.effect == Effect::single_use) return false;
+  if (c.bound_to >= 0 && t.effect != Effect::replayable) {
+    if (t.effect == Effect::single_use || now - c.bound_since >= t.repeat_window) return false;
+  }
   // A retry that cannot end in time is skipped (the design). At the first tier, where a late answer pays
   // nothing, the soft limit is the time that counts.
   Span left = c.timeout - now;
@@ -513,7 +528,8 @@
                           (t.effect == Effect::referenced && t.group == Group::all);
   a.verdict = may_reject && c.out == 0 ? Verdict::reject : Verdict::break_off;
   if (t.effect == Effect::replayable) a.verdict = Verdict::reject;
-  if (a.verdict == Verdict::reject && can_come_back) a.span = crowded ? most_come_back : most_come_back * 0.25;
+  if (a.verdict == Verdict::reject && can_come_back)
+    a.span = crowded ? most_come_back : most_come_back * 0.25;
   finish(at);
   return a;
 }
@@ -550,7 +566,8 @@
   Call& c = calls[at];
   if (!c.waiting) {
     c.waiting = true;
-    c.wait_until = std::min(now + tracks[c.track].soft_limit * wait_part, c.timeout - answer_guard - look_every);
+    c.wait_until =
+        std::min(now + tracks[c.track].soft_limit * wait_part, c.timeout - answer_guard - look_every);
     if (ready_count > 0 && c.wait_until > now) waiting.push_back(at);
   }
   if (ready_count == 0 || c.wait_until <= now) return give_up(at, now, true);
@@ -625,7 +642,8 @@
     Dispatch& d = c.dispatches[c.sent - 1U];
     Endpoint& e = endpoints[d.endpoint];
     if (!d.out || d.rescued || tracks[c.track].effect != Effect::replayable) continue;
-    if (!silent(e, now) || now - d.sent < times.quantile(cap_quantile, now) || !may_go_again(c, now)) continue;
+    if (!silent(e, now) || now - d.sent < times.quantile(cap_quantile, now) || !may_go_again(c, now))
+      continue;
     if (can_copy) {
       const int endpoint = pick(c, now);
       if (endpoint < 0 || endpoint == static_cast<int>(d.endpoint)) continue;
@@ -665,7 +683,7 @@
   if (!first_tier) return true;
   const double above = std::log2(std::max(1e-6, c.payoff / std::max(1e-6, payoff_mean)));
   const double level = std::clamp(1.0 + payoff_slope * above, level_low, level_high);
-  const double room = (limit > 0.0 ? limit : limit_start * std::max(1, ready_count)) * level;
+  const double room = std::max(limit, least_limit()) * level;
   if (calls_out <= room) return true;
   limited = true;
   return false;
@@ -679,9 +697,9 @@
 
 void Balancer::State::step_limit(TimePoint now) {
   step_at = now + limit_every;
-  if (limit <= 0.0) limit = limit_start * std::max(1, ready_count);
+  limit = std::max(limit, least_limit());
   if (step_ends >= 5 && step_late > late_share * step_ends) {
-    limit = std::max(limit_least / sidecars * std::max(1, ready_count), std::min<double>(limit, step_peak) * limit_cut);
+    limit = std::max(least_limit(), std::min<double>(limit, step_peak) * limit_cut);
   } else if (limited) {
     limit += std::max(1.0, limit * limit_growth);
   }
@@ -723,7 +741,9 @@
 Balancer::Balancer(Balancer&&) noexcept = default;
 Balancer& Balancer::operator=(Balancer&&) noexcept = default;
 
-TimePoint Balancer::next_wake() const { return std::min({state_->solve_at, state_->look_at, state_->subscribe_at}); }
+TimePoint Balancer::next_wake() const {
+  return std::min({state_->solve_at, state_->look_at, state_->subscribe_at});
+}
 
 Answer Balancer::arrived(const ApiCall& call, TimePoint now) {
   State& s = *state_;
--- a/src/base/histogram.hpp
+++ b/src/base/histogram.hpp
@@ -33,7 +33,8 @@
     double seen = 0;
     for (int b = 0; b < buckets; ++b) {
       const double n = sums_[static_cast<std::size_t>(b)];
-      if (n > 0 && seen + n >= want) return Span::ms(lower(b) + (lower(b + 1) - lower(b)) * (want - seen) / n);
+      if (n > 0 && seen + n >= want)
+        return Span::ms(lower(b) + (lower(b + 1) - lower(b)) * (want - seen) / n);
       seen += n;
     }
     return Span();
--- a/src/simhost/main.cpp
+++ b/src/simhost/main.cpp
@@ -25,7 +25,8 @@
         have += got;
       }
       const auto reply = host.answer({frame.data(), length});
-      if (std::fwrite(reply.data(), 1, reply.size(), stdout) != reply.size() || std::fflush(stdout) != 0) return 1;
+      if (std::fwrite(reply.data(), 1, reply.size(), stdout) != reply.size() || std::fflush(stdout) != 0)
+        return 1;
       frame_start += length;
     }
   } catch (const tundra::FrameError& e) {
--- a/src/tundra/codec.cpp
+++ b/src/tundra/codec.cpp
@@ -11,8 +11,8 @@
 constexpr std::size_t action_size = 32;
 constexpr std::size_t entry_size = 25;
 
-constexpr std::uint8_t stream_changes = 64, print = 65, after = 66, abandon = 68, exception = 69, pass_on = 70,
-                       reject = 71, respond_error = 73;
+constexpr std::uint8_t stream_changes = 64, print = 65, after = 66, abandon = 68, exception = 69,
+                       pass_on = 70, reject = 71, respond_error = 73;
 
 // Little-endian, whatever this machine is.
 template <class T>
@@ -52,15 +52,24 @@
 
 Outcome outcome_of(std::uint16_t disposition, std::size_t at) {
   switch (disposition) {
-    case 0: return Outcome::done;
-    case 255: return Outcome::error;
-    case 254: return Outcome::turned_away;
-    case 253: return Outcome::timed_out;
-    case 252: return Outcome::not_connected;
-    case 251: return Outcome::reset;
-    case 250: return Outcome::cancelled;
-    case 249: return Outcome::not_sent;
-    default: throw FrameError("unknown disposition " + std::to_string(disposition), at);
+    case 0:
+      return Outcome::done;
+    case 255:
+      return Outcome::error;
+    case 254:
+      return Outcome::turned_away;
+    case 253:
+      return Outcome::timed_out;
+    case 252:
+      return Outcome::not_connected;
+    case 251:
+      return Outcome::reset;
+    case 250:
+      return Outcome::cancelled;
+    case 249:
+      return Outcome::not_sent;
+    default:
+      throw FrameError("unknown disposition " + std::to_string(disposition), at);
   }
 }
 
@@ -68,10 +77,17 @@
   std::string_view wire, ours;
 };
 constexpr Name names[] = {
-    {"classes", "tracks"},           {"give_up_ms", "client_timeout_ms"}, {"target_ms", "soft_limit_ms"},
-    {"points", "payoff"},            {"late_share", "late_payoff"},       {"key_scope", "repeat_group"},
-    {"memory_span_ms", "repeat_window_ms"}, {"may_duplicate", "second_copies"},
-    {"max_attempts", "max_dispatches"}, {"n_instances", "sidecars"},      {"over_share_worth", "over_share_payoff"},
+    {"classes", "tracks"},
+    {"give_up_ms", "client_timeout_ms"},
+    {"target_ms", "soft_limit_ms"},
+    {"points", "payoff"},
+    {"late_share", "late_payoff"},
+    {"key_scope", "repeat_group"},
+    {"memory_span_ms", "repeat_window_ms"},
+    {"may_duplicate", "second_copies"},
+    {"max_attempts", "max_dispatches"},
+    {"n_instances", "sidecars"},
+    {"over_share_worth", "over_share_payoff"},
 };
 constexpr Name effects[] = {{"safe", "replayable"}, {"keyed", "referenced"}, {"unsafe", "single-use"}};
 
@@ -95,7 +111,8 @@
   if (bytes.size() < header_size) throw FrameError("input ends inside a header", bytes.size());
   const FrameHead head{get<std::uint32_t>(&bytes[0]), get<std::uint32_t>(&bytes[4]),
                        TimePoint::at_ms(get<double>(&bytes[8]))};
-  if (head.length < header_size) throw FrameError("frame length " + std::to_string(head.length) + " too small", 0);
+  if (head.length < header_size)
+    throw FrameError("frame length " + std::to_string(head.length) + " too small", 0);
   if (header_size + std::uint64_t{head.count} * event_size > head.length) {
     throw FrameError("record count " + std::to_string(head.count) + " does not fit the frame", 4);
   }
@@ -167,16 +184,23 @@
       e.end.number = r[28];
       read_report(29);
       break;
-    case EventCode::vanished: e.end.call = get<std::uint64_t>(r + 3); break;
-    case EventCode::wake: e.token = get<std::uint32_t>(r + 3); break;
+    case EventCode::vanished:
+      e.end.call = get<std::uint64_t>(r + 3);
+      break;
+    case EventCode::wake:
+      e.token = get<std::uint32_t>(r + 3);
+      break;
     case EventCode::health:
       e.end.elapsed = Span::ms(get<double>(r + 3));
       e.end.endpoint = get_endpoint(r + 11);
       e.end.outcome = outcome_of(get<std::uint16_t>(r + 17), at + 17);
       read_report(19);
       break;
-    case EventCode::peer_data: read_text(7); break;
-    case EventCode::stop: break;
+    case EventCode::peer_data:
+      read_text(7);
+      break;
+    case EventCode::stop:
+      break;
     case EventCode::snapshot_rows: {
       e.list = get<std::uint32_t>(r + 1);
       if (e.list > 15) throw FrameError("list number above 15", at + 1);
@@ -222,7 +246,8 @@
   std::uint8_t* r = nullptr;
   switch (a.verdict) {
     case Verdict::nothing:
-    case Verdict::wait: break;
+    case Verdict::wait:
+      break;
     case Verdict::dispatch:
       r = record(pass_on, who);
       put(r + 3, a.call);
@@ -234,14 +259,20 @@
       put(r + 3, a.call);
       put(r + 11, a.span.as_ms());
       break;
-    case Verdict::break_off: put(record(respond_error, who) + 3, a.call); break;
+    case Verdict::break_off:
+      put(record(respond_error, who) + 3, a.call);
+      break;
     case Verdict::cancel:
       r = record(abandon, who);
       put(r + 3, a.call);
       r[11] = static_cast<std::uint8_t>(a.number);
       break;
-    case Verdict::subscribe: record(stream_changes, who)[3] = 1; break;
-    case Verdict::log: text(print, who, a.text.data()); break;
+    case Verdict::subscribe:
+      record(stream_changes, who)[3] = 1;
+      break;
+    case Verdict::log:
+      text(print, who, a.text.data());
+      break;
   }
 }
 
--- a/src/tundra/codec.hpp
+++ b/src/tundra/codec.hpp
@@ -21,20 +21,29 @@
 };
 
 enum class EventCode : std::uint8_t {
-  launch = 0, targets = 1, order = 2, started = 3, closed_attempt = 4, vanished = 5,
-  wake = 6, health = 7, peer_data = 8, stop = 9, snapshot_rows = 10,
+  launch = 0,
+  targets = 1,
+  order = 2,
+  started = 3,
+  closed_attempt = 4,
+  vanished = 5,
+  wake = 6,
+  health = 7,
+  peer_data = 8,
+  stop = 9,
+  snapshot_rows = 10,
 };
 
 struct Event {
   EventCode code{};
   std::uint16_t who = 0;
   std::uint64_t seed = 0;
-  std::string_view text;                // launch: the settings; peer_data: the octets
+  std::string_view text;  // launch: the settings; peer_data: the octets
   ListKind list_kind{};
   std::uint32_t list = 0;               // targets, snapshot_rows: the list's number
   std::vector<ListedEndpoint> entries;  // snapshot_rows
   ApiCall call;
-  DispatchEnd end;                      // also started, vanished (call) and health (endpoint, outcome)
+  DispatchEnd end;  // also started, vanished (call) and health (endpoint, outcome)
   std::uint32_t token = 0;
   std::uint8_t load_count = 0;
   std::array<float, 4> load{};
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -1,1 +1,248 @@
-#include <gtest/gtest.h>
+#include <set>
+
+#include "helpers.hpp"
+
+namespace chutevane {
+namespace {
+
+TEST(Cap, ColdInstanceGivesTheFullTime) {
+  Bench b(3);
+  EXPECT_EQ(b.call(1, 10, 0, 2500).span, Span::ms(2500));
+}
+
+TEST(Cap, MeasuredIsThreeTimesP95) {
+  Bench b(3);
+  b.history(40, 100, 500);
+  const double cap = b.call(1, 510).span.as_ms();
+  EXPECT_GT(cap, 270);
+  EXPECT_LT(cap, 345);
+}
+
+TEST(Cap, NeverUnderTheFloor) {
+  Bench b(3);
+  b.history(40, 2, 500);
+  EXPECT_EQ(b.call(1, 510).span, Span::ms(50));
+}
+
+TEST(Cap, TimeLeftClamps) {
+  Bench b(3);
+  b.history(40, 100, 500);
+  EXPECT_EQ(b.call(1, 510, 0, 120).span, Span::ms(120));
+}
+
+TEST(Cap, StarvedEstimateGivesTheFullTimeAgain) {
+  Bench b(3);
+  b.history(40, 100, 500);
+  for (CallId id = 1; id <= 12; ++id) b.end(b.call(id, 510), Outcome::timed_out, 1900, 300);
+  b.balancer.woken(at(2100));
+  EXPECT_EQ(b.call(50, 2110).span, Span::ms(4000));
+}
+
+TEST(Cutoffs, SpentCallIsNotSent) {
+  Bench b(3);
+  EXPECT_EQ(b.call(1, 10, 0, 0).verdict, Verdict::reject);
+}
+
+TEST(Cutoffs, ShortRetryIsSkipped) {
+  Bench b(3);
+  b.history(40, 100, 500);
+  const auto got = b.end(b.call(1, 510, 0, 150), Outcome::error, 600);
+  EXPECT_TRUE(find(got, Verdict::reject));
+}
+
+TEST(Cutoffs, RetryPastTheSoftLimitIsSkippedAtTheFirstTier) {
+  Bench b(3);
+  b.history(40, 100, 500);
+  EXPECT_TRUE(find(b.end(b.call(1, 510), Outcome::error, 1450), Verdict::reject));
+}
+
+TEST(Shares, FasterEndpointsGetMore) {
+  Bench b(2);
+  for (int i = 0; i < 60; ++i) {
+    const Answer a = b.call(1000U + static_cast<CallId>(i), i);
+    b.end(a, Outcome::done, i, a.endpoint == 1 ? 50 : 120);
+  }
+  b.balancer.woken(at(2100));
+  int first = 0;
+  for (int i = 0; i < 200; ++i) {
+    const Answer a = b.call(2000U + static_cast<CallId>(i), 2200 + i);
+    first += a.endpoint == 1 ? 1 : 0;
+    b.end(a, Outcome::done, 2200 + i, a.endpoint == 1 ? 50 : 120);
+  }
+  EXPECT_GT(first, 120);
+  EXPECT_LT(first, 180);
+}
+
+TEST(Drains, NothingGoesToDrainingOrUnlistedEndpoints) {
+  Bench b(3);
+  auto list = endpoints(2);
+  list[0].availability = Availability::draining;
+  b.balancer.listed(ListKind::full, list, at(10));
+  for (CallId id = 1; id <= 5; ++id) EXPECT_EQ(b.call(id, 20).endpoint, 2U);
+}
+
+TEST(Drains, NoEndpointIsAQuickRejectionWithAComeBackTime) {
+  Bench b(0);
+  const Answer a = b.call(1, 10);
+  EXPECT_EQ(a.verdict, Verdict::reject);
+  EXPECT_GT(a.span, Span());
+}
+
+TEST(Cold, SendsInAWindowStayWithinThisSidecarsPart) {
+  Bench b(10);
+  auto list = endpoints(10);
+  list[0].came_up = at(0);
+  b.balancer.listed(ListKind::full, list, at(0));
+  int sent = 0;
+  for (int i = 0; i < 1500; ++i) {  // 100 calls a second, each done at once
+    const Answer a = b.call(1000U + static_cast<CallId>(i), i * 10);
+    if (i % 100 == 0) b.balancer.woken(at(i * 10));
+    if (i >= 1350 && a.endpoint == 1) ++sent;
+    b.end(a, Outcome::done, i * 10, 20);
+  }
+  EXPECT_GT(sent, 0);
+  EXPECT_LE(sent, 3 * 10 * 1.5);  // 3 x its mean part, 10 a second, for the window of 1.5 s
+}
+
+TEST(Repeats, SingleUseIsBrokenOffOnceItMayHaveRun) {
+  Bench b(3, settings("single-use"));
+  EXPECT_TRUE(find(b.end(b.call(1, 10, 1), Outcome::timed_out, 200), Verdict::break_off));
+}
+
+TEST(Repeats, SingleUseGoesAgainWhenItNeverRan) {
+  Bench b(3, settings("single-use"));
+  EXPECT_TRUE(find(b.end(b.call(1, 10, 1), Outcome::turned_away, 20), Verdict::dispatch));
+}
+
+TEST(Repeats, ReferencedStaysInItsZone) {
+  Bench b(6, settings("referenced"));
+  for (CallId id = 1; id <= 8; ++id) {
+    const Answer first = b.call(id, 10, 1);
+    const auto got = b.end(first, Outcome::reset, 20);
+    if (const Answer* again = find(got, Verdict::dispatch)) {
+      EXPECT_EQ(again->endpoint & 1U, first.endpoint & 1U);
+    }
+  }
+}
+
+TEST(Repeats, ReferencedIsNotSentPastItsWindow) {
+  Settings s = settings("referenced");
+  s["tier"] = "1";
+  s["tracks.1.client_timeout_ms"] = "9000";
+  Bench b(6, s);
+  EXPECT_TRUE(find(b.end(b.call(1, 10, 1, 9000), Outcome::timed_out, 3500), Verdict::break_off));
+}
+
+TEST(Repeats, DispatchLimitHolds) {
+  Bench b(6);
+  Answer a = b.call(1, 10);
+  for (int n = 1; n < 4; ++n) a = *find(b.end(a, Outcome::turned_away, 10 + n), Verdict::dispatch);
+  EXPECT_TRUE(find(b.end(a, Outcome::turned_away, 20), Verdict::reject));
+}
+
+// A tenth of the answers late is a few slow endpoints, not load: it shut a tier that had room.
+TEST(Admission, ATailOfLateAnswersDoesNotLowerTheLimit) {
+  Bench b(4);
+  std::vector<Answer> slow;
+  int taken = 0, first = 0;
+  for (int step = 0; step < 20; ++step) {
+    std::vector<Answer> fast;
+    for (CallId id = 1; id <= 150; ++id) {
+      const Answer a = b.call(static_cast<CallId>(step) * 1000 + id, step * 250);
+      if (a.verdict == Verdict::dispatch) (id % 8 == 0 ? slow : fast).push_back(a);
+    }
+    taken = static_cast<int>(fast.size());
+    first = step == 0 ? taken : first;
+    for (const Answer& a : fast) b.end(a, Outcome::done, step * 250 + 240, 240);
+    while (step >= 3 && !slow.empty() && slow[0].call < static_cast<CallId>(step - 2) * 1000) {
+      b.end(slow[0], Outcome::done, step * 250 + 240, 990);
+      slow.erase(slow.begin());
+    }
+    b.balancer.woken(at(step * 250 + 250));
+  }
+  EXPECT_GT(taken, first);
+}
+
+TEST(Admission, FullTierRejectsTheCheapAndTakesTheDear) {
+  Bench b(2);
+  CallId id = 1;
+  while (b.call(id, 10, 1).verdict == Verdict::dispatch && id < 500) ++id;
+  ASSERT_LT(id, 500U);
+  EXPECT_EQ(b.call(1000, 11, 0).verdict, Verdict::dispatch);
+  const Answer a = b.call(1001, 11, 1);
+  EXPECT_EQ(a.verdict, Verdict::reject);
+  EXPECT_EQ(a.span, Span::ms(2000));
+}
+
+TEST(Admission, AnAccountBeyondItsAllowanceGoesFirst) {
+  Settings s = settings();
+  s["accounts.count"] = "2";
+  s["accounts.0.allowance_per_s"] = "2";
+  s["accounts.1.allowance_per_s"] = "50";
+  s["over_share_payoff"] = "0.05";
+  Bench b(2, s);
+  CallId id = 1;
+  while (b.call(id, 10, 0, 4000, 0).verdict == Verdict::dispatch && id < 500) ++id;
+  ASSERT_LT(id, 500U);
+  EXPECT_EQ(b.call(1000, 11, 0, 4000, 1).verdict, Verdict::dispatch);
+}
+
+// A lost zone stays listed for seconds; one failed connection must be enough.
+TEST(Health, OneFailedConnectionPassesAnEndpointOver) {
+  Bench b(4);
+  const Answer a = b.call(1, 10);
+  b.end(a, Outcome::not_connected, 20);
+  for (CallId id = 2; id <= 9; ++id) EXPECT_NE(b.call(id, 30).endpoint, a.endpoint);
+}
+
+TEST(Health, CallsAtASilentEndpointAreCancelledAndSentElsewhere) {
+  Bench b(4);
+  b.history(40, 100, 500);
+  const Answer stuck = b.call(1, 510);
+  const Answers got = b.balancer.woken(at(850));
+  const std::vector<Answer> answers(got.begin(), got.end());
+  const Answer* cancel = find(answers, Verdict::cancel);
+  ASSERT_TRUE(cancel);
+  EXPECT_EQ(cancel->call, 1U);
+  const auto after = b.end(stuck, Outcome::cancelled, 860);
+  ASSERT_TRUE(find(after, Verdict::dispatch));
+  EXPECT_NE(find(after, Verdict::dispatch)->endpoint, stuck.endpoint);
+}
+
+TEST(Events, UnknownCallsAndLateEndsAreIgnored) {
+  Bench b(3);
+  const Answer a = b.call(1, 10);
+  b.balancer.client_left(1, at(20));
+  EXPECT_TRUE(b.end(a, Outcome::timed_out, 30).empty());
+  EXPECT_TRUE(b.end(a, Outcome::done, 40).empty());
+  EXPECT_TRUE(b.balancer.client_left(77, at(50)).empty());
+}
+
+TEST(Discovery, FailedSubscriptionIsRenewedAfterAPause) {
+  Settings s = settings();
+  s["discovery"] = "subscribe";
+  Balancer b(s, 3, at(0));
+  EXPECT_EQ(b.listed(ListKind::cached, endpoints(2), at(0)).front().verdict, Verdict::subscribe);
+  b.listed(ListKind::failed, {}, at(10));
+  const Answers early = b.woken(at(200));
+  EXPECT_FALSE(find({early.begin(), early.end()}, Verdict::subscribe));
+  const Answers later = b.woken(at(800));
+  EXPECT_TRUE(find({later.begin(), later.end()}, Verdict::subscribe));
+}
+
+TEST(SettingsGiven, AMissingOrWrongOneIsNamed) {
+  Settings s = settings();
+  s["rules.fall_ms"] = "soon";
+  try {
+    Balancer b(s, 1, at(0));
+    FAIL();
+  } catch (const SettingError& e) {
+    EXPECT_EQ(e.key, "rules.fall_ms");
+    EXPECT_NE(std::string(e.what()).find("soon"), std::string::npos);
+  }
+  s.erase("rules.fall_ms");
+  EXPECT_THROW(Balancer(s, 1, at(0)), SettingError);
+}
+
+}  // namespace
+}  // namespace chutevane
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -1,1 +1,86 @@
-#include <gtest/gtest.h>
+#include "tundra/codec.hpp"
+
+#include "helpers.hpp"
+
+namespace chutevane::tundra {
+namespace {
+
+using Bytes = std::vector<std::uint8_t>;
+
+Bytes frame(std::uint8_t code, std::uint32_t count = 1, std::size_t records = 1) {
+  Bytes b(header_size + records * 48);
+  b[0] = static_cast<std::uint8_t>(b.size());
+  b[4] = static_cast<std::uint8_t>(count);
+  if (records > 0) b[header_size] = code;
+  return b;
+}
+
+std::size_t error_byte(const Bytes& b) {
+  try {
+    const Batch batch(b);
+    batch.event(0);
+  } catch (const FrameError& e) {
+    return e.byte;
+  }
+  return std::string::npos;
+}
+
+TEST(Frame, ShortOneIsNamed) {
+  Bytes b = frame(9);
+  b.resize(40);
+  EXPECT_EQ(error_byte(b), 40U);
+}
+
+TEST(Frame, CountTooLarge) { EXPECT_EQ(error_byte(frame(9, 2)), 4U); }
+
+TEST(Frame, UnknownCode) { EXPECT_EQ(error_byte(frame(77)), header_size); }
+
+TEST(Frame, TailOutOfRange) {
+  Bytes b = frame(0);
+  b[header_size + 15] = 5;  // a text of five bytes, and no tail
+  EXPECT_EQ(error_byte(b), header_size + 11);
+}
+
+TEST(Frame, UnknownDisposition) {
+  Bytes b = frame(4);
+  b[header_size + 20] = 99;
+  EXPECT_EQ(error_byte(b), header_size + 20);
+}
+
+TEST(Events, ACallIsRead) {
+  Bytes b = frame(2);
+  const std::uint8_t record[] = {0x02, 0x03, 0x00, 0xc4, 0x91, 0x3a, 0x5d, 0x40, 0x47, 0x04,
+                                 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x6e, 0x40};
+  std::copy(std::begin(record), std::end(record), b.begin() + header_size);
+  const Event e = Batch(b).event(0);
+  EXPECT_EQ(e.who, 3);
+  EXPECT_EQ(e.call.id, 0x0447405d3a91c4U);
+  EXPECT_EQ(e.call.left, Span::ms(240));
+}
+
+TEST(Replies, ADispatchIsWritten) {
+  Reply r;
+  r.clear();
+  Answer a;
+  a.verdict = Verdict::dispatch;
+  a.call = 0x0447405d3a91c4U;
+  a.span = Span::ms(80);
+  a.endpoint = 0x2bc3074a120aU;
+  r.answer(3, a);
+  const auto got = r.finish();
+  const Bytes want = {0x46, 0x03, 0x00, 0xc4, 0x91, 0x3a, 0x5d, 0x40, 0x47, 0x04, 0x00, 0x00, 0x00,
+                      0x00, 0x00, 0x00, 0x00, 0x54, 0x40, 0x0a, 0x12, 0x4a, 0x07, 0xc3, 0x2b};
+  EXPECT_EQ(Bytes(got.begin() + 8, got.begin() + 8 + static_cast<long>(want.size())), want);
+  EXPECT_EQ(got.size(), 40U);
+}
+
+TEST(SettingNames, AreOursInsideAndTheWiresOutside) {
+  const Settings s = read_settings("classes.0.give_up_ms=1500.0\nclasses.0.effect=unsafe\nodd=1\n");
+  EXPECT_EQ(s.at("tracks.0.client_timeout_ms"), "1500.0");
+  EXPECT_EQ(s.at("tracks.0.effect"), "single-use");
+  EXPECT_EQ(s.at("odd"), "1");
+  EXPECT_EQ(wire_name("tracks.0.client_timeout_ms"), "classes.0.give_up_ms");
+}
+
+}  // namespace
+}  // namespace chutevane::tundra
