Admission: reject at once repeats whose soft limit has passed, told by their stated wait

On the wire first tries of a track state the same wait, a repeat what is left of the client timeout; so the age of a repeat can be told. Told from other causes: the median was a third of a second and the late share rose with the rejections, not with load.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -56,6 +56,9 @@
 constexpr double payoff_slope = 0.12;        // of the limit, per doubling of payoff over the mean
 constexpr double level_low = 0.5, level_high = 1.3;  // bounds of a call's part of the limit
 constexpr double mean_gain = 0.01;                   // per call: payoff mean over about the last 100
+constexpr double same_left = 0.01;                   // of the client timeout: transit varies by less
+constexpr double usual_decay = 0.995;                // per call: the usual wait is learnt over some 200 calls
+constexpr double usual_sure = 10.0;  // calls with the usual wait before others count as repeats
 // Endpoints
 constexpr double fresh_start = 1.0;           // call in flight: enough to hear whether it answers
 constexpr double fresh_growth = 0.2;          // per answer: doubles in about 4 round trips
@@ -89,6 +92,16 @@
   Group group = Group::all;
 };
 
+// What clients of a track commonly say they will wait on a first try.
+struct UsualWait {
+  struct Guess {
+    Span left;
+    double weight = 0.0;
+  };
+  std::array<Guess, 3> guesses;
+  std::size_t usual = 0;
+};
+
 struct Account {
   double per_s = 0.0;  // this sidecar's part of the allowance
   double tokens = 0.0;
@@ -120,6 +133,7 @@
   std::uint32_t track = 0;
   double payoff = 0.0;
   TimePoint arrived, timeout, wait_until;
+  TimePoint soft_end;  // the soft limit counts from the client's first try
   std::uint8_t sent = 0, out = 0;
   bool over = false, waiting = false, streaming = false, in_use = false;
   int bound_to = -1;  // endpoint of the earliest dispatch that may have run
@@ -166,6 +180,7 @@
   void rescue(TimePoint now);
   void cancel_others(std::uint32_t at);
   double payoff_of(const ApiCall& call, TimePoint now);
+  Span age_of(const ApiCall& call);
   bool admitted(const Call& c);
   void count_answer(const Call& c, bool done, TimePoint now);
   void step_limit(TimePoint now);
@@ -180,6 +195,7 @@
   Span warm_after, fall_window, most_come_back;
   std::uint8_t most_dispatches;
   std::vector<Track> tracks;
+  std::vector<UsualWait> waits;  // one per track
   std::vector<Account> accounts;
   TimePoint accounts_filled;
 
@@ -250,6 +266,8 @@
     }
     tracks.push_back(t);
   }
+  if (tracks.empty()) throw SettingError("tracks.count", "no track: '" + text("tracks.count") + "'");
+  waits.resize(tracks.size());
   if (settings.contains("accounts.count")) {
     over_payoff = number("over_share_payoff");
     for (int i = 0; i < number("accounts.count"); ++i) {
@@ -515,7 +533,7 @@
   // A retry that cannot end in time is skipped (the design). At the first tier, where a late answer pays
   // nothing, the soft limit is the time that counts.
   Span left = c.timeout - now;
-  if (first_tier && t.late_payoff <= 0.0) left = std::min(left, c.arrived + t.soft_limit - now);
+  if (first_tier && t.late_payoff <= 0.0) left = std::min(left, c.soft_end - now);
   return left > (measured(now) ? times.quantile(0.5, now) : Span());
 }
 
@@ -678,9 +696,31 @@
   return payoff;
 }
 
+// How long ago the client first tried, as far as its stated wait tells: first tries of a track state the
+// same wait, a repeat what is left of the client timeout. Guards against serving clients' repeats whose soft
+// limit has passed: in an overload they took a quarter of the tier for no payoff.
+Span Balancer::State::age_of(const ApiCall& call) {
+  const Span whole = tracks[call.track].client_timeout;
+  UsualWait& w = waits[call.track];
+  std::size_t at = 0, least = 0;
+  const auto same = [&](Span a, Span b) { return std::abs((a - b) / whole) <= same_left; };
+  for (std::size_t i = 0; i < w.guesses.size(); ++i) {
+    w.guesses[i].weight *= usual_decay;
+    if (w.guesses[i].weight < w.guesses[least].weight) least = i;
+  }
+  while (at < w.guesses.size() && !same(w.guesses[at].left, call.left)) ++at;
+  if (at == w.guesses.size()) w.guesses[at = least] = {call.left, 0.0};
+  w.guesses[at].weight += 1.0;
+  if (w.guesses[at].weight > 2.0 * w.guesses[w.usual].weight) w.usual = at;
+  if ((at == w.usual && !call.repeated) || w.guesses[w.usual].weight < usual_sure) return Span();
+  return std::max(Span(), whole - call.left);
+}
+
 // Deeper tiers turn nothing away early: work is already in the call, and its caller was admitted.
 bool Balancer::State::admitted(const Call& c) {
   if (!first_tier) return true;
+  const Span useful = c.soft_end - c.arrived;
+  if (tracks[c.track].late_payoff <= 0.0 && useful < times.quantile(0.5, c.arrived)) return false;
   const double above = std::log2(std::max(1e-6, c.payoff / std::max(1e-6, payoff_mean)));
   const double level = std::clamp(1.0 + payoff_slope * above, level_low, level_high);
   const double room = std::max(limit, least_limit()) * level;
@@ -745,15 +785,18 @@
   return std::min({state_->solve_at, state_->look_at, state_->subscribe_at});
 }
 
-Answer Balancer::arrived(const ApiCall& call, TimePoint now) {
+Answer Balancer::arrived(const ApiCall& given, TimePoint now) {
   State& s = *state_;
   s.answers.clear();
+  ApiCall call = given;
+  call.track = std::min(call.track, static_cast<std::uint32_t>(s.tracks.size() - 1));
   const std::uint32_t at = s.calls.take();
   Call& c = s.calls[at];
   c.id = call.id;
-  c.track = std::min(call.track, static_cast<std::uint32_t>(s.tracks.size() - 1));
+  c.track = call.track;
   c.arrived = now;
   c.timeout = now + call.left;
+  c.soft_end = now + s.tracks[c.track].soft_limit;
   c.in_use = true;
   s.call_index.put(call.id, at);
   c.payoff = s.payoff_of(call, now);
@@ -762,6 +805,7 @@
   ++s.step_arrivals;
   ++s.calls_out;
   s.step_peak = std::max(s.step_peak, s.calls_out);
+  if (s.first_tier) c.soft_end = c.soft_end - s.age_of(call);
   if (!s.admitted(c)) return s.give_up(at, now, true);
   return s.place(at, now);
 }
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -187,6 +187,15 @@
   EXPECT_EQ(b.call(1000, 11, 0, 4000, 1).verdict, Verdict::dispatch);
 }
 
+// Clients' repeats past their soft limit took a quarter of an overloaded tier for no payoff.
+TEST(Admission, ARepeatPastItsSoftLimitIsRejectedAtOnce) {
+  Bench b(4);
+  for (CallId id = 1; id <= 30; ++id) b.end(b.call(id, 10, 0, 3000), Outcome::done, 110, 100);
+  EXPECT_EQ(b.call(100, 200, 0, 3001).verdict, Verdict::dispatch);
+  EXPECT_EQ(b.call(101, 200, 0, 3800).verdict, Verdict::dispatch);  // tried 200 ms ago
+  EXPECT_EQ(b.call(102, 200, 0, 2500).verdict, Verdict::reject);    // tried 1.5 s ago
+}
+
 // A lost zone stays listed for seconds; one failed connection must be enough.
 TEST(Health, OneFailedConnectionPassesAnEndpointOver) {
   Bench b(4);
