--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -186,6 +186,7 @@
   void step_limit(TimePoint now);
   double least_limit() const { return limit_least / sidecars * std::max(1, ready_count); }
   void tick(TimePoint now);
+  void push(Verdict verdict, CallId call = 0, std::uint32_t number = 0);
   void say(const char* format, ...) __attribute__((format(printf, 2, 3)));
 
   const Settings settings;
@@ -473,9 +474,7 @@
     return s.answers;
   }
   if (kind == ListKind::cached && s.must_subscribe) {
-    Answer ask;
-    ask.verdict = Verdict::subscribe;
-    s.answers.push_back(ask);
+    s.push(Verdict::subscribe);
   } else {
     s.subscribe_pause = subscribe_first;
   }
@@ -619,12 +618,7 @@
 void Balancer::State::cancel_others(std::uint32_t at) {
   Call& c = calls[at];
   for (std::uint8_t n = 0; can_cancel && n < c.sent; ++n) {
-    if (!c.dispatches[n].out) continue;
-    Answer a;
-    a.verdict = Verdict::cancel;
-    a.call = c.id;
-    a.number = n;
-    answers.push_back(a);
+    if (c.dispatches[n].out) push(Verdict::cancel, c.id, n);
   }
 }
 
@@ -670,11 +664,7 @@
       answers.push_back(send(at, endpoint, now));
     } else if (can_cancel) {
       d.rescued = true;
-      Answer a;
-      a.verdict = Verdict::cancel;
-      a.call = c.id;
-      a.number = c.sent - 1U;
-      answers.push_back(a);
+      push(Verdict::cancel, c.id, c.sent - 1U);
     } else {
       continue;
     }
@@ -750,21 +740,25 @@
 
 // --- Events ----------------------------------------------------------------------------------------
 
-void Balancer::State::say(const char* format, ...) {
+void Balancer::State::push(Verdict verdict, CallId call, std::uint32_t number) {
   Answer& a = answers.emplace_back();
-  a.verdict = Verdict::log;
+  a.verdict = verdict;
+  a.call = call;
+  a.number = number;
+}
+
+void Balancer::State::say(const char* format, ...) {
+  push(Verdict::log);
   va_list args;
   va_start(args, format);
-  std::vsnprintf(a.text.data(), a.text.size(), format, args);
+  std::vsnprintf(answers.back().text.data(), answers.back().text.size(), format, args);
   va_end(args);
 }
 
 void Balancer::State::tick(TimePoint now) {
   if (now >= subscribe_at) {
     subscribe_at = TimePoint::never();
-    Answer ask;
-    ask.verdict = Verdict::subscribe;
-    answers.push_back(ask);
+    push(Verdict::subscribe);
   }
   if (now >= solve_at) solve(now);
   if (now >= step_at) step_limit(now);
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -25,7 +25,7 @@
 }
 
 TEST(Cap, TimeLeftClamps) {
-  Bench b(3);
+  Bench b(3, deeper());
   b.history(40, 100, 500);
   EXPECT_EQ(b.call(1, 510, 0, 120).span, Span::ms(120));
 }
@@ -44,7 +44,7 @@
 }
 
 TEST(Cutoffs, ShortRetryIsSkipped) {
-  Bench b(3);
+  Bench b(3, deeper());
   b.history(40, 100, 500);
   const auto got = b.end(b.call(1, 510, 0, 150), Outcome::error, 600);
   EXPECT_TRUE(find(got, Verdict::reject));
@@ -126,8 +126,7 @@
 }
 
 TEST(Repeats, ReferencedIsNotSentPastItsWindow) {
-  Settings s = settings("referenced");
-  s["tier"] = "1";
+  Settings s = deeper("referenced");
   s["tracks.1.client_timeout_ms"] = "9000";
   Bench b(6, s);
   EXPECT_TRUE(find(b.end(b.call(1, 10, 1, 9000), Outcome::timed_out, 3500), Verdict::break_off));
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -39,6 +39,13 @@
   return s;
 }
 
+// The same towards the second tier, where calls come from an admitted caller.
+inline Settings deeper(const std::string& effect = "replayable") {
+  Settings s = settings(effect);
+  s["tier"] = "1";
+  return s;
+}
+
 // Endpoints 1..n, long up; the zone is the id's last bit.
 inline std::vector<ListedEndpoint> endpoints(unsigned n) {
   std::vector<ListedEndpoint> out;
