--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -53,8 +53,8 @@
 constexpr double late_share = 0.25;          // of answers in a step: more lowers the limit
 constexpr double limit_cut = 0.9;            // factor per step: halves in under 2 s
 constexpr double limit_growth = 0.05;        // per step when the limit binds: doubles in 4 s
-constexpr double payoff_slope = 0.12;        // of the limit, per doubling of payoff over the mean
-constexpr double level_low = 0.5, level_high = 1.3;  // bounds of a call's part of the limit
+constexpr double payoff_slope = 0.2;         // of the limit, per doubling of payoff over the mean
+constexpr double level_low = 0.2, level_high = 1.3;  // bounds of a call's part of the limit
 constexpr double mean_gain = 0.01;                   // per call: payoff mean over about the last 100
 constexpr double same_left = 0.01;                   // of the client timeout: transit varies by less
 constexpr double usual_decay = 0.995;                // per call: the usual wait is learnt over some 200 calls
