Admission: smooth the share of late answers over 25; late is past 0.6, the bound a fifth

Cause sought: a step of 250 ms holds 8 answers on a slow deployment, and chance alone lowered the limit.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -49,8 +49,9 @@
 // Admission
 constexpr Span limit_every = Span::ms(250);  // long enough for some tens of answers on a busy sidecar
 constexpr double limit_least = 7.0;          // calls per endpoint over all sidecars: fewer idle the tier
-constexpr double late_at = 0.5;              // of the soft limit: answers beyond it warn of lateness
-constexpr double late_share = 0.25;          // of answers in a step: more lowers the limit
+constexpr double late_at = 0.6;              // of the soft limit: answers beyond it warn of lateness
+constexpr double late_share = 0.2;           // of answers in a step: more lowers the limit
+constexpr double late_gain = 0.04;           // per answer: the share of about the last 25
 constexpr double limit_cut = 0.9;            // factor per step: halves in under 2 s
 constexpr double limit_growth = 0.05;        // per step when the limit binds: doubles in 4 s
 constexpr double payoff_slope = 0.2;         // of the limit, per doubling of payoff over the mean
@@ -213,7 +214,8 @@
   int in_flight = 0, ready_count = 0;  // dispatches out at ready endpoints; such endpoints
   int calls_out = 0;                   // calls with a dispatch out, or waiting
   double limit = 0.0, payoff_mean = 0.0, rate = 0.0, retry_tokens = retry_depth;
-  int step_late = 0, step_ends = 0, step_peak = 0, step_arrivals = 0;
+  double late_part = 0.0;
+  int step_ends = 0, step_peak = 0, step_arrivals = 0;
   bool limited = false;
   TimePoint solve_at, look_at, step_at, subscribe_at = TimePoint::never(), rate_since;
   Span subscribe_pause = subscribe_first;
@@ -722,18 +724,19 @@
 void Balancer::State::count_answer(const Call& c, bool done, TimePoint now) {
   if (!first_tier) return;
   ++step_ends;
-  if (!done || (now - c.arrived) / tracks[c.track].soft_limit > late_at) ++step_late;
+  const bool late = !done || (now - c.arrived) / tracks[c.track].soft_limit > late_at;
+  late_part += ((late ? 1.0 : 0.0) - late_part) * late_gain;
 }
 
 void Balancer::State::step_limit(TimePoint now) {
   step_at = now + limit_every;
   limit = std::max(limit, least_limit());
-  if (step_ends >= 5 && step_late > late_share * step_ends) {
+  if (step_ends > 0 && late_part > late_share) {
     limit = std::max(least_limit(), std::min<double>(limit, step_peak) * limit_cut);
   } else if (limited) {
     limit += std::max(1.0, limit * limit_growth);
   }
-  if (step_ends >= 5 || limited) step_ends = step_late = 0;
+  step_ends = 0;
   step_peak = calls_out;
   limited = false;
 }
