--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -23,12 +23,8 @@
 #include <cstdarg>
 #include <cstdio>
 #include <cstdlib>
-#include <vector>
 
-#include "base/histogram.hpp"
-#include "base/pcg.hpp"
-#include "base/slab.hpp"
-#include "chutevane/balancer.hpp"
+#include "state.hpp"
 
 namespace chutevane {
 namespace {
@@ -83,202 +79,58 @@
 constexpr Span answer_guard = Span::ms(25);  // waits end this long before the client timeout
 constexpr Span subscribe_first = Span::ms(500), subscribe_most = Span::ms(8000);  // pause after a failed ask
 
-enum class Effect : std::uint8_t { replayable, referenced, single_use };
-enum class Group : std::uint8_t { all, zone, cell };
-
-struct Track {
-  Span soft_limit, client_timeout, repeat_window;
-  double payoff = 1.0, late_payoff = 0.0;
-  Effect effect = Effect::replayable;
-  Group group = Group::all;
-};
-
-// What clients of a track commonly say they will wait on a first try.
-struct UsualWait {
-  struct Guess {
-    Span left;
-    double weight = 0.0;
-  };
-  std::array<Guess, 3> guesses;
-  std::size_t usual = 0;
-};
-
-struct Account {
-  double per_s = 0.0;  // this sidecar's part of the allowance
-  double tokens = 0.0;
-};
-
-struct Endpoint {
-  EndpointId id = 0;
-  std::uint16_t zone = 0, cell = 0;
-  Availability availability = Availability::gone;
-  TimePoint came_up, quiet_since, barred_until;
-  Span bar = bar_first;
-  int in_flight = 0, misses = 0;
-  bool outlier = false;
-  double latency_ms = 0.0;  // smoothed over done dispatches; 0: unheard
-  double fresh_cap = -1.0;  // calls in flight; negative: no cap
-  double cold_tokens = 0.0;
-  TimePoint cold_filled;
-  WindowedHistogram times{estimate_window};
-};
-
-struct Dispatch {
-  std::uint32_t endpoint = 0;
-  TimePoint sent;
-  bool out = false, cut = false, rescued = false;
-};
-
-struct Call {
-  CallId id = 0;
-  std::uint32_t track = 0;
-  double payoff = 0.0;
-  TimePoint arrived, timeout, wait_until;
-  TimePoint soft_end;  // the soft limit counts from the client's first try
-  std::uint8_t sent = 0, out = 0;
-  bool over = false, waiting = false, streaming = false, in_use = false;
-  int bound_to = -1;  // endpoint of the earliest dispatch that may have run
-  TimePoint bound_since;
-  std::array<Dispatch, 8> dispatches;
-};
-
 }  // namespace
 
-struct Balancer::State {
-  State(const Settings& s, std::uint64_t seed, TimePoint now);
-
-  // Settings
-  const std::string& text(std::string_view key) const;
-  double number(const std::string& key) const;
-  bool flag(std::string_view key) const { return text(key) == "true"; }
-
-  // The design
-  bool measured(TimePoint now) { return times.count(now) >= estimate_samples; }
-  Span cap(const Call& c, TimePoint now);
-  void solve(TimePoint now);
-  int pick(const Call& c, TimePoint now);
-
-  // Endpoints
-  bool ready(const Endpoint& e) const { return e.availability == Availability::ready; }
-  bool open_by_rules(const Call& c, const Endpoint& e, TimePoint now);
-  bool healthy(const Endpoint& e, TimePoint now);
-  bool silent(const Endpoint& e, TimePoint now);
-  double warmth(const Endpoint& e, TimePoint now) const;
-  void fill_cold(Endpoint& e, TimePoint now);
-  void miss(Endpoint& e, TimePoint now, const char* what, int weight = 1);
-  void learn(Endpoint& e, const Dispatch& d, const DispatchEnd& end, TimePoint now);
-
-  // Calls
-  bool may_go_again(const Call& c, TimePoint now);
-  bool within_repeats(const Call& c, const Endpoint& e, TimePoint now) const;
-  Answer place(std::uint32_t at, TimePoint now);
-  Answer hold_or_give_up(std::uint32_t at, TimePoint now);
-  Answer give_up(std::uint32_t at, TimePoint now, bool crowded);
-  Answer send(std::uint32_t at, int endpoint, TimePoint now);
-  void finish(std::uint32_t at);
-  void settle(std::uint32_t at);
-  void serve_waiting(TimePoint now);
-  void rescue(TimePoint now);
-  void cancel_others(std::uint32_t at);
-  double payoff_of(const ApiCall& call, TimePoint now);
-  Span age_of(const ApiCall& call);
-  bool admitted(const Call& c);
-  void count_answer(const Call& c, bool done, TimePoint now);
-  void step_limit(TimePoint now);
-  double least_limit() const { return limit_least / sidecars * std::max(1, ready_count); }
-  void tick(TimePoint now);
-  void push(Verdict verdict, CallId call = 0, std::uint32_t number = 0);
-  void say(const char* format, ...) __attribute__((format(printf, 2, 3)));
-
-  const Settings settings;
-  Pcg chance;
-  bool first_tier, can_cancel, can_copy, can_come_back, must_subscribe;
-  double sidecars, cold_share, fall_multiple, over_payoff;
-  Span warm_after, fall_window, most_come_back;
-  std::uint8_t most_dispatches;
-  std::vector<Track> tracks;
-  std::vector<UsualWait> waits;  // one per track
-  std::vector<Account> accounts;
-  TimePoint accounts_filled;
-
-  std::vector<Endpoint> endpoints;
-  IdIndex endpoint_index;
-  std::vector<double> shares;  // cumulative, one per endpoint
-  Slab<Call> calls;
-  IdIndex call_index;
-  std::vector<std::uint32_t> waiting;
-  std::vector<Answer> answers;
-
-  WindowedHistogram times{estimate_window}, cuts{estimate_window};
-  bool starved = false, all_silent = false;
-  int in_flight = 0, ready_count = 0;  // dispatches out at ready endpoints; such endpoints
-  int calls_out = 0;                   // calls with a dispatch out, or waiting
-  double limit = 0.0, payoff_mean = 0.0, rate = 0.0, retry_tokens = retry_depth;
-  double late_part = 0.0;
-  int step_ends = 0, step_peak = 0, step_arrivals = 0;
-  bool limited = false;
-  TimePoint solve_at, look_at, step_at, subscribe_at = TimePoint::never(), rate_since;
-  Span subscribe_pause = subscribe_first;
-};
-
-// --- Settings --------------------------------------------------------------------------------------
-
-const std::string& Balancer::State::text(std::string_view key) const {
-  const auto found = settings.find(key);
-  if (found == settings.end()) throw SettingError(std::string(key), "missing");
-  return found->second;
-}
-
-double Balancer::State::number(const std::string& key) const {
-  const std::string& value = text(key);
-  char* end = nullptr;
-  const double v = std::strtod(value.c_str(), &end);
-  if (value.empty() || *end != '\0' || !std::isfinite(v))
-    throw SettingError(key, "not a number: '" + value + "'");
-  return v;
-}
+bool Balancer::State::measured(TimePoint now) { return times.count(now) >= estimate_samples; }
+
+// The floor of the admission limit.
+double Balancer::State::least_limit() const { return limit_least / sidecars * std::max(1, ready_count); }
 
 Balancer::State::State(const Settings& s, std::uint64_t seed, TimePoint now) : settings(s), chance(seed) {
-  first_tier = number("tier") == 0;
-  can_cancel = flag("allowed.cancel");
-  can_copy = flag("allowed.second_copies");
-  can_come_back = flag("allowed.retry_after");
-  must_subscribe = text("discovery") == "subscribe";
-  sidecars = std::max(1.0, number("sidecars"));
-  cold_share = number("rules.cold_share");
-  fall_multiple = number("rules.fall_multiple");
-  fall_window = Span::ms(number("rules.fall_ms"));
-  warm_after = Span::ms(number("rules.warm_after_ms"));
-  most_come_back = Span::ms(number("allowed.max_retry_after_ms"));
-  most_dispatches = static_cast<std::uint8_t>(std::clamp(number("allowed.max_dispatches"), 1.0, 8.0));
-  for (int i = 0; i < number("tracks.count"); ++i) {
+  first_tier = settings.number("tier") == 0;
+  can_cancel = settings.flag("allowed.cancel");
+  can_copy = settings.flag("allowed.second_copies");
+  can_come_back = settings.flag("allowed.retry_after");
+  must_subscribe = settings.text("discovery") == "subscribe";
+  sidecars = std::max(1.0, settings.number("sidecars"));
+  cold_share = settings.number("rules.cold_share");
+  fall_multiple = settings.number("rules.fall_multiple");
+  fall_window = settings.span("rules.fall_ms");
+  warm_after = settings.span("rules.warm_after_ms");
+  most_come_back = settings.span("allowed.max_retry_after_ms");
+  most_dispatches =
+      static_cast<std::uint8_t>(std::clamp(settings.number("allowed.max_dispatches"), 1.0, 8.0));
+  for (int i = 0; i < settings.number("tracks.count"); ++i) {
     const std::string at = "tracks." + std::to_string(i) + ".";
     Track t;
-    t.soft_limit = Span::ms(number(at + "soft_limit_ms"));
-    t.client_timeout = Span::ms(number(at + "client_timeout_ms"));
-    t.payoff = number(at + "payoff");
-    t.late_payoff = number(at + "late_payoff");
-    const std::string& effect = text(at + "effect");
+    t.soft_limit = settings.span(at + "soft_limit_ms");
+    t.client_timeout = settings.span(at + "client_timeout_ms");
+    t.payoff = settings.number(at + "payoff");
+    t.late_payoff = settings.number(at + "late_payoff");
+    const std::string& effect = settings.text(at + "effect");
     t.effect = effect == "replayable"   ? Effect::replayable
                : effect == "referenced" ? Effect::referenced
                                         : Effect::single_use;
     if (t.effect == Effect::referenced) {
-      const std::string& group = text(at + "repeat_group");
+      const std::string& group = settings.text(at + "repeat_group");
       t.group = group == "all" ? Group::all : group == "zone" ? Group::zone : Group::cell;
-      t.repeat_window = Span::ms(number(at + "repeat_window_ms"));
+      t.repeat_window = settings.span(at + "repeat_window_ms");
     }
     tracks.push_back(t);
   }
-  if (tracks.empty()) throw SettingError("tracks.count", "no track: '" + text("tracks.count") + "'");
+  if (tracks.empty()) throw SettingError("tracks.count", "no track: '" + settings.text("tracks.count") + "'");
   waits.resize(tracks.size());
-  if (settings.contains("accounts.count")) {
-    over_payoff = number("over_share_payoff");
-    for (int i = 0; i < number("accounts.count"); ++i) {
-      const double per_s = number("accounts." + std::to_string(i) + ".allowance_per_s") / sidecars;
+  if (settings.has("accounts.count")) {
+    over_payoff = settings.number("over_share_payoff");
+    for (int i = 0; i < settings.number("accounts.count"); ++i) {
+      const double per_s = settings.number("accounts." + std::to_string(i) + ".allowance_per_s") / sidecars;
       accounts.push_back({per_s, per_s});
     }
   }
   accounts_filled = solve_at = look_at = step_at = rate_since = now;
+  times = cuts = WindowedHistogram(estimate_window);
+  retry_tokens = retry_depth;
+  subscribe_pause = subscribe_first;
   answers.reserve(64);
 }
 
@@ -303,7 +155,7 @@
   std::vector<double> tails;
   ready_count = 0;
   for (Endpoint& e : endpoints) {
-    if (!ready(e)) continue;
+    if (!e.ready()) continue;
     ++ready_count;
     if (e.latency_ms > 0.0) sum += 1.0 / e.latency_ms, ++heard;
     if (e.times.count(now) >= outlier_samples)
@@ -324,7 +176,7 @@
     if (e.outlier != was)
       say("endpoint %012llx %s", static_cast<unsigned long long>(e.id),
           e.outlier ? "answers far slower than its fellows" : "answers like its fellows again");
-    if (ready(e)) total += (e.latency_ms > 0.0 ? 1.0 / e.latency_ms : mean) * warmth(e, now);
+    if (e.ready()) total += (e.latency_ms > 0.0 ? 1.0 / e.latency_ms : mean) * warmth(e, now);
     cumulative[i] = total;
   }
   const double cut = cuts.count(now), done = times.count(now);
@@ -368,7 +220,7 @@
     if (pass == 1 && unhealthy * 2 <= ready_count) break;
     for (std::size_t i = 0; i < endpoints.size(); ++i) {
       Endpoint& e = endpoints[i];
-      if (!ready(e)) continue;
+      if (!e.ready()) continue;
       const bool well = healthy(e, now);
       unhealthy += pass == 0 && !well ? 1 : 0;
       if ((pass == 0 && !well) || !open_by_rules(c, e, now)) continue;
@@ -383,7 +235,7 @@
 
 // What no judgement of health may set aside: drains, cold endpoints, and repeats within their group.
 bool Balancer::State::open_by_rules(const Call& c, const Endpoint& e, TimePoint now) {
-  if (!ready(e)) return false;
+  if (!e.ready()) return false;
   if (c.bound_to >= 0 && !within_repeats(c, e, now)) return false;
   if (e.fresh_cap >= 0.0 && e.in_flight >= e.fresh_cap) return false;
   if (warmth(e, now) >= 1.0) return true;
@@ -415,11 +267,11 @@
 void Balancer::State::miss(Endpoint& e, TimePoint now, const char* what, int weight) {
   e.misses += weight;
   if (e.misses < misses_allowed || now < e.barred_until) return;
-  if (e.bar == bar_first) {
+  if (e.bar == Span()) {
     say("endpoint %012llx passed over: %s", static_cast<unsigned long long>(e.id), what);
   }
+  e.bar = std::clamp(e.bar * 2.0, bar_first, bar_most);
   e.barred_until = now + e.bar;
-  e.bar = std::min(bar_most, e.bar * 2.0);
   e.fresh_cap = fresh_start;
 }
 
@@ -431,9 +283,9 @@
       times.add(end.elapsed, now);
       e.times.add(end.elapsed, now);
       e.latency_ms += (end.elapsed.as_ms() - e.latency_ms) * (e.latency_ms > 0.0 ? latency_gain : 1.0);
-      if (e.bar != bar_first) say("endpoint %012llx answers again", static_cast<unsigned long long>(e.id));
+      if (e.bar > Span()) say("endpoint %012llx answers again", static_cast<unsigned long long>(e.id));
       e.misses = 0;
-      e.bar = bar_first;
+      e.bar = Span();
       e.quiet_since = now;
       if (e.fresh_cap >= 0.0) {
         e.fresh_cap += fresh_growth;
@@ -449,20 +301,13 @@
       if (d.cut) cuts.add(end.elapsed, now);
       miss(e, now, "dispatches time out");
       break;
-    case Outcome::not_connected:
-      miss(e, now, "no connection", misses_allowed);
-      break;  // no chance error
-    case Outcome::reset:
-      miss(e, now, "connections break");
-      break;
+    case Outcome::not_connected: miss(e, now, "no connection", misses_allowed); break;  // no chance error
+    case Outcome::reset: miss(e, now, "connections break"); break;
     case Outcome::cancelled:
       if (d.rescued) miss(e, now, "silent");
       break;
-    case Outcome::error:
-      e.quiet_since = now;
-      break;
-    case Outcome::not_sent:
-      break;
+    case Outcome::error: e.quiet_since = now; break;
+    case Outcome::not_sent: break;
   }
 }
 
@@ -492,9 +337,10 @@
     if (at < named.size()) named[at] = true;
     Endpoint& e = s.endpoints[at];
     // A fresh start: nothing that was known of the process before it holds.
-    if (l.availability == Availability::ready && (!s.ready(e) || l.came_up != e.came_up)) {
+    if (l.availability == Availability::ready && (!e.ready() || l.came_up != e.came_up)) {
       const int out = e.in_flight;
-      e = Endpoint{};
+      e = Endpoint();
+      e.times = WindowedHistogram(estimate_window);
       e.id = l.id;
       e.in_flight = out;
       e.quiet_since = e.cold_filled = now;
@@ -647,7 +493,7 @@
 // Guards against a hung or vanished endpoint holding its calls for 3 x p95, beyond their soft limits.
 void Balancer::State::rescue(TimePoint now) {
   int quiet = 0;
-  for (const Endpoint& e : endpoints) quiet += ready(e) && silent(e, now) ? 1 : 0;
+  for (const Endpoint& e : endpoints) quiet += e.ready() && silent(e, now) ? 1 : 0;
   all_silent = quiet * 2 > ready_count;
   if (quiet == 0 || all_silent) return;
   for (std::uint32_t at = 0; at < calls.size(); ++at) {
--- a/src/base/histogram.hpp
+++ b/src/base/histogram.hpp
@@ -15,7 +15,8 @@
   static constexpr int buckets = 96;
   static constexpr int slices = 5;
 
-  explicit WindowedHistogram(Span window = Span::ms(10000)) : slice_(window * (1.0 / slices)) {}
+  WindowedHistogram() : WindowedHistogram(Span::ms(1000)) {}
+  explicit WindowedHistogram(Span window) : slice_(window * (1.0 / slices)) {}
   void add(Span value, TimePoint now) {
     advance(now);
     const int b = bucket(value.as_ms());
--- a/src/simhost/host.cpp
+++ b/src/simhost/host.cpp
@@ -63,34 +63,23 @@
     for (const Answer& a : answers) reply_.answer(event.who, a);
   };
   switch (event.code) {
-    case EventCode::targets:
-      send(in.balancer->listed(event.list_kind, lists_[event.list & 15U], now));
-      break;
-    case EventCode::order:
-      reply_.answer(event.who, in.balancer->arrived(event.call, now));
-      break;
-    case EventCode::started:
-      send(in.balancer->started(event.end.call, event.end.number, now));
-      break;
+    case EventCode::targets: send(in.balancer->listed(event.list_kind, lists_[event.list & 15U], now)); break;
+    case EventCode::order: reply_.answer(event.who, in.balancer->arrived(event.call, now)); break;
+    case EventCode::started: send(in.balancer->started(event.end.call, event.end.number, now)); break;
     case EventCode::closed_attempt:
       event.end.load = tundra::read_load(event, in.report_fields);
       send(in.balancer->ended(event.end, now));
       break;
-    case EventCode::vanished:
-      send(in.balancer->client_left(event.end.call, now));
-      break;
+    case EventCode::vanished: send(in.balancer->client_left(event.end.call, now)); break;
     case EventCode::wake:
       if (event.token == in.token) in.timer_due = TimePoint::never();
       send(in.balancer->woken(now));
       break;
-    case EventCode::stop:
-      in.balancer.reset();
-      break;
+    case EventCode::stop: in.balancer.reset(); break;
     case EventCode::launch:
     case EventCode::health:
     case EventCode::peer_data:
-    case EventCode::snapshot_rows:
-      break;
+    case EventCode::snapshot_rows: break;
   }
 }
 
--- /dev/null
+++ b/src/state.hpp
@@ -0,0 +1,146 @@
+// What a balancer remembers: plain state. All that decides on it is in balance.cpp.
+#pragma once
+
+#include <array>
+#include <vector>
+
+#include "base/histogram.hpp"
+#include "base/pcg.hpp"
+#include "base/settings_reader.hpp"
+#include "base/slab.hpp"
+#include "chutevane/balancer.hpp"
+
+namespace chutevane {
+
+enum class Effect : std::uint8_t { replayable, referenced, single_use };
+enum class Group : std::uint8_t { all, zone, cell };
+
+struct Track {
+  Span soft_limit, client_timeout, repeat_window;
+  double payoff = 1.0, late_payoff = 0.0;
+  Effect effect = Effect::replayable;
+  Group group = Group::all;
+};
+
+// What clients of a track commonly say they will wait on a first try.
+struct UsualWait {
+  struct Guess {
+    Span left;
+    double weight = 0.0;
+  };
+  std::array<Guess, 3> guesses;
+  std::size_t usual = 0;
+};
+
+struct Account {
+  double per_s = 0.0;  // this sidecar's part of the allowance
+  double tokens = 0.0;
+};
+
+struct Endpoint {
+  EndpointId id = 0;
+  std::uint16_t zone = 0, cell = 0;
+  Availability availability = Availability::gone;
+  bool ready() const { return availability == Availability::ready; }
+  TimePoint came_up, quiet_since, barred_until;
+  Span bar;  // the pause before it is tried again; zero: none yet
+  int in_flight = 0, misses = 0;
+  bool outlier = false;
+  double latency_ms = 0.0;  // smoothed over done dispatches; 0: unheard
+  double fresh_cap = -1.0;  // calls in flight; negative: no cap
+  double cold_tokens = 0.0;
+  TimePoint cold_filled;
+  WindowedHistogram times;  // done dispatches
+};
+
+struct Dispatch {
+  std::uint32_t endpoint = 0;
+  TimePoint sent;
+  bool out = false, cut = false, rescued = false;
+};
+
+struct Call {
+  CallId id = 0;
+  std::uint32_t track = 0;
+  double payoff = 0.0;
+  TimePoint arrived, timeout, wait_until;
+  TimePoint soft_end;  // the soft limit counts from the client's first try
+  std::uint8_t sent = 0, out = 0;
+  bool over = false, waiting = false, streaming = false, in_use = false;
+  int bound_to = -1;  // endpoint of the earliest dispatch that may have run
+  TimePoint bound_since;
+  std::array<Dispatch, 8> dispatches;
+};
+
+struct Balancer::State {
+  State(const Settings& s, std::uint64_t seed, TimePoint now);
+
+  // The design
+  bool measured(TimePoint now);
+  Span cap(const Call& c, TimePoint now);
+  void solve(TimePoint now);
+  int pick(const Call& c, TimePoint now);
+
+  // Endpoints
+  bool open_by_rules(const Call& c, const Endpoint& e, TimePoint now);
+  bool healthy(const Endpoint& e, TimePoint now);
+  bool silent(const Endpoint& e, TimePoint now);
+  double warmth(const Endpoint& e, TimePoint now) const;
+  void fill_cold(Endpoint& e, TimePoint now);
+  void miss(Endpoint& e, TimePoint now, const char* what, int weight = 1);
+  void learn(Endpoint& e, const Dispatch& d, const DispatchEnd& end, TimePoint now);
+
+  // Calls
+  bool may_go_again(const Call& c, TimePoint now);
+  bool within_repeats(const Call& c, const Endpoint& e, TimePoint now) const;
+  Answer place(std::uint32_t at, TimePoint now);
+  Answer hold_or_give_up(std::uint32_t at, TimePoint now);
+  Answer give_up(std::uint32_t at, TimePoint now, bool crowded);
+  Answer send(std::uint32_t at, int endpoint, TimePoint now);
+  void finish(std::uint32_t at);
+  void settle(std::uint32_t at);
+  void serve_waiting(TimePoint now);
+  void rescue(TimePoint now);
+  void cancel_others(std::uint32_t at);
+  double payoff_of(const ApiCall& call, TimePoint now);
+  Span age_of(const ApiCall& call);
+  bool admitted(const Call& c);
+  void count_answer(const Call& c, bool done, TimePoint now);
+  void step_limit(TimePoint now);
+  double least_limit() const;
+  void tick(TimePoint now);
+  void push(Verdict verdict, CallId call = 0, std::uint32_t number = 0);
+  void say(const char* format, ...) __attribute__((format(printf, 2, 3)));
+
+  const SettingsReader settings;
+  Pcg chance;
+  bool first_tier, can_cancel, can_copy, can_come_back, must_subscribe;
+  double sidecars, cold_share, fall_multiple, over_payoff;
+  Span warm_after, fall_window, most_come_back;
+  std::uint8_t most_dispatches;
+  std::vector<Track> tracks;
+  std::vector<UsualWait> waits;  // one per track
+  std::vector<Account> accounts;
+  TimePoint accounts_filled;
+
+  std::vector<Endpoint> endpoints;
+  IdIndex endpoint_index;
+  std::vector<double> shares;  // cumulative, one per endpoint
+  Slab<Call> calls;
+  IdIndex call_index;
+  std::vector<std::uint32_t> waiting;
+  std::vector<Answer> answers;
+
+  WindowedHistogram times, cuts;  // done dispatches, and those the measured cap ended
+  bool starved = false, all_silent = false;
+  int in_flight = 0, ready_count = 0;  // dispatches out at ready endpoints; such endpoints
+  int calls_out = 0;                   // calls with a dispatch out, or waiting
+  double limit = 0.0, payoff_mean = 0.0, rate = 0.0, retry_tokens = 0.0;
+  double late_part = 0.0;
+  int step_ends = 0, step_peak = 0, step_arrivals = 0;
+  bool limited = false;
+  TimePoint solve_at, look_at, step_at, subscribe_at = TimePoint::never(), rate_since;
+  Span subscribe_pause;
+};
+
+}  // namespace chutevane
--- a/src/tundra/codec.cpp
+++ b/src/tundra/codec.cpp
@@ -52,24 +52,15 @@
 
 Outcome outcome_of(std::uint16_t disposition, std::size_t at) {
   switch (disposition) {
-    case 0:
-      return Outcome::done;
-    case 255:
-      return Outcome::error;
-    case 254:
-      return Outcome::turned_away;
-    case 253:
-      return Outcome::timed_out;
-    case 252:
-      return Outcome::not_connected;
-    case 251:
-      return Outcome::reset;
-    case 250:
-      return Outcome::cancelled;
-    case 249:
-      return Outcome::not_sent;
-    default:
-      throw FrameError("unknown disposition " + std::to_string(disposition), at);
+    case 0: return Outcome::done;
+    case 255: return Outcome::error;
+    case 254: return Outcome::turned_away;
+    case 253: return Outcome::timed_out;
+    case 252: return Outcome::not_connected;
+    case 251: return Outcome::reset;
+    case 250: return Outcome::cancelled;
+    case 249: return Outcome::not_sent;
+    default: throw FrameError("unknown disposition " + std::to_string(disposition), at);
   }
 }
 
@@ -184,23 +175,16 @@
       e.end.number = r[28];
       read_report(29);
       break;
-    case EventCode::vanished:
-      e.end.call = get<std::uint64_t>(r + 3);
-      break;
-    case EventCode::wake:
-      e.token = get<std::uint32_t>(r + 3);
-      break;
+    case EventCode::vanished: e.end.call = get<std::uint64_t>(r + 3); break;
+    case EventCode::wake: e.token = get<std::uint32_t>(r + 3); break;
     case EventCode::health:
       e.end.elapsed = Span::ms(get<double>(r + 3));
       e.end.endpoint = get_endpoint(r + 11);
       e.end.outcome = outcome_of(get<std::uint16_t>(r + 17), at + 17);
       read_report(19);
       break;
-    case EventCode::peer_data:
-      read_text(7);
-      break;
-    case EventCode::stop:
-      break;
+    case EventCode::peer_data: read_text(7); break;
+    case EventCode::stop: break;
     case EventCode::snapshot_rows: {
       e.list = get<std::uint32_t>(r + 1);
       if (e.list > 15) throw FrameError("list number above 15", at + 1);
@@ -246,8 +230,7 @@
   std::uint8_t* r = nullptr;
   switch (a.verdict) {
     case Verdict::nothing:
-    case Verdict::wait:
-      break;
+    case Verdict::wait: break;
     case Verdict::dispatch:
       r = record(pass_on, who);
       put(r + 3, a.call);
@@ -259,20 +242,14 @@
       put(r + 3, a.call);
       put(r + 11, a.span.as_ms());
       break;
-    case Verdict::break_off:
-      put(record(respond_error, who) + 3, a.call);
-      break;
+    case Verdict::break_off: put(record(respond_error, who) + 3, a.call); break;
     case Verdict::cancel:
       r = record(abandon, who);
       put(r + 3, a.call);
       r[11] = static_cast<std::uint8_t>(a.number);
       break;
-    case Verdict::subscribe:
-      record(stream_changes, who)[3] = 1;
-      break;
-    case Verdict::log:
-      text(print, who, a.text.data());
-      break;
+    case Verdict::subscribe: record(stream_changes, who)[3] = 1; break;
+    case Verdict::log: text(print, who, a.text.data()); break;
   }
 }
 
