--- a/include/chutevane/balancer.hpp
+++ b/include/chutevane/balancer.hpp
@@ -32,6 +32,8 @@
   Answers started(CallId call, std::uint32_t number, TimePoint now);
   // The client has left; nothing more is owed.
   Answers client_left(CallId call, TimePoint now);
+  // A probe has come back, or has not: `outcome` tells.
+  Answers probed(EndpointId endpoint, Outcome outcome, TimePoint now);
   Answers woken(TimePoint now);
   TimePoint next_wake() const;
 
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -72,6 +72,8 @@
 constexpr Span full_pause = Span::ms(50);      // a full queue drains a few calls in this time
 constexpr double silence_factor = 1.5;         // x p95 without any answer with two or more out
 constexpr double silence_alone = 2.5;          // x p95 with a single one out: it may just be a long call
+constexpr double probe_after = 4.0;            // x median without a word: cheap to ask, dear to wait
+constexpr Span probe_pause = Span::ms(500);    // between probes of one endpoint at the least
 // Again and waiting
 constexpr double retry_share = 0.2;          // dispatches again per API call
 constexpr double retry_depth = 20.0;         // dispatches: a sidecar's calls on one endpoint that dies
@@ -89,6 +91,7 @@
 
 Balancer::State::State(const Settings& s, std::uint64_t seed, TimePoint now) : settings(s), chance(seed) {
   first_tier = settings.number("tier") == 0;
+  can_probe = settings.flag("allowed.probes");
   can_cancel = settings.flag("allowed.cancel");
   can_copy = settings.flag("allowed.second_copies");
   can_come_back = settings.flag("allowed.retry_after");
@@ -254,11 +257,12 @@
 }
 
 bool Balancer::State::healthy(const Endpoint& e, TimePoint now) {
-  if (now < e.barred_until || (e.outlier && e.in_flight > 0)) return false;
+  if (now < e.barred_until || (can_probe && e.doubted) || (e.outlier && e.in_flight > 0)) return false;
   return all_silent || !silent(e, now);
 }
 
 bool Balancer::State::silent(const Endpoint& e, TimePoint now) {
+  if (can_probe && e.doubted) return true;
   if (e.in_flight == 0 || !measured(now)) return false;
   const Span patience =
       times.quantile(cap_quantile, now) * (e.in_flight > 1 ? silence_factor : silence_alone);
@@ -274,6 +278,7 @@
   e.bar = std::clamp(e.bar * 2.0, bar_first, bar_most);
   e.barred_until = now + e.bar;
   e.fresh_cap = fresh_start;
+  e.doubted = true;
 }
 
 void Balancer::State::learn(Endpoint& e, const Dispatch& d, const DispatchEnd& end, TimePoint now) {
@@ -286,6 +291,7 @@
       e.latency_ms += (end.elapsed.as_ms() - e.latency_ms) * (e.latency_ms > 0.0 ? latency_gain : 1.0);
       if (e.bar > Span()) say("endpoint %012llx answers again", static_cast<unsigned long long>(e.id));
       e.misses = 0;
+      e.doubted = false;
       e.bar = Span();
       e.quiet_since = now;
       if (e.fresh_cap >= 0.0) {
@@ -521,6 +527,23 @@
   }
 }
 
+// Where probes are allowed, an endpoint with calls out and no word for a while is asked whether it lives, and
+// one that was passed over is asked before calls are risked on it. Guards against a lost zone: silence alone
+// tells only after several seconds where answers take one, and by then the lost calls fill the limit.
+void Balancer::State::probe_doubtful(TimePoint now) {
+  if (!can_probe) return;
+  const Span patience = std::max(cap_floor, times.quantile(0.5, now) * probe_after);
+  for (Endpoint& e : endpoints) {
+    if (!e.ready() || e.probing || now < e.barred_until || now - e.probed_at < probe_pause) continue;
+    const bool quiet =
+        e.in_flight > 0 && measured(now) && now - std::max(e.quiet_since, e.probed_at) > patience;
+    if (!quiet && !e.doubted) continue;
+    e.probing = true;
+    e.probed_at = now;
+    push(Verdict::probe, 0, 0, e.id);
+  }
+}
+
 // --- Admission (first tier) ------------------------------------------------------------------------
 
 double Balancer::State::payoff_of(const ApiCall& call, TimePoint now) {
@@ -590,11 +613,12 @@
 
 // --- Events ----------------------------------------------------------------------------------------
 
-void Balancer::State::push(Verdict verdict, CallId call, std::uint32_t number) {
+void Balancer::State::push(Verdict verdict, CallId call, std::uint32_t number, EndpointId endpoint) {
   Answer& a = answers.emplace_back();
   a.verdict = verdict;
   a.call = call;
   a.number = number;
+  a.endpoint = endpoint;
 }
 
 void Balancer::State::say(const char* format, ...) {
@@ -614,6 +638,7 @@
   if (now >= step_at) step_limit(now);
   if (now >= look_at) {
     look_at = now + look_every;
+    probe_doubtful(now);
     rescue(now);
     serve_waiting(now);
   }
@@ -717,6 +742,21 @@
   return s.answers;
 }
 
+Answers Balancer::probed(EndpointId endpoint, Outcome outcome, TimePoint now) {
+  State& s = *state_;
+  s.answers.clear();
+  const std::uint32_t at = s.endpoint_index.find(endpoint);
+  if (at == IdIndex::none) return s.answers;
+  Endpoint& e = s.endpoints[at];
+  e.probing = false;
+  if (outcome == Outcome::done) {
+    e.doubted = false;
+  } else if (e.quiet_since <= e.probed_at) {
+    s.miss(e, now, "probes fail", misses_allowed);
+  }
+  return s.answers;
+}
+
 Answers Balancer::woken(TimePoint now) {
   state_->answers.clear();
   state_->tick(now);
--- a/src/simhost/host.cpp
+++ b/src/simhost/host.cpp
@@ -70,6 +70,7 @@
       event.end.load = tundra::read_load(event, in.report_fields);
       send(in.balancer->ended(event.end, now));
       break;
+    case EventCode::health: send(in.balancer->probed(event.end.endpoint, event.end.outcome, now)); break;
     case EventCode::vanished: send(in.balancer->client_left(event.end.call, now)); break;
     case EventCode::wake:
       if (event.token == in.token) in.timer_due = TimePoint::never();
@@ -77,7 +78,6 @@
       break;
     case EventCode::stop: in.balancer.reset(); break;
     case EventCode::launch:
-    case EventCode::health:
     case EventCode::peer_data:
     case EventCode::snapshot_rows: break;
   }
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -45,11 +45,12 @@
   TimePoint came_up, quiet_since, barred_until;
   Span bar;  // the pause before it is tried again; zero: none yet
   int in_flight = 0, misses = 0;
-  bool outlier = false;
+  bool outlier = false, probing = false;
+  bool doubted = false;     // failed, and no probe or call has been answered since
   double latency_ms = 0.0;  // smoothed over done dispatches; 0: unheard
   double fresh_cap = -1.0;  // calls in flight; negative: no cap
   double cold_tokens = 0.0;
-  TimePoint cold_filled;
+  TimePoint cold_filled, probed_at;
   WindowedHistogram times;  // done dispatches
 };
 
@@ -101,6 +102,7 @@
   void settle(std::uint32_t at);
   void serve_waiting(TimePoint now);
   void rescue(TimePoint now);
+  void probe_doubtful(TimePoint now);
   void cancel_others(std::uint32_t at);
   double payoff_of(const ApiCall& call, TimePoint now);
   Span age_of(const ApiCall& call);
@@ -109,12 +111,12 @@
   void step_limit(TimePoint now);
   double least_limit() const;
   void tick(TimePoint now);
-  void push(Verdict verdict, CallId call = 0, std::uint32_t number = 0);
+  void push(Verdict verdict, CallId call = 0, std::uint32_t number = 0, EndpointId endpoint = 0);
   void say(const char* format, ...) __attribute__((format(printf, 2, 3)));
 
   const SettingsReader settings;
   Pcg chance;
-  bool first_tier, can_cancel, can_copy, can_come_back, must_subscribe;
+  bool first_tier, can_probe, can_cancel, can_copy, can_come_back, must_subscribe;
   double sidecars, cold_share, fall_multiple, over_payoff;
   Span warm_after, fall_window, most_come_back;
   std::uint8_t most_dispatches;
--- a/src/tundra/codec.cpp
+++ b/src/tundra/codec.cpp
@@ -12,7 +12,7 @@
 constexpr std::size_t entry_size = 25;
 
 constexpr std::uint8_t stream_changes = 64, print = 65, after = 66, abandon = 68, exception = 69,
-                       pass_on = 70, reject = 71, respond_error = 73;
+                       pass_on = 70, reject = 71, sample = 72, respond_error = 73;
 
 // Little-endian, whatever this machine is.
 template <class T>
@@ -248,6 +248,7 @@
       put(r + 3, a.call);
       r[11] = static_cast<std::uint8_t>(a.number);
       break;
+    case Verdict::probe: put_endpoint(record(sample, who) + 3, a.endpoint); break;
     case Verdict::subscribe: record(stream_changes, who)[3] = 1; break;
     case Verdict::log: text(print, who, a.text.data()); break;
   }
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -217,6 +217,21 @@
   EXPECT_NE(find(after, Verdict::dispatch)->endpoint, stuck.endpoint);
 }
 
+// A lost zone's calls filled the limit for seconds before silence alone told.
+TEST(Health, AQuietEndpointIsProbedAndAFailedProbePassesItOver) {
+  Settings s = settings();
+  s["allowed.probes"] = "true";
+  Bench b(4, s);
+  b.history(40, 100, 500);
+  const Answer stuck = b.call(1, 510);
+  const Answers got = b.balancer.woken(at(1000));
+  const std::vector<Answer> answers(got.begin(), got.end());
+  ASSERT_TRUE(find(answers, Verdict::probe));
+  EXPECT_EQ(find(answers, Verdict::probe)->endpoint, stuck.endpoint);
+  b.balancer.probed(stuck.endpoint, Outcome::timed_out, at(1200));
+  for (CallId id = 2; id <= 9; ++id) EXPECT_NE(b.call(id, 1210).endpoint, stuck.endpoint);
+}
+
 TEST(Events, UnknownCallsAndLateEndsAreIgnored) {
   Bench b(3);
   const Answer a = b.call(1, 10);
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -17,6 +17,7 @@
   Settings s{{"tier", "0"},
              {"sidecars", "1"},
              {"discovery", "automatic"},
+             {"allowed.probes", "false"},
              {"allowed.cancel", "true"},
              {"allowed.second_copies", "false"},
              {"allowed.retry_after", "true"},
