--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -509,8 +509,9 @@
     Dispatch& d = c.dispatches[c.sent - 1U];
     Endpoint& e = endpoints[d.endpoint];
     if (!d.out || d.rescued || tracks[c.track].effect != Effect::replayable) continue;
-    if (!silent(e, now) || now - d.sent < times.quantile(cap_quantile, now) || !may_go_again(c, now))
-      continue;
+    const bool proven = can_probe && e.doubted;
+    const bool old = now - d.sent >= times.quantile(cap_quantile, now);
+    if (!silent(e, now) || (!proven && !old) || !may_go_again(c, now)) continue;
     if (can_copy) {
       const int endpoint = pick(c, now);
       if (endpoint < 0 || endpoint == static_cast<int>(d.endpoint)) continue;
