--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -44,11 +44,14 @@
 constexpr int draws = 4;                           // tries at the share draw before the least loaded is taken
 // Admission
 constexpr Span limit_every = Span::ms(250);  // long enough for some tens of answers on a busy sidecar
-constexpr double limit_least = 7.0;          // calls per endpoint over all sidecars: fewer idle the tier
-constexpr double late_at = 0.6;              // of the soft limit: answers beyond it warn of lateness
-constexpr double late_share = 0.2;           // of answers in a step: more lowers the limit
-constexpr double late_gain = 0.04;           // per answer: the share of about the last 25
-constexpr double limit_cut = 0.9;            // factor per step: halves in under 2 s
+constexpr double limit_least = 2.5;   // calls at work per endpoint over all sidecars: fewer idle its cores
+constexpr double own_unknown = 0.36;  // of an answer's time spent at the endpoint itself, if it does not tell
+constexpr double own_least = 0.14;    // a seventh: below that the reports lag too much to be built on
+constexpr double own_gain = 0.01;     // per answer: the mean of some 100
+constexpr double late_at = 0.6;       // of the soft limit: answers beyond it warn of lateness
+constexpr double late_share = 0.2;    // of answers in a step: more lowers the limit
+constexpr double late_gain = 0.04;    // per answer: the share of about the last 25
+constexpr double limit_cut = 0.9;     // factor per step: halves in under 2 s
 constexpr double limit_growth =
     0.02;  // per step when the limit binds: a tenth a second, as crowding shows late
 constexpr double payoff_slope = 0.2;                 // of the limit, per doubling of payoff over the mean
@@ -86,8 +89,11 @@
 
 bool Balancer::State::measured(TimePoint now) { return times.count(now) >= estimate_samples; }
 
-// The floor of the admission limit.
-double Balancer::State::least_limit() const { return limit_least / sidecars * std::max(1, ready_count); }
+// The floor of the admission limit. A call that its endpoint holds while it waits on deeper tiers keeps no
+// core busy; where reports give the endpoint's own service time, the floor leaves room for such calls.
+double Balancer::State::least_limit() const {
+  return limit_least / own_part / sidecars * std::max(1, ready_count);
+}
 
 Balancer::State::State(const Settings& s, std::uint64_t seed, TimePoint now) : settings(s), chance(seed) {
   first_tier = settings.number("tier") == 0;
@@ -133,6 +139,8 @@
   }
   accounts_filled = solve_at = look_at = step_at = rate_since = now;
   times = cuts = WindowedHistogram(estimate_window);
+  own_ms = own_part = own_unknown;
+  answer_ms = 1.0;
   retry_tokens = retry_depth;
   subscribe_pause = subscribe_first;
   answers.reserve(64);
@@ -294,6 +302,11 @@
       e.doubted = false;
       e.bar = Span();
       e.quiet_since = now;
+      if (end.load.service_ms > 0.0 && end.elapsed > Span()) {
+        own_ms += (end.load.service_ms - own_ms) * own_gain;
+        answer_ms += (end.elapsed.as_ms() - answer_ms) * own_gain;
+        own_part = std::clamp(own_ms / answer_ms, own_least, 1.0);
+      }
       if (e.fresh_cap >= 0.0) {
         e.fresh_cap += fresh_growth;
         const double enough = fresh_done * (in_flight + 1.0) / std::max(1, ready_count);
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -186,6 +186,23 @@
   EXPECT_EQ(b.call(1000, 11, 0, 4000, 1).verdict, Verdict::dispatch);
 }
 
+// A tier whose endpoints mostly wait on deeper ones stood half busy while half of its calls were rejected.
+TEST(Admission, CallsThatWaitOnDeeperTiersGetMoreRoom) {
+  const auto room = [](double service_ms) {
+    Bench b(2);
+    for (CallId id = 1; id <= 300; ++id) {
+      const Answer a = b.call(id, 10);
+      DispatchEnd e{id, a.endpoint, 0, true, Outcome::done, Span::ms(200), {}};
+      e.load.service_ms = service_ms;
+      b.balancer.ended(e, at(10));
+    }
+    CallId taken = 0;
+    while (taken < 500 && b.call(1000 + taken, 11).verdict == Verdict::dispatch) ++taken;
+    return taken;
+  };
+  EXPECT_GT(room(40), room(150));
+}
+
 // Clients' repeats past their soft limit took a quarter of an overloaded tier for no payoff.
 TEST(Admission, ARepeatPastItsSoftLimitIsRejectedAtOnce) {
   Bench b(4);
