--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -595,8 +595,11 @@
 // Deeper tiers turn nothing away early: work is already in the call, and its caller was admitted.
 bool Balancer::State::admitted(const Call& c) {
   if (!first_tier) return true;
-  const Span useful = c.soft_end - c.arrived;
-  if (tracks[c.track].late_payoff <= 0.0 && useful < times.quantile(0.5, c.arrived)) return false;
+  // Repeats only: with a median over a track's soft limit its first tries would all be turned away, the dear
+  // ones with the shortest limit first, and the slow tracks left would keep the median up.
+  const Span whole = tracks[c.track].soft_limit, useful = c.soft_end - c.arrived;
+  if (tracks[c.track].late_payoff <= 0.0 && useful < std::min(whole, times.quantile(0.5, c.arrived)))
+    return false;
   const double above = std::log2(std::max(1e-6, c.payoff / std::max(1e-6, payoff_mean)));
   const double level = std::clamp(1.0 + payoff_slope * above, level_low, level_high);
   const double room = std::max(limit, least_limit()) * level;
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -186,6 +186,13 @@
   EXPECT_EQ(b.call(1000, 11, 0, 4000, 1).verdict, Verdict::dispatch);
 }
 
+// With the median over a track's soft limit its first tries were all rejected, the dear ones first.
+TEST(Admission, AFirstTryIsNotRejectedForTheMedianOfOthers) {
+  Bench b(4);
+  b.history(40, 1500, 2000);
+  EXPECT_EQ(b.call(1, 2010).verdict, Verdict::dispatch);
+}
+
 // A tier whose endpoints mostly wait on deeper ones stood half busy while half of its calls were rejected.
 TEST(Admission, CallsThatWaitOnDeeperTiersGetMoreRoom) {
   const auto room = [](double service_ms) {
