--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -54,9 +54,8 @@
 constexpr double late_share = 0.2;    // of answers in a step: more lowers the limit
 constexpr double late_gain = 0.04;    // per answer: the share of about the last 25
 constexpr double limit_cut = 0.9;     // factor per step: halves in under 2 s
-constexpr double limit_growth =
-    0.02;  // per step when the limit binds: a tenth a second, as crowding shows late
-constexpr double payoff_slope = 0.2;                 // of the limit, per doubling of payoff over the mean
+constexpr double limit_growth = 0.02;  // per step when it binds: a tenth a second, as crowding shows late
+constexpr double payoff_slope = 0.2;   // of the limit, per doubling of payoff over the mean
 constexpr double level_low = 0.2, level_high = 1.3;  // bounds of a call's part of the limit
 constexpr double mean_gain = 0.01;                   // per call: payoff mean over about the last 100
 constexpr double same_left = 0.01;                   // of the client timeout: transit varies by less
