--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -39,11 +39,9 @@
 constexpr double starved_cuts = 0.2;               // cuts per done: more is no longer a tail being trimmed
 constexpr Span solve_every = Span::ms(2000);       // the design page's
 constexpr double latency_gain = 0.1;               // per answer: smooths over about 20 answers
-constexpr double pass_over_factor =
-    1.2;  // x mean in flight: a fifth above the mean is "well above" it where endpoints choke
-constexpr double pass_over_extra =
-    0.5;                  // calls: with a mean of near 0, an endpoint with one out is passed over
-constexpr int draws = 4;  // tries at the share draw before the least loaded is taken
+constexpr double pass_over_factor = 1.2;  // x mean in flight: what is "well above" where endpoints choke
+constexpr double pass_over_extra = 0.5;   // calls: at a mean near 0, an endpoint with one out is passed over
+constexpr int draws = 4;                  // tries at the share draw before the least loaded is taken
 // Admission
 constexpr Span limit_every = Span::ms(250);  // long enough for some tens of answers on a busy sidecar
 constexpr double limit_least = 2.5;   // calls at work per endpoint over all sidecars: fewer idle its cores
