Admission: the limit holds the mean in flight, off it by chance spread at any moment

Cause: with hundreds of sidecars a sidecar's part of the limit is one to three calls; held as a bound on every moment it rejected by rounding, the cheap tracks altogether. Now the smoothed mean is held to the limit and the moment may differ by twice the square root of the part.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -55,6 +55,9 @@
 constexpr double limit_growth = 0.02;  // per step when it binds: a tenth a second, as crowding shows late
 constexpr double payoff_slope = 0.2;   // of the limit, per doubling of payoff over the mean
 constexpr double level_low = 0.2, level_high = 1.3;  // bounds of a call's part of the limit
+constexpr double mean_out_gain = 0.03;   // per look: the mean over about 1.5 s, some answer times
+constexpr double mean_spread = 2.0;      // standard deviations of a Poisson count: what is still chance
+constexpr double mean_pull = 4.0;        // a mean off by a quarter of the limit moves the bound by the whole
 constexpr double mean_gain = 0.01;                   // per call: payoff mean over about the last 100
 constexpr double same_left = 0.01;                   // of the client timeout: transit varies by less
 constexpr double usual_decay = 0.995;                // per call: the usual wait is learnt over some 200 calls
@@ -601,8 +604,12 @@
     return false;
   const double above = std::log2(std::max(1e-6, c.payoff / std::max(1e-6, payoff_mean)));
   const double level = std::clamp(1.0 + payoff_slope * above, level_low, level_high);
+  // The limit holds the mean of the calls in flight; at any one time they may be off it by their chance
+  // spread. Guards against a small part of the limit: with hundreds of sidecars it is a call or two each,
+  // and as a bound on the moment it turned away a third of the calls of a half idle tier.
   const double room = std::max(limit, least_limit()) * level;
-  if (calls_out <= room) return true;
+  const double spread = mean_spread * std::sqrt(room);
+  if (calls_out - 1 < room + std::clamp((room - mean_out) * mean_pull, -spread, spread)) return true;
   limited = true;
   return false;
 }
@@ -654,6 +661,7 @@
   if (now >= step_at) step_limit(now);
   if (now >= look_at) {
     look_at = now + look_every;
+    mean_out += (calls_out - mean_out) * mean_out_gain;
     probe_doubtful(now);
     rescue(now);
     serve_waiting(now);
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -140,7 +140,7 @@
   double limit = 0.0, payoff_mean = 0.0, rate = 0.0, retry_tokens = 0.0;
   double own_ms = 0.0, answer_ms = 0.0;  // means over answers: the endpoint's own service time, and all of it
   double own_part = 0.0;                 // of an answer's time, spent at the endpoint itself
-  double late_part = 0.0;
+  double late_part = 0.0, mean_out = 0.0;  // mean of calls_out
   int step_ends = 0, step_peak = 0, step_arrivals = 0;
   bool limited = false;
   TimePoint solve_at, look_at, step_at, subscribe_at = TimePoint::never(), rate_since;
