Payoff mean starts from the tracks' and is learnt as a plain mean

Cause: it started from the first call's payoff and moved by a hundredth a call: at two calls a second a sidecar whose first call was excess took excess for the usual for a minute.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -59,6 +59,7 @@
 constexpr double mean_spread = 2.0;      // standard deviations of a Poisson count: what is still chance
 constexpr double mean_pull = 4.0;        // a mean off by a quarter of the limit moves the bound by the whole
 constexpr double mean_gain = 0.01;                   // per call: payoff mean over about the last 100
+constexpr double payoff_prior = 5.0;                 // calls that the tracks' mean counts for at the start
 constexpr double account_depth = 8.0;                // calls: chance alone empties less one time in ten
 constexpr double same_left = 0.01;                   // of the client timeout: transit varies by less
 constexpr double usual_decay = 0.995;                // per call: the usual wait is learnt over some 200 calls
@@ -132,6 +133,7 @@
     tracks.push_back(t);
   }
   if (tracks.empty()) throw SettingError("tracks.count", "no track: '" + settings.text("tracks.count") + "'");
+  for (const Track& t : tracks) payoff_mean += t.payoff / static_cast<double>(tracks.size());
   waits.resize(tracks.size());
   if (settings.has("accounts.count")) {
     over_payoff = settings.number("over_share_payoff");
@@ -145,6 +147,7 @@
   own_ms = own_part = own_unknown;
   answer_ms = 1.0;
   retry_tokens = retry_depth;
+  payoff_seen = payoff_prior;
   subscribe_pause = subscribe_first;
   answers.reserve(64);
 }
@@ -696,7 +699,8 @@
   c.in_use = true;
   s.call_index.put(call.id, at);
   c.payoff = s.payoff_of(call, now);
-  s.payoff_mean += (c.payoff - s.payoff_mean) * (s.payoff_mean > 0.0 ? mean_gain : 1.0);
+  s.payoff_seen = std::min(1.0 / mean_gain, s.payoff_seen + 1.0);
+  s.payoff_mean += (c.payoff - s.payoff_mean) / s.payoff_seen;
   s.retry_tokens = std::min(retry_depth, s.retry_tokens + retry_share);
   ++s.step_arrivals;
   ++s.calls_out;
