Shares by the reported service time where answers carry it

Cause: at the first of three tiers an answer's time is mostly spent deeper; the inverse of it says little of the endpoint's speed.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -298,11 +298,13 @@
 void Balancer::State::learn(Endpoint& e, const Dispatch& d, const DispatchEnd& end, TimePoint now) {
   --e.in_flight;
   --in_flight;
+  double speed_ms = 0.0;
   switch (end.outcome) {
     case Outcome::done:
       times.add(end.elapsed, now);
       e.times.add(end.elapsed, now);
-      e.latency_ms += (end.elapsed.as_ms() - e.latency_ms) * (e.latency_ms > 0.0 ? latency_gain : 1.0);
+      speed_ms = end.load.service_ms > 0.0 ? end.load.service_ms : end.elapsed.as_ms();
+      e.latency_ms += (speed_ms - e.latency_ms) * (e.latency_ms > 0.0 ? latency_gain : 1.0);
       if (e.bar > Span()) say("endpoint %012llx answers again", static_cast<unsigned long long>(e.id));
       e.misses = 0;
       e.doubted = false;
