Allowances: buckets start half full

Cause: a refill of a fifth of a call a second into a bucket of eight that starts empty takes a minute to matter; small accounts' first calls all counted as excess.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -139,7 +139,7 @@
     over_payoff = settings.number("over_share_payoff");
     for (int i = 0; i < settings.number("accounts.count"); ++i) {
       const double per_s = settings.number("accounts." + std::to_string(i) + ".allowance_per_s") / sidecars;
-      accounts.push_back({per_s, per_s});
+      accounts.push_back({per_s, std::max(account_depth * 0.5, per_s)});
     }
   }
   accounts_filled = solve_at = look_at = step_at = rate_since = now;
