--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -171,6 +171,7 @@
   std::vector<double>& cumulative = shares;
   cumulative.resize(endpoints.size());
   std::vector<double> tails;
+  const int before = ready_count;
   ready_count = 0;
   for (Endpoint& e : endpoints) {
     if (!e.ready()) continue;
@@ -179,6 +180,8 @@
     if (e.times.count(now) >= outlier_samples)
       tails.push_back(e.times.quantile(outlier_quantile, now).as_ms());
   }
+  // What the limit has learnt is per endpoint. Guards against a lost zone's load crowding the endpoints left.
+  if (before > 0 && ready_count > 0) limit *= static_cast<double>(ready_count) / before;
   const double mean = heard > 0 ? sum / heard : 1.0;
   double typical = 0.0;
   if (tails.size() >= 3) {
