--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -96,7 +96,7 @@
 // The floor of the admission limit. A call that its endpoint holds while it waits on deeper tiers keeps no
 // core busy; where reports give the endpoint's own service time, the floor leaves room for such calls.
 double Balancer::State::least_limit() const {
-  return limit_least / own_part / sidecars * std::max(1, ready_count);
+  return limit_least / own_part / sidecars * std::max(1.0, ready_warm);
 }
 
 Balancer::State::State(const Settings& s, std::uint64_t seed, TimePoint now) : settings(s), chance(seed) {
@@ -171,17 +171,20 @@
   std::vector<double>& cumulative = shares;
   cumulative.resize(endpoints.size());
   std::vector<double> tails;
-  const int before = ready_count;
+  const double before = ready_warm;
   ready_count = 0;
+  ready_warm = 0.0;
   for (Endpoint& e : endpoints) {
     if (!e.ready()) continue;
     ++ready_count;
+    ready_warm += warmth(e, now);
     if (e.latency_ms > 0.0) sum += 1.0 / e.latency_ms, ++heard;
     if (e.times.count(now) >= outlier_samples)
       tails.push_back(e.times.quantile(outlier_quantile, now).as_ms());
   }
-  // What the limit has learnt is per endpoint. Guards against a lost zone's load crowding the endpoints left.
-  if (before > 0 && ready_count > 0) limit *= static_cast<double>(ready_count) / before;
+  // What the limit has learnt is per warm endpoint. Guards against a lost zone's load crowding the endpoints
+  // left, and against a growing fleet of cold ones being taken for more room.
+  if (before > 0.0 && ready_count > 0) limit *= ready_warm / before;
   const double mean = heard > 0 ? sum / heard : 1.0;
   double typical = 0.0;
   if (tails.size() >= 3) {
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -135,6 +135,7 @@
 
   WindowedHistogram times, cuts;  // done dispatches, and those the measured cap ended
   bool starved = false, all_silent = false;
+  double ready_warm = 0.0;             // such endpoints, a cold one counted for what it can do
   int in_flight = 0, ready_count = 0;  // dispatches out at ready endpoints; such endpoints
   int calls_out = 0;                   // calls with a dispatch out, or waiting
   double limit = 0.0, payoff_mean = 0.0, payoff_seen = 0.0, rate = 0.0, retry_tokens = 0.0;
