Silence: two endpoints that fail with no answer from their zone speak for the zone

Cause: in a lost zone every sidecar had to find out endpoint by endpoint; where each hears from one every ten seconds that took longer than the list.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -77,6 +77,8 @@
 constexpr Span bar_first = Span::ms(500);      // about the time a passing fault takes to show it passed
 constexpr Span bar_most = Span::ms(4000);      // a returned endpoint is found this soon
 constexpr Span full_pause = Span::ms(50);      // a full queue drains a few calls in this time
+constexpr int zone_failed = 2;                 // endpoints of a zone, with no answer from it between
+constexpr Span zone_pause = Span::ms(1000);    // between looks at a lost zone: hundreds of sidecars look
 constexpr double silence_factor = 1.5;         // x p95 without any answer with two or more out
 constexpr double silence_alone = 2.5;          // x p95 with a single one out: it may just be a long call
 constexpr double probe_after = 4.0;            // x median without a word: cheap to ask, dear to wait
@@ -278,22 +280,35 @@
 
 bool Balancer::State::healthy(const Endpoint& e, TimePoint now) {
   if (now < e.barred_until || (can_probe && e.doubted) || (e.outlier && e.in_flight > 0)) return false;
+  if (lost(e) && (can_probe || now < zones[e.zone].retry_at)) return false;
   return all_silent || !silent(e, now);
 }
 
 bool Balancer::State::silent(const Endpoint& e, TimePoint now) {
-  if (can_probe && e.doubted) return true;
+  if ((can_probe && e.doubted) || (lost(e) && e.in_flight > 0 && e.quiet_since <= zones[e.zone].since)) return true;
   if (e.in_flight == 0 || !measured(now)) return false;
   const Span patience =
       times.quantile(cap_quantile, now) * (e.in_flight > 1 ? silence_factor : silence_alone);
   return now - e.quiet_since > std::max(cap_floor, patience);
 }
 
+// Guards against learning a lost zone endpoint by endpoint: where a sidecar sends each of them a call every
+// ten seconds, that took longer than the list. Two that fail with no answer from their zone speak for all.
+bool Balancer::State::lost(const Endpoint& e) const { return zones[e.zone].failed >= zone_failed; }
+
+void Balancer::State::heard(Endpoint& e) {
+  e.doubted = false;
+  zones[e.zone].failed = 0;
+}
+
 void Balancer::State::miss(Endpoint& e, TimePoint now, const char* what, int weight) {
   e.misses += weight;
   if (e.misses < misses_allowed || now < e.barred_until) return;
   if (e.bar == Span()) {
     say("endpoint %012llx passed over: %s", static_cast<unsigned long long>(e.id), what);
+    Zone& z = zones[e.zone];
+    if (z.failed++ == 0) z.since = now;
+    if (z.failed == zone_failed) say("no endpoint of zone %u answers: passed over", e.zone);
   }
   e.bar = std::clamp(e.bar * 2.0, bar_first, bar_most);
   e.barred_until = now + e.bar;
@@ -313,7 +328,7 @@
       e.latency_ms += (speed_ms - e.latency_ms) * (e.latency_ms > 0.0 ? latency_gain : 1.0);
       if (e.bar > Span()) say("endpoint %012llx answers again", static_cast<unsigned long long>(e.id));
       e.misses = 0;
-      e.doubted = false;
+      heard(e);
       e.bar = Span();
       e.quiet_since = now;
       if (end.load.service_ms > 0.0 && end.elapsed > Span()) {
@@ -328,6 +343,7 @@
       }
       break;
     case Outcome::turned_away:
+      heard(e);
       e.quiet_since = now;
       e.barred_until = std::max(e.barred_until, now + full_pause);
       break;
@@ -382,6 +398,7 @@
       if (s.warmth(e, now) < 1.0) e.fresh_cap = fresh_start;
     }
     e.zone = l.zone;
+    if (s.zones.size() <= l.zone) s.zones.resize(l.zone + 1U);
     e.cell = l.cell;
     e.availability = l.availability;
   }
@@ -448,6 +465,7 @@
   c.waiting = false;
   if (e.in_flight++ == 0) e.quiet_since = now;
   ++in_flight;
+  if (lost(e)) zones[e.zone].retry_at = now + zone_pause;
   if (warmth(e, now) < 1.0) e.cold_tokens -= 1.0;
   return a;
 }
@@ -565,7 +583,9 @@
     if (!e.ready() || e.probing || now < e.barred_until || now - e.probed_at < probe_pause) continue;
     const bool quiet =
         e.in_flight > 0 && measured(now) && now - std::max(e.quiet_since, e.probed_at) > patience;
-    if (!quiet && !e.doubted) continue;
+    if (!quiet && !e.doubted && !lost(e)) continue;
+    if (lost(e) && now < zones[e.zone].retry_at) continue;  // one of them tells
+    zones[e.zone].retry_at = now + zone_pause;
     e.probing = true;
     e.probed_at = now;
     push(Verdict::probe, 0, 0, e.id);
@@ -789,7 +809,7 @@
   Endpoint& e = s.endpoints[at];
   e.probing = false;
   if (outcome == Outcome::done) {
-    e.doubted = false;
+    s.heard(e);
   } else if (e.quiet_since <= e.probed_at) {
     s.miss(e, now, "probes fail", misses_allowed);
   }
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -54,6 +54,11 @@
   WindowedHistogram times;  // done dispatches
 };
 
+struct Zone {
+  int failed = 0;  // endpoints newly passed over since one of the zone's last answered
+  TimePoint since, retry_at;
+};
+
 struct Dispatch {
   std::uint32_t endpoint = 0;
   TimePoint sent;
@@ -86,6 +91,8 @@
   bool open_by_rules(const Call& c, const Endpoint& e, TimePoint now);
   bool healthy(const Endpoint& e, TimePoint now);
   bool silent(const Endpoint& e, TimePoint now);
+  bool lost(const Endpoint& e) const;
+  void heard(Endpoint& e);
   double warmth(const Endpoint& e, TimePoint now) const;
   void fill_cold(Endpoint& e, TimePoint now);
   void miss(Endpoint& e, TimePoint now, const char* what, int weight = 1);
@@ -127,6 +134,7 @@
 
   std::vector<Endpoint> endpoints;
   IdIndex endpoint_index;
+  std::vector<Zone> zones;
   std::vector<double> shares;  // cumulative, one per endpoint
   Slab<Call> calls;
   IdIndex call_index;
