Admission: the limit grows only in steps that brought an answer

Cause: in a burst every step rejects, and the limit grew 2% a step before any answer could tell how the growth sat.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -660,7 +660,7 @@
   limit = std::max(limit, least_limit());
   if (step_ends > 0 && late_part > late_share) {
     limit = std::max(least_limit(), std::min<double>(limit, step_peak) * limit_cut);
-  } else if (limited) {
+  } else if (limited && step_ends > 0) {  // no answer, no evidence of room
     limit += limit * limit_growth;
   }
   step_ends = 0;
