--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -55,15 +55,15 @@
 constexpr double limit_growth = 0.02;  // per step when it binds: a tenth a second, as crowding shows late
 constexpr double payoff_slope = 0.2;   // of the limit, per doubling of payoff over the mean
 constexpr double level_low = 0.2, level_high = 1.3;  // bounds of a call's part of the limit
-constexpr double mean_out_gain = 0.03;   // per look: the mean over about 1.5 s, some answer times
-constexpr double mean_spread = 2.0;      // standard deviations of a Poisson count: what is still chance
-constexpr double mean_pull = 4.0;        // a mean off by a quarter of the limit moves the bound by the whole
-constexpr double mean_gain = 0.01;                   // per call: payoff mean over about the last 100
-constexpr double payoff_prior = 5.0;                 // calls that the tracks' mean counts for at the start
-constexpr double account_depth = 8.0;                // calls: chance alone empties less one time in ten
-constexpr double same_left = 0.01;                   // of the client timeout: transit varies by less
-constexpr double usual_decay = 0.995;                // per call: the usual wait is learnt over some 200 calls
-constexpr double usual_sure = 10.0;  // calls with the usual wait before others count as repeats
+constexpr double mean_out_gain = 0.03;               // per look: the mean over about 1.5 s, some answer times
+constexpr double mean_spread = 2.0;    // standard deviations of a Poisson count: what is still chance
+constexpr double mean_pull = 4.0;      // a mean off by a quarter of the limit moves the bound by the whole
+constexpr double mean_gain = 0.01;     // per call: payoff mean over about the last 100
+constexpr double payoff_prior = 5.0;   // calls that the tracks' mean counts for at the start
+constexpr double account_depth = 8.0;  // calls: chance alone empties less one time in ten
+constexpr double same_left = 0.01;     // of the client timeout: transit varies by less
+constexpr double usual_decay = 0.995;  // per call: the usual wait is learnt over some 200 calls
+constexpr double usual_sure = 10.0;    // calls with the usual wait before others count as repeats
 // Endpoints
 constexpr double fresh_start = 1.0;            // call in flight: enough to hear whether it answers
 constexpr double fresh_growth = 0.2;           // per answer: doubles in about 4 round trips
@@ -285,7 +285,8 @@
 }
 
 bool Balancer::State::silent(const Endpoint& e, TimePoint now) {
-  if ((can_probe && e.doubted) || (lost(e) && e.in_flight > 0 && e.quiet_since <= zones[e.zone].since)) return true;
+  if ((can_probe && e.doubted) || (lost(e) && e.in_flight > 0 && e.quiet_since <= zones[e.zone].since))
+    return true;
   if (e.in_flight == 0 || !measured(now)) return false;
   const Span patience =
       times.quantile(cap_quantile, now) * (e.in_flight > 1 ? silence_factor : silence_alone);
@@ -594,14 +595,15 @@
 
 // --- Admission (first tier) ------------------------------------------------------------------------
 
-// An account's allowance is a mean: its bucket is deep enough for the chance of arrivals. Guards against a part
-// of a third of a call a second, where a bucket of one call took half of the allowed calls for excess.
+// An account's allowance is a mean: its bucket is deep enough for the chance of arrivals. Guards against a
+// part of a third of a call a second, where a bucket of one call took half of the allowed calls for excess.
 double Balancer::State::payoff_of(const ApiCall& call, TimePoint now) {
   const double payoff = tracks[call.track].payoff;
   if (!first_tier || call.account >= accounts.size()) return payoff;
   const double seconds = (now - accounts_filled).as_ms() / 1000.0;
   accounts_filled = now;
-  for (Account& a : accounts) a.tokens = std::min(std::max(account_depth, a.per_s), a.tokens + a.per_s * seconds);
+  for (Account& a : accounts)
+    a.tokens = std::min(std::max(account_depth, a.per_s), a.tokens + a.per_s * seconds);
   Account& a = accounts[call.account];
   if (a.tokens < 1.0) return payoff * over_payoff;
   a.tokens -= 1.0;
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -73,6 +73,23 @@
   EXPECT_LT(first, 180);
 }
 
+// At the first of three tiers most of an answer's time is spent deeper and says little of the endpoint.
+TEST(Shares, AReportedServiceTimeIsTheSpeed) {
+  Bench b(2);
+  const auto serve = [&](CallId id, double when) {
+    const Answer a = b.call(id, when);
+    DispatchEnd e{id, a.endpoint, 0, true, Outcome::done, Span::ms(150), {}};
+    e.load.service_ms = a.endpoint == 1 ? 20 : 60;
+    b.balancer.ended(e, at(when));
+    return a.endpoint;
+  };
+  for (CallId id = 1; id <= 60; ++id) serve(id, 10);
+  b.balancer.woken(at(2100));
+  int first = 0;
+  for (CallId id = 100; id < 300; ++id) first += serve(id, 2200) == 1 ? 1 : 0;
+  EXPECT_GT(first, 125);
+}
+
 TEST(Drains, NothingGoesToDrainingOrUnlistedEndpoints) {
   Bench b(3);
   auto list = endpoints(2);
@@ -141,25 +158,23 @@
 
 // A tenth of the answers late is a few slow endpoints, not load: it shut a tier that had room.
 TEST(Admission, ATailOfLateAnswersDoesNotLowerTheLimit) {
-  Bench b(4);
-  std::vector<Answer> slow;
-  int taken = 0, first = 0;
-  for (int step = 0; step < 20; ++step) {
-    std::vector<Answer> fast;
-    for (CallId id = 1; id <= 150; ++id) {
-      const Answer a = b.call(static_cast<CallId>(step) * 1000 + id, step * 250);
-      if (a.verdict == Verdict::dispatch) (id % 8 == 0 ? slow : fast).push_back(a);
-    }
-    taken = static_cast<int>(fast.size());
-    first = step == 0 ? taken : first;
-    for (const Answer& a : fast) b.end(a, Outcome::done, step * 250 + 240, 240);
-    while (step >= 3 && !slow.empty() && slow[0].call < static_cast<CallId>(step - 2) * 1000) {
-      b.end(slow[0], Outcome::done, step * 250 + 240, 990);
-      slow.erase(slow.begin());
+  const auto taken = [](CallId late_every) {  // calls taken in the last of 20 steps
+    Bench b(4);
+    std::vector<Answer> out;
+    for (int step = 0; step < 20; ++step) {
+      out.clear();
+      for (CallId id = 1; id <= 150; ++id) {
+        const Answer a = b.call(static_cast<CallId>(step) * 1000 + id, step * 1000);
+        if (a.verdict == Verdict::dispatch) out.push_back(a);
+      }
+      for (const Answer& a : out)
+        b.end(a, Outcome::done, step * 1000 + (a.call % late_every == 0 ? 700 : 240));
+      b.balancer.woken(at(step * 1000 + 750));
     }
-    b.balancer.woken(at(step * 250 + 250));
-  }
-  EXPECT_GT(taken, first);
+    return out.size();
+  };
+  EXPECT_EQ(taken(8), taken(1000));
+  EXPECT_LT(taken(3), taken(8));
 }
 
 TEST(Admission, FullTierRejectsTheCheapAndTakesTheDear) {
@@ -210,6 +225,88 @@
   EXPECT_GT(room(40), room(150));
 }
 
+// One of many sidecars has a part of a call in the limit: as a bound on the moment it shut out the cheap
+// track.
+TEST(Admission, APartUnderOneCallIsHeldAsAMean) {
+  Settings s = settings();
+  s["sidecars"] = "30";
+  Bench b(2, s);
+  EXPECT_EQ(b.call(1, 10, 1).verdict, Verdict::dispatch);
+  for (int ms = 50; ms <= 5000; ms += 50) b.balancer.woken(at(ms));
+  EXPECT_EQ(b.call(2, 5010, 1).verdict, Verdict::reject);
+}
+
+// A part of a fifth of a call a second: chance made half of an account's allowed calls count as excess.
+TEST(Admission, AFewCallsOfASmallAccountAreNoExcess) {
+  Settings s = settings();
+  s["accounts.count"] = "2";
+  s["accounts.0.allowance_per_s"] = "0.2";
+  s["accounts.1.allowance_per_s"] = "500";
+  s["over_share_payoff"] = "0.05";
+  Bench b(2, s);
+  std::vector<Answer> out;
+  while (out.empty() || out.back().verdict == Verdict::dispatch)
+    out.push_back(b.call(1 + out.size(), 10, 0, 4000, 1));
+  b.end(out[0], Outcome::done, 11);
+  b.end(out[1], Outcome::done, 11);
+  EXPECT_EQ(b.call(1000, 12, 0, 4000, 0).verdict, Verdict::dispatch);
+}
+
+// The calls of a track that a fresh balancer takes at once.
+CallId taken_at_once(Bench& b, double when, std::uint32_t track) {
+  const CallId first = 10000U + static_cast<CallId>(when) * 1000U;
+  CallId n = 0;
+  while (n < 900 && b.call(first + n, when, track).verdict == Verdict::dispatch) ++n;
+  return n;
+}
+
+// The first call alone set the mean payoff: a sidecar that met an excess call first took excess for the
+// usual.
+TEST(Admission, TheFirstCallsPayoffIsNotTakenForTheUsual) {
+  Bench cheap(2), dear(2);
+  EXPECT_LT(taken_at_once(cheap, 10, 1), taken_at_once(dear, 10, 0));
+}
+
+// Steps that take what the limit allows and reject the rest; `answered`, if what was taken is done in the
+// step.
+void rejecting_steps(Bench& b, int steps, bool answered) {
+  for (int step = 0; step < steps; ++step) {
+    std::vector<Answer> out;
+    for (CallId i = 0; i < 100; ++i) {
+      const Answer a = b.call(static_cast<CallId>(step) * 1000 + i + 1, step * 250);
+      if (a.verdict == Verdict::dispatch) out.push_back(a);
+    }
+    for (const Answer& a : out) {
+      if (answered) b.end(a, Outcome::done, step * 250 + 100);
+    }
+    for (int ms = 50; ms <= 250; ms += 50) b.balancer.woken(at(step * 250 + ms));
+  }
+}
+
+// A burst raised the limit step by step before any of its answers could tell how that sat.
+TEST(Admission, TheLimitDoesNotGrowWithoutAnswers) {
+  Bench silent(4), answering(4);
+  rejecting_steps(silent, 16, false);
+  rejecting_steps(answering, 16, true);
+  for (CallId id = 1; id <= 100; ++id) silent.balancer.client_left(id, at(4000));
+  Bench fresh(4);
+  EXPECT_LE(taken_at_once(silent, 4010, 0), taken_at_once(fresh, 10, 0));
+  EXPECT_GT(taken_at_once(answering, 4010, 0), 0U);
+}
+
+// After a lost zone the limit stayed at what all zones had taught it, and the endpoints left choked.
+TEST(Admission, TheLimitFollowsTheEndpointsAndColdOnesCountLittle) {
+  Bench whole(8), half(8), grown(8);
+  for (Bench* b : {&whole, &half, &grown}) rejecting_steps(*b, 24, true);
+  half.balancer.listed(ListKind::full, endpoints(4), at(6000));
+  auto more = endpoints(16);
+  for (std::size_t i = 8; i < 16; ++i) more[i].came_up = at(6000);
+  grown.balancer.listed(ListKind::full, more, at(6000));
+  const auto before = static_cast<double>(taken_at_once(whole, 6010, 0));
+  EXPECT_LT(static_cast<double>(taken_at_once(half, 6010, 0)), 0.7 * before);
+  EXPECT_LT(static_cast<double>(taken_at_once(grown, 6010, 0)), 1.3 * before);
+}
+
 // Clients' repeats past their soft limit took a quarter of an overloaded tier for no payoff.
 TEST(Admission, ARepeatPastItsSoftLimitIsRejectedAtOnce) {
   Bench b(4);
@@ -227,6 +324,29 @@
   for (CallId id = 2; id <= 9; ++id) EXPECT_NE(b.call(id, 30).endpoint, a.endpoint);
 }
 
+// Where each endpoint is sent a call every ten seconds, a lost zone was found out endpoint by endpoint.
+TEST(Health, TwoFailedEndpointsSpeakForTheirZoneUntilOneAnswers) {
+  Bench b(12);
+  std::set<EndpointId> failed;
+  for (CallId id = 1; failed.size() < 2; ++id) {
+    const Answer a = b.call(id, 10);
+    if ((a.endpoint & 1U) == 0U) continue;
+    b.end(a, Outcome::not_connected, 20);
+    failed.insert(a.endpoint);
+  }
+  Answer look;
+  int looks = 0;
+  for (CallId id = 500; id < 530; ++id) {
+    const Answer a = b.call(id, 2000);
+    if ((a.endpoint & 1U) == 1U) look = a, ++looks;
+  }
+  ASSERT_EQ(looks, 1);
+  b.end(look, Outcome::done, 2100);
+  std::set<EndpointId> used;
+  for (CallId id = 600; id < 640; ++id) used.insert(b.call(id, 2200).endpoint & 1U);
+  EXPECT_EQ(used.size(), 2U);
+}
+
 TEST(Health, CallsAtASilentEndpointAreCancelledAndSentElsewhere) {
   Bench b(4);
   b.history(40, 100, 500);
