--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -50,13 +50,16 @@
 constexpr double limit_least = 2.5;   // calls at work per endpoint over all sidecars: fewer idle its cores
 constexpr double own_unknown = 0.36;  // of an answer's time spent at the endpoint itself, if it does not tell
 constexpr double own_least = 0.14;    // a seventh: below that the reports lag too much to be built on
+constexpr double own_prior = 10.0;    // answers: first reports are of an endpoint that has hardly begun
 constexpr double own_gain = 0.01;     // per answer: the mean of some 100
 constexpr double late_at = 0.6;       // of the soft limit: answers beyond it warn of lateness
 constexpr double late_share = 0.2;    // of answers in a step: more lowers the limit
 constexpr double late_gain = 0.04;    // per answer: the share of about the last 25
 constexpr double limit_cut = 0.9;     // factor per step: halves in under 2 s
 constexpr double limit_growth = 0.02;  // per step when it binds: a tenth a second, as crowding shows late
-constexpr double payoff_slope = 0.2;   // of the limit, per doubling of payoff over the mean
+constexpr double busy_gain = 0.05;     // per answer that tells: the mean of some 20
+constexpr double busy_most = 0.75;  // of the cores, reported: busier than that there is no room to grow into
+constexpr double payoff_slope = 0.2;                 // of the limit, per doubling of payoff over the mean
 constexpr double level_low = 0.2, level_high = 1.3;  // bounds of a call's part of the limit
 constexpr double mean_out_gain = 0.03;               // per look: the mean over about 1.5 s, some answer times
 constexpr double mean_spread = 2.0;    // standard deviations of a Poisson count: what is still chance
@@ -152,8 +155,8 @@
   }
   accounts_filled = solve_at = look_at = step_at = rate_since = now;
   times = cuts = WindowedHistogram(estimate_window);
-  own_ms = own_part = own_unknown;
-  answer_ms = 1.0;
+  own_part = own_unknown;
+  own_seen = own_prior;
   retry_tokens = retry_depth;
   payoff_seen = payoff_prior;
   subscribe_pause = subscribe_first;
@@ -348,9 +351,12 @@
       heard(e);
       e.bar = Span();
       e.quiet_since = now;
+      if (end.load.busy >= 0.0) busy += (end.load.busy - busy) * busy_gain;
       if (end.load.service_ms > 0.0 && end.elapsed > Span()) {
-        own_ms += (end.load.service_ms - own_ms) * own_gain;
-        answer_ms += (end.elapsed.as_ms() - answer_ms) * own_gain;
+        if (answer_ms <= 0.0) own_ms = own_unknown * (answer_ms = end.elapsed.as_ms());
+        own_seen = std::min(1.0 / own_gain, own_seen + 1.0);
+        own_ms += (end.load.service_ms - own_ms) / own_seen;
+        answer_ms += (end.elapsed.as_ms() - answer_ms) / own_seen;
         own_part = std::clamp(own_ms / answer_ms, own_least, 1.0);
       }
       if (e.fresh_cap >= 0.0) {
@@ -678,7 +684,7 @@
   limit = std::max(limit, least_limit());
   if (step_ends > 0 && late_part > late_share) {
     limit = std::max(least_limit(), std::min<double>(limit, step_peak) * limit_cut);
-  } else if (limited && step_ends > 0) {  // no answer, no evidence of room
+  } else if (limited && step_ends > 0 && busy < busy_most) {  // no answer, no evidence of room
     limit += limit * limit_growth;
   }
   step_ends = 0;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -149,8 +149,9 @@
   int in_flight = 0, ready_count = 0;  // dispatches out at ready endpoints; such endpoints
   int calls_out = 0;                   // calls with a dispatch out, or waiting
   double limit = 0.0, payoff_mean = 0.0, payoff_seen = 0.0, rate = 0.0, retry_tokens = 0.0;
-  double own_ms = 0.0, answer_ms = 0.0;  // means over answers: the endpoint's own service time, and all of it
-  double own_part = 0.0;                 // of an answer's time, spent at the endpoint itself
+  double own_ms = 0.0, answer_ms = 0.0, own_seen = 0.0,
+         busy = 0.0;      // means over answers: the endpoint's own service time, and all of it
+  double own_part = 0.0;  // of an answer's time, spent at the endpoint itself
   double late_part = 0.0, mean_out = 0.0;  // mean of calls_out
   int step_ends = 0, step_peak = 0, step_arrivals = 0;
   bool limited = false;
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -332,6 +332,40 @@
   EXPECT_LT(static_cast<double>(taken_at_once(grown, 6010, 0)), 1.3 * before);
 }
 
+// Endpoints choked on their cores long before answers were late: reported busy cores are no room to grow
+// into.
+TEST(Admission, TheLimitDoesNotGrowWhileTheCoresAreBusy) {
+  const auto grown = [](double busy) {
+    Bench b(4);
+    CallId id = 0;
+    for (int step = 0; step < 16; ++step) {
+      std::vector<Answer> out;
+      for (int i = 0; i < 100; ++i) out.push_back(b.call(++id, step * 250));
+      for (const Answer& a : out) {
+        if (a.verdict != Verdict::dispatch) continue;
+        DispatchEnd e{a.call, a.endpoint, 0, true, Outcome::done, Span::ms(100), {}};
+        e.load.busy = busy;
+        b.balancer.ended(e, at(step * 250 + 100));
+      }
+      for (int ms = 50; ms <= 250; ms += 50) b.balancer.woken(at(step * 250 + ms));
+    }
+    return taken_at_once(b, 4010, 0);
+  };
+  EXPECT_LT(grown(0.9), grown(0.4));
+}
+
+// A day's first reports tell of endpoints that have hardly begun: taken as they are they tripled the floor.
+TEST(Admission, TheFirstReportsDoNotSetTheFloor) {
+  Bench told(4), untold(4);
+  const Answer a = told.call(1, 10), u = untold.call(1, 10);
+  DispatchEnd e{1, a.endpoint, 0, true, Outcome::done, Span::ms(200), {}};
+  e.load.service_ms = 2;
+  told.balancer.ended(e, at(210));
+  untold.end(u, Outcome::done, 210, 200);
+  EXPECT_LT(static_cast<double>(taken_at_once(told, 220, 0)),
+            1.3 * static_cast<double>(taken_at_once(untold, 220, 0)));
+}
+
 // Clients' repeats past their soft limit took a quarter of an overloaded tier for no payoff.
 TEST(Admission, ARepeatPastItsSoftLimitIsRejectedAtOnce) {
   Bench b(4);
