Cold budget: the least sends to a cold endpoint are a sum over all sidecars

Now one a second over all of them, and a sidecar's first token is drawn, so that parts far under one in the warm-up still add up.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -75,7 +75,7 @@
 constexpr double fresh_growth = 0.2;           // per answer: doubles in about 4 round trips
 constexpr double fresh_done = 3.0;             // x mean in flight: then the cap is lifted
 constexpr double cold_depth = 0.3;             // of the window's budget that may go out in one burst
-constexpr double cold_least = 0.3;             // sends/s: lets an idle sidecar hear from it at all
+constexpr double cold_least = 1.0;             // sends/s of all sidecars: lets idle ones hear from it at all
 constexpr double outlier_quantile = 0.9;       // high enough for tails, low enough for few answers
 constexpr double outlier_factor = 3.0;         // x fellows' median: machines of one tier differ by 2 to 3
 constexpr std::uint32_t outlier_samples = 15;  // answers in the window before an endpoint is judged
@@ -291,7 +291,7 @@
 // Guards against a cold endpoint being pushed over by all sidecars together: each sends it no more than
 // its own mean rate per endpoint, scaled by how warm it must be by now, in bursts well under the window.
 void Balancer::State::fill_cold(Endpoint& e, TimePoint now) {
-  const double per_s = std::max(cold_least, rate / std::max(1, ready_count) * warmth(e, now));
+  const double per_s = std::max(cold_least / sidecars, rate / std::max(1, ready_count) * warmth(e, now));
   const double depth = std::max(1.0, per_s * fall_window.as_ms() / 1000.0 * fall_multiple * cold_depth);
   e.cold_tokens = std::min(depth, e.cold_tokens + per_s * (now - e.cold_filled).as_ms() / 1000.0);
   e.cold_filled = now;
@@ -418,6 +418,7 @@
       e.in_flight = out;
       e.quiet_since = e.cold_filled = now;
       e.came_up = l.came_up;
+      e.cold_tokens = s.chance.unit();  // far under one a window: chance says who is first
       if (s.warmth(e, now) < 1.0) e.fresh_cap = fresh_start;
     }
     e.zone = l.zone;
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -146,6 +146,25 @@
   EXPECT_LE(sent, 3 * 10 * 1.5);  // 3 x its mean part, 10 a second, for the window of 1.5 s
 }
 
+// Any least amount for a sidecar is multiplied by hundreds of them: the sum must fit the budget.
+TEST(Cold, IdleSidecarsTogetherStayWithinTheBudget) {
+  Settings s = settings();
+  s["sidecars"] = "400";
+  auto list = endpoints(2);
+  list[1].availability = Availability::draining;  // nowhere else to go
+  list[0].came_up = at(0);
+  int sent = 0;
+  for (std::uint64_t seed = 1; seed <= 400; ++seed) {
+    Balancer b(s, seed, at(0));
+    b.listed(ListKind::full, list, at(0));
+    for (CallId id = 1; id <= 3; ++id)
+      sent +=
+          b.arrived({id, 0, 0, Span::ms(4000), false}, at(500.0 * id)).verdict == Verdict::dispatch ? 1 : 0;
+  }
+  EXPECT_GT(sent, 0);
+  EXPECT_LT(sent, 20);
+}
+
 TEST(Repeats, SingleUseIsBrokenOffOnceItMayHaveRun) {
   Bench b(3, settings("single-use"));
   EXPECT_TRUE(find(b.end(b.call(1, 10, 1), Outcome::timed_out, 200), Verdict::break_off));
