--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -88,6 +88,7 @@
 constexpr double silence_factor = 1.5;         // x p95 without any answer with two or more out
 constexpr double silence_alone = 2.5;          // x p95 with a single one out: it may just be a long call
 constexpr double probe_after = 4.0;            // x median without a word: cheap to ask, dear to wait
+constexpr double probe_tail = 1.5;             // and x p95: a merely long call is no reason to ask
 constexpr Span probe_pause = Span::ms(500);    // between probes of one endpoint at the least
 // Again and waiting
 constexpr double retry_share = 0.2;          // dispatches again per API call
@@ -602,7 +603,8 @@
 // tells only after several seconds where answers take one, and by then the lost calls fill the limit.
 void Balancer::State::probe_doubtful(TimePoint now) {
   if (!can_probe) return;
-  const Span patience = std::max(cap_floor, times.quantile(0.5, now) * probe_after);
+  const Span patience = std::max(
+      {cap_floor, times.quantile(0.5, now) * probe_after, times.quantile(cap_quantile, now) * probe_tail});
   for (Endpoint& e : endpoints) {
     if (!e.ready() || e.probing || now < e.barred_until || now - e.probed_at < probe_pause) continue;
     const bool quiet =
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -402,6 +402,20 @@
   for (CallId id = 2; id <= 9; ++id) EXPECT_NE(b.call(id, 30).endpoint, a.endpoint);
 }
 
+// With one call out at each endpoint every long call looked like silence: a probe for every fourth API call.
+TEST(Health, AMerelyLongCallIsNotProbed) {
+  Settings s = settings();
+  s["allowed.probes"] = "true";
+  Bench b(4, s);
+  b.history(36, 100, 500);
+  b.history(8, 600, 700);
+  b.call(1, 710);
+  const Answers at_four_medians = b.balancer.woken(at(1300));
+  EXPECT_FALSE(find({at_four_medians.begin(), at_four_medians.end()}, Verdict::probe));
+  const Answers later = b.balancer.woken(at(2000));
+  EXPECT_TRUE(find({later.begin(), later.end()}, Verdict::probe));
+}
+
 // Where each endpoint is sent a call every ten seconds, a lost zone was found out endpoint by endpoint.
 TEST(Health, TwoFailedEndpointsSpeakForTheirZoneUntilOneAnswers) {
   Bench b(12);
