--- /dev/null
+++ b/src/config/config.cpp
@@ -0,0 +1,169 @@
+#include "config/config.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <iterator>
+
+#include "base/settings_reader.hpp"
+#include "chutevane/balancer.hpp"
+#include "config/names.hpp"
+#include "net/socket.hpp"
+
+namespace chutevane::config {
+namespace {
+
+using Kind = json::Value::Kind;
+
+constexpr std::size_t sockets_least = 64;  // below that there is no room beside what is kept spare
+
+// Nested settings as a flat map: list items under .0, .1, ..., their number under .count; plain lists with
+// commas.
+void flatten(Settings& into, const std::string& key, const json::Value& value) {
+  const auto put = [&](std::string_view text) { put_setting(into, key, text); };
+  switch (value.kind) {
+    case Kind::null: return;
+    case Kind::boolean: return put(value.flag ? "true" : "false");
+    case Kind::number:
+    case Kind::text: return put(value.text);
+    case Kind::object:
+      for (const auto& [name, member] : value.members)
+        flatten(into, key.empty() ? name : key + "." + name, member);
+      return;
+    case Kind::list: break;
+  }
+  const bool plain = std::all_of(value.items.begin(), value.items.end(), [](const json::Value& v) {
+    return !v.is(Kind::object) && !v.is(Kind::list);
+  });
+  if (plain) {
+    std::string joined;
+    for (const json::Value& v : value.items) {
+      if (&v != &value.items.front()) joined += ',';
+      joined += v.is(Kind::boolean) ? (v.flag ? "true" : "false") : v.text;
+    }
+    put(joined);
+  }
+  if (plain && !value.items.empty()) return;
+  put_setting(into, key + ".count", std::to_string(value.items.size()));
+  for (std::size_t i = 0; i < value.items.size(); ++i)
+    flatten(into, key + "." + std::to_string(i), value.items[i]);
+}
+
+// A text of the file, or of the environment where the file has none.
+std::string text_of(const json::Value& root, const char* key, const char* variable, const Environment& env) {
+  const json::Value* found = root.find(key);
+  if (found != nullptr) {
+    if (!found->is(Kind::text)) throw ConfigError(key, "no text");
+    return found->text;
+  }
+  const char* value = env(variable);
+  if (value == nullptr) throw ConfigError(key, std::string("missing, and ") + variable + " is not set");
+  return value;
+}
+
+std::string address_of(const json::Value& root, const char* key, const char* variable,
+                       const Environment& env) {
+  const std::string out = text_of(root, key, variable, env);
+  if (!net::parse_address(out)) throw ConfigError(key, "no address: '" + out + "'");
+  return out;
+}
+
+std::uint64_t seed_of(const json::Value& root) {
+  const json::Value* found = root.find("seed");
+  if (found == nullptr) return 0;
+  std::uint64_t out = 0;
+  const char* end = found->text.data() + found->text.size();
+  const auto got = std::from_chars(found->text.data(), end, out, found->is(Kind::text) ? 16 : 10);
+  if (got.ec != std::errc() || got.ptr != end) throw ConfigError("seed", "no number: '" + found->text + "'");
+  return out;
+}
+
+// The zone's place among the zones, whichever way it is given.
+void number_zone(Settings& settings) {
+  const auto zone = settings.find("zone"), zones = settings.find("zones");
+  if (zone == settings.end() || zones == settings.end()) return;
+  std::string_view rest = zones->second;
+  for (int i = 0; !rest.empty(); ++i) {
+    const std::size_t comma = std::min(rest.find(','), rest.size());
+    if (rest.substr(0, comma) == zone->second) {
+      zone->second = std::to_string(i);
+      return;
+    }
+    rest.remove_prefix(std::min(comma + 1, rest.size()));
+  }
+}
+
+void check_settings(Config& out) {
+  // The platform's protocol has no probes: the module is not to count on any.
+  out.settings.insert_or_assign("allowed.probes", "false");
+  number_zone(out.settings);
+  const Balancer tried(out.settings, out.seed, TimePoint());
+  const SettingsReader settings(out.settings);
+  const auto positive = [&](const std::string& key) {
+    const Span v = settings.span(key);
+    if (v <= Span() || v > Span::ms(3.6e6)) throw SettingError(key, "out of range: " + settings.text(key));
+    return v;
+  };
+  out.connect_timeout = positive("allowed.connect_timeout_ms");
+  out.idle_close = positive("allowed.idle_close_ms");
+  for (int i = 0; i < settings.number("tracks.count"); ++i) {
+    const std::string at = "tracks." + std::to_string(i) + ".";
+    out.longest_timeout = std::max(out.longest_timeout, positive(at + "client_timeout_ms"));
+    settings.text(at + "name");
+  }
+}
+
+}  // namespace
+
+Config read(std::string_view text, const Environment& environment) {
+  json::Value root;
+  try {
+    root = json::parse(text);
+  } catch (const json::ParseError& e) {
+    throw ConfigError("configuration", std::string("no JSON: ") + e.what());
+  }
+  if (!root.is(Kind::object)) throw ConfigError("configuration", "no object");
+  Config out;
+  out.name = text_of(root, "name", "EDGE_NAME", environment);
+  out.listen = address_of(root, "listen", "EDGE_LISTEN", environment);
+  out.discovery = address_of(root, "discovery", "EDGE_DISCOVERY", environment);
+  out.seed = seed_of(root);
+  const json::Value* limits = root.find("limits");
+  const json::Value* sockets = limits == nullptr ? nullptr : limits->find("sockets");
+  if (sockets != nullptr) {
+    if (!sockets->is(Kind::number) || sockets->number < sockets_least || sockets->number > 1e7)
+      throw ConfigError("limits.sockets", "no number of " + std::to_string(sockets_least) + " or more");
+    out.sockets = static_cast<std::size_t>(sockets->number);
+  }
+  const json::Value* known = root.find("known");
+  if (known == nullptr) throw ConfigError("known", "missing");
+  try {
+    out.known = discovery::read_list(*known);
+  } catch (const discovery::ListError& e) {
+    throw ConfigError("known", e.what());
+  }
+  const json::Value* settings = root.find("settings");
+  if (settings == nullptr || !settings->is(Kind::object))
+    throw ConfigError("settings", "missing or no object");
+  flatten(out.settings, "", *settings);
+  try {
+    check_settings(out);
+  } catch (const SettingError& e) {
+    const std::string why =
+        std::string(e.what()).substr(std::min(e.key.size() + 2, std::string(e.what()).size()));
+    throw ConfigError("settings." + platform_name(e.key), why);
+  }
+  return out;
+}
+
+Config load(const std::string& path, const Environment& environment) {
+  const char* named = environment("EDGE_CONFIG");
+  const std::string file = !path.empty() ? path : named == nullptr ? "" : named;
+  if (file.empty()) throw ConfigError("configuration", "no file given, and EDGE_CONFIG is not set");
+  std::ifstream in(file, std::ios::binary);
+  if (!in) throw ConfigError("configuration", "cannot be read: " + file);
+  const std::string text{std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+  return read(text, environment);
+}
+
+}  // namespace chutevane::config
--- /dev/null
+++ b/src/config/config.hpp
@@ -0,0 +1,37 @@
+// The one place where a sidecar's configuration is read, checked and given its defaults.
+#pragma once
+
+#include <functional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+#include "chutevane/types.hpp"
+#include "discovery/list.hpp"
+
+namespace chutevane::config {
+
+// What is wrong with which key, under the name that its writer knows.
+struct ConfigError : std::runtime_error {
+  ConfigError(const std::string& k, const std::string& why) : std::runtime_error(k + ": " + why), key(k) {}
+  std::string key;
+};
+
+struct Config {
+  std::string name = "sidecar";
+  std::string listen, discovery;  // "a.b.c.d:port"
+  std::uint64_t seed = 0;
+  std::size_t sockets = 1024;  // descriptors that the process may hold
+  discovery::List known;       // the list as this sidecar last had it
+  Settings settings;           // under this project's names
+  Span connect_timeout, idle_close, longest_timeout;
+};
+
+using Environment = std::function<const char*(const char*)>;
+
+// Throws ConfigError.
+Config read(std::string_view text, const Environment& environment);
+// The file at `path`, or where that is empty the one that EDGE_CONFIG names.
+Config load(const std::string& path, const Environment& environment);
+
+}  // namespace chutevane::config
--- /dev/null
+++ b/src/discovery/watch.cpp
@@ -0,0 +1,120 @@
+#include "discovery/watch.hpp"
+
+#include <algorithm>
+
+#include "base/log.hpp"
+#include "http/writer.hpp"
+
+namespace chutevane::discovery {
+namespace {
+
+constexpr Span watch_wait = Span::ms(20000);   // a watch without news; the platform's example
+constexpr Span answer_slack = Span::ms(2000);  // beyond which no answer is to be hoped for
+constexpr Span pause_first = Span::ms(100), pause_most = Span::ms(2000);  // between tries, doubling
+constexpr std::size_t list_most = 4U << 20U;                              // bytes: some ten thousand entries
+
+}  // namespace
+
+Watch::Watch(net::Scheduler& scheduler, const std::string& address, bool persistent, std::uint64_t seed,
+             Sink& sink)
+    : scheduler_(scheduler),
+      address_(address),
+      persistent_(persistent),
+      sink_(sink),
+      chance_(seed),
+      waker_(scheduler),
+      timer_(scheduler, waker_, due),
+      socket_(scheduler, waker_),
+      parser_(http::Side::response, {.head = 16 * 1024, .body = list_most, .fields = 100}),
+      pause_(pause_first),
+      task_(run()) {
+  task_.start();
+}
+
+void Watch::start() { waker_.set(asked); }
+
+void Watch::write_request() {
+  std::string target = "/v1/endpoints";
+  if (have_list_) {
+    target += "?after=" + std::to_string(version_) +
+              "&wait_ms=" + std::to_string(static_cast<long>(watch_wait.as_ms()));
+  }
+  http::Writer(buffer_).request_line("GET", target).field("Host", address_).no_body();
+}
+
+bool Watch::read_answer() {
+  if (parser_.status() != 200) {
+    log_line("discovery answers %d", parser_.status());
+    return false;
+  }
+  try {
+    const List list = read_list(parser_.body());
+    version_ = list.version;
+    have_list_ = true;
+    pause_ = pause_first;
+    sink_.list_came(list);
+    return true;
+  } catch (const ListError& e) {
+    log_line("list not used: %s", e.what());
+    return false;
+  }
+}
+
+net::Task Watch::run() {
+  using net::Socket;
+  using net::Waker;
+  if (!persistent_) co_await waker_.wait(asked);
+  while (true) {
+    // One connection, for as long as it answers. It begins with the whole list: what changed while there
+    // was no watch is in it.
+    have_list_ = false;
+    buffer_.consume(buffer_.size());
+    bool up = socket_.connect(*net::parse_address(address_));
+    if (up) {
+      timer_.set(scheduler_.now() + answer_slack);
+      const Waker::Bits bits = co_await waker_.wait(Waker::writable | Waker::hung_up | due);
+      up = (bits & due) == 0 && socket_.connected();
+    }
+    while (up) {
+      write_request();
+      timer_.set(scheduler_.now() + answer_slack + (have_list_ ? watch_wait : Span()));
+      while (up && !buffer_.empty()) {
+        std::size_t written = 0;
+        const Socket::Result result = socket_.write(buffer_.bytes(), written);
+        buffer_.consume(written);
+        if (result == Socket::Result::broken) up = false;
+        if (result != Socket::Result::later) continue;
+        const Waker::Bits bits = co_await waker_.wait(Waker::writable | Waker::hung_up | due);
+        up = (bits & due) == 0;
+      }
+      parser_.reset();
+      http::Progress progress = http::Progress::more;
+      while (up && progress == http::Progress::more) {
+        const Waker::Bits bits = co_await waker_.wait(Waker::readable | Waker::hung_up | due);
+        const Socket::Result result = (bits & due) != 0 ? Socket::Result::broken : socket_.read(buffer_);
+        if (result == Socket::Result::some) progress = parser_.feed(buffer_.bytes());
+        if (result == Socket::Result::ended) progress = parser_.ended();
+        if (result == Socket::Result::broken) up = false;
+      }
+      up = up && progress == http::Progress::complete && read_answer();
+      if (!up) break;
+      up = parser_.keep_alive();
+      buffer_.consume(parser_.size());
+      buffer_.shrink(16 * 1024);
+    }
+    socket_.close();
+    timer_.cancel();
+    if (have_list_ && !up) log_line("watch on the list broke off; asking for the whole list again");
+    waker_.clear(Waker::readable | Waker::writable | Waker::hung_up | asked);
+    if (persistent_) {
+      timer_.set(scheduler_.now() + pause_ * (0.5 + chance_.unit()));
+      pause_ = std::min(pause_most, pause_ * 2.0);
+      co_await waker_.wait(due);
+    } else {
+      sink_.list_failed();
+      co_await waker_.wait(asked);
+    }
+  }
+}
+
+}  // namespace chutevane::discovery
--- /dev/null
+++ b/src/discovery/watch.hpp
@@ -0,0 +1,57 @@
+// Keeps the list of endpoints: asks discovery for the whole of it, then watches for what changes.
+#pragma once
+
+#include <string>
+
+#include "base/pcg.hpp"
+#include "discovery/list.hpp"
+#include "http/parser.hpp"
+#include "net/buffer.hpp"
+#include "net/scheduler.hpp"
+#include "net/socket.hpp"
+#include "net/task.hpp"
+
+namespace chutevane::discovery {
+
+class Sink {
+ public:
+  virtual void list_came(const List& list) = 0;
+  virtual void list_failed() = 0;  // discovery could not be asked, or the watch broke
+
+ protected:
+  ~Sink() = default;
+};
+
+class Watch {
+ public:
+  // `persistent`: begins by itself and comes back by itself; otherwise each start() is one try, and a
+  // failure ends it.
+  Watch(net::Scheduler& scheduler, const std::string& address, bool persistent, std::uint64_t seed,
+        Sink& sink);
+  void start();
+
+ private:
+  enum class Got { list, later, nothing };
+  static constexpr net::Waker::Bits due = net::Waker::own, asked = net::Waker::own << 1U;
+  net::Task run();
+  void write_request();
+  // What a whole answer holds; tells the sink.
+  bool read_answer();
+
+  net::Scheduler& scheduler_;
+  std::string address_;
+  bool persistent_;
+  Sink& sink_;
+  Pcg chance_;
+  net::Waker waker_;
+  net::Timer timer_;
+  net::Socket socket_;
+  net::Buffer buffer_;
+  http::Parser parser_;
+  bool have_list_ = false;  // on this connection: the next request is for what has changed
+  std::uint64_t version_ = 0;
+  Span pause_;
+  net::Task task_;
+};
+
+}  // namespace chutevane::discovery
--- /dev/null
+++ b/src/net/scheduler.cpp
@@ -0,0 +1,156 @@
+#include "net/scheduler.hpp"
+
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <system_error>
+#include <utility>
+
+namespace chutevane::net {
+namespace {
+
+constexpr int batch = 256;            // events taken in one turn
+constexpr double longest_ms = 60000;  // of one wait; timers beyond it are found in a later turn
+
+}  // namespace
+
+Waker::~Waker() {
+  if (!queued_) return;
+  std::replace(scheduler_.ready_.begin(), scheduler_.ready_.end(), this, static_cast<Waker*>(nullptr));
+  std::replace(scheduler_.running_.begin(), scheduler_.running_.end(), this, static_cast<Waker*>(nullptr));
+}
+
+void Waker::set(Bits bits) {
+  pending_ |= bits;
+  if (queued_ || !waiting_ || (pending_ & mask_) == 0) return;
+  queued_ = true;
+  scheduler_.ready_.push_back(this);
+}
+
+void Waker::run() {
+  queued_ = false;
+  if (!waiting_ || (pending_ & mask_) == 0) return;  // what it was woken for has been taken back
+  std::exchange(waiting_, nullptr).resume();
+}
+
+void Timer::set(TimePoint due) {
+  due_ = due;
+  if (place_ == unset) {
+    place_ = scheduler_.timers_.size();
+    scheduler_.timers_.push_back(this);
+  }
+  scheduler_.sift(place_);
+}
+
+void Timer::cancel() {
+  waker_.clear(bit_);
+  if (place_ == unset) return;
+  const std::size_t hole = std::exchange(place_, unset);
+  Timer* last = scheduler_.timers_.back();
+  scheduler_.timers_.pop_back();
+  if (last == this) return;
+  scheduler_.put(hole, last);
+  scheduler_.sift(hole);
+}
+
+Scheduler::Scheduler() : epoll_(::epoll_create1(EPOLL_CLOEXEC)) {
+  if (epoll_ < 0) throw std::system_error(errno, std::generic_category(), "epoll_create1");
+}
+
+Scheduler::~Scheduler() { ::close(epoll_); }
+
+std::uint32_t Scheduler::watch(int fd, Waker& waker) {
+  std::uint32_t at = static_cast<std::uint32_t>(sources_.size());
+  if (free_sources_.empty()) {
+    sources_.emplace_back();
+  } else {
+    at = free_sources_.back();
+    free_sources_.pop_back();
+  }
+  sources_[at].waker = &waker;
+  epoll_event event{};
+  event.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
+  event.data.u64 = std::uint64_t{sources_[at].use} << 32U | at;
+  if (::epoll_ctl(epoll_, EPOLL_CTL_ADD, fd, &event) != 0) waker.set(Waker::hung_up);
+  return at;
+}
+
+void Scheduler::unwatch(int fd, std::uint32_t source) {
+  ::epoll_ctl(epoll_, EPOLL_CTL_DEL, fd, nullptr);
+  sources_[source].waker = nullptr;
+  ++sources_[source].use;
+  free_sources_.push_back(source);
+}
+
+void Scheduler::put(std::size_t place, Timer* timer) {
+  timers_[place] = timer;
+  timer->place_ = place;
+}
+
+// Moves the timer at `place` up or down to where it belongs.
+void Scheduler::sift(std::size_t place) {
+  Timer* const timer = timers_[place];
+  while (place > 0 && timer->due_ < timers_[(place - 1) / 2]->due_) {
+    put(place, timers_[(place - 1) / 2]);
+    place = (place - 1) / 2;
+  }
+  while (true) {
+    std::size_t child = place * 2 + 1;
+    if (child >= timers_.size()) break;
+    if (child + 1 < timers_.size() && timers_[child + 1]->due_ < timers_[child]->due_) ++child;
+    if (timer->due_ <= timers_[child]->due_) break;
+    put(place, timers_[child]);
+    place = child;
+  }
+  put(place, timer);
+}
+
+void Scheduler::fire_due() {
+  const TimePoint now = clock_.now();
+  while (!timers_.empty() && timers_.front()->due_ <= now) {
+    Timer* const timer = timers_.front();
+    timer->cancel();
+    timer->waker_.set(timer->bit_);
+  }
+}
+
+void Scheduler::run_ready() {
+  while (!ready_.empty()) {
+    running_.swap(ready_);
+    for (std::size_t i = 0; i < running_.size(); ++i) {
+      if (running_[i] != nullptr) running_[i]->run();
+    }
+    running_.clear();
+  }
+}
+
+void Scheduler::turn() {
+  int wait_ms = static_cast<int>(longest_ms);
+  if (!ready_.empty()) {
+    wait_ms = 0;
+  } else if (!timers_.empty()) {
+    const double left = (timers_.front()->due_ - clock_.now()).as_ms();
+    wait_ms = static_cast<int>(std::clamp(left + 0.999, 0.0, longest_ms));
+  }
+  std::array<epoll_event, batch> events;
+  const int n = ::epoll_wait(epoll_, events.data(), batch, wait_ms);
+  // What is due goes before what has come in: guards against a long batch of reads holding up deadlines.
+  fire_due();
+  run_ready();
+  for (int i = 0; i < n; ++i) {
+    const epoll_event& e = events[static_cast<std::size_t>(i)];
+    const Source& source = sources_[e.data.u64 & 0xffffffffU];
+    if (source.waker == nullptr || source.use != e.data.u64 >> 32U) continue;  // closed since
+    Waker::Bits bits = 0;
+    if ((e.events & EPOLLIN) != 0) bits |= Waker::readable;
+    if ((e.events & EPOLLOUT) != 0) bits |= Waker::writable;
+    if ((e.events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) bits |= Waker::hung_up | Waker::readable;
+    source.waker->set(bits);
+  }
+  run_ready();
+}
+
+}  // namespace chutevane::net
--- /dev/null
+++ b/src/net/socket.hpp
@@ -0,0 +1,47 @@
+// The one owner of a descriptor: it is watched from open() on, and given back in close() alone.
+#pragma once
+
+#include <netinet/in.h>
+
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "net/buffer.hpp"
+#include "net/scheduler.hpp"
+
+namespace chutevane::net {
+
+// "a.b.c.d:port"
+std::optional<sockaddr_in> parse_address(std::string_view text);
+
+class Socket {
+ public:
+  enum class Result { some, later, ended, broken };
+
+  Socket(Scheduler& scheduler, Waker& waker) : scheduler_(scheduler), waker_(waker) {}
+  ~Socket() { close(); }
+  Socket(const Socket&) = delete;
+  Socket& operator=(const Socket&) = delete;
+
+  bool open() const { return fd_ >= 0; }
+  void adopt(int fd);                   // takes over a descriptor that does not block
+  bool connect(const sockaddr_in& to);  // begins; `writable` or `hung_up` tells how it went
+  bool connected() const;               // after `writable`: whether it came up
+  void listen(const sockaddr_in& at);   // throws std::system_error
+  int accept(bool& exhausted);          // a descriptor, or -1; `exhausted`: no descriptors are left
+  Result read(Buffer& into);            // all there is
+  Result write(std::span<const char> bytes, std::size_t& written);
+  bool quiet() const;  // nothing to read, not ended either
+  std::optional<sockaddr_in> local() const;
+  void close();
+
+ private:
+  Scheduler& scheduler_;
+  Waker& waker_;
+  int fd_ = -1;
+  std::uint32_t source_ = 0;
+};
+
+}  // namespace chutevane::net
--- /dev/null
+++ b/src/net/task.hpp
@@ -0,0 +1,42 @@
+// A coroutine and its one owner: destroying the Task destroys the frame, wherever it is suspended.
+#pragma once
+
+#include <coroutine>
+#include <exception>
+#include <utility>
+
+namespace chutevane::net {
+
+class Task {
+ public:
+  struct promise_type {
+    Task get_return_object() { return Task(std::coroutine_handle<promise_type>::from_promise(*this)); }
+    std::suspend_always initial_suspend() noexcept { return {}; }
+    std::suspend_always final_suspend() noexcept { return {}; }
+    void return_void() {}
+    void unhandled_exception() { std::terminate(); }
+  };
+
+  Task() = default;
+  Task(Task&& o) noexcept : frame_(std::exchange(o.frame_, nullptr)) {}
+  Task& operator=(Task&& o) noexcept {
+    if (this != &o) {
+      release();
+      frame_ = std::exchange(o.frame_, nullptr);
+    }
+    return *this;
+  }
+  ~Task() { release(); }
+  // Runs it up to its first wait. Call once.
+  void start() { frame_.resume(); }
+
+ private:
+  explicit Task(std::coroutine_handle<promise_type> frame) : frame_(frame) {}
+  void release() {
+    if (frame_) frame_.destroy();
+    frame_ = nullptr;
+  }
+  std::coroutine_handle<promise_type> frame_;
+};
+
+}  // namespace chutevane::net
--- /dev/null
+++ b/src/sidecar/callers.cpp
@@ -0,0 +1,230 @@
+#include "sidecar/callers.hpp"
+
+#include <unistd.h>
+
+#include <algorithm>
+
+#include "base/log.hpp"
+
+namespace chutevane::sidecar {
+namespace {
+
+using net::Socket;
+using net::Waker;
+
+constexpr double caller_part = 0.5;             // of the descriptors
+constexpr Span idle_most = Span::ms(75000);     // a caller's connection without a request
+constexpr Span request_most = Span::ms(10000);  // from a request's first byte to its last
+constexpr Span write_most = Span::ms(10000);    // for an answer to be taken
+constexpr Span exhausted_pause = Span::ms(50);  // before accepting is tried again
+constexpr std::size_t buffer_kept = 8 * 1024;   // bytes of an idle connection
+constexpr Waker::Bits room = Waker::own, retry = Waker::own << 1U;
+
+}  // namespace
+
+CallerConnection::CallerConnection(net::Scheduler& scheduler, Callers& all, int fd)
+    : scheduler_(scheduler),
+      all_(all),
+      waker_(scheduler),
+      timer_(scheduler, waker_, due),
+      socket_(scheduler, waker_),
+      idle_since_(scheduler.now()),
+      task_(run()) {
+  socket_.adopt(fd);
+}
+
+CallerConnection::~CallerConnection() = default;
+
+template <class Write>
+void CallerConnection::answer(Write write) {
+  call_ = 0;
+  last_ = last_ || !parser_.keep_alive() || all_.draining_;
+  buffer_.consume(parser_.size());
+  const std::string behind(buffer_.bytes().data(), buffer_.size());  // what came after the request, if any
+  buffer_.consume(buffer_.size());
+  write(buffer_);
+  to_write_ = buffer_.size();
+  buffer_.append(behind);
+  waker_.set(answered);
+}
+
+void CallerConnection::done(const http::Parser& response) {
+  answer([&](net::Buffer& out) { all_.front_.write_done(out, response, last_); });
+}
+void CallerConnection::rejected(Span come_back) {
+  answer([&](net::Buffer& out) { all_.front_.write_rejection(out, come_back, last_); });
+}
+void CallerConnection::broken_off(bool timed_out) {
+  answer([&](net::Buffer& out) { all_.front_.write_broken_off(out, timed_out, last_); });
+}
+void CallerConnection::answer_plain(int status, std::string_view text, bool close) {
+  last_ = last_ || close;
+  answer([&](net::Buffer& out) { all_.front_.write_plain(out, status, text, last_); });
+}
+
+void CallerConnection::begin_request() {
+  ApiCall call;
+  std::string_view why;
+  switch (all_.front_.read_request(parser_, call, why)) {
+    case Front::Kind::ready: answer_plain(200, "ready\n", false); break;
+    case Front::Kind::bad:
+      ++all_.counters_.bad_requests;
+      answer_plain(400, std::string(why) + "\n", false);
+      break;
+    case Front::Kind::call: {
+      const CallId id = all_.driver_.take(call, *this);
+      if (to_write_ == 0) call_ = id;  // not answered at once
+      break;
+    }
+  }
+}
+
+net::Task CallerConnection::run() {
+  bool up = true;
+  while (up) {
+    parser_.reset();
+    told_to_go_on_ = false;
+    idle_since_ = scheduler_.now();
+    timer_.set(idle_since_ + idle_most);
+    bool reading = false;
+    http::Progress progress = buffer_.empty() ? http::Progress::more : parser_.feed(buffer_.bytes());
+    while (up && progress == http::Progress::more) {
+      if (!reading && parser_.begun()) {
+        reading = true;
+        timer_.set(scheduler_.now() + request_most);
+      }
+      if (parser_.head_done() && !told_to_go_on_ && parser_.find("Expect") == "100-continue") {
+        told_to_go_on_ = true;
+        std::size_t written = 0;
+        up =
+            socket_.write(std::string_view("HTTP/1.1 100 Continue\r\n\r\n"), written) == Socket::Result::some;
+        if (!up) break;
+      }
+      const Waker::Bits bits = co_await waker_.wait(Waker::readable | Waker::hung_up | due | dropped);
+      if ((bits & dropped) != 0) up = false;
+      if ((bits & due) != 0) {
+        if (!reading) up = false;
+        break;
+      }
+      const Socket::Result result = socket_.read(buffer_);
+      if (result == Socket::Result::some) progress = parser_.feed(buffer_.bytes());
+      if (result == Socket::Result::ended || result == Socket::Result::broken) up = false;
+    }
+    if (!up) break;
+    timer_.cancel();
+    if (progress == http::Progress::complete) {
+      begin_request();
+    } else {
+      ++all_.counters_.bad_requests;
+      buffer_.consume(buffer_.size());
+      const bool slow = progress == http::Progress::more;
+      answer_plain(slow ? 408 : parser_.status_of_error(), slow ? "request too slow\n" : parser_.error(),
+                   true);
+    }
+    while (to_write_ == 0) {
+      const Waker::Bits bits = co_await waker_.wait(answered | Waker::hung_up | dropped);
+      if ((bits & (Waker::hung_up | dropped)) != 0 && to_write_ == 0) {
+        up = false;
+        break;
+      }
+    }
+    if (!up) {  // the caller has gone away
+      const CallId gone = std::exchange(call_, 0);
+      socket_.close();
+      all_.driver_.caller_left(gone);
+      break;
+    }
+    waker_.clear(answered);
+    timer_.set(scheduler_.now() + write_most);
+    while (up && to_write_ > 0) {
+      std::size_t written = 0;
+      const Socket::Result result = socket_.write(buffer_.bytes().first(to_write_), written);
+      buffer_.consume(written);
+      to_write_ -= written;
+      if (result == Socket::Result::broken) up = false;
+      if (result != Socket::Result::later) continue;
+      const Waker::Bits bits = co_await waker_.wait(Waker::writable | Waker::hung_up | due | dropped);
+      if ((bits & (due | dropped)) != 0) up = false;
+    }
+    if (last_) break;
+    buffer_.shrink(buffer_kept);
+  }
+  socket_.close();
+  timer_.cancel();
+  all_.left(*this);
+}
+
+Callers::Callers(net::Scheduler& scheduler, const config::Config& config, const Front& front, Driver& driver,
+                 Counters& counters)
+    : scheduler_(scheduler),
+      front_(front),
+      driver_(driver),
+      counters_(counters),
+      connections_most_(static_cast<std::size_t>(static_cast<double>(config.sockets) * caller_part)),
+      waker_(scheduler),
+      timer_(scheduler, waker_, retry),
+      socket_(scheduler, waker_),
+      connections_(scheduler),
+      task_(accept()) {}
+
+void Callers::listen(const sockaddr_in& at) {
+  socket_.listen(at);
+  task_.start();
+}
+
+net::Task Callers::accept() {
+  while (socket_.open()) {
+    accept_all();
+    co_await waker_.wait(Waker::readable | room | retry);
+  }
+}
+
+void Callers::accept_all() {
+  bool exhausted = false;
+  while (socket_.open()) {
+    paused_ = connections_.size() >= connections_most_ && !make_room();
+    if (paused_) return;
+    const int fd = socket_.accept(exhausted);
+    if (fd < 0) break;
+    ++counters_.callers_accepted;
+    CallerConnection& one = connections_.add(std::make_unique<CallerConnection>(scheduler_, *this, fd));
+    one.task_.start();
+  }
+  if (!exhausted) return;
+  log_line("no descriptors left: closing idle connections");
+  make_room();
+  timer_.set(scheduler_.now() + exhausted_pause);
+}
+
+// The longest idle connection goes; without one, accepting waits.
+bool Callers::make_room() {
+  CallerConnection* oldest = nullptr;
+  for (std::size_t i = 0; i < connections_.size(); ++i) {
+    CallerConnection& c = connections_[i];
+    if (c.idle() && c.socket_.open() && (oldest == nullptr || c.idle_since_ < oldest->idle_since_))
+      oldest = &c;
+  }
+  if (oldest == nullptr) return false;
+  ++counters_.callers_shed;
+  oldest->socket_.close();
+  oldest->waker_.set(CallerConnection::dropped);
+  return true;
+}
+
+void Callers::left(CallerConnection& connection) {
+  connections_.retire(connection);
+  if (paused_) waker_.set(room);
+}
+
+void Callers::stop_listening() {
+  accept_all();
+  socket_.close();
+  for (std::size_t i = 0; i < connections_.size(); ++i) {
+    CallerConnection& c = connections_[i];
+    if (!c.idle() || !c.socket_.quiet()) continue;
+    c.socket_.close();
+    c.waker_.set(CallerConnection::dropped);
+  }
+}
+
+}  // namespace chutevane::sidecar
--- /dev/null
+++ b/src/sidecar/callers.hpp
@@ -0,0 +1,88 @@
+// The callers' side: the listener and the connections that API calls come in on.
+#pragma once
+
+#include <netinet/in.h>
+
+#include "http/parser.hpp"
+#include "net/buffer.hpp"
+#include "net/crew.hpp"
+#include "net/socket.hpp"
+#include "sidecar/driver.hpp"
+
+namespace chutevane::sidecar {
+
+class Callers;
+
+class CallerConnection final : public Caller {
+ public:
+  CallerConnection(net::Scheduler& scheduler, Callers& all, int fd);
+  ~CallerConnection();
+
+  const http::Parser& request() const override { return parser_; }
+  void done(const http::Parser& response) override;
+  void rejected(Span come_back) override;
+  void broken_off(bool timed_out) override;
+
+  std::size_t crew_place = 0;
+
+ private:
+  friend class Callers;
+  static constexpr net::Waker::Bits due = net::Waker::own, answered = net::Waker::own << 1U,
+                                    dropped = net::Waker::own << 2U;
+  net::Task run();
+  // Puts an answer in the place of the request.
+  template <class Write>
+  void answer(Write write);
+  void answer_plain(int status, std::string_view text, bool close);
+  void begin_request();
+  bool idle() const { return call_ == 0 && to_write_ == 0 && !parser_.begun(); }
+
+  net::Scheduler& scheduler_;
+  Callers& all_;
+  net::Waker waker_;
+  net::Timer timer_;
+  net::Socket socket_;
+  net::Buffer buffer_;  // the request, then its answer in its place
+  http::Parser parser_{http::Side::request};
+  CallId call_ = 0;           // 0: none in hand
+  std::size_t to_write_ = 0;  // bytes of the answer at the buffer's front
+  bool last_ = false;         // the connection ends with this answer
+  bool told_to_go_on_ = false;
+  TimePoint idle_since_;
+  net::Task task_;
+};
+
+class Callers {
+ public:
+  Callers(net::Scheduler& scheduler, const config::Config& config, const Front& front, Driver& driver,
+          Counters& counters);
+  void listen(const sockaddr_in& at);  // throws std::system_error
+  std::optional<sockaddr_in> address() const { return socket_.local(); }
+
+  // From now on each answer ends its connection.
+  void begin_drain() { draining_ = true; }
+  // Takes what has come up so far, then nothing more; connections with nothing on them are closed.
+  void stop_listening();
+  std::size_t size() const { return connections_.size(); }
+
+ private:
+  friend class CallerConnection;
+  net::Task accept();
+  void accept_all();
+  bool make_room();
+  void left(CallerConnection& connection);
+
+  net::Scheduler& scheduler_;
+  const Front& front_;
+  Driver& driver_;
+  Counters& counters_;
+  const std::size_t connections_most_;
+  bool draining_ = false, paused_ = false;
+  net::Waker waker_;
+  net::Timer timer_;
+  net::Socket socket_;
+  net::Crew<CallerConnection> connections_;
+  net::Task task_;
+};
+
+}  // namespace chutevane::sidecar
--- /dev/null
+++ b/src/sidecar/counters.cpp
@@ -0,0 +1,31 @@
+#include "sidecar/counters.hpp"
+
+#include "json/value.hpp"
+
+namespace chutevane::sidecar {
+
+std::string Counters::as_json() const {
+  static constexpr const char* names[] = {"done",          "error", "turned_away", "timed_out",
+                                          "not_connected", "reset", "cancelled",   "not_sent"};
+  json::Writer out;
+  const auto put = [&](const char* name, std::uint64_t value) { out.key(name).number(value); };
+  out.open('{');
+  out.key("api_calls").open('{');
+  put("taken", calls), put("done", done), put("rejected", rejected), put("broken_off", broken_off);
+  put("callers_left", callers_left), put("bad_requests", bad_requests);
+  out.close('}');
+  out.key("dispatches").open('{');
+  put("sent", dispatches);
+  for (std::size_t i = 0; i < outcomes.size(); ++i) put(names[i], outcomes[i]);
+  out.close('}');
+  out.key("connections").open('{');
+  put("opened", connections_opened), put("reused", connections_reused);
+  put("accepted", callers_accepted), put("shed", callers_shed);
+  out.close('}');
+  out.key("lists").open('{');
+  put("taken", lists), put("failed", list_failures);
+  out.close('}').close('}');
+  return out.result();
+}
+
+}  // namespace chutevane::sidecar
--- /dev/null
+++ b/src/sidecar/driver.cpp
@@ -0,0 +1,221 @@
+#include "sidecar/driver.hpp"
+
+#include <algorithm>
+
+#include "base/log.hpp"
+
+namespace chutevane::sidecar {
+namespace {
+
+std::vector<std::string> split(const std::string& list) {
+  std::vector<std::string> out;
+  std::size_t from = 0;
+  while (from < list.size()) {
+    const std::size_t comma = std::min(list.find(',', from), list.size());
+    out.push_back(list.substr(from, comma - from));
+    from = comma + 1;
+  }
+  return out;
+}
+
+std::string text_or_none(const Settings& settings, std::string_view key) {
+  const auto found = settings.find(key);
+  return found == settings.end() ? "" : found->second;
+}
+
+constexpr net::Waker::Bits due = net::Waker::own;
+
+}  // namespace
+
+Driver::Driver(net::Scheduler& scheduler, const config::Config& config, Endpoints& endpoints,
+               Counters& counters)
+    : scheduler_(scheduler),
+      endpoints_(endpoints),
+      counters_(counters),
+      balancer_(config.settings, config.seed, scheduler.now()),
+      zones_(split(text_or_none(config.settings, "zones"))),
+      watch_(scheduler, config.discovery, text_or_none(config.settings, "discovery") != "subscribe",
+             config.seed, *this),
+      waker_(scheduler),
+      timer_(scheduler, waker_, due),
+      timekeeper_(keep_time()) {
+  endpoints.tell(*this);
+  take_list(ListKind::cached, config.known);
+  timekeeper_.start();
+}
+
+net::Task Driver::keep_time() {
+  while (true) {
+    co_await waker_.wait(due);
+    apply(balancer_.woken(scheduler_.now()));
+  }
+}
+
+CallId Driver::take(ApiCall call, Caller& caller) {
+  ++counters_.calls;
+  call.id = ++last_id_;
+  const std::uint32_t at = calls_.take();
+  calls_[at].id = call.id;
+  calls_[at].caller = &caller;
+  call_index_.put(call.id, at);
+  const Answer answer = balancer_.arrived(call, scheduler_.now());
+  apply({&answer, 1});
+  return call.id;
+}
+
+void Driver::caller_left(CallId call) {
+  const std::uint32_t at = call_index_.find(call);
+  if (at == IdIndex::none || release(at) == nullptr) return;
+  ++counters_.callers_left;
+  apply(balancer_.client_left(call, scheduler_.now()));
+  settle(at);
+}
+
+// Takes the caller out of its call: from here on nothing more is owed to it.
+Caller* Driver::release(std::uint32_t at) { return std::exchange(calls_[at].caller, nullptr); }
+
+void Driver::settle(std::uint32_t at) {
+  const Call& c = calls_[at];
+  if (c.caller != nullptr || c.out > 0 || call_index_.find(c.id) != at) return;
+  call_index_.erase(c.id);
+  calls_.give_back(at);
+}
+
+void Driver::dispatch_over(const Dispatch& dispatch, Outcome outcome, const http::Parser* response) {
+  const std::uint32_t at = call_index_.find(dispatch.call);
+  if (at == IdIndex::none) return;
+  Call& c = calls_[at];
+  c.dispatches[dispatch.number] = nullptr;
+  c.timed_out = outcome == Outcome::timed_out;
+  if (outcome == Outcome::done) {
+    if (Caller* caller = release(at)) {
+      ++counters_.done;
+      caller->done(*response);
+    }
+  }
+  End over;
+  over.end.call = dispatch.call;
+  over.end.endpoint = dispatch.endpoint;
+  over.end.number = dispatch.number;
+  over.end.call_over = calls_[at].caller == nullptr;
+  over.end.outcome = outcome;
+  over.end.elapsed = scheduler_.now() - dispatch.sent;
+  ends_.push_back(over);
+  pump();
+}
+
+void Driver::list_came(const discovery::List& list) {
+  ++counters_.lists;
+  take_list(list.full ? ListKind::full : ListKind::changes, list);
+}
+
+void Driver::list_failed() {
+  ++counters_.list_failures;
+  apply(balancer_.listed(ListKind::failed, {}, scheduler_.now()));
+}
+
+std::uint16_t Driver::zone_of(const std::string& name) {
+  const auto found = std::find(zones_.begin(), zones_.end(), name);
+  const auto at = static_cast<std::uint16_t>(found - zones_.begin());
+  if (found == zones_.end()) zones_.push_back(name);
+  return at;
+}
+
+void Driver::take_list(ListKind kind, const discovery::List& list) {
+  std::vector<ListedEndpoint> entries;
+  entries.reserve(list.entries.size());
+  for (const discovery::Entry& e : list.entries) {
+    ListedEndpoint& l = entries.emplace_back();
+    l.id = endpoints_.learn(e);
+    l.zone = zone_of(e.zone);
+    l.cell = e.cell;
+    l.availability = e.availability;
+    l.size = e.size;
+    l.came_up = e.came_up;
+  }
+  if (kind != ListKind::changes) {
+    std::vector<bool> named(endpoints_.size(), false);
+    for (const ListedEndpoint& l : entries) named[l.id - 1] = true;
+    endpoints_.forget_unnamed(named);
+  }
+  apply(balancer_.listed(kind, entries, scheduler_.now()));
+}
+
+void Driver::apply(Answers answers) {
+  answers_.insert(answers_.end(), answers.begin(), answers.end());
+  pump();
+}
+
+// What is done may end a dispatch at once, and its end brings new answers: all of it goes through here, one
+// after the other, and never from inside a call of the balancer.
+void Driver::pump() {
+  if (pumping_) return;
+  pumping_ = true;
+  while (!answers_.empty() || !ends_.empty()) {
+    if (!answers_.empty()) {
+      const Answer answer = answers_.front();
+      answers_.pop_front();
+      act(answer);
+      continue;
+    }
+    const End over = ends_.front();
+    ends_.pop_front();
+    const Answers more = balancer_.ended(over.end, scheduler_.now());
+    answers_.insert(answers_.end(), more.begin(), more.end());
+    const std::uint32_t at = call_index_.find(over.end.call);
+    if (at == IdIndex::none) continue;
+    --calls_[at].out;
+    settle(at);
+  }
+  pumping_ = false;
+  const TimePoint next = balancer_.next_wake();
+  if (next < timer_.due()) timer_.set(next);
+}
+
+void Driver::act(const Answer& answer) {
+  const std::uint32_t at = call_index_.find(answer.call);
+  const bool known = at != IdIndex::none;
+  switch (answer.verdict) {
+    case Verdict::nothing:
+    case Verdict::wait:
+    case Verdict::probe: break;  // no probes here: the configuration says so to the module
+    case Verdict::dispatch:
+      if (known) dispatch(at, answer);
+      break;
+    case Verdict::reject:
+    case Verdict::break_off:
+      if (!known) break;
+      if (Caller* caller = release(at)) {
+        const bool reject = answer.verdict == Verdict::reject;
+        ++(reject ? counters_.rejected : counters_.broken_off);
+        if (reject) {
+          caller->rejected(answer.span);
+        } else {
+          caller->broken_off(calls_[at].timed_out);
+        }
+      }
+      settle(at);
+      break;
+    case Verdict::cancel:
+      if (known && answer.number < dispatches_most && calls_[at].dispatches[answer.number] != nullptr)
+        endpoints_.give_up(*calls_[at].dispatches[answer.number]);
+      break;
+    case Verdict::subscribe: watch_.start(); break;
+    case Verdict::log: log_line("%s", answer.text.data()); break;
+  }
+}
+
+void Driver::dispatch(std::uint32_t at, const Answer& answer) {
+  const TimePoint now = scheduler_.now();
+  const Dispatch d{answer.call, answer.endpoint, answer.number, now, answer.span};
+  ++calls_[at].out;
+  if (calls_[at].caller == nullptr) {  // it left, or was answered, between the decision and here
+    dispatch_over(d, Outcome::not_sent, nullptr);
+    return;
+  }
+  EndpointConnection* const on = endpoints_.send(d, calls_[at].caller->request());
+  const std::uint32_t still = call_index_.find(answer.call);
+  if (on != nullptr && still != IdIndex::none) calls_[still].dispatches[answer.number] = on;
+}
+
+}  // namespace chutevane::sidecar
--- /dev/null
+++ b/src/sidecar/driver.hpp
@@ -0,0 +1,82 @@
+// Drives the balancer: hands it every event with the time, and does what it answers. Decides nothing.
+#pragma once
+
+#include <array>
+#include <deque>
+
+#include "base/slab.hpp"
+#include "chutevane/balancer.hpp"
+#include "config/config.hpp"
+#include "discovery/watch.hpp"
+#include "net/scheduler.hpp"
+#include "sidecar/counters.hpp"
+#include "sidecar/endpoints.hpp"
+
+namespace chutevane::sidecar {
+
+// Who waits for the final answer of an API call. Gets exactly one of the three, unless it leaves.
+class Caller {
+ public:
+  virtual const http::Parser& request() const = 0;
+  virtual void done(const http::Parser& response) = 0;
+  virtual void rejected(Span come_back) = 0;
+  virtual void broken_off(bool timed_out) = 0;
+
+ protected:
+  ~Caller() = default;
+};
+
+class Driver final : public DispatchSink, public discovery::Sink {
+ public:
+  Driver(net::Scheduler& scheduler, const config::Config& config, Endpoints& endpoints, Counters& counters);
+
+  // A new call; its id. The answer may come before this returns.
+  CallId take(ApiCall call, Caller& caller);
+  void caller_left(CallId call);
+
+  void dispatch_over(const Dispatch& dispatch, Outcome outcome, const http::Parser* response) override;
+  void list_came(const discovery::List& list) override;
+  void list_failed() override;
+
+ private:
+  static constexpr std::size_t dispatches_most = 8;  // as many as the module can keep
+  struct Call {
+    CallId id = 0;
+    Caller* caller = nullptr;  // none once answered, or left
+    std::uint8_t out = 0;
+    bool timed_out = false;  // how its last dispatch ended
+    std::array<EndpointConnection*, dispatches_most> dispatches{};
+  };
+  struct End {
+    DispatchEnd end;
+    bool list_failed = false;
+  };
+
+  void take_list(ListKind kind, const discovery::List& list);
+  void apply(Answers answers);
+  void pump();
+  void act(const Answer& answer);
+  void dispatch(std::uint32_t at, const Answer& answer);
+  Caller* release(std::uint32_t at);
+  void settle(std::uint32_t at);
+  std::uint16_t zone_of(const std::string& name);
+  net::Task keep_time();
+
+  net::Scheduler& scheduler_;
+  Endpoints& endpoints_;
+  Counters& counters_;
+  Balancer balancer_;
+  std::vector<std::string> zones_;
+  CallId last_id_ = 0;
+  Slab<Call> calls_;
+  IdIndex call_index_;
+  std::deque<Answer> answers_;  // still to be done, in order
+  std::deque<End> ends_;        // still to be told
+  bool pumping_ = false;
+  discovery::Watch watch_;
+  net::Waker waker_;
+  net::Timer timer_;
+  net::Task timekeeper_;
+};
+
+}  // namespace chutevane::sidecar
--- /dev/null
+++ b/src/sidecar/endpoints.cpp
@@ -0,0 +1,238 @@
+#include "sidecar/endpoints.hpp"
+
+#include <algorithm>
+
+#include "base/log.hpp"
+
+namespace chutevane::sidecar {
+namespace {
+
+constexpr double idle_part = 0.7;              // of the time after which endpoints close: well before it
+constexpr double endpoint_part = 0.4;          // of the descriptors
+constexpr std::size_t buffer_kept = 8 * 1024;  // bytes of an idle connection
+
+}  // namespace
+
+EndpointConnection::EndpointConnection(net::Scheduler& scheduler, Endpoints& pool, std::size_t endpoint)
+    : scheduler_(scheduler),
+      pool_(pool),
+      endpoint_(endpoint),
+      waker_(scheduler),
+      timer_(scheduler, waker_, due),
+      socket_(scheduler, waker_),
+      task_(run()) {}
+
+void EndpointConnection::report(Outcome outcome, const http::Parser* response) {
+  if (!busy_) return;
+  busy_ = false;
+  ++pool_.counters_.outcomes[static_cast<std::size_t>(outcome)];
+  pool_.sink_->dispatch_over(dispatch_, outcome, response);
+}
+
+net::Task EndpointConnection::run() {
+  using net::Socket;
+  using net::Waker;
+  // It comes up, or what it was opened for never ran.
+  bool up = socket_.connect(pool_.endpoints_[endpoint_].address);
+  if (up) {
+    const TimePoint now = scheduler_.now();
+    timer_.set(now + std::min(pool_.connect_timeout_, dispatch_.sent + dispatch_.wait - now));
+    const Waker::Bits bits = co_await waker_.wait(Waker::writable | Waker::hung_up | due | dropped);
+    up = (bits & (due | dropped)) == 0 && socket_.connected();
+  }
+  if (!up) report(Outcome::not_connected);
+  while (up) {
+    stage_ = Stage::writing;
+    written_ = 0;
+    timer_.set(dispatch_.sent + dispatch_.wait);
+    while (up && !buffer_.empty()) {
+      std::size_t written = 0;
+      const Socket::Result result = socket_.write(buffer_.bytes(), written);
+      buffer_.consume(written);
+      written_ += written;
+      if (result == Socket::Result::broken) up = false;
+      if (result != Socket::Result::later) continue;
+      const Waker::Bits bits = co_await waker_.wait(Waker::writable | Waker::hung_up | due | dropped);
+      up = (bits & (due | dropped)) == 0;
+    }
+    if (!up) {  // its last byte was not written: it never ran
+      report(Outcome::not_connected);
+      break;
+    }
+    stage_ = Stage::reading;
+    parser_.reset();
+    http::Progress progress = http::Progress::more;
+    Outcome outcome = Outcome::reset;
+    while (up && progress != http::Progress::complete) {
+      const Waker::Bits bits = co_await waker_.wait(Waker::readable | Waker::hung_up | due | dropped);
+      if ((bits & (due | dropped)) != 0) {
+        outcome = Outcome::timed_out;
+        up = false;
+        break;
+      }
+      const Socket::Result result = socket_.read(buffer_);
+      if (result == Socket::Result::some) progress = parser_.feed(buffer_.bytes());
+      if (result == Socket::Result::ended) progress = parser_.ended();
+      if (result == Socket::Result::broken || progress == http::Progress::failed) up = false;
+      if (progress == http::Progress::complete && parser_.status() < 200) {  // the answer is still to come
+        buffer_.consume(parser_.size());
+        parser_.reset();
+        progress = buffer_.empty() ? http::Progress::more : parser_.feed(buffer_.bytes());
+      }
+    }
+    if (!up) {
+      report(outcome);
+      break;
+    }
+    timer_.cancel();
+    report(pool_.front_.outcome_of(parser_), &parser_);
+    buffer_.consume(parser_.size());
+    if (!parser_.keep_alive() || !buffer_.empty()) break;
+    buffer_.shrink(buffer_kept);
+    pool_.rest(*this);
+    const Waker::Bits bits = co_await waker_.wait(Waker::readable | Waker::hung_up | due | given | dropped);
+    if ((bits & given) == 0) {
+      if (stage_ == Stage::idle) pool_.unrest(*this);
+      break;
+    }
+    if ((bits & dropped) != 0) break;
+  }
+  stage_ = Stage::closed;
+  socket_.close();
+  timer_.cancel();
+  pool_.connections_.retire(*this);
+}
+
+Endpoints::Endpoints(net::Scheduler& scheduler, const config::Config& config, const Front& front,
+                     Counters& counters)
+    : scheduler_(scheduler),
+      front_(front),
+      counters_(counters),
+      connect_timeout_(config.connect_timeout),
+      idle_most_(config.idle_close * idle_part),
+      connections_most_(static_cast<std::size_t>(static_cast<double>(config.sockets) * endpoint_part)),
+      connections_(scheduler) {}
+
+EndpointId Endpoints::learn(const discovery::Entry& entry) {
+  const auto found =
+      std::find_if(endpoints_.begin(), endpoints_.end(), [&](const Endpoint& e) { return e.id == entry.id; });
+  const auto at = static_cast<std::size_t>(found - endpoints_.begin());
+  if (found == endpoints_.end()) {
+    endpoints_.emplace_back().id = entry.id;
+    log_line("endpoint %012zx is %s at %s", at + 1, entry.id.c_str(), entry.address.c_str());
+  }
+  Endpoint& e = endpoints_[at];
+  if (!entry.address.empty() && entry.address != e.address_text) {
+    now_closed_to_new(e);  // its connections lead elsewhere
+    e.address_text = entry.address;
+    e.address = *net::parse_address(entry.address);
+  }
+  e.availability = entry.availability;
+  if (e.availability != Availability::ready) now_closed_to_new(e);
+  return at + 1;
+}
+
+void Endpoints::forget_unnamed(const std::vector<bool>& named) {
+  for (std::size_t i = 0; i < endpoints_.size(); ++i) {
+    if (i < named.size() && named[i]) continue;
+    endpoints_[i].availability = Availability::gone;
+    now_closed_to_new(endpoints_[i]);
+  }
+}
+
+// Guards the drain rule: what waits for a connection to come up, or for room to write its first byte, must
+// not reach an endpoint that wants nothing new.
+void Endpoints::now_closed_to_new(Endpoint& endpoint) {
+  const auto at = static_cast<std::size_t>(&endpoint - endpoints_.data());
+  for (std::size_t i = connections_.size(); i-- > 0;) {
+    EndpointConnection& c = connections_[i];
+    if (c.endpoint_ != at) continue;
+    if (c.stage_ == EndpointConnection::Stage::idle) {
+      unrest(c);
+      drop(c, Outcome::not_sent);
+    } else if (c.busy_ && !c.begun()) {
+      drop(c, Outcome::not_sent);
+    }
+  }
+}
+
+// Closes at once; the coroutine finds out in its next step.
+void Endpoints::drop(EndpointConnection& connection, Outcome outcome) {
+  connection.socket_.close();
+  connection.timer_.cancel();
+  connection.waker_.set(EndpointConnection::dropped);
+  connection.report(outcome);
+}
+
+void Endpoints::give_up(EndpointConnection& connection) {
+  const bool whole = connection.stage_ == EndpointConnection::Stage::reading;
+  drop(connection, whole ? Outcome::cancelled : Outcome::not_sent);
+}
+
+void Endpoints::rest(EndpointConnection& connection) {
+  connection.stage_ = EndpointConnection::Stage::idle;
+  connection.idle_since_ = scheduler_.now();
+  connection.timer_.set(connection.idle_since_ + idle_most_);
+  Endpoint& e = endpoints_[connection.endpoint_];
+  e.idle.push_back(&connection);
+  if (e.availability == Availability::ready) return;
+  unrest(connection);
+  drop(connection, Outcome::not_sent);
+}
+
+void Endpoints::unrest(EndpointConnection& connection) {
+  std::erase(endpoints_[connection.endpoint_].idle, &connection);
+  connection.stage_ = EndpointConnection::Stage::closed;
+}
+
+// At the bound the longest idle connection goes.
+bool Endpoints::make_room() {
+  if (connections_.size() < connections_most_) return true;
+  EndpointConnection* oldest = nullptr;
+  for (Endpoint& e : endpoints_) {
+    if (!e.idle.empty() && (oldest == nullptr || e.idle.front()->idle_since_ < oldest->idle_since_))
+      oldest = e.idle.front();
+  }
+  if (oldest == nullptr) return false;
+  unrest(*oldest);
+  drop(*oldest, Outcome::not_sent);
+  return true;
+}
+
+EndpointConnection* Endpoints::send(const Dispatch& dispatch, const http::Parser& request) {
+  const std::size_t at = dispatch.endpoint - 1;
+  const auto begin = [&](EndpointConnection& c) {
+    c.dispatch_ = dispatch;
+    c.busy_ = true;
+    c.written_ = 0;
+    front_.write_dispatch(c.buffer_, request, dispatch.wait);
+    ++counters_.dispatches;
+  };
+  while (at < endpoints_.size() && !endpoints_[at].idle.empty()) {
+    EndpointConnection& c = *endpoints_[at].idle.back();
+    unrest(c);
+    if (!c.socket_.quiet()) {  // the endpoint has closed it: this is only not known yet
+      drop(c, Outcome::not_sent);
+      continue;
+    }
+    c.timer_.cancel();
+    c.stage_ = EndpointConnection::Stage::writing;
+    begin(c);
+    ++counters_.connections_reused;
+    c.waker_.set(EndpointConnection::given);
+    return &c;
+  }
+  if (at >= endpoints_.size() || endpoints_[at].availability != Availability::ready || !make_room()) {
+    ++counters_.dispatches;
+    ++counters_.outcomes[static_cast<std::size_t>(Outcome::not_sent)];
+    sink_->dispatch_over(dispatch, Outcome::not_sent, nullptr);
+    return nullptr;
+  }
+  EndpointConnection& c = connections_.add(std::make_unique<EndpointConnection>(scheduler_, *this, at));
+  begin(c);
+  ++counters_.connections_opened;
+  c.task_.start();
+  return c.busy_ ? &c : nullptr;
+}
+
+}  // namespace chutevane::sidecar
--- /dev/null
+++ b/src/sidecar/endpoints.hpp
@@ -0,0 +1,110 @@
+// Connections to endpoints: one dispatch at a time on each, the newest idle one reused first.
+#pragma once
+
+#include <netinet/in.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "config/config.hpp"
+#include "discovery/list.hpp"
+#include "http/parser.hpp"
+#include "net/buffer.hpp"
+#include "net/crew.hpp"
+#include "net/socket.hpp"
+#include "sidecar/counters.hpp"
+#include "sidecar/front.hpp"
+
+namespace chutevane::sidecar {
+
+struct Dispatch {
+  CallId call = 0;
+  EndpointId endpoint = 0;
+  std::uint32_t number = 0;
+  TimePoint sent;
+  Span wait;
+};
+
+// Hears how each dispatch ended, once; the response is there until it returns.
+class DispatchSink {
+ public:
+  virtual void dispatch_over(const Dispatch& dispatch, Outcome outcome, const http::Parser* response) = 0;
+
+ protected:
+  ~DispatchSink() = default;
+};
+
+class Endpoints;
+
+class EndpointConnection {
+ public:
+  EndpointConnection(net::Scheduler& scheduler, Endpoints& pool, std::size_t endpoint);
+
+  std::size_t crew_place = 0;
+
+ private:
+  friend class Endpoints;
+  static constexpr net::Waker::Bits due = net::Waker::own, given = net::Waker::own << 1U,
+                                    dropped = net::Waker::own << 2U;
+  enum class Stage : std::uint8_t { connecting, writing, reading, idle, closed };
+  net::Task run();
+  void report(Outcome outcome, const http::Parser* response = nullptr);
+  bool begun() const { return written_ > 0; }
+
+  net::Scheduler& scheduler_;
+  Endpoints& pool_;
+  const std::size_t endpoint_;
+  net::Waker waker_;
+  net::Timer timer_;
+  net::Socket socket_;
+  net::Buffer buffer_;  // the request, then its answer
+  http::Parser parser_{http::Side::response};
+  Stage stage_ = Stage::connecting;
+  bool busy_ = false;  // holds a dispatch whose end has not been told
+  std::size_t written_ = 0;
+  Dispatch dispatch_;
+  TimePoint idle_since_;
+  net::Task task_;
+};
+
+class Endpoints {
+ public:
+  Endpoints(net::Scheduler& scheduler, const config::Config& config, const Front& front, Counters& counters);
+  void tell(DispatchSink& sink) { sink_ = &sink; }
+
+  // Takes over what discovery says. An endpoint keeps its id for good.
+  EndpointId learn(const discovery::Entry& entry);
+  void forget_unnamed(const std::vector<bool>& named);
+  std::size_t size() const { return endpoints_.size(); }
+
+  // Sends `request` to the endpoint; how it ends is told to the sink, perhaps before this returns.
+  EndpointConnection* send(const Dispatch& dispatch, const http::Parser& request);
+  // Gives a dispatch up and closes its connection.
+  void give_up(EndpointConnection& connection);
+
+ private:
+  friend class EndpointConnection;
+  struct Endpoint {
+    std::string id, address_text;
+    sockaddr_in address{};
+    Availability availability = Availability::gone;
+    std::vector<EndpointConnection*> idle;  // the newest last
+  };
+  void now_closed_to_new(Endpoint& endpoint);
+  bool make_room();
+  void rest(EndpointConnection& connection);
+  void unrest(EndpointConnection& connection);
+  void drop(EndpointConnection& connection, Outcome outcome);
+
+  net::Scheduler& scheduler_;
+  const Front& front_;
+  Counters& counters_;
+  DispatchSink* sink_ = nullptr;
+  const Span connect_timeout_, idle_most_;
+  const std::size_t connections_most_;
+  std::vector<Endpoint> endpoints_;
+  net::Crew<EndpointConnection> connections_;
+};
+
+}  // namespace chutevane::sidecar
--- /dev/null
+++ b/src/sidecar/front.cpp
@@ -0,0 +1,143 @@
+#include "sidecar/front.hpp"
+
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <optional>
+
+#include "base/settings_reader.hpp"
+#include "http/writer.hpp"
+
+namespace chutevane::sidecar {
+namespace {
+
+constexpr std::string_view request_id = "X-Request-ID", track_name = "X-Priority-Class",
+                           time_left = "X-Timeout", repeated = "X-Retried", never_ran = "X-Not-Processed",
+                           come_back_after = "Retry-After", ready_path = "/ready";
+
+constexpr double longest_ms = 3.6e6;  // of a stated wait: an hour is no longer a figure to believe
+
+// "480m" or "480000u"
+std::optional<Span> read_wait(std::string_view text) {
+  if (text.size() < 2) return std::nullopt;
+  const char unit = text.back();
+  text.remove_suffix(1);
+  double v = 0;
+  const auto got = std::from_chars(text.data(), text.data() + text.size(), v, std::chars_format::fixed);
+  if (got.ec != std::errc() || got.ptr != text.data() + text.size() || !(v >= 0)) return std::nullopt;
+  if (unit != 'm' && unit != 'u') return std::nullopt;
+  const double ms = unit == 'm' ? v : v / 1000.0;
+  if (ms > longest_ms) return std::nullopt;
+  return Span::ms(ms);
+}
+
+// What is said for one connection and not for the message, or is written anew.
+bool passed_on(std::string_view name) {
+  static constexpr std::string_view kept_back[] = {
+      "connection", "keep-alive",         "proxy-connection", "te",     "trailer",
+      "upgrade",    "transfer-encoding",  "content-length",   "expect", "proxy-authenticate",
+      "x-timeout",  "proxy-authorization"};
+  for (const std::string_view k : kept_back) {
+    if (http::same_name(name, k)) return false;
+  }
+  return true;
+}
+
+void copy_fields(http::Writer& out, const http::Parser& from) {
+  const std::string_view dropped = from.find("Connection").value_or("");
+  for (std::size_t i = 0; i < from.fields(); ++i) {
+    const http::Field f = from.field(i);
+    if (passed_on(f.name) && !http::has_token(dropped, f.name)) out.field(f.name, f.value);
+  }
+}
+
+}  // namespace
+
+Front::Front(const Settings& settings) {
+  const SettingsReader reader(settings);
+  for (int i = 0; i < reader.number("tracks.count"); ++i) {
+    const std::string at = "tracks." + std::to_string(i) + ".";
+    tracks_.push_back({reader.text(at + "name"), reader.span(at + "client_timeout_ms")});
+  }
+}
+
+Front::Kind Front::read_request(const http::Parser& request, ApiCall& call, std::string_view& why) const {
+  const auto bad = [&](std::string_view text) {
+    why = text;
+    return Kind::bad;
+  };
+  const auto id = request.find(request_id);
+  if (!id) {
+    if (request.method() == "GET" && request.target() == ready_path) return Kind::ready;
+    return bad("no X-Request-ID");
+  }
+  const auto name = request.find(track_name);
+  if (!name) return bad("no X-Priority-Class");
+  call.track = 0;
+  while (call.track < tracks_.size() && tracks_[call.track].name != *name) ++call.track;
+  if (call.track == tracks_.size()) return bad("unknown X-Priority-Class");
+  call.left = tracks_[call.track].client_timeout;
+  if (const auto wait = request.find(time_left)) {
+    const auto left = read_wait(*wait);
+    if (!left) return bad("malformed X-Timeout");
+    call.left = *left;
+  }
+  call.repeated = request.find(repeated) == "1";
+  return Kind::call;
+}
+
+void Front::write_dispatch(net::Buffer& out, const http::Parser& request, Span wait) const {
+  std::array<char, 24> room;
+  const auto end = std::to_chars(room.data(), room.data() + room.size(), wait.as_us()).ptr;
+  *end = 'u';
+  http::Writer writer(out);
+  writer.request_line(request.method(), request.target());
+  copy_fields(writer, request);
+  writer.field(time_left, {room.data(), static_cast<std::size_t>(end - room.data()) + 1});
+  if (request.body().empty() && request.method() != "POST") {
+    writer.no_body();
+  } else {
+    writer.body(request.body());
+  }
+}
+
+Outcome Front::outcome_of(const http::Parser& response) const {
+  const int status = response.status();
+  if (status == 200) return Outcome::done;
+  if ((status == 503 || status == 504) && response.find(never_ran) == "1") return Outcome::turned_away;
+  return Outcome::error;
+}
+
+void Front::write_done(net::Buffer& out, const http::Parser& response, bool close) const {
+  http::Writer writer(out);
+  writer.status_line(response.status());
+  copy_fields(writer, response);
+  if (close) writer.field("Connection", "close");
+  writer.body(response.body());
+}
+
+void Front::write_rejection(net::Buffer& out, Span come_back, bool close) const {
+  http::Writer writer(out);
+  writer.status_line(503);
+  if (come_back > Span()) {
+    std::array<char, 32> room;
+    const int n = std::snprintf(room.data(), room.size(), "%.3f", come_back.as_ms() / 1000.0);
+    writer.field(come_back_after, {room.data(), static_cast<std::size_t>(n)});
+  }
+  if (close) writer.field("Connection", "close");
+  writer.body("");
+}
+
+void Front::write_broken_off(net::Buffer& out, bool timed_out, bool close) const {
+  write_plain(out, timed_out ? 504 : 502, "", close);
+}
+
+void Front::write_plain(net::Buffer& out, int status, std::string_view text, bool close) const {
+  http::Writer writer(out);
+  writer.status_line(status);
+  if (!text.empty()) writer.field("Content-Type", "text/plain");
+  if (close) writer.field("Connection", "close");
+  writer.body(text);
+}
+
+}  // namespace chutevane::sidecar
--- /dev/null
+++ b/src/sidecar/front.hpp
@@ -0,0 +1,39 @@
+// The platform's protocol between callers, sidecars and endpoints: which header says what. Nothing else in
+// the program knows a header by name; a second front would stand beside this one.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "chutevane/types.hpp"
+#include "http/parser.hpp"
+#include "net/buffer.hpp"
+
+namespace chutevane::sidecar {
+
+class Front {
+ public:
+  explicit Front(const Settings& settings);
+
+  enum class Kind : std::uint8_t { call, ready, bad };
+  // What a caller's request is. Of a call it reads all but the id; of a bad one it says why.
+  Kind read_request(const http::Parser& request, ApiCall& call, std::string_view& why) const;
+  void write_dispatch(net::Buffer& out, const http::Parser& request, Span wait) const;
+  Outcome outcome_of(const http::Parser& response) const;
+
+  void write_done(net::Buffer& out, const http::Parser& response, bool close) const;
+  void write_rejection(net::Buffer& out, Span come_back, bool close) const;
+  void write_broken_off(net::Buffer& out, bool timed_out, bool close) const;
+  // Everything that is no answer to a call.
+  void write_plain(net::Buffer& out, int status, std::string_view text, bool close) const;
+
+ private:
+  struct Track {
+    std::string name;
+    Span client_timeout;
+  };
+  std::vector<Track> tracks_;
+};
+
+}  // namespace chutevane::sidecar
--- /dev/null
+++ b/src/sidecar/sidecar.cpp
@@ -0,0 +1,80 @@
+#include "sidecar/sidecar.hpp"
+
+#include <csignal>
+#include <system_error>
+
+#include "base/log.hpp"
+#include "net/signals.hpp"
+
+namespace chutevane::sidecar {
+namespace {
+
+constexpr net::Waker::Bits due = net::Waker::own;
+constexpr Span crossing = Span::ms(600);     // new connections still come for so long
+constexpr Span drain_slack = Span::ms(500);  // beyond the longest client timeout
+constexpr Span drain_look = Span::ms(10);    // between looks at what is left
+
+}  // namespace
+
+Sidecar::Sidecar(net::Scheduler& scheduler, const config::Config& config)
+    : scheduler_(scheduler),
+      listen_at_(*net::parse_address(config.listen)),
+      longest_timeout_(config.longest_timeout),
+      front_(config.settings),
+      endpoints_(scheduler, config, front_, counters_),
+      driver_(scheduler, config, endpoints_, counters_),
+      callers_(scheduler, config, front_, driver_, counters_),
+      waker_(scheduler),
+      timer_(scheduler, waker_, due),
+      ender_(end()) {}
+
+void Sidecar::listen() { callers_.listen(listen_at_); }
+
+void Sidecar::drain() {
+  if (draining_) return;
+  draining_ = true;
+  ender_.start();
+}
+
+net::Task Sidecar::end() {
+  const TimePoint last = scheduler_.now() + longest_timeout_ + drain_slack;
+  callers_.begin_drain();
+  timer_.set(scheduler_.now() + crossing);
+  co_await waker_.wait(due);
+  callers_.stop_listening();
+  while (callers_.size() > 0 && scheduler_.now() < last) {
+    timer_.set(scheduler_.now() + drain_look);
+    co_await waker_.wait(due);
+  }
+  finished_ = true;
+}
+
+int serve(const config::Config& config) {
+  net::Scheduler scheduler;
+  net::Waker waker(scheduler);
+  net::Signals signals(scheduler, waker, {SIGTERM, SIGINT, SIGUSR1});
+  std::signal(SIGPIPE, SIG_IGN);
+  Sidecar sidecar(scheduler, config);
+  try {
+    sidecar.listen();
+  } catch (const std::system_error& e) {
+    log_line("%s: %s", config.listen.c_str(), e.what());
+    return 1;
+  }
+  log_line("%s serves at %s", config.name.c_str(), config.listen.c_str());
+  while (!sidecar.finished()) {
+    scheduler.turn();
+    while (const int number = signals.next()) {
+      if (number == SIGUSR1) {
+        log_line("%s", sidecar.counters().as_json().c_str());
+      } else {
+        log_line("%s drains", config.name.c_str());
+        sidecar.drain();
+      }
+    }
+  }
+  log_line("%s", sidecar.counters().as_json().c_str());
+  return 0;
+}
+
+}  // namespace chutevane::sidecar
--- /dev/null
+++ b/src/sidecar/sidecar.hpp
@@ -0,0 +1,45 @@
+// One sidecar, put together: listens for callers, keeps the list, drives the balancer, drains when told.
+#pragma once
+
+#include "config/config.hpp"
+#include "net/scheduler.hpp"
+#include "net/task.hpp"
+#include "sidecar/callers.hpp"
+#include "sidecar/counters.hpp"
+#include "sidecar/driver.hpp"
+#include "sidecar/endpoints.hpp"
+#include "sidecar/front.hpp"
+
+namespace chutevane::sidecar {
+
+class Sidecar {
+ public:
+  Sidecar(net::Scheduler& scheduler, const config::Config& config);
+  void listen();  // from here on it serves; throws std::system_error
+  // Serves through the crossing of new connections, then ends once all is answered.
+  void drain();
+  bool finished() const { return finished_; }
+  std::optional<sockaddr_in> address() const { return callers_.address(); }
+  const Counters& counters() const { return counters_; }
+
+ private:
+  net::Task end();
+
+  net::Scheduler& scheduler_;
+  const sockaddr_in listen_at_;
+  const Span longest_timeout_;
+  Counters counters_;
+  Front front_;
+  Endpoints endpoints_;
+  Driver driver_;
+  Callers callers_;
+  bool draining_ = false, finished_ = false;
+  net::Waker waker_;
+  net::Timer timer_;
+  net::Task ender_;
+};
+
+// Serves until SIGTERM or SIGINT and the drain after it; SIGUSR1 prints the counters. The exit status.
+int serve(const config::Config& config);
+
+}  // namespace chutevane::sidecar
--- a/src/simhost/host.cpp
+++ b/src/simhost/host.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "config/names.hpp"
+
 namespace chutevane::simhost {
 
 using tundra::EventCode;
@@ -47,7 +49,7 @@
   try {
     in.balancer.emplace(settings, event.seed, now);
   } catch (const SettingError& e) {
-    reply_.fault(event.who, std::string(e.what()) + " (on the wire: " + tundra::wire_name(e.key) + ")");
+    reply_.fault(event.who, std::string(e.what()) + " (on the wire: " + config::platform_name(e.key) + ")");
   }
 }
 
--- a/src/tundra/codec.cpp
+++ b/src/tundra/codec.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <cstring>
 
+#include "config/names.hpp"
+
 namespace chutevane::tundra {
 namespace {
 
@@ -64,38 +66,6 @@
   }
 }
 
-struct Name {
-  std::string_view wire, ours;
-};
-constexpr Name names[] = {
-    {"classes", "tracks"},
-    {"give_up_ms", "client_timeout_ms"},
-    {"target_ms", "soft_limit_ms"},
-    {"points", "payoff"},
-    {"late_share", "late_payoff"},
-    {"key_scope", "repeat_group"},
-    {"memory_span_ms", "repeat_window_ms"},
-    {"may_duplicate", "second_copies"},
-    {"max_attempts", "max_dispatches"},
-    {"n_instances", "sidecars"},
-    {"over_share_worth", "over_share_payoff"},
-};
-constexpr Name effects[] = {{"safe", "replayable"}, {"keyed", "referenced"}, {"unsafe", "single-use"}};
-
-std::string rename_path(std::string_view path, bool to_wire) {
-  std::string out;
-  while (true) {
-    const std::size_t dot = path.find('.');
-    const std::string_view part = path.substr(0, dot);
-    const auto* hit = std::find_if(std::begin(names), std::end(names),
-                                   [&](const Name& n) { return part == (to_wire ? n.ours : n.wire); });
-    out += hit == std::end(names) ? part : (to_wire ? hit->wire : hit->ours);
-    if (dot == std::string_view::npos) return out;
-    out += '.';
-    path.remove_prefix(dot + 1);
-  }
-}
-
 }  // namespace
 
 FrameHead read_head(std::span<const std::uint8_t> bytes) {
@@ -277,18 +247,11 @@
     text.remove_prefix(std::min(end + 1, text.size()));
     const std::size_t equals = line.find('=');
     if (equals == std::string_view::npos) continue;
-    const std::string_view key = line.substr(0, equals);
-    std::string_view value = line.substr(equals + 1);
-    if (key.ends_with(".effect")) {
-      for (const Name& n : effects) value = value == n.wire ? n.ours : value;
-    }
-    out.insert_or_assign(rename_path(key, false), std::string(value));
+    config::put_setting(out, line.substr(0, equals), line.substr(equals + 1));
   }
   return out;
 }
 
-std::string wire_name(std::string_view setting) { return rename_path(setting, true); }
-
 LoadReport read_load(const Event& event, std::string_view fields) {
   LoadReport out;
   for (std::size_t i = 0; i < event.load_count && !fields.empty(); ++i) {
--- a/src/tundra/codec.hpp
+++ b/src/tundra/codec.hpp
@@ -88,8 +88,6 @@
 
 // The settings under the names this project uses; what it does not know keeps the wire's name.
 Settings read_settings(std::string_view text);
-// The wire's name of a setting, for messages to those who wrote it.
-std::string wire_name(std::string_view setting);
 // Puts a report's figures where report.fields says they belong.
 LoadReport read_load(const Event& event, std::string_view fields);
 
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -1,5 +1,6 @@
 #include "tundra/codec.hpp"
 
+#include "config/names.hpp"
 #include "helpers.hpp"
 
 namespace chutevane::tundra {
@@ -79,7 +80,7 @@
   EXPECT_EQ(s.at("tracks.0.client_timeout_ms"), "1500.0");
   EXPECT_EQ(s.at("tracks.0.effect"), "single-use");
   EXPECT_EQ(s.at("odd"), "1");
-  EXPECT_EQ(wire_name("tracks.0.client_timeout_ms"), "classes.0.give_up_ms");
+  EXPECT_EQ(config::platform_name("tracks.0.client_timeout_ms"), "classes.0.give_up_ms");
 }
 
 }  // namespace
