Sockets: a hang-up stays told, so that an end that comes with the last bytes is seen

Also: a request that could not be read took its bytes out of the buffer twice (CallerConnection::answer); an answer to such a request is followed by a lingering end; reads are bounded; a dispatch handed to a connection that hangs up before its first byte is not_connected; /ready says 503 while draining; the answer to a HEAD has no body; descriptors are asked for and counted against the process's own limit.

--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -84,7 +84,7 @@
         buffer_.consume(written);
         if (result == Socket::Result::broken) up = false;
         if (result != Socket::Result::later) continue;
-        const Waker::Bits bits = co_await waker_.wait(Waker::writable | Waker::hung_up | due);
+        const Waker::Bits bits = co_await waker_.wait(Waker::writable | due);
         up = (bits & due) == 0;
       }
       parser_.reset();
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -51,13 +51,14 @@
   return false;
 }
 
-void Parser::reset() {
+void Parser::reset(bool bodiless) {
   const Side side = side_;
   const Limits limits = limits_;
   std::vector<FieldAt> fields = std::move(fields_);
   fields.clear();
   *this = Parser(side, limits);
   fields_ = std::move(fields);  // keeps its room
+  bodiless_ = bodiless;
 }
 
 Progress Parser::fail(int status, std::string_view why) {
@@ -246,8 +247,8 @@
   keep_alive_ = !close && (minor_ == 1 || keep);
   if (coded && (length || minor_ == 0)) return fail(400, "conflicting lengths"), false;
   if (length && *length > limits_.body) return fail(413, "body too large"), false;
-  const bool bodiless = side_ == Side::response && (status_ < 200 || status_ == 204 || status_ == 304);
-  if (bodiless) {
+  const bool none = side_ == Side::response && (status_ < 200 || status_ == 204 || status_ == 304);
+  if (none || bodiless_) {
     stage_ = Stage::complete;
   } else if (chunked) {
     stage_ = Stage::chunk_size;
--- a/src/http/parser.hpp
+++ b/src/http/parser.hpp
@@ -31,7 +31,8 @@
 class Parser {
  public:
   explicit Parser(Side side, const Limits& limits = {}) : side_(side), limits_(limits) {}
-  void reset();  // for the next message
+  // For the next message; `bodiless`: the answer to a HEAD, whose length is not its body's.
+  void reset(bool bodiless = false);
 
   Progress feed(std::span<char> bytes);
   Progress ended();  // no more bytes will come
@@ -92,7 +93,7 @@
   std::size_t body_at_ = 0, body_size_ = 0, left_ = 0, trailer_size_ = 0;
   Piece first_, second_;
   int status_ = 0, minor_ = 1;
-  bool keep_alive_ = true;
+  bool keep_alive_ = true, bodiless_ = false;
   std::vector<FieldAt> fields_;
   int error_status_ = 0;
   std::string_view error_;
--- a/src/net/scheduler.hpp
+++ b/src/net/scheduler.hpp
@@ -38,6 +38,8 @@
  public:
   using Bits = std::uint32_t;
   // What sockets tell; the owner's own bits start at `own`.
+  // `hung_up` stays set: what came with the hang-up is still read, and the next wait ends at once. Loops that
+  // write do not wait for it, since `writable` comes with a reset too.
   static constexpr Bits readable = 1, writable = 2, hung_up = 4, own = 8;
 
   explicit Waker(Scheduler& scheduler) : scheduler_(scheduler) {}
@@ -47,6 +49,7 @@
 
   void set(Bits bits);
   void clear(Bits bits) { pending_ &= ~bits; }
+  bool has(Bits bits) const { return (pending_ & bits) != 0; }
 
   struct Awaiter {
     Waker* waker;
@@ -58,11 +61,11 @@
     }
     Bits await_resume() {
       const Bits got = waker->pending_ & mask;
-      waker->pending_ &= ~mask;
+      waker->pending_ &= ~mask | hung_up;
       return got;
     }
   };
-  // Those of `mask` that are set, and at least one; they are cleared, the others stay.
+  // Those of `mask` that are set, and at least one; they are cleared (but `hung_up`), the others stay.
   Awaiter wait(Bits mask) { return {this, mask}; }
 
  private:
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -12,7 +12,8 @@
 namespace chutevane::net {
 namespace {
 
-constexpr std::size_t read_least = 4096;  // bytes of room for one read: a common message whole
+constexpr std::size_t read_least = 4096;       // bytes of room for one read: a common message whole
+constexpr std::size_t read_most = 256 * 1024;  // bytes at a time: no peer fills the memory or the turn
 
 bool later(int error) { return error == EAGAIN || error == EWOULDBLOCK; }
 
@@ -86,7 +87,8 @@
 
 Socket::Result Socket::read(Buffer& into) {
   bool any = false;
-  while (true) {
+  const std::size_t before = into.size();
+  while (into.size() - before < read_most) {
     const std::span<char> room = into.room(read_least);
     const ssize_t got = ::recv(fd_, room.data(), room.size(), 0);
     if (got > 0) {
@@ -96,9 +98,13 @@
     } else if (got == 0) {
       return any ? Result::some : Result::ended;
     } else if (errno != EINTR) {
-      return any ? Result::some : later(errno) ? Result::later : Result::broken;
+      if (any) return Result::some;
+      // Hung up and nothing to read is the end: guards against a reader that asks again and again.
+      return later(errno) && !waker_.has(Waker::hung_up) ? Result::later : Result::broken;
     }
   }
+  waker_.set(Waker::readable);
+  return Result::some;
 }
 
 Socket::Result Socket::write(std::span<const char> bytes, std::size_t& written) {
@@ -126,6 +132,8 @@
   return out;
 }
 
+void Socket::end_writing() { ::shutdown(fd_, SHUT_WR); }
+
 void Socket::close() {
   if (fd_ < 0) return;
   scheduler_.unwatch(fd_, source_);
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -31,10 +31,11 @@
   bool connected() const;               // after `writable`: whether it came up
   void listen(const sockaddr_in& at);   // throws std::system_error
   int accept(bool& exhausted);          // a descriptor, or -1; `exhausted`: no descriptors are left
-  Result read(Buffer& into);            // all there is
+  Result read(Buffer& into);            // what there is; of much a part, and `readable` stays set
   Result write(std::span<const char> bytes, std::size_t& written);
   bool quiet() const;  // nothing to read, not ended either
   std::optional<sockaddr_in> local() const;
+  void end_writing();  // the peer reads to the end of what was written
   void close();
 
  private:
--- a/src/sidecar/callers.cpp
+++ b/src/sidecar/callers.cpp
@@ -16,6 +16,7 @@
 constexpr Span idle_most = Span::ms(75000);     // a caller's connection without a request
 constexpr Span request_most = Span::ms(10000);  // from a request's first byte to its last
 constexpr Span write_most = Span::ms(10000);    // for an answer to be taken
+constexpr Span linger_most = Span::ms(1000);    // after an answer to what could not be read
 constexpr Span exhausted_pause = Span::ms(50);  // before accepting is tried again
 constexpr std::size_t buffer_kept = 8 * 1024;   // bytes of an idle connection
 constexpr Waker::Bits room = Waker::own, retry = Waker::own << 1U;
@@ -39,7 +40,7 @@
 void CallerConnection::answer(Write write) {
   call_ = 0;
   last_ = last_ || !parser_.keep_alive() || all_.draining_;
-  buffer_.consume(parser_.size());
+  buffer_.consume(std::exchange(taken_, 0));
   const std::string behind(buffer_.bytes().data(), buffer_.size());  // what came after the request, if any
   buffer_.consume(buffer_.size());
   write(buffer_);
@@ -57,19 +58,32 @@
 void CallerConnection::broken_off(bool timed_out) {
   answer([&](net::Buffer& out) { all_.front_.write_broken_off(out, timed_out, last_); });
 }
-void CallerConnection::answer_plain(int status, std::string_view text, bool close) {
-  last_ = last_ || close;
+void CallerConnection::answer_plain(int status, std::string_view text) {
   answer([&](net::Buffer& out) { all_.front_.write_plain(out, status, text, last_); });
 }
+// What could not be read as a request. Where it ends is not known, so the connection ends with it.
+void CallerConnection::refuse_request(int status, std::string_view text) {
+  ++all_.counters_.bad_requests;
+  taken_ = buffer_.size();
+  last_ = refused_ = true;
+  answer_plain(status, std::string(text) + "\n");
+}
 
 void CallerConnection::begin_request() {
   ApiCall call;
   std::string_view why;
+  taken_ = parser_.size();
   switch (all_.front_.read_request(parser_, call, why)) {
-    case Front::Kind::ready: answer_plain(200, "ready\n", false); break;
+    case Front::Kind::ready:
+      if (all_.draining_) {
+        answer_plain(503, "draining\n");
+      } else {
+        answer_plain(200, "ready\n");
+      }
+      break;
     case Front::Kind::bad:
       ++all_.counters_.bad_requests;
-      answer_plain(400, std::string(why) + "\n", false);
+      answer_plain(400, std::string(why) + "\n");
       break;
     case Front::Kind::call: {
       const CallId id = all_.driver_.take(call, *this);
@@ -115,11 +129,8 @@
     if (progress == http::Progress::complete) {
       begin_request();
     } else {
-      ++all_.counters_.bad_requests;
-      buffer_.consume(buffer_.size());
       const bool slow = progress == http::Progress::more;
-      answer_plain(slow ? 408 : parser_.status_of_error(), slow ? "request too slow\n" : parser_.error(),
-                   true);
+      refuse_request(slow ? 408 : parser_.status_of_error(), slow ? "request too slow" : parser_.error());
     }
     while (to_write_ == 0) {
       const Waker::Bits bits = co_await waker_.wait(answered | Waker::hung_up | dropped);
@@ -143,9 +154,20 @@
       to_write_ -= written;
       if (result == Socket::Result::broken) up = false;
       if (result != Socket::Result::later) continue;
-      const Waker::Bits bits = co_await waker_.wait(Waker::writable | Waker::hung_up | due | dropped);
+      const Waker::Bits bits = co_await waker_.wait(Waker::writable | due | dropped);
       if ((bits & (due | dropped)) != 0) up = false;
     }
+    if (refused_ && up) {  // closing on unread bytes would take the answer away from its reader
+      socket_.end_writing();
+      timer_.set(scheduler_.now() + linger_most);
+      while (up) {
+        const Waker::Bits bits = co_await waker_.wait(Waker::readable | Waker::hung_up | due | dropped);
+        const Socket::Result result = socket_.open() ? socket_.read(buffer_) : Socket::Result::broken;
+        buffer_.consume(buffer_.size());
+        up = (bits & (due | dropped)) == 0 &&
+             (result == Socket::Result::some || result == Socket::Result::later);
+      }
+    }
     if (last_) break;
     buffer_.shrink(buffer_kept);
   }
--- a/src/sidecar/callers.hpp
+++ b/src/sidecar/callers.hpp
@@ -33,7 +33,8 @@
   // Puts an answer in the place of the request.
   template <class Write>
   void answer(Write write);
-  void answer_plain(int status, std::string_view text, bool close);
+  void answer_plain(int status, std::string_view text);
+  void refuse_request(int status, std::string_view text);
   void begin_request();
   bool idle() const { return call_ == 0 && to_write_ == 0 && !parser_.begun(); }
 
@@ -45,9 +46,11 @@
   net::Buffer buffer_;  // the request, then its answer in its place
   http::Parser parser_{http::Side::request};
   CallId call_ = 0;           // 0: none in hand
+  std::size_t taken_ = 0;     // bytes of the request at the buffer's front
   std::size_t to_write_ = 0;  // bytes of the answer at the buffer's front
   bool last_ = false;         // the connection ends with this answer
   bool told_to_go_on_ = false;
+  bool refused_ = false;  // the peer may still be sending what nobody reads
   TimePoint idle_since_;
   net::Task task_;
 };
--- a/src/sidecar/endpoints.cpp
+++ b/src/sidecar/endpoints.cpp
@@ -52,7 +52,7 @@
       written_ += written;
       if (result == Socket::Result::broken) up = false;
       if (result != Socket::Result::later) continue;
-      const Waker::Bits bits = co_await waker_.wait(Waker::writable | Waker::hung_up | due | dropped);
+      const Waker::Bits bits = co_await waker_.wait(Waker::writable | due | dropped);
       up = (bits & (due | dropped)) == 0;
     }
     if (!up) {  // its last byte was not written: it never ran
@@ -60,7 +60,7 @@
       break;
     }
     stage_ = Stage::reading;
-    parser_.reset();
+    parser_.reset(bodiless_);
     http::Progress progress = http::Progress::more;
     Outcome outcome = Outcome::reset;
     while (up && progress != http::Progress::complete) {
@@ -76,7 +76,7 @@
       if (result == Socket::Result::broken || progress == http::Progress::failed) up = false;
       if (progress == http::Progress::complete && parser_.status() < 200) {  // the answer is still to come
         buffer_.consume(parser_.size());
-        parser_.reset();
+        parser_.reset(bodiless_);
         progress = buffer_.empty() ? http::Progress::more : parser_.feed(buffer_.bytes());
       }
     }
@@ -96,6 +96,10 @@
       break;
     }
     if ((bits & dropped) != 0) break;
+    if ((bits & Waker::hung_up) != 0) {  // closed between the hand-over and here: nothing was written
+      report(Outcome::not_connected);
+      break;
+    }
   }
   stage_ = Stage::closed;
   socket_.close();
@@ -204,6 +208,7 @@
   const auto begin = [&](EndpointConnection& c) {
     c.dispatch_ = dispatch;
     c.busy_ = true;
+    c.bodiless_ = request.method() == "HEAD";
     c.written_ = 0;
     front_.write_dispatch(c.buffer_, request, dispatch.wait);
     ++counters_.dispatches;
--- a/src/sidecar/endpoints.hpp
+++ b/src/sidecar/endpoints.hpp
@@ -61,7 +61,8 @@
   net::Buffer buffer_;  // the request, then its answer
   http::Parser parser_{http::Side::response};
   Stage stage_ = Stage::connecting;
-  bool busy_ = false;  // holds a dispatch whose end has not been told
+  bool busy_ = false;      // holds a dispatch whose end has not been told
+  bool bodiless_ = false;  // the answer has a length but no body
   std::size_t written_ = 0;
   Dispatch dispatch_;
   TimePoint idle_since_;
--- a/src/sidecar/front.cpp
+++ b/src/sidecar/front.cpp
@@ -67,6 +67,7 @@
     return Kind::bad;
   };
   const auto id = request.find(request_id);
+  if (request.method() == "CONNECT") return bad("CONNECT is not served");
   if (!id) {
     if (request.method() == "GET" && request.target() == ready_path) return Kind::ready;
     return bad("no X-Request-ID");
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -1,5 +1,8 @@
 #include "sidecar/sidecar.hpp"
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <csignal>
 #include <system_error>
 
@@ -14,6 +17,16 @@
 constexpr Span drain_slack = Span::ms(500);  // beyond the longest client timeout
 constexpr Span drain_look = Span::ms(10);    // between looks at what is left
 
+// Asks for so many descriptors, and tells how many there are.
+std::size_t descriptors_for(std::size_t wanted) {
+  rlimit limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) return wanted;
+  limit.rlim_cur = std::max(limit.rlim_cur, std::min<rlim_t>(limit.rlim_max, wanted));
+  ::setrlimit(RLIMIT_NOFILE, &limit);
+  ::getrlimit(RLIMIT_NOFILE, &limit);
+  return static_cast<std::size_t>(std::min<rlim_t>(limit.rlim_cur, 1U << 30U));
+}
+
 }  // namespace
 
 Sidecar::Sidecar(net::Scheduler& scheduler, const config::Config& config)
@@ -49,7 +62,8 @@
   finished_ = true;
 }
 
-int serve(const config::Config& config) {
+int serve(config::Config config) {
+  config.sockets = std::min(config.sockets, descriptors_for(config.sockets));
   net::Scheduler scheduler;
   net::Waker waker(scheduler);
   net::Signals signals(scheduler, waker, {SIGTERM, SIGINT, SIGUSR1});
--- a/src/sidecar/sidecar.hpp
+++ b/src/sidecar/sidecar.hpp
@@ -40,6 +40,6 @@
 };
 
 // Serves until SIGTERM or SIGINT and the drain after it; SIGUSR1 prints the counters. The exit status.
-int serve(const config::Config& config);
+int serve(config::Config config);
 
 }  // namespace chutevane::sidecar
