Tests of the socket side; a connection rests before its dispatch's end is told

Tests: parsers and JSON fed with bytes, config's faulty keys, scheduler and sockets, and a whole sidecar between peers on loopback, under ASan and UBSan too. Found by them: - what the module sent again on hearing an end (turned away, or a held call) opened a new connection, as the one just freed was not idle yet (EndpointConnection::run); - at the callers' bound one connection too many was shed, also when nobody waited to be accepted, and one whose first request was still on its way could be (Callers::accept_all).

--- a/src/sidecar/callers.cpp
+++ b/src/sidecar/callers.cpp
@@ -17,6 +17,7 @@
 constexpr Span request_most = Span::ms(10000);  // from a request's first byte to its last
 constexpr Span write_most = Span::ms(10000);    // for an answer to be taken
 constexpr Span linger_most = Span::ms(1000);    // after an answer to what could not be read
+constexpr Span first_request = Span::ms(1000);  // a new connection is left alone for so long
 constexpr Span exhausted_pause = Span::ms(50);  // before accepting is tried again
 constexpr std::size_t buffer_kept = 8 * 1024;   // bytes of an idle connection
 constexpr Waker::Bits room = Waker::own, retry = Waker::own << 1U;
@@ -145,6 +146,7 @@
       all_.driver_.caller_left(gone);
       break;
     }
+    served_ = true;
     waker_.clear(answered);
     timer_.set(scheduler_.now() + write_most);
     while (up && to_write_ > 0) {
@@ -201,36 +203,43 @@
   }
 }
 
+// At the bound the longest idle connection goes for each new one; without one, accepting waits.
 void Callers::accept_all() {
   bool exhausted = false;
   while (socket_.open()) {
-    paused_ = connections_.size() >= connections_most_ && !make_room();
+    const bool full = connections_.size() >= connections_most_;
+    CallerConnection* const idle = full ? longest_idle() : nullptr;
+    paused_ = full && idle == nullptr;
     if (paused_) return;
     const int fd = socket_.accept(exhausted);
     if (fd < 0) break;
     ++counters_.callers_accepted;
+    if (idle != nullptr) shed(*idle);
     CallerConnection& one = connections_.add(std::make_unique<CallerConnection>(scheduler_, *this, fd));
     one.task_.start();
   }
   if (!exhausted) return;
-  log_line("no descriptors left: closing idle connections");
-  make_room();
+  log_line("no descriptors left: closing an idle connection");
+  if (CallerConnection* const idle = longest_idle()) shed(*idle);
   timer_.set(scheduler_.now() + exhausted_pause);
 }
 
-// The longest idle connection goes; without one, accepting waits.
-bool Callers::make_room() {
+// A connection that has not brought its first request yet is not idle: the request is on its way.
+CallerConnection* Callers::longest_idle() {
+  const TimePoint now = scheduler_.now();
   CallerConnection* oldest = nullptr;
   for (std::size_t i = 0; i < connections_.size(); ++i) {
     CallerConnection& c = connections_[i];
-    if (c.idle() && c.socket_.open() && (oldest == nullptr || c.idle_since_ < oldest->idle_since_))
-      oldest = &c;
+    if (!c.idle() || !c.socket_.open() || (!c.served_ && now - c.idle_since_ < first_request)) continue;
+    if ((oldest == nullptr || c.idle_since_ < oldest->idle_since_) && c.socket_.quiet()) oldest = &c;
   }
-  if (oldest == nullptr) return false;
+  return oldest;
+}
+
+void Callers::shed(CallerConnection& connection) {
   ++counters_.callers_shed;
-  oldest->socket_.close();
-  oldest->waker_.set(CallerConnection::dropped);
-  return true;
+  connection.socket_.close();
+  connection.waker_.set(CallerConnection::dropped);
 }
 
 void Callers::left(CallerConnection& connection) {
--- a/src/sidecar/callers.hpp
+++ b/src/sidecar/callers.hpp
@@ -49,7 +49,7 @@
   std::size_t taken_ = 0;     // bytes of the request at the buffer's front
   std::size_t to_write_ = 0;  // bytes of the answer at the buffer's front
   bool last_ = false;         // the connection ends with this answer
-  bool told_to_go_on_ = false;
+  bool told_to_go_on_ = false, served_ = false;
   bool refused_ = false;  // the peer may still be sending what nobody reads
   TimePoint idle_since_;
   net::Task task_;
@@ -72,7 +72,8 @@
   friend class CallerConnection;
   net::Task accept();
   void accept_all();
-  bool make_room();
+  CallerConnection* longest_idle();
+  void shed(CallerConnection& connection);
   void left(CallerConnection& connection);
 
   net::Scheduler& scheduler_;
--- a/src/sidecar/endpoints.cpp
+++ b/src/sidecar/endpoints.cpp
@@ -25,8 +25,9 @@
 void EndpointConnection::report(Outcome outcome, const http::Parser* response) {
   if (!busy_) return;
   busy_ = false;
+  const Dispatch over = dispatch_;  // the connection may be given the next one before this returns
   ++pool_.counters_.outcomes[static_cast<std::size_t>(outcome)];
-  pool_.sink_->dispatch_over(dispatch_, outcome, response);
+  pool_.sink_->dispatch_over(over, outcome, response);
 }
 
 net::Task EndpointConnection::run() {
@@ -85,11 +86,13 @@
       break;
     }
     timer_.cancel();
+    // It rests before the end is told: what the module sends next, on hearing it, may go out on it.
+    const bool again = parser_.keep_alive() && buffer_.size() == parser_.size();
+    if (again) pool_.rest(*this);
     report(pool_.front_.outcome_of(parser_), &parser_);
     buffer_.consume(parser_.size());
-    if (!parser_.keep_alive() || !buffer_.empty()) break;
+    if (!again) break;
     buffer_.shrink(buffer_kept);
-    pool_.rest(*this);
     const Waker::Bits bits = co_await waker_.wait(Waker::readable | Waker::hung_up | due | given | dropped);
     if ((bits & given) == 0) {
       if (stage_ == Stage::idle) pool_.unrest(*this);
--- /dev/null
+++ b/tests/config_test.cpp
@@ -0,0 +1,73 @@
+#include "config/config.hpp"
+
+#include "config/names.hpp"
+#include "helpers.hpp"
+
+namespace chutevane::config {
+namespace {
+
+std::string key_of_error(const std::string& text) {
+  try {
+    read(text, [](const char*) -> const char* { return nullptr; });
+  } catch (const ConfigError& e) {
+    return e.key;
+  }
+  return "";
+}
+
+std::string with(const std::string& from, const std::string& to) {
+  std::string text = config_text();
+  const std::size_t at = text.find(from);
+  EXPECT_NE(at, std::string::npos) << from;
+  return text.replace(at, from.size(), to);
+}
+
+TEST(Config, IsReadUnderOurNames) {
+  const Config c = read(config_text(), [](const char*) -> const char* { return nullptr; });
+  EXPECT_EQ(c.seed, 0x8c1fU);
+  EXPECT_EQ(c.sockets, 1024U);
+  EXPECT_EQ(c.settings.at("tracks.count"), "2");
+  EXPECT_EQ(c.settings.at("tracks.0.effect"), "replayable");
+  EXPECT_EQ(c.settings.at("zones"), "a,b");
+  EXPECT_EQ(c.settings.at("zone"), "1");  // given by its name
+  EXPECT_EQ(c.connect_timeout, Span::ms(250));
+  EXPECT_EQ(c.longest_timeout, Span::ms(4000));
+  ASSERT_EQ(c.known.entries.size(), 1U);
+}
+
+TEST(Config, TheEnvironmentFillsWhatTheFileLacks) {
+  const auto env = [](const char* name) {
+    return std::string(name) == "EDGE_LISTEN" ? "127.0.0.9:1" : nullptr;
+  };
+  EXPECT_EQ(read(with("\"listen\"", "\"-\""), env).listen, "127.0.0.9:1");
+}
+
+// Guards against a sidecar that starts on a guess, or ends without saying on what.
+TEST(Config, NamesTheFaultyKey) {
+  EXPECT_EQ(key_of_error("{"), "configuration");
+  EXPECT_EQ(key_of_error("[]"), "configuration");
+  EXPECT_EQ(key_of_error(with("\"listen\"", "\"-\"")), "listen");
+  EXPECT_EQ(key_of_error(with("127.0.0.1:2", "nowhere")), "discovery");
+  EXPECT_EQ(key_of_error(with("8c1f", "8c1g")), "seed");
+  EXPECT_EQ(key_of_error(with("1024", "3")), "limits.sockets");
+  EXPECT_EQ(key_of_error(with("SERVING", "UP")), "known");
+  EXPECT_EQ(key_of_error(with("\"settings\"", "\"-\"")), "settings");
+  EXPECT_EQ(key_of_error(with("\"give_up_ms\":4000", "\"give_up_ms\":\"soon\"")),
+            "settings.classes.0.give_up_ms");
+  EXPECT_EQ(key_of_error(with("\"connect_timeout_ms\":250", "\"connect_timeout_ms\":0")),
+            "settings.allowed.connect_timeout_ms");
+  EXPECT_EQ(key_of_error(with("\"idle_close_ms\"", "\"-\"")), "settings.allowed.idle_close_ms");
+  EXPECT_EQ(key_of_error(with("\"name\":\"plan\"", "\"-\":0")), "settings.classes.0.name");
+}
+
+TEST(Names, GoBothWays) {
+  Settings s;
+  put_setting(s, "classes.0.give_up_ms", "5");
+  put_setting(s, "classes.0.effect", "keyed");
+  EXPECT_EQ(s.at("tracks.0.client_timeout_ms"), "5");
+  EXPECT_EQ(s.at("tracks.0.effect"), "referenced");
+  EXPECT_EQ(platform_name("tracks.0.client_timeout_ms"), "classes.0.give_up_ms");
+}
+
+}  // namespace
+}  // namespace chutevane::config
--- /dev/null
+++ b/tests/http_test.cpp
@@ -0,0 +1,130 @@
+#include "helpers.hpp"
+#include "http/parser.hpp"
+#include "http/writer.hpp"
+
+namespace chutevane::http {
+namespace {
+
+// Feeds one message byte by byte, as the slowest peer would send it.
+Progress drip(Parser& parser, std::string& bytes) {
+  Progress p = Progress::more;
+  for (std::size_t n = 1; n <= bytes.size() && p == Progress::more; ++n) p = parser.feed({bytes.data(), n});
+  return p;
+}
+
+int refusal(std::string text, Side side = Side::request) {
+  Parser parser(side);
+  std::string whole = text;
+  EXPECT_EQ(drip(parser, text), Progress::failed) << text;
+  Parser again(side);
+  EXPECT_EQ(again.feed({whole.data(), whole.size()}), Progress::failed);
+  EXPECT_EQ(parser.status_of_error(), again.status_of_error());
+  return parser.status_of_error();
+}
+
+TEST(Parser, RequestWithABody) {
+  std::string text =
+      "\r\nPOST /api?x=1 HTTP/1.1\r\nHost: h\r\nx-request-id:  ab \r\nContent-Length: 3\r\n\r\nabcNEXT";
+  Parser parser(Side::request);
+  EXPECT_EQ(drip(parser, text), Progress::complete);
+  EXPECT_EQ(parser.method(), "POST");
+  EXPECT_EQ(parser.target(), "/api?x=1");
+  EXPECT_EQ(parser.find("X-Request-ID"), "ab");
+  EXPECT_EQ(parser.body(), "abc");
+  EXPECT_EQ(parser.size(), text.size() - 4);
+  EXPECT_TRUE(parser.keep_alive());
+}
+
+TEST(Parser, ChunkedBodyIsPutTogether) {
+  std::string text =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\nA\r\n0123456789\r\n0\r\nT: "
+      "1\r\n\r\nrest";
+  std::string whole = text;
+  Parser dripped(Side::response), at_once(Side::response);
+  EXPECT_EQ(drip(dripped, text), Progress::complete);
+  EXPECT_EQ(dripped.body(), "abc0123456789");
+  EXPECT_EQ(at_once.feed({whole.data(), whole.size()}), Progress::complete);
+  EXPECT_EQ(at_once.body(), "abc0123456789");
+  EXPECT_EQ(at_once.size(), whole.size() - 4);
+}
+
+TEST(Parser, BodyThatEndsWithTheConnection) {
+  std::string text = "HTTP/1.0 200 OK\r\n\r\nabc";
+  Parser parser(Side::response);
+  EXPECT_EQ(drip(parser, text), Progress::more);
+  EXPECT_EQ(parser.ended(), Progress::complete);
+  EXPECT_EQ(parser.body(), "abc");
+  EXPECT_FALSE(parser.keep_alive());
+}
+
+// Guards against taking half an answer for a whole one.
+TEST(Parser, EndInTheMiddleIsNoAnswer) {
+  std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc";
+  Parser parser(Side::response);
+  EXPECT_EQ(drip(parser, text), Progress::more);
+  EXPECT_EQ(parser.ended(), Progress::failed);
+}
+
+TEST(Parser, AnswerToAHeadHasNoBody) {
+  std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n";
+  Parser parser(Side::response);
+  parser.reset(true);
+  EXPECT_EQ(drip(parser, text), Progress::complete);
+}
+
+// Guards against two readers of one request that see different ends of it.
+TEST(Parser, ConflictingLengths) {
+  EXPECT_EQ(refusal("POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n"), 400);
+  EXPECT_EQ(refusal("POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"), 400);
+  EXPECT_EQ(refusal("POST / HTTP/1.1\r\nContent-Length: +3\r\n\r\n"), 400);
+  EXPECT_EQ(refusal("POST / HTTP/1.1\r\nContent-Length: 3, 3\r\n\r\n"), 400);
+  EXPECT_EQ(refusal("POST / HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n"), 400);
+  EXPECT_EQ(refusal("POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"), 501);
+}
+
+TEST(Parser, Malformed) {
+  EXPECT_EQ(refusal("GET\r\n\r\n"), 400);
+  EXPECT_EQ(refusal("GET / HTTP/1.1\r\nno colon\r\n\r\n"), 400);
+  EXPECT_EQ(refusal("GET / HTTP/1.1\r\nSpace : x\r\n\r\n"), 400);
+  EXPECT_EQ(refusal("GET / HTTP/1.1\r\nA: b\r\n folded\r\n\r\n"), 400);
+  EXPECT_EQ(refusal("GET / HTTP/1.1\r\nA: b\nB: c\r\n\r\n"), 400);
+  EXPECT_EQ(refusal("GET /a\x01 HTTP/1.1\r\n\r\n"), 400);
+  EXPECT_EQ(refusal("GET / HTTP/2.0\r\n\r\n"), 505);
+  EXPECT_EQ(refusal("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n"), 400);
+  EXPECT_EQ(refusal("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc"), 400);
+  EXPECT_EQ(refusal("HTTP/1.1 2x0 OK\r\n\r\n", Side::response), 400);
+}
+
+TEST(Parser, TooMuch) {
+  EXPECT_EQ(refusal("GET / HTTP/1.1\r\nA: " + std::string(20000, 'a')), 431);
+  std::string many = "GET / HTTP/1.1\r\n";
+  for (int i = 0; i < 101; ++i) many += "A: b\r\n";
+  EXPECT_EQ(refusal(many + "\r\n"), 431);
+  EXPECT_EQ(refusal("POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n"), 413);
+  EXPECT_EQ(refusal("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n"), 413);
+}
+
+TEST(Parser, TokensInLists) {
+  EXPECT_TRUE(has_token("keep-alive, Close", "close"));
+  EXPECT_FALSE(has_token("closed", "close"));
+}
+
+TEST(Writer, MessageOfEveryPart) {
+  net::Buffer out;
+  Writer(out).status_line(503).field("Retry-After", "2.000").body("no");
+  const std::span<char> b = out.bytes();
+  EXPECT_EQ(std::string(b.data(), b.size()),
+            "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 2.000\r\nContent-Length: 2\r\n\r\nno");
+}
+
+TEST(Buffer, IsCompactedInPlace) {
+  net::Buffer b;
+  b.append(std::string(100, 'x'));
+  b.consume(60);
+  b.append(std::string(50, 'y'));
+  const std::span<char> held = b.bytes();
+  EXPECT_EQ(std::string(held.data(), held.size()), std::string(40, 'x') + std::string(50, 'y'));
+}
+
+}  // namespace
+}  // namespace chutevane::http
--- /dev/null
+++ b/tests/sidecar_test.cpp
@@ -0,0 +1,309 @@
+#include "helpers.hpp"
+
+namespace chutevane::sidecar {
+namespace {
+
+const std::string get_ready = "GET /ready HTTP/1.1\r\nHost: h\r\n\r\n";
+
+TEST(Sidecar, IsReadyOnceItListens) {
+  SidecarBench b;
+  Peer caller = b.caller();
+  caller.say(get_ready);
+  EXPECT_TRUE(b.hears(caller, "HTTP/1.1 200 OK"));
+}
+
+TEST(Sidecar, PassesACallOnAndItsAnswerBack) {
+  SidecarBench b;
+  Peer endpoint;
+  Peer caller = b.call(request_text("id-1", "sale"), endpoint);
+  EXPECT_EQ(endpoint.heard.find("POST /api?x=1 HTTP/1.1\r\n"), 0U);
+  EXPECT_TRUE(endpoint.has("X-Request-ID: id-1\r\n"));
+  EXPECT_TRUE(endpoint.has("X-Timeout: 4000000u\r\n"));
+  EXPECT_FALSE(endpoint.has("X-Timeout: 4000m"));
+  EXPECT_TRUE(endpoint.has("\r\n\r\nabc"));
+  endpoint.say(answer_text("body\0of it"));
+  EXPECT_TRUE(b.hears(caller, "body\0of it"));
+  EXPECT_EQ(caller.heard.find("HTTP/1.1 200 OK\r\n"), 0U);
+  EXPECT_EQ(b.sidecar->counters().done, 1U);
+}
+
+TEST(Sidecar, ReusesConnectionsOnBothSides) {
+  SidecarBench b;
+  Peer endpoint;
+  Peer caller = b.call(request_text("a", "plan"), endpoint);
+  endpoint.say(answer_text("one"));
+  ASSERT_TRUE(b.hears(caller, "one"));
+  caller.say(request_text("b", "plan"));
+  EXPECT_TRUE(b.hears(endpoint, "X-Request-ID: b"));
+  endpoint.say(answer_text("two"));
+  EXPECT_TRUE(b.hears(caller, "two"));
+  EXPECT_EQ(b.sidecar->counters().connections_opened, 1U);
+  EXPECT_EQ(b.sidecar->counters().connections_reused, 1U);
+}
+
+TEST(Sidecar, AnswersPipelinedRequestsInOrder) {
+  SidecarBench b;
+  Peer endpoint;
+  Peer caller = b.call(request_text("a", "plan") + request_text("b", "plan") + get_ready, endpoint);
+  EXPECT_FALSE(endpoint.has("X-Request-ID: b"));
+  endpoint.say(answer_text("one"));
+  ASSERT_TRUE(b.hears(endpoint, "X-Request-ID: b"));
+  endpoint.say(answer_text("two"));
+  EXPECT_TRUE(b.hears(caller, "ready"));
+  EXPECT_LT(caller.heard.find("one"), caller.heard.find("two"));
+}
+
+// What comes back decides whether a single-use call may have run, and so how it may end.
+TEST(Outcomes, AConnectionThatBreaksAfterTheLastByteMayHaveRun) {
+  SidecarBench b;
+  Peer endpoint;
+  Peer caller = b.call(request_text("a", "sale"), endpoint);
+  endpoint.leave();
+  EXPECT_TRUE(b.hears(caller, "HTTP/1.1 502"));
+  EXPECT_EQ(b.sidecar->counters().outcomes[static_cast<std::size_t>(Outcome::reset)], 1U);
+}
+
+TEST(Outcomes, ARefusedConnectionNeverRan) {
+  SidecarBench b;
+  b.endpoint.close();
+  Peer caller = b.caller();
+  caller.say(request_text("a", "sale"));
+  EXPECT_TRUE(b.hears(caller, "HTTP/1.1 503"));
+  EXPECT_TRUE(caller.has("Retry-After: "));
+}
+
+TEST(Outcomes, TurnedAwayNeverRanAndGoesAgain) {
+  SidecarBench b;
+  Peer endpoint;
+  Peer caller = b.call(request_text("a", "sale"), endpoint);
+  endpoint.heard.clear();
+  endpoint.say(answer_text("", "503 Service Unavailable", "X-Not-Processed: 1\r\n"));
+  ASSERT_TRUE(b.hears(endpoint, "X-Request-ID: a"));  // on the same connection: it rested first
+  endpoint.say(answer_text("second"));
+  EXPECT_TRUE(b.hears(caller, "second"));
+}
+
+TEST(Outcomes, A503WithoutProofMayHaveRun) {
+  SidecarBench b;
+  Peer endpoint;
+  Peer caller = b.call(request_text("a", "sale"), endpoint);
+  endpoint.say(answer_text("", "503 Service Unavailable"));
+  EXPECT_TRUE(b.hears(caller, "HTTP/1.1 502"));
+}
+
+// Guards rule 1, and against a late answer that meets another call's request on its connection.
+TEST(Outcomes, ADispatchGivenUpIsClosed) {
+  SidecarBench b;
+  Peer endpoint;
+  Peer caller = b.call(request_text("a", "sale", "60m"), endpoint);
+  EXPECT_TRUE(b.hears(caller, "HTTP/1.1 504"));
+  EXPECT_TRUE(b.until([&] { return endpoint.over(); }));
+}
+
+TEST(Outcomes, ACallerThatLeavesTakesItsDispatchAlong) {
+  SidecarBench b;
+  Peer endpoint;
+  Peer caller = b.call(request_text("a", "plan"), endpoint);
+  caller.leave();
+  EXPECT_TRUE(b.until([&] { return endpoint.over(); }));
+  EXPECT_EQ(b.sidecar->counters().callers_left, 1U);
+  EXPECT_EQ(b.sidecar->counters().outcomes[static_cast<std::size_t>(Outcome::cancelled)], 1U);
+}
+
+// Guards against half an answer passed on as a whole one.
+TEST(Outcomes, AnAnswerCutShortIsNone) {
+  SidecarBench b;
+  Peer endpoint;
+  Peer caller = b.call(request_text("a", "sale"), endpoint);
+  endpoint.say("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+  endpoint.leave();
+  EXPECT_TRUE(b.hears(caller, "HTTP/1.1 502"));
+  EXPECT_FALSE(caller.has("half"));
+}
+
+// Guards against writing to a connection that the endpoint has closed: that would end as a reset.
+TEST(Endpoints, AConnectionClosedWhileIdleIsNotReused) {
+  SidecarBench b;
+  Peer endpoint, other;
+  Peer caller = b.call(request_text("a", "sale"), endpoint);
+  endpoint.say(answer_text("one"));
+  ASSERT_TRUE(b.hears(caller, "one"));
+  endpoint.leave();
+  caller.say(request_text("b", "sale"));
+  ASSERT_TRUE(b.until([&] { return b.endpoint.take(other); }));
+  ASSERT_TRUE(b.hears(other, "X-Request-ID: b"));
+  other.say(answer_text("two"));
+  EXPECT_TRUE(b.hears(caller, "two"));
+}
+
+TEST(Endpoints, IdleConnectionsAreDroppedBeforeTheEndpointDoes) {
+  SidecarBench b("\"idle_close_ms\":10000", "\"idle_close_ms\":30");
+  Peer endpoint;
+  Peer caller = b.call(request_text("a", "plan"), endpoint);
+  endpoint.say(answer_text("one"));
+  EXPECT_TRUE(b.until([&] { return endpoint.over(); }));
+}
+
+struct Heard final : DispatchSink {
+  void dispatch_over(const Dispatch&, Outcome outcome, const http::Parser*) override {
+    outcomes.push_back(outcome);
+  }
+  std::vector<Outcome> outcomes;
+};
+
+// An endpoint whose connections never come up, and one dispatch to it.
+struct Unanswered : Loop {
+  explicit Unanswered(Span wait) {
+    entry.id = "s-1", entry.address = port.text();
+    fill = Peer::to(port.at), fill_more = Peer::to(port.at);  // its queue is full: a connect gets no answer
+    pool.tell(heard);
+    id = pool.learn(entry);
+    std::string text = request_text("a", "sale");
+    EXPECT_EQ(request.feed({text.data(), text.size()}), http::Progress::complete);
+    pool.send({.call = 1, .endpoint = id, .number = 0, .sent = scheduler.now(), .wait = wait}, request);
+  }
+  Port port{0};
+  Peer fill, fill_more;
+  discovery::Entry entry;
+  config::Config config = config::read(config_text(), no_environment);
+  Front front{config.settings};
+  Counters counters;
+  Heard heard;
+  Endpoints pool{scheduler, config, front, counters};
+  http::Parser request{http::Side::request};
+  EndpointId id = 0;
+};
+
+TEST(Endpoints, AConnectionThatNeverComesUpNeverRan) {
+  Unanswered u(Span::ms(20));
+  EXPECT_TRUE(u.until([&] { return !u.heard.outcomes.empty(); }));
+  EXPECT_EQ(u.heard.outcomes, std::vector{Outcome::not_connected});
+}
+
+// Guards the drain rule: a dispatch that waits for its connection must not reach a draining endpoint.
+TEST(Endpoints, ADrainTakesBackWhatHasNotBegun) {
+  for (const Availability a : {Availability::draining, Availability::gone}) {
+    Unanswered u(Span::ms(4000));
+    EXPECT_TRUE(u.heard.outcomes.empty());
+    u.entry.availability = a;
+    u.pool.learn(u.entry);
+    EXPECT_EQ(u.heard.outcomes, std::vector{Outcome::not_sent});
+    u.pool.send({.call = 2, .endpoint = u.id, .number = 0, .sent = u.scheduler.now(), .wait = Span::ms(9)},
+                u.request);
+    EXPECT_EQ(u.heard.outcomes.size(), 2U);
+    EXPECT_EQ(u.counters.connections_opened, 1U);
+  }
+}
+
+TEST(BadInput, IsRefusedAndEndsTheConnection) {
+  const std::pair<std::string, const char*> all[] = {
+      {"nonsense\r\n\r\n", "HTTP/1.1 400"},
+      {"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", "HTTP/1.1 400"},
+      {"POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n" + std::string(3000, 'x'), "HTTP/1.1 413"},
+      {"GET / HTTP/1.1\r\nA: " + std::string(20000, 'a'), "HTTP/1.1 431"},
+  };
+  SidecarBench b;
+  for (const auto& [text, status] : all) {
+    Peer caller = b.caller();
+    caller.say(text);
+    EXPECT_TRUE(b.hears(caller, status));
+    EXPECT_TRUE(b.until([&] { return caller.over(); }));
+  }
+}
+
+TEST(BadInput, WhatIsNoCallIsToldSo) {
+  SidecarBench b;
+  Peer caller = b.caller();
+  for (const char* text :
+       {"GET /api HTTP/1.1\r\n\r\n", "GET /api HTTP/1.1\r\nX-Request-ID: a\r\n\r\n",
+        "GET /api HTTP/1.1\r\nX-Request-ID: a\r\nX-Priority-Class: other\r\n\r\n",
+        "GET /api HTTP/1.1\r\nX-Request-ID: a\r\nX-Priority-Class: plan\r\nX-Timeout: 5s\r\n\r\n"}) {
+    caller.heard.clear();
+    caller.say(text);
+    EXPECT_TRUE(b.hears(caller, "HTTP/1.1 400"));
+  }
+  EXPECT_EQ(b.sidecar->counters().calls, 0U);
+}
+
+// Guards the descriptors: at the bound the longest idle connection makes room.
+TEST(Callers, TheLongestIdleGoesAtTheBound) {
+  SidecarBench b("1024", "64");
+  std::vector<Peer> callers;
+  for (int i = 0; i < 40; ++i) {
+    callers.push_back(b.caller());
+    callers.back().say(get_ready);
+    ASSERT_TRUE(b.hears(callers.back(), "ready"));
+  }
+  EXPECT_TRUE(callers.front().over());
+  EXPECT_FALSE(callers.back().over());
+  EXPECT_EQ(b.sidecar->counters().callers_shed, 8U);
+}
+
+TEST(Callers, AcceptingWaitsWhileAllAreBusy) {
+  SidecarBench b("1024", "64");
+  std::vector<Peer> callers;
+  for (int i = 0; i < 33; ++i) {
+    callers.push_back(b.caller());
+    callers.back().say("GET ");  // 32 requests that do not end
+  }
+  callers.back().say("/ready HTTP/1.1\r\n\r\n");
+  EXPECT_TRUE(b.until([&] { return b.sidecar->counters().callers_accepted == 32; }));
+  EXPECT_FALSE(callers.back().has("ready"));
+  callers.front().leave();
+  EXPECT_TRUE(b.hears(callers.back(), "ready"));
+}
+
+TEST(Watch, TakesTheListAndGoesOnWatching) {
+  SidecarBench b;
+  Peer discovery, endpoint;
+  ASSERT_TRUE(b.until([&] { return b.discovery.take(discovery); }));
+  ASSERT_TRUE(b.hears(discovery, "GET /v1/endpoints HTTP/1.1"));
+  Port moved;
+  discovery.say(answer_text(list_text(moved.text(), "SERVING", 7)));
+  ASSERT_TRUE(b.hears(discovery, "GET /v1/endpoints?after=7&wait_ms=20000 HTTP/1.1"));
+  Peer caller = b.caller();
+  caller.say(request_text("a", "plan"));
+  EXPECT_TRUE(b.until([&] { return moved.take(endpoint); }));
+}
+
+// Guards the list: nothing that discovery says wrongly, and no lost watch, empties it.
+TEST(Watch, KeepsTheListThroughBadAnswers) {
+  SidecarBench b;
+  const std::string gone = R"({"version":9,"full":true,"servers":[{"id":"s-1","state":"LOST"}]})";
+  for (const std::string& bad :
+       {answer_text("{"), answer_text(gone), answer_text("", "500 Oops"), std::string("?\r\n\r\n")}) {
+    Peer discovery;
+    ASSERT_TRUE(b.until([&] { return b.discovery.take(discovery); }));
+    ASSERT_TRUE(b.hears(discovery, "GET /v1/endpoints HTTP/1.1"));
+    discovery.say(bad);
+    EXPECT_TRUE(b.until([&] { return discovery.over(); }));
+  }
+  Peer endpoint;
+  b.call(request_text("a", "plan"), endpoint);
+  EXPECT_TRUE(endpoint.there());
+}
+
+TEST(Drain, ServesThroughTheCrossingThenEnds) {
+  SidecarBench b;
+  Peer endpoint, idle = b.caller();
+  idle.say(get_ready);
+  ASSERT_TRUE(b.hears(idle, "ready"));
+  Peer before = b.call(request_text("a", "plan"), endpoint);
+  b.sidecar->drain();
+  Peer after = b.caller();  // a connection that was on its way
+  after.say(request_text("b", "plan"));
+  Peer second;
+  ASSERT_TRUE(b.until([&] { return b.endpoint.take(second); }));
+  ASSERT_TRUE(b.hears(second, "X-Request-ID: b"));
+  second.say(answer_text("two"));
+  EXPECT_TRUE(b.hears(after, "two"));
+  EXPECT_TRUE(after.has("Connection: close"));
+  EXPECT_TRUE(b.until([&] { return idle.over(); }));
+  EXPECT_FALSE(b.sidecar->finished());  // one is still owed its answer
+  endpoint.say(answer_text("one"));
+  EXPECT_TRUE(b.hears(before, "one"));
+  EXPECT_TRUE(b.until([&] { return b.sidecar->finished(); }));
+}
+
+}  // namespace
+}  // namespace chutevane::sidecar
