--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -10,7 +10,7 @@
 
 constexpr Span watch_wait = Span::ms(20000);   // a watch without news; the platform's example
 constexpr Span answer_slack = Span::ms(2000);  // beyond which no answer is to be hoped for
-constexpr Span pause_first = Span::ms(100), pause_most = Span::ms(2000);  // between tries, doubling
+constexpr Span pause_first = Span::ms(100), pause_most = Span::ms(1000);  // between tries, doubling
 constexpr std::size_t list_most = 4U << 20U;                              // bytes: some ten thousand entries
 
 }  // namespace
@@ -106,12 +106,12 @@
     timer_.cancel();
     if (have_list_ && !up) log_line("watch on the list broke off; asking for the whole list again");
     waker_.clear(Waker::readable | Waker::writable | Waker::hung_up | asked);
+    sink_.list_failed();
     if (persistent_) {
       timer_.set(scheduler_.now() + pause_ * (0.5 + chance_.unit()));
       pause_ = std::min(pause_most, pause_ * 2.0);
       co_await waker_.wait(due);
     } else {
-      sink_.list_failed();
       co_await waker_.wait(asked);
     }
   }
--- a/src/sidecar/callers.cpp
+++ b/src/sidecar/callers.cpp
@@ -17,7 +17,7 @@
 constexpr Span request_most = Span::ms(10000);  // from a request's first byte to its last
 constexpr Span write_most = Span::ms(10000);    // for an answer to be taken
 constexpr Span linger_most = Span::ms(1000);    // after an answer to what could not be read
-constexpr Span first_request = Span::ms(1000);  // a new connection is left alone for so long
+constexpr Span request_grace = Span::ms(1000);  // for a request on its way, before its connection may go
 constexpr Span exhausted_pause = Span::ms(50);  // before accepting is tried again
 constexpr std::size_t buffer_kept = 8 * 1024;   // bytes of an idle connection
 constexpr Waker::Bits room = Waker::own, retry = Waker::own << 1U;
@@ -66,7 +66,7 @@
 void CallerConnection::refuse_request(int status, std::string_view text) {
   ++all_.counters_.bad_requests;
   taken_ = buffer_.size();
-  last_ = refused_ = true;
+  last_ = true;
   answer_plain(status, std::string(text) + "\n");
 }
 
@@ -106,6 +106,7 @@
     while (up && progress == http::Progress::more) {
       if (!reading && parser_.begun()) {
         reading = true;
+        request_since_ = scheduler_.now();
         timer_.set(scheduler_.now() + request_most);
       }
       if (parser_.head_done() && !told_to_go_on_ && parser_.find("Expect") == "100-continue") {
@@ -159,7 +160,8 @@
       const Waker::Bits bits = co_await waker_.wait(Waker::writable | due | dropped);
       if ((bits & (due | dropped)) != 0) up = false;
     }
-    if (refused_ && up) {  // closing on unread bytes would take the answer away from its reader
+    if (last_ && up) {  // closing on bytes not read yet would take the answer away from its reader
+      lingering_ = true;
       socket_.end_writing();
       timer_.set(scheduler_.now() + linger_most);
       while (up) {
@@ -172,6 +174,7 @@
     }
     if (last_) break;
     buffer_.shrink(buffer_kept);
+    if (all_.paused_) all_.waker_.set(room);
   }
   socket_.close();
   timer_.cancel();
@@ -210,7 +213,10 @@
     const bool full = connections_.size() >= connections_most_;
     CallerConnection* const idle = full ? longest_idle() : nullptr;
     paused_ = full && idle == nullptr;
-    if (paused_) return;
+    if (paused_) {
+      timer_.set(scheduler_.now() + exhausted_pause);
+      return;
+    }
     const int fd = socket_.accept(exhausted);
     if (fd < 0) break;
     ++counters_.callers_accepted;
@@ -224,14 +230,25 @@
   timer_.set(scheduler_.now() + exhausted_pause);
 }
 
-// A connection that has not brought its first request yet is not idle: the request is on its way.
+// When a connection came to be without anything owed on it, as far as it may be closed: one with a call in
+// hand or an answer on its way may not, and one whose first or whole request may still be coming not yet.
+std::optional<TimePoint> CallerConnection::spare_since() const {
+  if (!socket_.open() || call_ != 0 || (to_write_ > 0 && !lingering_)) return std::nullopt;
+  if (lingering_) return TimePoint();
+  if (!parser_.begun() && served_) return idle_since_;
+  const TimePoint since = parser_.begun() ? request_since_ : idle_since_;
+  if (scheduler_.now() - since < request_grace) return std::nullopt;
+  return since;
+}
+
 CallerConnection* Callers::longest_idle() {
-  const TimePoint now = scheduler_.now();
   CallerConnection* oldest = nullptr;
+  TimePoint oldest_since;
   for (std::size_t i = 0; i < connections_.size(); ++i) {
-    CallerConnection& c = connections_[i];
-    if (!c.idle() || !c.socket_.open() || (!c.served_ && now - c.idle_since_ < first_request)) continue;
-    if ((oldest == nullptr || c.idle_since_ < oldest->idle_since_) && c.socket_.quiet()) oldest = &c;
+    const std::optional<TimePoint> since = connections_[i].spare_since();
+    if (!since || (oldest != nullptr && *since >= oldest_since) || !connections_[i].socket_.quiet()) continue;
+    oldest = &connections_[i];
+    oldest_since = *since;
   }
   return oldest;
 }
--- a/src/sidecar/callers.hpp
+++ b/src/sidecar/callers.hpp
@@ -36,6 +36,7 @@
   void answer_plain(int status, std::string_view text);
   void refuse_request(int status, std::string_view text);
   void begin_request();
+  std::optional<TimePoint> spare_since() const;
   bool idle() const { return call_ == 0 && to_write_ == 0 && !parser_.begun(); }
 
   net::Scheduler& scheduler_;
@@ -50,8 +51,8 @@
   std::size_t to_write_ = 0;  // bytes of the answer at the buffer's front
   bool last_ = false;         // the connection ends with this answer
   bool told_to_go_on_ = false, served_ = false;
-  bool refused_ = false;  // the peer may still be sending what nobody reads
-  TimePoint idle_since_;
+  bool lingering_ = false;  // the last answer is out; the peer may still be sending what nobody reads
+  TimePoint idle_since_, request_since_;
   net::Task task_;
 };
 
--- a/src/sidecar/driver.cpp
+++ b/src/sidecar/driver.cpp
@@ -33,9 +33,9 @@
       endpoints_(endpoints),
       counters_(counters),
       balancer_(config.settings, config.seed, scheduler.now()),
+      module_asks_(text_or_none(config.settings, "discovery") == "subscribe"),
       zones_(split(text_or_none(config.settings, "zones"))),
-      watch_(scheduler, config.discovery, text_or_none(config.settings, "discovery") != "subscribe",
-             config.seed, *this),
+      watch_(scheduler, config.discovery, !module_asks_, config.seed, *this),
       waker_(scheduler),
       timer_(scheduler, waker_, due),
       timekeeper_(keep_time()) {
@@ -122,7 +122,7 @@
 
 void Driver::list_failed() {
   ++counters_.list_failures;
-  apply(balancer_.listed(ListKind::failed, {}, scheduler_.now()));
+  if (module_asks_) apply(balancer_.listed(ListKind::failed, {}, scheduler_.now()));
 }
 
 std::uint16_t Driver::zone_of(const std::string& name) {
--- a/src/sidecar/driver.hpp
+++ b/src/sidecar/driver.hpp
@@ -67,6 +67,7 @@
   Endpoints& endpoints_;
   Counters& counters_;
   Balancer balancer_;
+  const bool module_asks_;  // for the list; otherwise the watch looks after itself
   std::vector<std::string> zones_;
   CallId last_id_ = 0;
   Slab<Call> calls_;
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -267,15 +267,39 @@
   std::vector<Peer> callers;
   for (int i = 0; i < 33; ++i) {
     callers.push_back(b.caller());
-    callers.back().say("GET ");  // 32 requests that do not end
+    callers.back().say(i < 32 ? request_text("id", "plan") : get_ready);
   }
-  callers.back().say("/ready HTTP/1.1\r\n\r\n");
   EXPECT_TRUE(b.until([&] { return b.sidecar->counters().callers_accepted == 32; }));
   EXPECT_FALSE(callers.back().has("ready"));
   callers.front().leave();
   EXPECT_TRUE(b.hears(callers.back(), "ready"));
 }
 
+// Guards those who wait to be accepted against peers whose requests never end.
+TEST(Callers, ARequestThatDoesNotEndMakesRoom) {
+  SidecarBench b("1024", "64");
+  std::vector<Peer> slow;
+  for (int i = 0; i < 32; ++i) {
+    slow.push_back(b.caller());
+    slow.back().say("POST /api HTTP/1.1\r\n");
+  }
+  Peer caller = b.caller();
+  caller.say(get_ready);
+  EXPECT_TRUE(b.hears(caller, "ready"));
+  EXPECT_EQ(b.sidecar->counters().callers_shed, 1U);
+}
+
+// Guards an answer that ends its connection: what the peer sent meanwhile must not turn the end into a reset.
+TEST(Callers, TheLastAnswerIsNotLostToUnreadBytes) {
+  SidecarBench b;
+  Peer caller = b.caller();
+  caller.say("GET /ready HTTP/1.1\r\nConnection: close\r\n\r\n");
+  ASSERT_TRUE(b.hears(caller, "ready"));
+  caller.say(get_ready);
+  EXPECT_TRUE(b.until([&] { return caller.over(); }));
+  caller.say("x");  // a reset would have made this an error
+}
+
 TEST(Watch, TakesTheListAndGoesOnWatching) {
   SidecarBench b;
   Peer discovery, endpoint;
