Drains: calls taken back go elsewhere; what is left when the time is up is broken off

Read by hand, shown by tests that fail without the change: - while a list was being taken over, a dispatch that it took back was told to the module before the list was; the module sent it to the same draining endpoint up to four times and then rejected it (Driver::take_list); - a call with 5 s left at SIGTERM would have been found unanswered by the kill after 3.7 s (Sidecar::end).

--- a/src/sidecar/driver.cpp
+++ b/src/sidecar/driver.cpp
@@ -72,6 +72,20 @@
   settle(at);
 }
 
+void Driver::break_off_all() {
+  for (std::uint32_t at = 0; at < calls_.size(); ++at) {
+    const CallId id = calls_[at].id;
+    if (call_index_.find(id) != at) continue;
+    Caller* const caller = release(at);
+    if (caller == nullptr) continue;
+    ++counters_.broken_off;
+    caller->broken_off(true);
+    apply(balancer_.client_left(id, scheduler_.now()));
+    withdraw_unsent(id);
+    settle(at);
+  }
+}
+
 // Takes the caller out of its call: from here on nothing more is owed to it.
 Caller* Driver::release(std::uint32_t at) { return std::exchange(calls_[at].caller, nullptr); }
 
@@ -133,6 +147,9 @@
 }
 
 void Driver::take_list(ListKind kind, const discovery::List& list) {
+  // What the list takes back is told to the module after the list itself. Guards against its sending such a
+  // call to the same endpoint again, which it would still take for ready.
+  pumping_ = true;
   std::vector<ListedEndpoint> entries;
   entries.reserve(list.entries.size());
   for (const discovery::Entry& e : list.entries) {
@@ -149,6 +166,7 @@
     for (const ListedEndpoint& l : entries) named[l.id - 1] = true;
     endpoints_.forget_unnamed(named);
   }
+  pumping_ = false;
   apply(balancer_.listed(kind, entries, scheduler_.now()));
 }
 
--- a/src/sidecar/driver.hpp
+++ b/src/sidecar/driver.hpp
@@ -33,6 +33,8 @@
   // A new call; its id. The answer may come before this returns.
   CallId take(ApiCall call, Caller& caller);
   void caller_left(CallId call);
+  // The process is about to end: every call still in hand gets its final answer now.
+  void break_off_all();
 
   void dispatch_over(const Dispatch& dispatch, Outcome outcome, const http::Parser* response) override;
   void list_came(const discovery::List& list) override;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -13,8 +13,10 @@
 namespace {
 
 constexpr net::Waker::Bits due = net::Waker::own;
-constexpr Span crossing = Span::ms(600);     // new connections still come for so long
-constexpr Span drain_slack = Span::ms(500);  // beyond the longest client timeout
+constexpr Span crossing = Span::ms(600);  // new connections still come for so long
+constexpr Span drain_most =
+    Span::ms(3000);  // the platform kills after the longest client timeout, at most this,
+constexpr Span drain_slack = Span::ms(550);  // and 0.7 s: all is answered by then, with time to be taken
 constexpr Span drain_look = Span::ms(10);    // between looks at what is left
 
 // Asks for so many descriptors, and tells how many there are.
@@ -38,19 +40,21 @@
       driver_(scheduler, config, endpoints_, counters_),
       callers_(scheduler, config, front_, driver_, counters_),
       waker_(scheduler),
-      timer_(scheduler, waker_, due),
-      ender_(end()) {}
+      timer_(scheduler, waker_, due) {}
 
 void Sidecar::listen() { callers_.listen(listen_at_); }
 
-void Sidecar::drain() {
+Span Sidecar::drain_time() const { return std::min(longest_timeout_, drain_most) + drain_slack; }
+
+void Sidecar::drain(Span within) {
   if (draining_) return;
   draining_ = true;
+  ender_ = end(within);
   ender_.start();
 }
 
-net::Task Sidecar::end() {
-  const TimePoint last = scheduler_.now() + longest_timeout_ + drain_slack;
+net::Task Sidecar::end(Span within) {
+  const TimePoint last = scheduler_.now() + std::max(within, crossing);
   callers_.begin_drain();
   timer_.set(scheduler_.now() + crossing);
   co_await waker_.wait(due);
@@ -59,6 +63,9 @@
     timer_.set(scheduler_.now() + drain_look);
     co_await waker_.wait(due);
   }
+  driver_.break_off_all();
+  timer_.set(scheduler_.now() + drain_look);  // for the answers to be written
+  co_await waker_.wait(due);
   finished_ = true;
 }
 
@@ -83,7 +90,7 @@
         log_line("%s", sidecar.counters().as_json().c_str());
       } else {
         log_line("%s drains", config.name.c_str());
-        sidecar.drain();
+        sidecar.drain(sidecar.drain_time());
       }
     }
   }
--- a/src/sidecar/sidecar.hpp
+++ b/src/sidecar/sidecar.hpp
@@ -16,14 +16,17 @@
  public:
   Sidecar(net::Scheduler& scheduler, const config::Config& config);
   void listen();  // from here on it serves; throws std::system_error
-  // Serves through the crossing of new connections, then ends once all is answered.
-  void drain();
+  // Serves through the crossing of new connections, then ends once all is answered. What is left when the
+  // time is up is broken off.
+  void drain(Span within);
+  // How long the platform leaves it: until no client waits any more, at most so long.
+  Span drain_time() const;
   bool finished() const { return finished_; }
   std::optional<sockaddr_in> address() const { return callers_.address(); }
   const Counters& counters() const { return counters_; }
 
  private:
-  net::Task end();
+  net::Task end(Span within);
 
   net::Scheduler& scheduler_;
   const sockaddr_in listen_at_;
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -313,6 +313,28 @@
   EXPECT_TRUE(b.until([&] { return moved.take(endpoint); }));
 }
 
+// Guards against what a drain takes back going to the same endpoint again, until its dispatches are used up.
+TEST(Watch, WhatADrainTakesBackGoesElsewhere) {
+  SidecarBench b;
+  Port blocked(0);
+  const Peer fill = Peer::to(blocked.at), fill_more = Peer::to(blocked.at);
+  Peer discovery, endpoint;
+  ASSERT_TRUE(b.until([&] { return b.discovery.take(discovery); }));
+  ASSERT_TRUE(b.hears(discovery, "HTTP/1.1"));
+  discovery.say(answer_text(list_text(blocked.text())));
+  ASSERT_TRUE(b.hears(discovery, "after="));
+  Peer caller = b.caller();
+  caller.say(request_text("a", "sale"));
+  ASSERT_TRUE(b.until([&] { return b.sidecar->counters().connections_opened == 1; }));
+  discovery.say(answer_text(R"({"version":2,"full":false,"servers":[{"id":"s-1","addr":")" + blocked.text() +
+                            R"(","zone":"a","state":"DRAINING"},{"id":"s-2","addr":")" + b.endpoint.text() +
+                            R"(","zone":"a","state":"SERVING"}]})"));
+  ASSERT_TRUE(b.until([&] { return b.endpoint.take(endpoint); }));
+  ASSERT_TRUE(b.hears(endpoint, "X-Request-ID: a"));
+  endpoint.say(answer_text("done"));
+  EXPECT_TRUE(b.hears(caller, "done"));
+}
+
 // Guards the list: nothing that discovery says wrongly, and no lost watch, empties it.
 TEST(Watch, KeepsTheListThroughBadAnswers) {
   SidecarBench b;
@@ -330,13 +352,24 @@
   EXPECT_TRUE(endpoint.there());
 }
 
+// Guards rule 1 at the end of a drain: the kill that follows finds nothing unanswered.
+TEST(Drain, BreaksOffWhatIsLeftWhenTheTimeIsUp) {
+  SidecarBench b;
+  Peer endpoint;
+  Peer caller = b.call(request_text("a", "sale"), endpoint);
+  b.sidecar->drain(Span::ms(1));
+  EXPECT_TRUE(b.hears(caller, "HTTP/1.1 504"));
+  EXPECT_TRUE(b.until([&] { return endpoint.over() && b.sidecar->finished(); }));
+  EXPECT_EQ(b.sidecar->counters().broken_off, 1U);
+}
+
 TEST(Drain, ServesThroughTheCrossingThenEnds) {
   SidecarBench b;
   Peer endpoint, idle = b.caller();
   idle.say(get_ready);
   ASSERT_TRUE(b.hears(idle, "ready"));
   Peer before = b.call(request_text("a", "plan"), endpoint);
-  b.sidecar->drain();
+  b.sidecar->drain(b.sidecar->drain_time());
   Peer after = b.caller();  // a connection that was on its way
   after.say(request_text("b", "plan"));
   Peer second;
