Pipelined requests: waiting behind another one counts against the stated time

A request that came whole behind another was given its full time once its turn came; the client counts from its sending (CallerConnection::begin_request). Tests: that, and the list where the module asks for it.

--- a/src/sidecar/callers.cpp
+++ b/src/sidecar/callers.cpp
@@ -87,6 +87,8 @@
       answer_plain(400, std::string(why) + "\n");
       break;
     case Front::Kind::call: {
+      // One that came whole behind another request has been waited for since.
+      if (came_behind_) call.left = call.left - (scheduler_.now() - read_at_);
       const CallId id = all_.driver_.take(call, *this);
       if (to_write_ == 0) call_ = id;  // not answered at once
       break;
@@ -102,6 +104,7 @@
     idle_since_ = scheduler_.now();
     timer_.set(idle_since_ + idle_most);
     bool reading = false;
+    came_behind_ = true;
     http::Progress progress = buffer_.empty() ? http::Progress::more : parser_.feed(buffer_.bytes());
     while (up && progress == http::Progress::more) {
       if (!reading && parser_.begun()) {
@@ -117,12 +120,11 @@
         if (!up) break;
       }
       const Waker::Bits bits = co_await waker_.wait(Waker::readable | Waker::hung_up | due | dropped);
-      if ((bits & dropped) != 0) up = false;
-      if ((bits & due) != 0) {
-        if (!reading) up = false;
-        break;
-      }
+      if ((bits & dropped) != 0 || ((bits & due) != 0 && !reading)) up = false;
+      if ((bits & (due | dropped)) != 0) break;
       const Socket::Result result = socket_.read(buffer_);
+      read_at_ = scheduler_.now();
+      came_behind_ = false;
       if (result == Socket::Result::some) progress = parser_.feed(buffer_.bytes());
       if (result == Socket::Result::ended || result == Socket::Result::broken) up = false;
     }
--- a/src/sidecar/callers.hpp
+++ b/src/sidecar/callers.hpp
@@ -50,9 +50,9 @@
   std::size_t taken_ = 0;     // bytes of the request at the buffer's front
   std::size_t to_write_ = 0;  // bytes of the answer at the buffer's front
   bool last_ = false;         // the connection ends with this answer
-  bool told_to_go_on_ = false, served_ = false;
+  bool told_to_go_on_ = false, served_ = false, came_behind_ = false;
   bool lingering_ = false;  // the last answer is out; the peer may still be sending what nobody reads
-  TimePoint idle_since_, request_since_;
+  TimePoint idle_since_, request_since_, read_at_;
   net::Task task_;
 };
 
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -53,6 +53,18 @@
   EXPECT_LT(caller.heard.find("one"), caller.heard.find("two"));
 }
 
+// Guards the client timeout: it runs on while a request waits behind another one.
+TEST(Sidecar, WaitingBehindAnotherRequestCounts) {
+  SidecarBench b;
+  Peer endpoint;
+  Peer caller = b.call(request_text("a", "plan") + request_text("b", "plan", "1m"), endpoint);
+  const TimePoint later = b.scheduler.now() + Span::ms(2);
+  ASSERT_TRUE(b.until([&] { return b.scheduler.now() > later; }));
+  endpoint.say(answer_text("one"));
+  EXPECT_TRUE(b.hears(caller, "HTTP/1.1 503"));
+  EXPECT_EQ(b.sidecar->counters().dispatches, 1U);
+}
+
 // What comes back decides whether a single-use call may have run, and so how it may end.
 TEST(Outcomes, AConnectionThatBreaksAfterTheLastByteMayHaveRun) {
   SidecarBench b;
@@ -313,6 +325,17 @@
   EXPECT_TRUE(b.until([&] { return moved.take(endpoint); }));
 }
 
+// Where the list is to be asked for, the module says when, also after a failure.
+TEST(Watch, IsAskedForByTheModule) {
+  SidecarBench b("automatic", "subscribe");
+  for (int i = 0; i < 2; ++i) {
+    Peer discovery;
+    ASSERT_TRUE(b.until([&] { return b.discovery.take(discovery); }));
+    ASSERT_TRUE(b.hears(discovery, "GET /v1/endpoints HTTP/1.1"));
+  }
+  EXPECT_EQ(b.sidecar->counters().list_failures, 1U);
+}
+
 // Guards against what a drain takes back going to the same endpoint again, until its dispatches are used up.
 TEST(Watch, WhatADrainTakesBackGoesElsewhere) {
   SidecarBench b;
