Several interim answers in one piece; tests of counters, log bound, 100-continue

Of two interim answers that come in one piece the second was taken for the answer (EndpointConnection::run).

--- a/src/sidecar/endpoints.cpp
+++ b/src/sidecar/endpoints.cpp
@@ -75,7 +75,7 @@
       if (result == Socket::Result::some) progress = parser_.feed(buffer_.bytes());
       if (result == Socket::Result::ended) progress = parser_.ended();
       if (result == Socket::Result::broken || progress == http::Progress::failed) up = false;
-      if (progress == http::Progress::complete && parser_.status() < 200) {  // the answer is still to come
+      while (progress == http::Progress::complete && parser_.status() < 200) {  // the answer is still to come
         buffer_.consume(parser_.size());
         parser_.reset(bodiless_);
         progress = buffer_.empty() ? http::Progress::more : parser_.feed(buffer_.bytes());
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -14,6 +14,18 @@
   }
 }
 
+// A socket of ours and the other end of its connection.
+struct Connected : Loop {
+  Connected() {
+    EXPECT_TRUE(socket.connect(port.at));
+    EXPECT_TRUE(until([&] { return port.take(peer); }));
+  }
+  Port port;
+  Waker waker{scheduler};
+  Socket socket{scheduler, waker};
+  Peer peer;
+};
+
 TEST(Scheduler, TimersFireInOrder) {
   Loop loop;
   std::vector<Waker::Bits> seen;
@@ -34,20 +46,14 @@
 
 // Guards deadlines against a long batch of reads: what is due is handled before what has come in.
 TEST(Scheduler, WhatIsDueGoesBeforeWhatHasComeIn) {
-  Loop loop;
-  Port port;
+  Connected c;
   std::vector<Waker::Bits> seen;
-  Waker waker(loop.scheduler);
-  Socket socket(loop.scheduler, waker);
-  Timer timer(loop.scheduler, waker, one);
-  ASSERT_TRUE(socket.connect(port.at));
-  Peer peer;
-  ASSERT_TRUE(loop.until([&] { return port.take(peer) && waker.has(Waker::writable); }) || peer.there());
-  Task task = note(waker, one | Waker::readable, seen);
+  Timer timer(c.scheduler, c.waker, one);
+  Task task = note(c.waker, one | Waker::readable, seen);
   task.start();
-  timer.set(loop.scheduler.now());
-  peer.say("x");
-  EXPECT_TRUE(loop.until([&] { return seen.size() == 2; }));
+  timer.set(c.scheduler.now());
+  c.peer.say("x");
+  EXPECT_TRUE(c.until([&] { return seen.size() == 2; }));
   EXPECT_EQ(seen, (std::vector<Waker::Bits>{one, Waker::readable}));
 }
 
@@ -68,21 +74,15 @@
 
 // Guards against a FIN that comes with the last bytes: edge-triggered events do not tell of it again.
 TEST(Socket, AnEndThatComesWithTheLastBytesIsSeen) {
-  Loop loop;
-  Port port;
-  Waker waker(loop.scheduler);
-  Socket socket(loop.scheduler, waker);
-  ASSERT_TRUE(socket.connect(port.at));
-  Peer peer;
-  ASSERT_TRUE(loop.until([&] { return port.take(peer); }));
-  peer.say("last words");
-  peer.leave();
+  Connected c;
+  c.peer.say("last words");
+  c.peer.leave();
   Buffer buffer;
-  ASSERT_TRUE(loop.until([&] { return waker.has(Waker::hung_up); }));
-  EXPECT_EQ(socket.read(buffer), Socket::Result::some);
+  ASSERT_TRUE(c.until([&] { return c.waker.has(Waker::hung_up); }));
+  EXPECT_EQ(c.socket.read(buffer), Socket::Result::some);
   EXPECT_EQ(buffer.size(), 10U);
-  EXPECT_TRUE(waker.wait(Waker::readable | Waker::hung_up).await_ready());
-  EXPECT_EQ(socket.read(buffer), Socket::Result::ended);
+  EXPECT_TRUE(c.waker.wait(Waker::readable | Waker::hung_up).await_ready());
+  EXPECT_EQ(c.socket.read(buffer), Socket::Result::ended);
 }
 
 TEST(Socket, ARefusedConnectionIsNoConnection) {
@@ -98,28 +98,23 @@
 
 // Guards the memory and the other connections against a peer that sends without end.
 TEST(Socket, MuchIsReadInParts) {
-  Loop loop;
-  Port port;
-  Waker waker(loop.scheduler);
-  Socket socket(loop.scheduler, waker);
-  ASSERT_TRUE(socket.connect(port.at));
-  Peer peer;
-  ASSERT_TRUE(loop.until([&] { return port.take(peer); }));
+  Connected c;
   const std::string part(64 * 1024, 'x');
   Buffer buffer;
   std::size_t taken = 0;
+  const auto read = [&] {
+    const bool some = c.socket.read(buffer) == Socket::Result::some;
+    EXPECT_LE(buffer.size(), 600U * 1024U);
+    taken += buffer.size();
+    buffer.consume(buffer.size());
+    return some;
+  };
   for (int i = 0; i < 8; ++i) {
-    peer.say(part);
-    while (socket.read(buffer) == Socket::Result::some) {
-      EXPECT_LE(buffer.size(), 600U * 1024U);
-      taken += buffer.size();
-      buffer.consume(buffer.size());
+    c.peer.say(part);
+    while (read()) {
     }
   }
-  EXPECT_TRUE(loop.until([&] {
-    if (socket.read(buffer) == Socket::Result::some) taken += buffer.size(), buffer.consume(buffer.size());
-    return taken == 8 * part.size();
-  }));
+  EXPECT_TRUE(c.until([&] { return !read() && taken == 8 * part.size(); }));
 }
 
 TEST(Address, IsRead) {
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -1,4 +1,6 @@
+#include "base/log.hpp"
 #include "helpers.hpp"
+#include "json/value.hpp"
 
 namespace chutevane::sidecar {
 namespace {
@@ -95,6 +97,16 @@
   EXPECT_TRUE(b.hears(caller, "second"));
 }
 
+// Guards against an interim answer taken for the answer.
+TEST(Outcomes, InterimAnswersAreNotTheAnswer) {
+  SidecarBench b;
+  Peer endpoint;
+  Peer caller = b.call(request_text("a", "sale"), endpoint);
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  endpoint.say(interim + interim + answer_text("at last"));
+  EXPECT_TRUE(b.hears(caller, "at last"));
+}
+
 TEST(Outcomes, A503WithoutProofMayHaveRun) {
   SidecarBench b;
   Peer endpoint;
@@ -246,6 +258,19 @@
   }
 }
 
+TEST(BadInput, AWaitingClientIsToldToSendItsBody) {
+  SidecarBench b;
+  Peer endpoint, caller = b.caller();
+  const std::string request = request_text("a", "plan");
+  std::string head = request.substr(0, request.size() - 3);
+  caller.say(head.insert(head.find("X-Request-ID"), "Expect: 100-continue\r\n"));
+  ASSERT_TRUE(b.hears(caller, "HTTP/1.1 100 Continue\r\n\r\n"));
+  caller.say("abc");
+  ASSERT_TRUE(b.until([&] { return b.endpoint.take(endpoint); }));
+  EXPECT_TRUE(b.hears(endpoint, "\r\n\r\nabc"));
+  EXPECT_FALSE(endpoint.has("Expect"));
+}
+
 TEST(BadInput, WhatIsNoCallIsToldSo) {
   SidecarBench b;
   Peer caller = b.caller();
@@ -376,6 +401,23 @@
 }
 
 // Guards rule 1 at the end of a drain: the kill that follows finds nothing unanswered.
+TEST(Counters, AreValidJson) {
+  Counters c;
+  c.calls = 3;
+  c.outcomes[static_cast<std::size_t>(Outcome::reset)] = 2;
+  const json::Value v = json::parse(c.as_json());
+  EXPECT_EQ(v.find("api_calls")->find("taken")->number, 3);
+  EXPECT_EQ(v.find("dispatches")->find("reset")->number, 2);
+}
+
+// Guards the disk and the reader against a flood of lines.
+TEST(Log, IsBounded) {
+  testing::internal::CaptureStderr();
+  for (int i = 0; i < 2000; ++i) log_line("line %d", i);
+  const std::string out = testing::internal::GetCapturedStderr();
+  EXPECT_LE(std::count(out.begin(), out.end(), '\n'), 250);
+}
+
 TEST(Drain, BreaksOffWhatIsLeftWhenTheTimeIsUp) {
   SidecarBench b;
   Peer endpoint;
