--- a/src/discovery/watch.hpp
+++ b/src/discovery/watch.hpp
@@ -31,7 +31,6 @@
   void start();
 
  private:
-  enum class Got { list, later, nothing };
   static constexpr net::Waker::Bits due = net::Waker::own, asked = net::Waker::own << 1U;
   net::Task run();
   void write_request();
--- a/src/sidecar/driver.cpp
+++ b/src/sidecar/driver.cpp
@@ -117,13 +117,13 @@
       caller->done(*response);
     }
   }
-  End over;
-  over.end.call = dispatch.call;
-  over.end.endpoint = dispatch.endpoint;
-  over.end.number = dispatch.number;
-  over.end.call_over = calls_[at].caller == nullptr;
-  over.end.outcome = outcome;
-  over.end.elapsed = scheduler_.now() - dispatch.sent;
+  DispatchEnd over;
+  over.call = dispatch.call;
+  over.endpoint = dispatch.endpoint;
+  over.number = dispatch.number;
+  over.call_over = calls_[at].caller == nullptr;
+  over.outcome = outcome;
+  over.elapsed = scheduler_.now() - dispatch.sent;
   ends_.push_back(over);
   if (outcome == Outcome::done) withdraw_unsent(dispatch.call);
   pump();
@@ -187,11 +187,11 @@
       act(answer);
       continue;
     }
-    const End over = ends_.front();
+    const DispatchEnd over = ends_.front();
     ends_.pop_front();
-    const Answers more = balancer_.ended(over.end, scheduler_.now());
+    const Answers more = balancer_.ended(over, scheduler_.now());
     answers_.insert(answers_.end(), more.begin(), more.end());
-    const std::uint32_t at = call_index_.find(over.end.call);
+    const std::uint32_t at = call_index_.find(over.call);
     if (at == IdIndex::none) continue;
     --calls_[at].out;
     settle(at);
--- a/src/sidecar/driver.hpp
+++ b/src/sidecar/driver.hpp
@@ -49,10 +49,6 @@
     bool timed_out = false;  // how its last dispatch ended
     std::array<EndpointConnection*, dispatches_most> dispatches{};
   };
-  struct End {
-    DispatchEnd end;
-    bool list_failed = false;
-  };
 
   void take_list(ListKind kind, const discovery::List& list);
   void apply(Answers answers);
@@ -74,8 +70,8 @@
   CallId last_id_ = 0;
   Slab<Call> calls_;
   IdIndex call_index_;
-  std::deque<Answer> answers_;  // still to be done, in order
-  std::deque<End> ends_;        // still to be told
+  std::deque<Answer> answers_;    // still to be done, in order
+  std::deque<DispatchEnd> ends_;  // still to be told
   bool pumping_ = false;
   discovery::Watch watch_;
   net::Waker waker_;
