Config: the bounds on slow requests and idle callers are limits with defaults, and tested

They were constants of 10 s and 75 s in src/sidecar/callers.cpp, which no test could wait for. They are read, checked and given their defaults in src/config now (limits.request_ms, limits.caller_idle_ms).

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -15,7 +15,7 @@
 
 using Kind = json::Value::Kind;
 
-constexpr std::size_t sockets_least = 64;  // below that there is no room beside what is kept spare
+constexpr double sockets_least = 64;  // below that there is no room beside what is kept spare
 
 // Nested settings as a flat map: list items under .0, .1, ..., their number under .count; plain lists with
 // commas.
@@ -78,6 +78,18 @@
   return out;
 }
 
+// A number among the limits, or what stands in its place.
+double limit_of(const json::Value& limits, const std::string& key, double otherwise, double least,
+                double most) {
+  const json::Value* found = limits.find(key);
+  if (found == nullptr) return otherwise;
+  if (!found->is(Kind::number) || found->number < least || found->number > most) {
+    throw ConfigError("limits." + key, "no number from " + std::to_string(static_cast<long>(least)) + " to " +
+                                           std::to_string(static_cast<long>(most)));
+  }
+  return found->number;
+}
+
 // The zone's place among the zones, whichever way it is given.
 void number_zone(Settings& settings) {
   const auto zone = settings.find("zone"), zones = settings.find("zones");
@@ -128,12 +140,12 @@
   out.listen = address_of(root, "listen", "EDGE_LISTEN", environment);
   out.discovery = address_of(root, "discovery", "EDGE_DISCOVERY", environment);
   out.seed = seed_of(root);
-  const json::Value* limits = root.find("limits");
-  const json::Value* sockets = limits == nullptr ? nullptr : limits->find("sockets");
-  if (sockets != nullptr) {
-    if (!sockets->is(Kind::number) || sockets->number < sockets_least || sockets->number > 1e7)
-      throw ConfigError("limits.sockets", "no number of " + std::to_string(sockets_least) + " or more");
-    out.sockets = static_cast<std::size_t>(sockets->number);
+  if (const json::Value* limits = root.find("limits")) {
+    if (!limits->is(Kind::object)) throw ConfigError("limits", "no object");
+    out.sockets = static_cast<std::size_t>(
+        limit_of(*limits, "sockets", static_cast<double>(out.sockets), sockets_least, 1e7));
+    out.request_most = Span::ms(limit_of(*limits, "request_ms", out.request_most.as_ms(), 1, 3.6e6));
+    out.idle_most = Span::ms(limit_of(*limits, "caller_idle_ms", out.idle_most.as_ms(), 1, 3.6e6));
   }
   const json::Value* known = root.find("known");
   if (known == nullptr) throw ConfigError("known", "missing");
--- a/src/sidecar/callers.cpp
+++ b/src/sidecar/callers.cpp
@@ -13,8 +13,6 @@
 using net::Waker;
 
 constexpr double caller_part = 0.5;             // of the descriptors
-constexpr Span idle_most = Span::ms(75000);     // a caller's connection without a request
-constexpr Span request_most = Span::ms(10000);  // from a request's first byte to its last
 constexpr Span write_most = Span::ms(10000);    // for an answer to be taken
 constexpr Span linger_most = Span::ms(1000);    // after an answer to what could not be read
 constexpr Span request_grace = Span::ms(1000);  // for a request on its way, before its connection may go
@@ -102,7 +100,7 @@
     parser_.reset();
     told_to_go_on_ = false;
     idle_since_ = scheduler_.now();
-    timer_.set(idle_since_ + idle_most);
+    timer_.set(idle_since_ + all_.idle_most_);
     bool reading = false;
     came_behind_ = true;
     http::Progress progress = buffer_.empty() ? http::Progress::more : parser_.feed(buffer_.bytes());
@@ -110,7 +108,7 @@
       if (!reading && parser_.begun()) {
         reading = true;
         request_since_ = scheduler_.now();
-        timer_.set(scheduler_.now() + request_most);
+        timer_.set(scheduler_.now() + all_.request_most_);
       }
       if (parser_.head_done() && !told_to_go_on_ && parser_.find("Expect") == "100-continue") {
         told_to_go_on_ = true;
@@ -189,6 +187,8 @@
       front_(front),
       driver_(driver),
       counters_(counters),
+      idle_most_(config.idle_most),
+      request_most_(config.request_most),
       connections_most_(static_cast<std::size_t>(static_cast<double>(config.sockets) * caller_part)),
       waker_(scheduler),
       timer_(scheduler, waker_, retry),
--- a/src/sidecar/callers.hpp
+++ b/src/sidecar/callers.hpp
@@ -81,6 +81,7 @@
   const Front& front_;
   Driver& driver_;
   Counters& counters_;
+  const Span idle_most_, request_most_;
   const std::size_t connections_most_;
   bool draining_ = false, paused_ = false;
   net::Waker waker_;
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -50,6 +50,8 @@
   EXPECT_EQ(key_of_error(with("127.0.0.1:2", "nowhere")), "discovery");
   EXPECT_EQ(key_of_error(with("8c1f", "8c1g")), "seed");
   EXPECT_EQ(key_of_error(with("1024", "3")), "limits.sockets");
+  EXPECT_EQ(key_of_error(with("\"sockets\":1024", "\"request_ms\":\"soon\"")), "limits.request_ms");
+  EXPECT_EQ(key_of_error(with("\"sockets\":1024", "\"caller_idle_ms\":0")), "limits.caller_idle_ms");
   EXPECT_EQ(key_of_error(with("SERVING", "UP")), "known");
   EXPECT_EQ(key_of_error(with("\"settings\"", "\"-\"")), "settings");
   EXPECT_EQ(key_of_error(with("\"give_up_ms\":4000", "\"give_up_ms\":\"soon\"")),
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -258,6 +258,16 @@
   }
 }
 
+// Guards the places of others against peers that trickle, or only connect.
+TEST(BadInput, SlowPeersAreTimedOut) {
+  SidecarBench b("\"sockets\":1024", "\"request_ms\":20,\"caller_idle_ms\":60");
+  Peer slow = b.caller(), silent = b.caller();
+  slow.say("POST /api HTTP/1.1\r\nContent-Length: 5\r\n\r\nab");
+  EXPECT_TRUE(b.hears(slow, "HTTP/1.1 408"));
+  EXPECT_TRUE(b.until([&] { return silent.over(); }));
+  EXPECT_EQ(silent.heard, "");
+}
+
 TEST(BadInput, AWaitingClientIsToldToSendItsBody) {
   SidecarBench b;
   Peer endpoint, caller = b.caller();
