--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -309,17 +309,35 @@
   EXPECT_EQ(b.sidecar->counters().callers_shed, 8U);
 }
 
-TEST(Callers, AcceptingWaitsWhileAllAreBusy) {
-  SidecarBench b("1024", "64");
-  std::vector<Peer> callers;
-  for (int i = 0; i < 33; ++i) {
-    callers.push_back(b.caller());
-    callers.back().say(i < 32 ? request_text("id", "plan") : get_ready);
+// As many callers as there is room for, each in the middle of a request, and one that waits to be accepted.
+struct AllBusy : SidecarBench {
+  AllBusy() : SidecarBench("1024", "64") {
+    for (int i = 0; i < 33; ++i) {
+      callers.push_back(caller());
+      callers.back().say(i < 32 ? "GET /ready HTTP/1.1\r\n" : get_ready);
+    }
+    EXPECT_TRUE(until([&] { return sidecar->counters().callers_accepted == 32; }));
+    until([n = 0]() mutable { return ++n > 10; });  // some turns more
+    EXPECT_FALSE(callers.back().has("ready"));
+    EXPECT_EQ(sidecar->counters().callers_accepted, 32U);
   }
-  EXPECT_TRUE(b.until([&] { return b.sidecar->counters().callers_accepted == 32; }));
-  EXPECT_FALSE(callers.back().has("ready"));
-  callers.front().leave();
-  EXPECT_TRUE(b.hears(callers.back(), "ready"));
+  std::vector<Peer> callers;
+};
+
+TEST(Callers, AcceptingGoesOnWhenOneLeaves) {
+  AllBusy b;
+  b.callers.front().leave();
+  EXPECT_TRUE(b.hears(b.callers.back(), "ready"));
+  EXPECT_EQ(b.sidecar->counters().callers_shed, 0U);
+}
+
+// Guards against a pause that lasts until a connection is closed, while there are idle ones again.
+TEST(Callers, AcceptingGoesOnWhenOneFallsIdle) {
+  AllBusy b;
+  b.callers.front().say("\r\n");
+  EXPECT_TRUE(b.hears(b.callers.back(), "ready"));
+  EXPECT_TRUE(b.callers.front().has("ready"));
+  EXPECT_EQ(b.sidecar->counters().callers_shed, 1U);
 }
 
 // Guards those who wait to be accepted against peers whose requests never end.
