Endpoints: what a draining endpoint answers is told as done, not as never sent

Checked: a trace of every dispatch, its end and every list entry. All wrong repeats followed an end 'not_sent' 70 to 700 ms after the send, each right when its endpoint answered after the list had it draining. Ruled out: zones of gone entries (they carry their own), reused addresses (in the trace each began a new id), cancels. At fault: run() in src/sidecar/endpoints.cpp let the connection rest before it told the end; rest() closed it at an endpoint no longer ready, and drop() told the still open dispatch as not sent. The answer was lost with it. Changed: rest() says whether the connection is kept and tells nothing. The new test fails without it.

--- a/src/sidecar/endpoints.cpp
+++ b/src/sidecar/endpoints.cpp
@@ -87,8 +87,7 @@
     }
     timer_.cancel();
     // It rests before the end is told: what the module sends next, on hearing it, may go out on it.
-    const bool again = parser_.keep_alive() && buffer_.size() == parser_.size();
-    if (again) pool_.rest(*this);
+    const bool again = parser_.keep_alive() && buffer_.size() == parser_.size() && pool_.rest(*this);
     report(pool_.front_.outcome_of(parser_), &parser_);
     buffer_.consume(parser_.size());
     if (!again) break;
@@ -179,15 +178,16 @@
   drop(connection, whole ? Outcome::cancelled : Outcome::not_sent);
 }
 
-void Endpoints::rest(EndpointConnection& connection) {
+// Not at an endpoint that wants nothing new. Whatever this does, it never tells the end of the dispatch that
+// has just been answered: guards rule 2 against an answer from a draining endpoint told as never sent.
+bool Endpoints::rest(EndpointConnection& connection) {
+  Endpoint& e = endpoints_[connection.endpoint_];
+  if (e.availability != Availability::ready) return false;
   connection.stage_ = EndpointConnection::Stage::idle;
   connection.idle_since_ = scheduler_.now();
   connection.timer_.set(connection.idle_since_ + idle_most_);
-  Endpoint& e = endpoints_[connection.endpoint_];
   e.idle.push_back(&connection);
-  if (e.availability == Availability::ready) return;
-  unrest(connection);
-  drop(connection, Outcome::not_sent);
+  return true;
 }
 
 void Endpoints::unrest(EndpointConnection& connection) {
--- a/src/sidecar/endpoints.hpp
+++ b/src/sidecar/endpoints.hpp
@@ -97,7 +97,7 @@
   };
   void now_closed_to_new(Endpoint& endpoint);
   bool make_room();
-  void rest(EndpointConnection& connection);
+  bool rest(EndpointConnection& connection);  // whether it is kept for the next dispatch
   void unrest(EndpointConnection& connection);
   void drop(EndpointConnection& connection, Outcome outcome);
 
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -411,6 +411,20 @@
   EXPECT_TRUE(b.hears(caller, "done"));
 }
 
+// Guards rule 2: what a draining endpoint finishes is done. Told as never sent, a single-use call ran twice.
+TEST(Watch, WhatADrainingEndpointFinishesIsDone) {
+  SidecarBench b;
+  Peer discovery, endpoint;
+  Peer caller = b.call(request_text("a", "sale"), endpoint);
+  ASSERT_TRUE(b.until([&] { return b.discovery.take(discovery); }));
+  discovery.say(answer_text(list_text(b.endpoint.text(), "DRAINING")));
+  ASSERT_TRUE(b.hears(discovery, "after="));
+  endpoint.say(answer_text("finished"));
+  EXPECT_TRUE(b.hears(caller, "finished"));
+  EXPECT_EQ(b.sidecar->counters().outcomes[static_cast<std::size_t>(Outcome::done)], 1U);
+  EXPECT_TRUE(b.until([&] { return endpoint.over(); }));
+}
+
 // Guards the list: nothing that discovery says wrongly, and no lost watch, empties it.
 TEST(Watch, KeepsTheListThroughBadAnswers) {
   SidecarBench b;
