SIGHUP reads the configuration again and moves the watch on the list

Checked: serve() in src/sidecar/sidecar.cpp took SIGTERM, SIGINT and SIGUSR1 alone, so SIGHUP did what it does by itself and ended the program. Changed: the file is read again whole by config::load; Sidecar::reconfigure moves the watch (whole list first, new versions) and the callers' bounds; list, calls and connections stay. What only a start can change is named in the log; a bad file costs one line with its key. The watch hears of the move in each of its waits, also in its pause. The tests fail without it (the last one by the signal).

--- a/include/chutevane/sidecar.hpp
+++ b/include/chutevane/sidecar.hpp
@@ -26,6 +26,9 @@
   // Waits for something to do and does it; all of the sidecar's work is done in here, on this thread. A
   // wait lasts no longer than a tenth of a second.
   void turn();
+  // Takes over from a new configuration what may change while it serves: where discovery is, and the bounds
+  // on callers. Throws ConfigError; nothing has changed then.
+  void reconfigure(std::string_view configuration);
   void drain();                  // serve on for a moment, answer all that is taken, then be finished
   bool finished() const;         // drained
   std::string address() const;   // where it listens
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -178,4 +178,16 @@
   return read(text, environment);
 }
 
+std::string waits_for_start(const Config& in_force, const Config& read_again) {
+  std::string out;
+  const auto note = [&](bool same, const char* key) {
+    if (!same) out += (out.empty() ? "" : ", ") + std::string(key);
+  };
+  note(in_force.name == read_again.name, "name");
+  note(in_force.listen == read_again.listen, "listen");
+  note(in_force.sockets == read_again.sockets, "limits.sockets");
+  note(in_force.settings == read_again.settings, "settings");
+  return out;
+}
+
 }  // namespace chutevane::config
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -29,5 +29,8 @@
 Config read(std::string_view text, const Environment& environment);
 // The file at `path`, or where that is empty the one that EDGE_CONFIG names.
 Config load(const std::string& path, const Environment& environment);
+// The keys in which a configuration that was read again differs from the one in force, and which take
+// effect only at a start; with commas. `known` and `seed` are new with every file and are not named.
+std::string waits_for_start(const Config& in_force, const Config& read_again);
 
 }  // namespace chutevane::config
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -33,6 +33,14 @@
 
 void Watch::start() { waker_.set(asked); }
 
+void Watch::move(const std::string& address) {
+  if (address == address_) return;
+  log_line("discovery moves from %s to %s", address_.c_str(), address.c_str());
+  address_ = address;
+  moved_ = true;
+  waker_.set(moved);
+}
+
 void Watch::write_request() {
   std::string target = "/v1/endpoints";
   if (have_list_) {
@@ -67,13 +75,14 @@
   while (true) {
     // One connection, for as long as it answers. It begins with the whole list: what changed while there
     // was no watch is in it.
-    have_list_ = false;
+    have_list_ = moved_ = false;
+    waker_.clear(moved);
     buffer_.consume(buffer_.size());
     bool up = socket_.connect(*net::parse_address(address_));
     if (up) {
       timer_.set(scheduler_.now() + answer_slack);
-      const Waker::Bits bits = co_await waker_.wait(Waker::writable | Waker::hung_up | due);
-      up = (bits & due) == 0 && socket_.connected();
+      const Waker::Bits bits = co_await waker_.wait(Waker::writable | Waker::hung_up | due | moved);
+      up = (bits & (due | moved)) == 0 && socket_.connected();
     }
     while (up) {
       write_request();
@@ -84,14 +93,15 @@
         buffer_.consume(written);
         if (result == Socket::Result::broken) up = false;
         if (result != Socket::Result::later) continue;
-        const Waker::Bits bits = co_await waker_.wait(Waker::writable | due);
-        up = (bits & due) == 0;
+        const Waker::Bits bits = co_await waker_.wait(Waker::writable | due | moved);
+        up = (bits & (due | moved)) == 0;
       }
       parser_.reset();
       http::Progress progress = http::Progress::more;
       while (up && progress == http::Progress::more) {
-        const Waker::Bits bits = co_await waker_.wait(Waker::readable | Waker::hung_up | due);
-        const Socket::Result result = (bits & due) != 0 ? Socket::Result::broken : socket_.read(buffer_);
+        const Waker::Bits bits = co_await waker_.wait(Waker::readable | Waker::hung_up | due | moved);
+        const bool stop = (bits & (due | moved)) != 0;
+        const Socket::Result result = stop ? Socket::Result::broken : socket_.read(buffer_);
         if (result == Socket::Result::some) progress = parser_.feed(buffer_.bytes());
         if (result == Socket::Result::ended) progress = parser_.ended();
         if (result == Socket::Result::broken) up = false;
@@ -104,15 +114,20 @@
     }
     socket_.close();
     timer_.cancel();
+    if (moved_) {  // no failure
+      waker_.clear(Waker::readable | Waker::writable | Waker::hung_up);
+      pause_ = pause_first;
+      continue;
+    }
     if (have_list_ && !up) log_line("watch on the list broke off; asking for the whole list again");
     waker_.clear(Waker::readable | Waker::writable | Waker::hung_up | asked);
     sink_.list_failed();
     if (persistent_) {
       timer_.set(scheduler_.now() + pause_ * (0.5 + chance_.unit()));
       pause_ = std::min(pause_most, pause_ * 2.0);
-      co_await waker_.wait(due);
+      co_await waker_.wait(due | moved);
     } else {
-      co_await waker_.wait(asked);
+      co_await waker_.wait(asked | moved);
     }
   }
 }
--- a/src/discovery/watch.hpp
+++ b/src/discovery/watch.hpp
@@ -29,9 +29,12 @@
   Watch(net::Scheduler& scheduler, const std::string& address, bool persistent, std::uint64_t seed,
         Sink& sink);
   void start();
+  // Discovery has moved: begins anew there, with the whole list. The list as had stays until then.
+  void move(const std::string& address);
 
  private:
-  static constexpr net::Waker::Bits due = net::Waker::own, asked = net::Waker::own << 1U;
+  static constexpr net::Waker::Bits due = net::Waker::own, asked = net::Waker::own << 1U,
+                                    moved = net::Waker::own << 2U;
   net::Task run();
   void write_request();
   // What a whole answer holds; tells the sink.
@@ -47,6 +50,7 @@
   net::Socket socket_;
   net::Buffer buffer_;
   http::Parser parser_;
+  bool moved_ = false;      // since this connection was begun
   bool have_list_ = false;  // on this connection: the next request is for what has changed
   std::uint64_t version_ = 0;
   Span pause_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -26,9 +26,11 @@
       return 2;
     }
     const std::string path = given.count("config") > 0 ? given["config"].as<std::string>() : "";
-    const config::Config config = config::load(path, [](const char* name) { return std::getenv(name); });
-    if (command == "serve") return sidecar::serve(config);
-    return std::printf("%s: in order\n", config.name.c_str()) < 0 ? 1 : 0;
+    const auto reading = [&] {
+      return config::load(path, [](const char* name) { return std::getenv(name); });
+    };
+    if (command == "serve") return sidecar::serve(reading);
+    return std::printf("%s: in order\n", reading().name.c_str()) < 0 ? 1 : 0;
   } catch (const ConfigError& e) {
     std::fprintf(stderr, "chutevane: %s\n", e.what());
   } catch (const std::exception& e) {
--- a/src/sidecar/callers.hpp
+++ b/src/sidecar/callers.hpp
@@ -63,6 +63,8 @@
   void listen(const sockaddr_in& at);  // throws std::system_error
   std::optional<sockaddr_in> address() const { return socket_.local(); }
 
+  // The bounds on slow requests and idle connections, from the next wait of each connection on.
+  void set_bounds(Span request_most, Span idle_most) { request_most_ = request_most, idle_most_ = idle_most; }
   // From now on each answer ends its connection.
   void begin_drain() { draining_ = true; }
   // Takes what has come up so far, then nothing more; connections with nothing on them are closed.
@@ -81,7 +83,7 @@
   const Front& front_;
   Driver& driver_;
   Counters& counters_;
-  const Span idle_most_, request_most_;
+  Span idle_most_, request_most_;
   const std::size_t connections_most_;
   bool draining_ = false, paused_ = false;
   net::Waker waker_;
--- a/src/sidecar/driver.hpp
+++ b/src/sidecar/driver.hpp
@@ -33,6 +33,7 @@
   // A new call; its id. The answer may come before this returns.
   CallId take(ApiCall call, Caller& caller);
   void caller_left(CallId call);
+  void move_discovery(const std::string& address) { watch_.move(address); }
   // The process is about to end: every call still in hand gets its final answer now.
   void break_off_all();
 
--- a/src/sidecar/embedded.cpp
+++ b/src/sidecar/embedded.cpp
@@ -23,6 +23,9 @@
 
 void Sidecar::listen() { state_->sidecar.listen(); }
 void Sidecar::turn() { state_->scheduler.turn(); }
+void Sidecar::reconfigure(std::string_view configuration) {
+  state_->sidecar.reconfigure(config::read(configuration, [](const char* n) { return std::getenv(n); }));
+}
 void Sidecar::drain() { state_->sidecar.drain(state_->sidecar.drain_time()); }
 bool Sidecar::finished() const { return state_->sidecar.finished(); }
 std::string Sidecar::counters() const { return state_->sidecar.counters().as_json(); }
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -46,6 +46,11 @@
 
 Span Sidecar::drain_time() const { return std::min(longest_timeout_, drain_most) + drain_slack; }
 
+void Sidecar::reconfigure(const config::Config& config) {
+  driver_.move_discovery(config.discovery);
+  callers_.set_bounds(config.request_most, config.idle_most);
+}
+
 void Sidecar::drain(Span within) {
   if (draining_) return;
   draining_ = true;
@@ -69,11 +74,27 @@
   finished_ = true;
 }
 
-int serve(config::Config config) {
+bool reload(Sidecar& sidecar, const Reading& reading, const config::Config& in_force) {
+  try {
+    const config::Config again = reading();
+    sidecar.reconfigure(again);
+    const std::string waits = config::waits_for_start(in_force, again);
+    log_line("configuration read again%s%s",
+             waits.empty() ? "" : "; changed but kept until the next start: ", waits.c_str());
+    return true;
+  } catch (const std::exception& e) {
+    log_line("configuration not taken, the old one stays: %s", e.what());
+    return false;
+  }
+}
+
+int serve(const Reading& reading) {
+  config::Config config = reading();
+  const config::Config in_force = config;
   config.sockets = std::min(config.sockets, descriptors_for(config.sockets));
   net::Scheduler scheduler;
   net::Waker waker(scheduler);
-  net::Signals signals(scheduler, waker, {SIGTERM, SIGINT, SIGUSR1});
+  net::Signals signals(scheduler, waker, {SIGTERM, SIGINT, SIGUSR1, SIGHUP});
   std::signal(SIGPIPE, SIG_IGN);
   Sidecar sidecar(scheduler, config);
   try {
@@ -88,6 +109,8 @@
     while (const int number = signals.next()) {
       if (number == SIGUSR1) {
         log_line("%s", sidecar.counters().as_json().c_str());
+      } else if (number == SIGHUP) {
+        reload(sidecar, reading, in_force);
       } else {
         log_line("%s drains", config.name.c_str());
         sidecar.drain(sidecar.drain_time());
--- a/src/sidecar/sidecar.hpp
+++ b/src/sidecar/sidecar.hpp
@@ -1,6 +1,8 @@
 // One sidecar, put together: listens for callers, keeps the list, drives the balancer, drains when told.
 #pragma once
 
+#include <functional>
+
 #include "config/config.hpp"
 #include "net/scheduler.hpp"
 #include "net/task.hpp"
@@ -16,6 +18,9 @@
  public:
   Sidecar(net::Scheduler& scheduler, const config::Config& config);
   void listen();  // from here on it serves; throws std::system_error
+  // Takes over what may change while it serves: where discovery is, and the bounds on callers. Connections,
+  // calls and the list stay.
+  void reconfigure(const config::Config& config);
   // Serves through the crossing of new connections, then ends once all is answered. What is left when the
   // time is up is broken off.
   void drain(Span within);
@@ -42,7 +47,14 @@
   net::Task ender_;
 };
 
-// Serves until SIGTERM or SIGINT and the drain after it; SIGUSR1 prints the counters. The exit status.
-int serve(config::Config config);
+using Reading = std::function<config::Config()>;  // of the configuration; throws ConfigError
+
+// Reads again and reconfigures. What cannot be used costs one log line that names the key, and nothing
+// changes; false then.
+bool reload(Sidecar& sidecar, const Reading& reading, const config::Config& in_force);
+
+// Serves until SIGTERM or SIGINT and the drain after it; SIGHUP reads the configuration again, SIGUSR1 prints
+// the counters. The exit status.
+int serve(const Reading& reading);
 
 }  // namespace chutevane::sidecar
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -62,6 +62,15 @@
   EXPECT_EQ(key_of_error(with("\"name\":\"plan\"", "\"-\":0")), "settings.classes.0.name");
 }
 
+TEST(Config, NamesWhatWaitsForAStart) {
+  const Config before = read(config_text(), no_environment);
+  EXPECT_EQ(waits_for_start(before, read(config_text("127.0.0.1:9"), no_environment)), "");
+  const Config after = read(with("\"sockets\":1024", "\"sockets\":512"), no_environment);
+  EXPECT_EQ(waits_for_start(before, after), "limits.sockets");
+  EXPECT_EQ(waits_for_start(before, read(with("\"n0\"", "\"n1\""), no_environment)), "name");
+  EXPECT_EQ(waits_for_start(before, read(with("\"tier\":0", "\"tier\":1"), no_environment)), "settings");
+}
+
 TEST(Names, GoBothWays) {
   Settings s;
   put_setting(s, "classes.0.give_up_ms", "5");
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -1,3 +1,7 @@
+#include <sys/wait.h>
+
+#include <csignal>
+
 #include "base/log.hpp"
 #include "helpers.hpp"
 #include "json/value.hpp"
@@ -425,6 +429,81 @@
   EXPECT_TRUE(b.until([&] { return endpoint.over(); }));
 }
 
+// Guards against a SIGHUP that loses calls, connections or the list: only the watch moves.
+TEST(Reload, MovesDiscoveryAndKeepsTheRest) {
+  SidecarBench b;
+  Port elsewhere;
+  Peer discovery, endpoint, moved, idle = b.caller();
+  idle.say(get_ready);
+  ASSERT_TRUE(b.hears(idle, "ready"));
+  ASSERT_TRUE(b.until([&] { return b.discovery.take(discovery); }));
+  ASSERT_TRUE(b.hears(discovery, "\r\n\r\n"));
+  discovery.say(answer_text(list_text(b.endpoint.text(), "SERVING", 41)));
+  ASSERT_TRUE(b.hears(discovery, "after=41"));
+  Peer caller = b.call(request_text("a", "sale"), endpoint);
+  const auto reading = [&] { return config::read(config_text(elsewhere.text()), no_environment); };
+  const config::Config before = config::read(config_text(), no_environment);
+  for (int i = 0; i < 3; ++i) EXPECT_TRUE(reload(*b.sidecar, reading, before));
+  ASSERT_TRUE(b.until([&] { return elsewhere.take(moved); }));
+  ASSERT_TRUE(b.hears(moved, "GET /v1/endpoints HTTP/1.1"));  // the whole list: versions are another's there
+  EXPECT_TRUE(b.until([&] { return discovery.over(); }));
+  Peer second = b.call(request_text("b", "plan"), endpoint);  // the list is the one had before
+  moved.say(answer_text(list_text(b.endpoint.text(), "SERVING", 7)));
+  EXPECT_TRUE(b.hears(moved, "after=7&wait_ms="));
+  EXPECT_EQ(b.sidecar->counters().list_failures, 0U);
+  EXPECT_FALSE(idle.over() || caller.over());
+  Peer again;
+  EXPECT_FALSE(elsewhere.take(again));  // one watch, however often it was told
+}
+
+// Guards against a watch that waits for a dead address, or for its next try there.
+TEST(Reload, FindsDiscoveryAgainAfterAFailure) {
+  for (const char* mode : {"automatic", "subscribe"}) {
+    SidecarBench b("automatic", mode);
+    b.discovery.close();
+    ASSERT_TRUE(b.until([&] { return b.sidecar->counters().list_failures > 0; }));
+    Port elsewhere;
+    Peer moved;
+    b.sidecar->reconfigure(config::read(config_text(elsewhere.text()), no_environment));
+    ASSERT_TRUE(b.until([&] { return elsewhere.take(moved); }));
+    EXPECT_TRUE(b.hears(moved, "GET /v1/endpoints HTTP/1.1"));
+  }
+}
+
+TEST(Reload, ABadFileChangesNothingAndNamesItsKey) {
+  SidecarBench b;
+  Peer discovery;
+  ASSERT_TRUE(b.until([&] { return b.discovery.take(discovery); }));
+  const auto reading = [] { return config::read(config_text("127.0.0.1:x"), no_environment); };
+  testing::internal::CaptureStderr();
+  EXPECT_FALSE(reload(*b.sidecar, reading, config::read(config_text(), no_environment)));
+  const std::string out = testing::internal::GetCapturedStderr();
+  EXPECT_EQ(std::count(out.begin(), out.end(), '\n'), 1);
+  EXPECT_NE(out.find(": discovery: "), std::string::npos);
+  EXPECT_TRUE(b.hears(discovery, "GET /v1/endpoints HTTP/1.1"));
+  EXPECT_FALSE(discovery.over());
+}
+
+// Guards against the signal's own doing, which is to end the program.
+TEST(Reload, ASighupIsSurvived) {
+  Loop loop;
+  Port first, elsewhere;
+  Peer discovery, moved;
+  const pid_t child = ::fork();
+  if (child == 0) {
+    ::_exit(serve([&, n = 0]() mutable {
+      return config::read(config_text(n++ == 0 ? first.text() : elsewhere.text()), no_environment);
+    }));
+  }
+  EXPECT_TRUE(loop.until([&] { return first.take(discovery); }));
+  ::kill(child, SIGHUP);
+  EXPECT_TRUE(loop.until([&] { return elsewhere.take(moved); }));
+  ::kill(child, SIGTERM);
+  int status = -1;
+  EXPECT_TRUE(loop.until([&] { return ::waitpid(child, &status, WNOHANG) == child; }));
+  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+}
+
 // Guards the list: nothing that discovery says wrongly, and no lost watch, empties it.
 TEST(Watch, KeepsTheListThroughBadAnswers) {
   SidecarBench b;
