Callers: 2.5 s to ask, open ids refused, nothing an endpoint would turn away leaves

Checked: the bytes of every request. Floods of up to 600 requests in one write were each answered. Bodies of 60 MB were read and thrown away for a second each, 256 KiB at a time. At fault: idle_most_ for connections that never asked and request_most_ of 10 s in src/sidecar/callers.cpp; no look at ids; read_request in src/sidecar/front.cpp looked at class and wait alone; read_most in src/net/socket.cpp. Changed: a first request is due 2.5 s after accepting; the id of an open call is held by its connection (409); method, key, target and fields must fit; a bad request with more behind it ends its connection; 16 KiB a read, 1 MiB at most of what nobody reads; under want of room a connection that said nothing may go after 0.2 s.

--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -15,11 +15,12 @@
   std::string name = "sidecar";
   std::string listen, discovery;  // "a.b.c.d:port"
   std::uint64_t seed = 0;
-  std::size_t sockets = 1024;           // descriptors that the process may hold
-  Span request_most = Span::ms(10000);  // of a caller's request, from its first byte to its last
-  Span idle_most = Span::ms(75000);     // of a caller's connection without a request
-  discovery::List known;                // the list as this sidecar last had it
-  Settings settings;                    // under this project's names
+  std::size_t sockets = 1024;          // descriptors that the process may hold
+  Span request_most = Span::ms(2500);  // of a caller's request: the first from when it connects, others
+                                       // from their first byte, to the last
+  Span idle_most = Span::ms(75000);    // of a connection without a request that has been served one
+  discovery::List known;               // the list as this sidecar last had it
+  Settings settings;                   // under this project's names
   Span connect_timeout, idle_close, longest_timeout;
 };
 
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -183,6 +183,11 @@
   return true;
 }
 
+std::size_t Parser::count(std::string_view name) const {
+  return static_cast<std::size_t>(std::count_if(
+      fields_.begin(), fields_.end(), [&](const FieldAt& f) { return same_name(view(f.name), name); }));
+}
+
 bool Parser::read_first_line(std::string_view text) {
   const auto piece = [&](std::string_view part) {
     return Piece{static_cast<std::uint32_t>(part.data() - base_), static_cast<std::uint32_t>(part.size())};
@@ -192,9 +197,10 @@
     const std::size_t one = text.find(' '), two = text.rfind(' ');
     if (one == std::string_view::npos || one == two) return fail(400, "malformed request line"), false;
     const std::string_view method = text.substr(0, one), target = text.substr(one + 1, two - one - 1);
-    const bool printable =
-        std::all_of(target.begin(), target.end(), [](unsigned char c) { return c > 0x20 && c != 0x7f; });
-    if (!is_token(method) || target.empty() || !printable) return fail(400, "malformed request line"), false;
+    const bool printable = std::all_of(target.begin(), target.end(),
+                                       [](unsigned char c) { return c > 0x20 && c < 0x7f && c != '#'; });
+    if (!is_token(method) || !target.starts_with('/') || !printable)
+      return fail(400, "malformed request line"), false;
     first_ = piece(method);
     second_ = piece(target);
     version = text.substr(two + 1);
@@ -217,6 +223,9 @@
     return fail(400, "malformed header field"), false;
   if (fields_.size() >= limits_.fields) return fail(431, "too many header fields"), false;
   const std::string_view value = trim(text.substr(colon + 1));
+  const auto control = [](unsigned char c) { return (c < 0x20 && c != '\t') || c == 0x7f; };
+  if (side_ == Side::request && std::any_of(value.begin(), value.end(), control))
+    return fail(400, "control character in a header field"), false;
   const auto at = [&](const char* p) { return static_cast<std::uint32_t>(p - base_); };
   fields_.push_back({{at(text.data()), static_cast<std::uint32_t>(colon)},
                      {at(value.data()), static_cast<std::uint32_t>(value.size())}});
--- a/src/http/parser.hpp
+++ b/src/http/parser.hpp
@@ -54,6 +54,7 @@
   Field field(std::size_t i) const { return {view(fields_[i].name), view(fields_[i].value)}; }
   // The first of that name.
   std::optional<std::string_view> find(std::string_view name) const;
+  std::size_t count(std::string_view name) const;
 
  private:
   enum class Stage : std::uint8_t {
--- a/src/http/writer.cpp
+++ b/src/http/writer.cpp
@@ -20,6 +20,7 @@
     case 400: return "Bad Request";
     case 404: return "Not Found";
     case 408: return "Request Timeout";
+    case 409: return "Conflict";
     case 413: return "Content Too Large";
     case 431: return "Request Header Fields Too Large";
     case 501: return "Not Implemented";
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -12,8 +12,8 @@
 namespace chutevane::net {
 namespace {
 
-constexpr std::size_t read_least = 4096;       // bytes of room for one read: a common message whole
-constexpr std::size_t read_most = 256 * 1024;  // bytes at a time: no peer fills the memory or the turn
+constexpr std::size_t read_least = 4096;      // bytes of room for one read: a common message whole
+constexpr std::size_t read_most = 16 * 1024;  // bytes at a time: no peer fills the memory or the turn
 
 bool later(int error) { return error == EAGAIN || error == EWOULDBLOCK; }
 
--- a/src/sidecar/callers.cpp
+++ b/src/sidecar/callers.cpp
@@ -12,12 +12,14 @@
 using net::Socket;
 using net::Waker;
 
-constexpr double caller_part = 0.5;             // of the descriptors
-constexpr Span write_most = Span::ms(10000);    // for an answer to be taken
-constexpr Span linger_most = Span::ms(1000);    // after an answer to what could not be read
-constexpr Span request_grace = Span::ms(1000);  // for a request on its way, before its connection may go
-constexpr Span exhausted_pause = Span::ms(50);  // before accepting is tried again
-constexpr std::size_t buffer_kept = 8 * 1024;   // bytes of an idle connection
+constexpr double caller_part = 0.5;                // of the descriptors
+constexpr Span write_most = Span::ms(10000);       // for an answer to be taken
+constexpr Span linger_most = Span::ms(1000);       // after an answer to what could not be read
+constexpr std::size_t linger_bytes = 1024 * 1024;  // of what nobody reads, before it is cut off
+constexpr Span request_grace = Span::ms(1000);     // for a request on its way, before its connection may go
+constexpr Span silent_grace = Span::ms(200);       // for one whose first byte has not come: they come at once
+constexpr Span exhausted_pause = Span::ms(50);     // before accepting is tried again
+constexpr std::size_t buffer_kept = 8 * 1024;      // bytes of an idle connection
 constexpr Waker::Bits room = Waker::own, retry = Waker::own << 1U;
 
 }  // namespace
@@ -28,6 +30,8 @@
       waker_(scheduler),
       timer_(scheduler, waker_, due),
       socket_(scheduler, waker_),
+      id_(all.open_ids_),
+      accepted_(scheduler.now()),
       idle_since_(scheduler.now()),
       task_(run()) {
   socket_.adopt(fd);
@@ -38,9 +42,11 @@
 template <class Write>
 void CallerConnection::answer(Write write) {
   call_ = 0;
+  id_.give_back();
   last_ = last_ || !parser_.keep_alive() || all_.draining_;
   buffer_.consume(std::exchange(taken_, 0));
-  const std::string behind(buffer_.bytes().data(), buffer_.size());  // what came after the request, if any
+  // What came after the request, if any and if it is still to be read.
+  const std::string behind(buffer_.bytes().data(), last_ ? 0 : buffer_.size());
   buffer_.consume(buffer_.size());
   write(buffer_);
   to_write_ = buffer_.size();
@@ -82,9 +88,16 @@
       break;
     case Front::Kind::bad:
       ++all_.counters_.bad_requests;
+      last_ = buffer_.size() > taken_;  // a caller that sends such requests in heaps is read no further
       answer_plain(400, std::string(why) + "\n");
       break;
     case Front::Kind::call: {
+      // Guards rule 1 for the call that has this id: its endpoint would take both for one.
+      if (!id_.take(all_.front_.id_of(parser_))) {
+        ++all_.counters_.bad_requests;
+        answer_plain(409, "a call with this X-Request-ID is open\n");
+        break;
+      }
       // One that came whole behind another request has been waited for since.
       if (came_behind_) call.left = call.left - (scheduler_.now() - read_at_);
       const CallId id = all_.driver_.take(call, *this);
@@ -100,7 +113,8 @@
     parser_.reset();
     told_to_go_on_ = false;
     idle_since_ = scheduler_.now();
-    timer_.set(idle_since_ + all_.idle_most_);
+    // One that has been served may rest. One that has not must ask, and end its request, within the bound.
+    timer_.set(served_ ? idle_since_ + all_.idle_most_ : accepted_ + all_.request_most_);
     bool reading = false;
     came_behind_ = true;
     http::Progress progress = buffer_.empty() ? http::Progress::more : parser_.feed(buffer_.bytes());
@@ -108,7 +122,7 @@
       if (!reading && parser_.begun()) {
         reading = true;
         request_since_ = scheduler_.now();
-        timer_.set(scheduler_.now() + all_.request_most_);
+        if (served_) timer_.set(scheduler_.now() + all_.request_most_);
       }
       if (parser_.head_done() && !told_to_go_on_ && parser_.find("Expect") == "100-continue") {
         told_to_go_on_ = true;
@@ -144,6 +158,7 @@
     if (!up) {  // the caller has gone away
       const CallId gone = std::exchange(call_, 0);
       socket_.close();
+      id_.give_back();
       all_.driver_.caller_left(gone);
       break;
     }
@@ -164,9 +179,11 @@
       lingering_ = true;
       socket_.end_writing();
       timer_.set(scheduler_.now() + linger_most);
-      while (up) {
+      buffer_.consume(buffer_.size());
+      for (std::size_t unread = 0; up && unread < linger_bytes;) {
         const Waker::Bits bits = co_await waker_.wait(Waker::readable | Waker::hung_up | due | dropped);
         const Socket::Result result = socket_.open() ? socket_.read(buffer_) : Socket::Result::broken;
+        unread += buffer_.size();
         buffer_.consume(buffer_.size());
         up = (bits & (due | dropped)) == 0 &&
              (result == Socket::Result::some || result == Socket::Result::later);
@@ -239,7 +256,7 @@
   if (lingering_) return TimePoint();
   if (!parser_.begun() && served_) return idle_since_;
   const TimePoint since = parser_.begun() ? request_since_ : idle_since_;
-  if (scheduler_.now() - since < request_grace) return std::nullopt;
+  if (scheduler_.now() - since < (parser_.begun() ? request_grace : silent_grace)) return std::nullopt;
   return since;
 }
 
--- a/src/sidecar/callers.hpp
+++ b/src/sidecar/callers.hpp
@@ -3,6 +3,10 @@
 
 #include <netinet/in.h>
 
+#include <string>
+#include <unordered_set>
+#include <utility>
+
 #include "http/parser.hpp"
 #include "net/buffer.hpp"
 #include "net/crew.hpp"
@@ -13,6 +17,27 @@
 
 class Callers;
 
+// The id of an open call, held by its connection: the one place that takes and gives it back.
+class OpenId {
+ public:
+  explicit OpenId(std::unordered_set<std::string>& all) : all_(all) {}
+  ~OpenId() { give_back(); }
+  OpenId(const OpenId&) = delete;
+  OpenId& operator=(const OpenId&) = delete;
+  bool take(std::string_view id) {  // false when another call holds it
+    const auto [at, fresh] = all_.emplace(id);
+    if (fresh) mine_ = *at;
+    return fresh;
+  }
+  void give_back() {
+    if (!mine_.empty()) all_.erase(std::exchange(mine_, ""));
+  }
+
+ private:
+  std::unordered_set<std::string>& all_;
+  std::string mine_;
+};
+
 class CallerConnection final : public Caller {
  public:
   CallerConnection(net::Scheduler& scheduler, Callers& all, int fd);
@@ -46,12 +71,14 @@
   net::Socket socket_;
   net::Buffer buffer_;  // the request, then its answer in its place
   http::Parser parser_{http::Side::request};
+  OpenId id_;
   CallId call_ = 0;           // 0: none in hand
   std::size_t taken_ = 0;     // bytes of the request at the buffer's front
   std::size_t to_write_ = 0;  // bytes of the answer at the buffer's front
   bool last_ = false;         // the connection ends with this answer
   bool told_to_go_on_ = false, served_ = false, came_behind_ = false;
   bool lingering_ = false;  // the last answer is out; the peer may still be sending what nobody reads
+  const TimePoint accepted_;
   TimePoint idle_since_, request_since_, read_at_;
   net::Task task_;
 };
@@ -89,6 +116,7 @@
   net::Waker waker_;
   net::Timer timer_;
   net::Socket socket_;
+  std::unordered_set<std::string> open_ids_;
   net::Crew<CallerConnection> connections_;
   net::Task task_;
 };
--- a/src/sidecar/front.cpp
+++ b/src/sidecar/front.cpp
@@ -12,9 +12,11 @@
 namespace {
 
 constexpr std::string_view request_id = "X-Request-ID", track_name = "X-Priority-Class",
-                           time_left = "X-Timeout", repeated = "X-Retried", never_ran = "X-Not-Processed",
-                           come_back_after = "Retry-After", ready_path = "/ready";
+                           time_left = "X-Timeout", repeated = "X-Retried", key = "Idempotency-Key",
+                           never_ran = "X-Not-Processed", come_back_after = "Retry-After",
+                           ready_path = "/ready";
 
+constexpr std::size_t id_most = 256;  // bytes: kept while the call is open
 constexpr double longest_ms = 3.6e6;  // of a stated wait: an hour is no longer a figure to believe
 
 // "480m" or "480000u"
@@ -57,7 +59,9 @@
   const SettingsReader reader(settings);
   for (int i = 0; i < reader.number("tracks.count"); ++i) {
     const std::string at = "tracks." + std::to_string(i) + ".";
-    tracks_.push_back({reader.text(at + "name"), reader.span(at + "client_timeout_ms")});
+    const std::string& effect = reader.text(at + "effect");
+    tracks_.push_back({reader.text(at + "name"), reader.span(at + "client_timeout_ms"),
+                       effect == "replayable", effect == "referenced"});
   }
 }
 
@@ -66,18 +70,27 @@
     why = text;
     return Kind::bad;
   };
-  const auto id = request.find(request_id);
-  if (request.method() == "CONNECT") return bad("CONNECT is not served");
-  if (!id) {
+  // Nothing that an endpoint would turn away, or read in another way, leaves here.
+  for (const std::string_view once : {std::string_view("Host"), request_id, track_name, time_left, key}) {
+    if (request.count(once) > 1) return bad("a header field that may come once comes twice");
+  }
+  const std::string_view id = id_of(request);
+  if (id.empty()) {
     if (request.method() == "GET" && request.target() == ready_path) return Kind::ready;
     return bad("no X-Request-ID");
   }
+  if (id.size() > id_most) return bad("X-Request-ID too long");
   const auto name = request.find(track_name);
   if (!name) return bad("no X-Priority-Class");
   call.track = 0;
   while (call.track < tracks_.size() && tracks_[call.track].name != *name) ++call.track;
   if (call.track == tracks_.size()) return bad("unknown X-Priority-Class");
-  call.left = tracks_[call.track].client_timeout;
+  const Track& track = tracks_[call.track];
+  if (request.method() != (track.read_only ? "GET" : "POST")) return bad("method does not fit the class");
+  if (track.read_only && !request.body().empty()) return bad("a body with GET");
+  if (request.find(key).value_or("").empty() == track.keyed || (!track.keyed && request.count(key) > 0))
+    return bad("Idempotency-Key does not fit the class");
+  call.left = track.client_timeout;
   if (const auto wait = request.find(time_left)) {
     const auto left = read_wait(*wait);
     if (!left) return bad("malformed X-Timeout");
@@ -87,6 +100,10 @@
   return Kind::call;
 }
 
+std::string_view Front::id_of(const http::Parser& request) const {
+  return request.find(request_id).value_or("");
+}
+
 void Front::write_dispatch(net::Buffer& out, const http::Parser& request, Span wait) const {
   std::array<char, 24> room;
   const auto end = std::to_chars(room.data(), room.data() + room.size(), wait.as_us()).ptr;
--- a/src/sidecar/front.hpp
+++ b/src/sidecar/front.hpp
@@ -19,6 +19,8 @@
   enum class Kind : std::uint8_t { call, ready, bad };
   // What a caller's request is. Of a call it reads all but the id; of a bad one it says why.
   Kind read_request(const http::Parser& request, ApiCall& call, std::string_view& why) const;
+  // What names a call; no two that are open share it.
+  std::string_view id_of(const http::Parser& request) const;
   void write_dispatch(net::Buffer& out, const http::Parser& request, Span wait) const;
   Outcome outcome_of(const http::Parser& response) const;
 
@@ -32,6 +34,7 @@
   struct Track {
     std::string name;
     Span client_timeout;
+    bool read_only = false, keyed = false;  // GET, or POST with a key, or POST without
   };
   std::vector<Track> tracks_;
 };
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -132,9 +132,10 @@
 
 inline std::string request_text(const std::string& id, const std::string& track,
                                 const std::string& wait = "4000m", const std::string& body = "abc") {
-  return "POST /api?x=1 HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: " + id +
-         "\r\nX-Priority-Class: " + track + "\r\nX-Timeout: " + wait +
-         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  const std::string head = " /api?x=1 HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: " + id +
+                           "\r\nX-Priority-Class: " + track + "\r\nX-Timeout: " + wait + "\r\n";
+  if (track == "plan") return "GET" + head + "\r\n";
+  return "POST" + head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 inline std::string answer_text(const std::string& body, const std::string& status = "200 OK",
@@ -165,6 +166,10 @@
   void say(std::string_view text) {
     EXPECT_EQ(::send(fd_, text.data(), text.size(), MSG_NOSIGNAL), static_cast<ssize_t>(text.size()));
   }
+  std::size_t push(std::string_view text) {  // as much as goes
+    return static_cast<std::size_t>(
+        std::max<ssize_t>(0, ::send(fd_, text.data(), text.size(), MSG_NOSIGNAL)));
+  }
   Peer& hear() {
     char room[4096];
     ssize_t n = 0;
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -262,20 +262,89 @@
   }
 }
 
-// Guards the places of others against peers that trickle, or only connect.
+// Guards the places of others against peers that trickle, or only connect; those that were served may rest.
 TEST(BadInput, SlowPeersAreTimedOut) {
-  SidecarBench b("\"sockets\":1024", "\"request_ms\":20,\"caller_idle_ms\":60");
-  Peer slow = b.caller(), silent = b.caller();
+  EXPECT_LE(config::read(config_text(), no_environment).request_most, Span::ms(2800));
+  SidecarBench b("\"sockets\":1024", "\"request_ms\":40,\"caller_idle_ms\":60000");
+  Peer slow = b.caller(), silent = b.caller(), late = b.caller(), served = b.caller();
+  served.say(get_ready);
   slow.say("POST /api HTTP/1.1\r\nContent-Length: 5\r\n\r\nab");
-  EXPECT_TRUE(b.hears(slow, "HTTP/1.1 408"));
-  EXPECT_TRUE(b.until([&] { return silent.over(); }));
+  const TimePoint from = b.scheduler.now();
+  ASSERT_TRUE(b.until([&] { return b.scheduler.now() - from > Span::ms(30); }));
+  late.say("POST /api HTTP/1.1\r\n");  // its first byte does not begin the time anew
+  ASSERT_TRUE(b.until([&] { return b.scheduler.now() - from > Span::ms(60); }));
+  EXPECT_TRUE(slow.has("HTTP/1.1 408"));
+  EXPECT_TRUE(late.has("HTTP/1.1 408"));
+  EXPECT_TRUE(silent.over());
   EXPECT_EQ(silent.heard, "");
+  EXPECT_TRUE(served.has("ready"));
+  EXPECT_FALSE(served.over());
+}
+
+// Guards rule 1: of two open calls with one id an endpoint can answer only one. Later it is free again.
+TEST(BadInput, AnIdThatIsOpenIsRefused) {
+  SidecarBench b;
+  Peer endpoint, thief = b.caller();
+  Peer caller = b.call(request_text("a", "plan"), endpoint);
+  thief.say(request_text("a", "plan"));
+  EXPECT_TRUE(b.hears(thief, "HTTP/1.1 409"));
+  thief.heard.clear();
+  endpoint.say(answer_text("one"));
+  ASSERT_TRUE(b.hears(caller, "one"));
+  thief.say(request_text("a", "sale"));
+  ASSERT_TRUE(b.hears(endpoint, "POST /api"));
+  thief.leave();  // what leaves gives its id back too
+  ASSERT_TRUE(b.until([&] { return b.sidecar->counters().callers_left == 1; }));
+  Peer other;
+  caller = b.call(request_text("a", "sale"), other);
+  EXPECT_EQ(b.sidecar->counters().calls, 3U);
+}
+
+// Guards the endpoints: what they would turn away, or read in another way, does not reach them.
+TEST(BadInput, WhatAnEndpointWouldTurnAwayStaysHere) {
+  SidecarBench b("\"effect\":\"unsafe\"", "\"effect\":\"keyed\"");
+  const std::string sale = "X-Priority-Class: sale\r\n", plan = "X-Priority-Class: plan\r\n",
+                    id = " HTTP/1.1\r\nHost: h\r\nX-Request-ID: a\r\n";
+  for (const std::string& text :
+       {"POST /api" + id + plan, "GET /api" + id + sale, "POST /api" + id + sale,
+        "GET /api" + id + plan + "Idempotency-Key: k\r\n", "GET /api" + id + id.substr(9) + plan,
+        "POST /api" + id + sale + "Idempotency-Key:\r\n", "GET http://h/api" + id + plan,
+        "GET /api#x" + id + plan, "GET /api" + id + plan + "X: a\x01z\r\n",
+        "GET /api" + id + plan + "X-Request-ID: b\r\n", "GET /api" + id + plan + "X-Timeout: -5m\r\n",
+        "GET /api" + id + plan + "X-Timeout: nanm\r\n",
+        "GET /api" + id + plan + "X-Timeout: 99999999999999999999999m\r\n"}) {
+    Peer caller = b.caller();
+    caller.say(text + "\r\n");
+    EXPECT_TRUE(b.hears(caller, "HTTP/1.1 400")) << text;
+  }
+  EXPECT_EQ(b.sidecar->counters().dispatches, 0U);
+}
+
+// Guards memory and time: of a heap of bad requests one is answered, of a huge body little is read.
+TEST(BadInput, FloodsAreCutOff) {
+  SidecarBench b;
+  Peer flood = b.caller(), huge = b.caller();
+  std::string heap;
+  for (int i = 0; i < 500; ++i)
+    heap += "GET /api HTTP/1.1\r\nX-Request-ID: a\r\nX-Priority-Class: no\r\n\r\n";
+  flood.say(heap);
+  EXPECT_TRUE(b.until([&] { return flood.over(); }));
+  EXPECT_EQ(b.sidecar->counters().bad_requests, 1U);
+  const std::string megabyte(1 << 20, 'x');
+  huge.say("POST /api HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n");
+  std::size_t sent = 0;
+  EXPECT_TRUE(b.until([&] {
+    const std::size_t n = huge.push(megabyte);
+    sent += n;
+    return huge.over();
+  }));
+  EXPECT_LT(sent, 30U << 20U);
 }
 
 TEST(BadInput, AWaitingClientIsToldToSendItsBody) {
   SidecarBench b;
   Peer endpoint, caller = b.caller();
-  const std::string request = request_text("a", "plan");
+  const std::string request = request_text("a", "sale");
   std::string head = request.substr(0, request.size() - 3);
   caller.say(head.insert(head.find("X-Request-ID"), "Expect: 100-continue\r\n"));
   ASSERT_TRUE(b.hears(caller, "HTTP/1.1 100 Continue\r\n\r\n"));
