Drain: callers that stay are served on their connections until a second before the end

Checked: times of 'drains', the end and the next start in the logs. The next start comes at a fixed time after SIGTERM, an early end does not bring it forward; clients go on using the connections that stay open. Changed: ready says no at once, the listener closes after the crossing, connections stay until 1 s before the end.

--- a/src/sidecar/callers.cpp
+++ b/src/sidecar/callers.cpp
@@ -43,7 +43,7 @@
 void CallerConnection::answer(Write write) {
   call_ = 0;
   id_.give_back();
-  last_ = last_ || !parser_.keep_alive() || all_.draining_;
+  last_ = last_ || !parser_.keep_alive() || all_.closing_;
   buffer_.consume(std::exchange(taken_, 0));
   // What came after the request, if any and if it is still to be read.
   const std::string behind(buffer_.bytes().data(), last_ ? 0 : buffer_.size());
@@ -286,6 +286,10 @@
 void Callers::stop_listening() {
   accept_all();
   socket_.close();
+}
+
+void Callers::close_all() {
+  closing_ = true;
   for (std::size_t i = 0; i < connections_.size(); ++i) {
     CallerConnection& c = connections_[i];
     if (!c.idle() || !c.socket_.quiet()) continue;
--- a/src/sidecar/callers.hpp
+++ b/src/sidecar/callers.hpp
@@ -92,10 +92,12 @@
 
   // The bounds on slow requests and idle connections, from the next wait of each connection on.
   void set_bounds(Span request_most, Span idle_most) { request_most_ = request_most, idle_most_ = idle_most; }
-  // From now on each answer ends its connection.
+  // From now on `GET /ready` says no; all else is served as before.
   void begin_drain() { draining_ = true; }
-  // Takes what has come up so far, then nothing more; connections with nothing on them are closed.
+  // Takes what has come up so far, then no new connection.
   void stop_listening();
+  // From now on each answer ends its connection; those with nothing on them are closed.
+  void close_all();
   std::size_t size() const { return connections_.size(); }
 
  private:
@@ -112,7 +114,7 @@
   Counters& counters_;
   Span idle_most_, request_most_;
   const std::size_t connections_most_;
-  bool draining_ = false, paused_ = false;
+  bool draining_ = false, closing_ = false, paused_ = false;
   net::Waker waker_;
   net::Timer timer_;
   net::Socket socket_;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -17,7 +17,10 @@
 constexpr Span drain_most =
     Span::ms(3000);  // the platform kills after the longest client timeout, at most this,
 constexpr Span drain_slack = Span::ms(550);  // and 0.7 s: all is answered by then, with time to be taken
-constexpr Span drain_look = Span::ms(10);    // between looks at what is left
+// Callers go on using the connections that they have. Those are served until this long before the end: most
+// answers take less, and the process that follows comes no sooner for an early end.
+constexpr Span drain_last = Span::ms(1000);
+constexpr Span drain_look = Span::ms(10);  // between looks at what is left
 
 // Asks for so many descriptors, and tells how many there are.
 std::size_t descriptors_for(std::size_t wanted) {
@@ -64,6 +67,11 @@
   timer_.set(scheduler_.now() + crossing);
   co_await waker_.wait(due);
   callers_.stop_listening();
+  while (callers_.size() > 0 && scheduler_.now() < last - drain_last) {
+    timer_.set(scheduler_.now() + drain_look);
+    co_await waker_.wait(due);
+  }
+  callers_.close_all();
   while (callers_.size() > 0 && scheduler_.now() < last) {
     timer_.set(scheduler_.now() + drain_look);
     co_await waker_.wait(due);
--- a/src/sidecar/sidecar.hpp
+++ b/src/sidecar/sidecar.hpp
@@ -21,8 +21,8 @@
   // Takes over what may change while it serves: where discovery is, and the bounds on callers. Connections,
   // calls and the list stay.
   void reconfigure(const config::Config& config);
-  // Serves through the crossing of new connections, then ends once all is answered. What is left when the
-  // time is up is broken off.
+  // Serves through the crossing of new connections, and those that stay for as long as leaves time to answer,
+  // then ends once all is answered. What is left when the time is up is broken off.
   void drain(Span within);
   // How long the platform leaves it: until no client waits any more, at most so long.
   Span drain_time() const;
