Drain: callers that stay are served until 0.6 s before the end

Each tenth of a second served longer is three calls that do not meet a peer which has just been told to end.

--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -19,7 +19,7 @@
 constexpr Span drain_slack = Span::ms(550);  // and 0.7 s: all is answered by then, with time to be taken
 // Callers go on using the connections that they have. Those are served until this long before the end: most
 // answers take less, and the process that follows comes no sooner for an early end.
-constexpr Span drain_last = Span::ms(1000);
+constexpr Span drain_last = Span::ms(600);
 constexpr Span drain_look = Span::ms(10);  // between looks at what is left
 
 // Asks for so many descriptors, and tells how many there are.
