Net: a listener's backlog can change, a connection can end with a reset

Stand-in endpoints need to let connections neither come up nor be refused, as a silent machine does, and to reset them. Both belong to the one owner of a descriptor.

--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -73,6 +73,8 @@
   adopt(fd);
 }
 
+void Socket::backlog(int most) { ::listen(fd_, most); }
+
 int Socket::accept(bool& exhausted) {
   exhausted = false;
   while (true) {
@@ -139,6 +141,12 @@
 
 void Socket::end_writing() { ::shutdown(fd_, SHUT_WR); }
 
+void Socket::reset() {
+  const linger at_once{.l_onoff = 1, .l_linger = 0};
+  ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+  close();
+}
+
 void Socket::close() {
   if (fd_ < 0) return;
   scheduler_.unwatch(fd_, source_);
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -30,6 +30,7 @@
   bool connect(const sockaddr_in& to);  // begins; `writable` or `hung_up` tells how it went
   bool connected() const;               // after `writable`: whether it came up
   void listen(const sockaddr_in& at);   // throws std::system_error
+  void backlog(int most);               // connections that may come up and wait to be accepted, from now on
   int accept(bool& exhausted);          // a descriptor, or -1; `exhausted`: no descriptors are left
   Result read(Buffer& into);            // what there is; of much a part, and `readable` stays set
   Result write(std::span<const char> bytes, std::size_t& written);
@@ -37,6 +38,7 @@
   bool has_bytes() const;  // there is something to read
   std::optional<sockaddr_in> local() const;
   void end_writing();  // the peer reads to the end of what was written
+  void reset();        // ends the connection with a reset, whatever is still on its way
   void close();
 
  private:
