--- /dev/null
+++ b/src/lab/fleet.cpp
@@ -0,0 +1,493 @@
+#include "lab/fleet.hpp"
+
+#include <arpa/inet.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <stdexcept>
+#include <utility>
+
+#include "lab/sidecar_config.hpp"
+
+namespace chutevane::lab {
+namespace {
+
+constexpr Span look_every = Span::ms(10);          // at processes, at what is due, at the auditor
+constexpr Span settle_every = Span::ms(50);        // the auditor's
+constexpr Span lateness_every = Span::ms(5);       // between the lab's looks at its own lateness
+constexpr Span start_most = Span::ms(10000);       // for all sidecars to be ready
+constexpr Span crossing = Span::ms(300);           // new connections still come after SIGTERM
+constexpr Span death_notice = Span::ms(2000);      // before the front notices that a sidecar has died
+constexpr Span drain_slack = Span::ms(700);        // beyond the longest client timeout, before SIGKILL
+constexpr std::size_t log_lines = 12;              // of a crashed sidecar that are shown
+constexpr int first_block = 16, last_block = 250;  // of 127.N.0.0
+constexpr std::uint16_t lock_port = 7900, service_port = 8000, discovery_port = 8500;
+constexpr int endpoint_group = 1, sidecar_group = 101;  // third byte of addresses; one more for each tier
+constexpr std::size_t descriptors_wanted = 20000;
+
+double own_cpu_ms() {
+  rusage used{};
+  ::getrusage(RUSAGE_SELF, &used);
+  const auto ms = [](const timeval& t) {
+    return static_cast<double>(t.tv_sec) * 1e3 + static_cast<double>(t.tv_usec) / 1e3;
+  };
+  return ms(used.ru_utime) + ms(used.ru_stime);
+}
+
+}  // namespace
+
+bool Result::crashed() const {
+  return std::any_of(sidecars.begin(), sidecars.end(), [](const auto& s) { return !s.crash.empty(); });
+}
+
+// --- Addresses -------------------------------------------------------------------------------------
+
+AddressBlock::AddressBlock() {
+  const int offset = static_cast<int>(::getpid()) % (last_block - first_block);
+  for (int i = 0; i <= last_block - first_block; ++i) {
+    block_ = first_block + (offset + i) % (last_block - first_block + 1);
+    fd_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in lock = at(0, 1, lock_port);
+    if (::bind(fd_, reinterpret_cast<const sockaddr*>(&lock), sizeof lock) == 0) return;
+    ::close(fd_);
+  }
+  fd_ = -1;
+  throw std::runtime_error("all blocks of loopback addresses are taken by other labs");
+}
+
+AddressBlock::~AddressBlock() {
+  if (fd_ >= 0) ::close(fd_);
+}
+
+sockaddr_in AddressBlock::at(int group, std::size_t number, std::uint16_t port) const {
+  sockaddr_in out{};
+  out.sin_family = AF_INET;
+  out.sin_port = htons(port);
+  out.sin_addr.s_addr = htonl(127U << 24U | static_cast<std::uint32_t>(block_) << 16U |
+                              static_cast<std::uint32_t>(group) << 8U | static_cast<std::uint32_t>(number));
+  return out;
+}
+
+std::string AddressBlock::text(const sockaddr_in& address) {
+  char room[INET_ADDRSTRLEN] = "";
+  ::inet_ntop(AF_INET, &address.sin_addr, room, sizeof room);
+  return std::string(room) + ":" + std::to_string(ntohs(address.sin_port));
+}
+
+// --- Putting it together ---------------------------------------------------------------------------
+
+Fleet::Fleet(const Experiment& experiment, std::uint64_t seed, const Places& places)
+    : experiment_(experiment),
+      seed_(seed),
+      places_(places),
+      timeline_(experiment_, seed),
+      auditor_(experiment_.rules, experiment_.tracks, experiment_.allowed.copies),
+      shared_(experiment_, auditor_, seed),
+      books_(experiment_.tiers.size()),
+      ready_checks_(scheduler_, [this](std::size_t number) { sidecar_ready(number); }),
+      front_(scheduler_),
+      begins_(TimePoint::never()),
+      ledger_(experiment_, begins_),
+      callers_(scheduler_, shared_, ledger_, front_, seed),
+      in_force_(experiment_.faults.size(), false),
+      waker_(scheduler_),
+      late_waker_(scheduler_),
+      timer_(scheduler_, waker_, due),
+      late_timer_(scheduler_, late_waker_, due),
+      timekeeper_(keep_time()),
+      late_task_(measure_lateness()) {
+  rlimit limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+    limit.rlim_cur = std::max(limit.rlim_cur, std::min<rlim_t>(limit.rlim_max, descriptors_wanted));
+    ::setrlimit(RLIMIT_NOFILE, &limit);
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  shared_.first_tier_dispatch = [this](CallKey call) { callers_.dispatched(call); };
+  make_sidecars();
+  for (std::size_t t = 0; t < experiment_.tiers.size(); ++t) {
+    for (std::size_t i = 0; i < static_cast<std::size_t>(experiment_.tiers[t].endpoints); ++i) {
+      endpoints_.push_back(std::make_unique<EndpointPlace>());
+      endpoints_.back()->tier = t;
+      endpoints_.back()->place = i;
+    }
+  }
+}
+
+Fleet::~Fleet() {
+  for (auto& s : sidecars_) s->process.kill();
+}
+
+void Fleet::make_sidecars() {
+  for (std::size_t t = 0; t < experiment_.tiers.size(); ++t) {
+    for (std::size_t i = 0; i < sidecars_of(experiment_, t); ++i) {
+      auto s = std::make_unique<SidecarPlace>();
+      s->number = sidecars_.size();
+      s->tier = t;
+      s->before = i;
+      s->name = experiment_.tiers[t].name + "-" + std::to_string(i);
+      s->config = places_.folder + "/" + s->name + ".json";
+      s->log = places_.folder + "/" + s->name + ".log";
+      std::ofstream(s->log, std::ios::trunc);
+      s->listen = addresses_.at(sidecar_group + static_cast<int>(t), i + 1, service_port);
+      s->discovery = addresses_.at(sidecar_group + static_cast<int>(t), i + 1, discovery_port);
+      s->agent = std::make_unique<DiscoveryAgent>(scheduler_, books_[t], s->number,
+                                                  experiment_.tiers[t].list_delay, shared_);
+      s->agent->open(s->discovery);
+      sidecars_.push_back(std::move(s));
+    }
+  }
+}
+
+void Fleet::write_config(SidecarPlace& s) {
+  SidecarConfig c;
+  c.name = s.name;
+  c.listen = AddressBlock::text(s.listen);
+  c.discovery = AddressBlock::text(s.discovery);
+  c.seed = seed_ * 1000003U + s.number * 101U + static_cast<unsigned>(s.starts);
+  c.tier = s.tier;
+  c.place = s.before;
+  c.known = s.agent->known();
+  write_sidecar_config(experiment_, c, s.config);
+}
+
+void Fleet::start_sidecar(SidecarPlace& s) {
+  ++s.starts;
+  write_config(s);
+  s.process.start({places_.sidecar, "serve", "--config", s.config}, s.log);
+  s.doing = Doing::starting;
+  s.kill_at = TimePoint::never();
+  ready_checks_.begin(s.number, s.listen);
+}
+
+void Fleet::kill_sidecar(SidecarPlace& s) {
+  if (s.doing == Doing::down) return;
+  const std::optional<Usage> used = usage_of(s.process.pid());
+  if (used)
+    s.used.cpu_ms += used->cpu_ms, s.used.user_ms += used->user_ms, s.used.system_ms += used->system_ms;
+  ready_checks_.stop(s.number);
+  s.doing = Doing::down;
+  s.process.kill();
+  auditor_.sidecar_killed(s.number, scheduler_.now());
+  front_.drop_at(s.number, scheduler_.now() + death_notice);
+}
+
+void Fleet::watch_processes() {
+  const TimePoint now = scheduler_.now();
+  for (auto& s : sidecars_) {
+    const std::optional<Usage> used = s->doing == Doing::draining ? usage_of(s->process.pid()) : std::nullopt;
+    const std::optional<std::string> end = s->process.ended();
+    if (end) {
+      const bool meant = s->doing == Doing::draining && *end == "exit status 0";
+      if (!meant) {
+        s->crash = s->name + " ended with " + *end + "\n" + last_lines(s->log, log_lines);
+        auditor_.sidecar_killed(s->number, now);
+        front_.drop_at(s->number, now + death_notice);
+      }
+      ready_checks_.stop(s->number);
+      s->doing = Doing::down;
+      if (meant && s->restarts) start_sidecar(*s);
+    } else if (s->doing == Doing::draining && now >= s->kill_at) {
+      kill_sidecar(*s);
+      if (s->restarts) start_sidecar(*s);
+    } else if (used) {
+      s->used.most_resident_kb = std::max(s->used.most_resident_kb, used->most_resident_kb);
+    }
+  }
+}
+
+void Fleet::sidecar_ready(std::size_t number) {
+  SidecarPlace& s = *sidecars_[number];
+  if (s.doing != Doing::starting) return;
+  s.doing = Doing::serving;
+  if (s.tier == 0) front_.take_in(number, s.listen);
+  for (auto& e : endpoints_) {
+    if (e->waits_for_sidecar && sidecar_of(*e) == &s) open_endpoint(*e);
+  }
+}
+
+bool Fleet::all_ready() const {
+  return std::all_of(sidecars_.begin(), sidecars_.end(),
+                     [](const auto& s) { return s->doing == Doing::serving; });
+}
+
+// --- Endpoints -------------------------------------------------------------------------------------
+
+Fleet::EndpointPlace& Fleet::endpoint(std::size_t tier, std::size_t place) {
+  return **std::find_if(endpoints_.begin(), endpoints_.end(),
+                        [&](const auto& e) { return e->tier == tier && e->place == place; });
+}
+
+Fleet::SidecarPlace* Fleet::sidecar_of(const EndpointPlace& e) {
+  if (e.tier + 1 >= experiment_.tiers.size()) return nullptr;
+  const std::size_t before = e.place % sidecars_of(experiment_, e.tier + 1);
+  for (auto& s : sidecars_) {
+    if (s->tier == e.tier + 1 && s->before == before) return s.get();
+  }
+  return nullptr;
+}
+
+bool Fleet::has_own_sidecar(const EndpointPlace& e) const {
+  return e.tier + 1 < experiment_.tiers.size() && experiment_.tiers[e.tier + 1].sidecars == 0;
+}
+
+// A new life: an id of its own, at the old address. It is listed once its sidecar is ready.
+void Fleet::bring_up(EndpointPlace& e, bool cold) {
+  const TierSpec& tier = experiment_.tiers[e.tier];
+  ++e.lives;
+  EndpointStandIn::Spec spec;
+  spec.key = ++last_key_;
+  spec.id = tier.name + "-" + std::to_string(e.place) + "-" + std::to_string(e.lives);
+  spec.tier = e.tier;
+  spec.place = e.place;
+  spec.zone = zone_of(tier, e.place);
+  spec.cell = e.place % static_cast<std::size_t>(tier.cells);
+  spec.address = addresses_.at(endpoint_group + static_cast<int>(e.tier), e.place + 1, service_port);
+  spec.came_up = cold ? scheduler_.now() : TimePoint();
+  e.listed = {spec.id,
+              AddressBlock::text(spec.address),
+              tier.zones[spec.zone],
+              spec.cell,
+              Availability::ready,
+              spec.came_up,
+              spec.key};
+  e.now = std::make_unique<EndpointStandIn>(scheduler_, shared_, spec);
+  SidecarPlace* const s = sidecar_of(e);
+  if (s != nullptr && has_own_sidecar(e) && s->doing == Doing::down) start_sidecar(*s);
+  e.waits_for_sidecar = s != nullptr && s->doing != Doing::serving;
+  if (!e.waits_for_sidecar) open_endpoint(e);
+}
+
+void Fleet::open_endpoint(EndpointPlace& e) {
+  e.waits_for_sidecar = false;
+  if (SidecarPlace* s = sidecar_of(e)) e.now->calls_through(Destination{s->listen, s->number});
+  e.now->open();
+  apply_ills();
+  publish(e, Availability::ready);
+}
+
+void Fleet::take_down(EndpointPlace& e) {
+  if (!e.now || e.now->dead()) return;
+  e.now->die();
+  graves_.push_back(std::move(e.now));
+  e.waits_for_sidecar = false;
+  if (has_own_sidecar(e)) kill_sidecar(*sidecar_of(e));
+  publish(e, Availability::gone);
+}
+
+void Fleet::publish(EndpointPlace& e, Availability availability) {
+  e.listed.availability = availability;
+  // What is there from the start was told long ago.
+  books_[e.tier].publish(e.listed, begins_ == TimePoint::never() ? TimePoint() : scheduler_.now());
+  for (auto& s : sidecars_) {
+    if (s->tier == e.tier) s->agent->look();
+  }
+}
+
+// --- The time line ---------------------------------------------------------------------------------
+
+void Fleet::later(Span in, std::function<void()> what) {
+  later_.push_back({scheduler_.now() + in, std::move(what)});
+}
+
+void Fleet::apply_ills() {
+  for (auto& e : endpoints_) {
+    if (e->now && !e->waits_for_sidecar) e->now->suffer(timeline_.ills(e->tier, e->place, in_force_));
+  }
+  for (auto& s : sidecars_) s->agent->suffer(timeline_.list_ills(s->tier, in_force_));
+  const double factor = timeline_.rate_factor(in_force_);
+  if (factor != 1.0) shared_.struck(FaultKind::burst);
+  callers_.rate_factor(factor);
+}
+
+// Drained, ended, back cold; then the next one.
+void Fleet::release_next(std::size_t fault, std::size_t nth) {
+  const FaultSpec& spec = experiment_.faults[fault];
+  if (nth >= timeline_.targets(fault).size()) return;
+  EndpointPlace& e = endpoint(timeline_.tier_of(fault), timeline_.targets(fault)[nth]);
+  if (!e.now) return release_next(fault, nth + 1);
+  e.now->drain();
+  shared_.struck(FaultKind::release);
+  publish(e, Availability::draining);
+  later(spec.drain, [this, &e, fault, nth, down = spec.down] {
+    take_down(e);
+    later(down, [this, &e, fault, nth] {
+      if (!e.now) bring_up(e, true);
+      release_next(fault, nth + 1);
+    });
+  });
+}
+
+void Fleet::step(const Step& step) {
+  const FaultSpec& spec = experiment_.faults[step.fault];
+  in_force_[step.fault] = step.begins && spec.lasts > Span();
+  const auto& targets = timeline_.targets(step.fault);
+  const std::size_t tier = timeline_.tier_of(step.fault);
+  if (step.begins && spec.kind == FaultKind::release) release_next(step.fault, 0);
+  for (const std::size_t place : targets) {
+    if (!step.begins) break;
+    if (spec.lasts == Span()) shared_.struck(spec.kind);
+    if (spec.kind == FaultKind::zone_lost) shared_.struck(spec.kind);
+    if (spec.kind == FaultKind::end) take_down(endpoint(tier, place));
+    if (spec.kind == FaultKind::restart) {
+      EndpointPlace& e = endpoint(tier, place);
+      take_down(e);
+      later(spec.down, [this, &e] {
+        if (!e.now) bring_up(e, true);
+      });
+    }
+    if (!hits_sidecars(spec.kind)) continue;
+    SidecarPlace& s = **std::find_if(sidecars_.begin(), sidecars_.end(), [&](const auto& one) {
+      return one->tier == tier && one->before == place;
+    });
+    if (s.doing != Doing::serving) continue;
+    if (spec.kind == FaultKind::sidecar_killed) {
+      kill_sidecar(s);
+      later(spec.down, [this, &s] {
+        if (s.doing == Doing::down) start_sidecar(s);
+      });
+    } else {
+      Span longest;
+      for (const TrackSpec& t : experiment_.tracks) longest = std::max(longest, t.client_timeout);
+      s.doing = Doing::draining;
+      s.restarts = true;
+      s.kill_at = scheduler_.now() + longest + drain_slack;
+      front_.drop_at(s.number, scheduler_.now() + crossing);
+      s.process.signal(SIGTERM);
+    }
+  }
+  apply_ills();
+}
+
+net::Task Fleet::keep_time() {
+  TimePoint settle_at;
+  while (true) {
+    const TimePoint now = scheduler_.now();
+    watch_processes();
+    while (next_step_ < timeline_.steps().size() && begins_ + timeline_.steps()[next_step_].at <= now)
+      step(timeline_.steps()[next_step_++]);
+    for (std::size_t i = 0; i < later_.size();) {
+      if (later_[i].at > now) {
+        ++i;
+        continue;
+      }
+      const std::function<void()> what = std::move(later_[i].what);
+      later_.erase(later_.begin() + static_cast<long>(i));
+      what();
+    }
+    std::erase_if(graves_, [](const auto& g) { return g->connections() == 0; });
+    if (now >= settle_at) {
+      auditor_.settle(now);
+      settle_at = now + settle_every;
+    }
+    timer_.set(now + look_every);
+    co_await waker_.wait(due);
+  }
+}
+
+net::Task Fleet::measure_lateness() {
+  while (true) {
+    const TimePoint wanted = scheduler_.now() + lateness_every;
+    late_timer_.set(wanted);
+    co_await late_waker_.wait(due);
+    const double late = (scheduler_.now() - wanted).as_ms();
+    most_late_ms_ = std::max(most_late_ms_, late);
+    lateness_.add(late);
+  }
+}
+
+Result Fleet::run(const Progress& progress) {
+  for (auto& e : endpoints_) {
+    if (e->tier + 1 == experiment_.tiers.size()) bring_up(*e, false);
+  }
+  // Tiers come up from the last to the first, so that each list that a sidecar starts with is whole.
+  for (std::size_t t = experiment_.tiers.size(); t-- > 0;) {
+    const auto of_tier = [&](const auto& one) { return one->tier == t; };
+    for (auto& s : sidecars_) {
+      if (of_tier(s)) s->agent->look();
+    }
+    for (auto& s : sidecars_) {
+      if (of_tier(s) && s->doing == Doing::down) start_sidecar(*s);
+    }
+    if (!std::exchange(timekeeper_started_, true)) timekeeper_.start();
+    const TimePoint latest = scheduler_.now() + start_most;
+    const auto up = [&] {
+      return std::all_of(sidecars_.begin(), sidecars_.end(),
+                         [&](const auto& s) { return !of_tier(s) || s->doing == Doing::serving; });
+    };
+    while (!up() && !stopped_) {
+      scheduler_.turn();
+      for (const auto& s : sidecars_) {
+        if (!s->crash.empty()) throw std::runtime_error("a sidecar does not start: " + s->crash);
+      }
+      if (scheduler_.now() > latest) throw std::runtime_error("the sidecars were not ready within 10 s");
+    }
+    if (t == 0) break;
+    for (auto& e : endpoints_) {
+      if (e->tier + 1 == t && !e->now) bring_up(*e, false);
+    }
+  }
+  const double cpu_before = own_cpu_ms();
+  const TimePoint starts = scheduler_.now();
+  begins_ = starts + experiment_.settle;
+  ledger_.set_begin(begins_);
+  callers_.begin(starts);
+  const TimePoint ends = begins_ + experiment_.lasts;
+  bool measuring = false;
+  TimePoint next_progress = starts;
+  while (scheduler_.now() < ends && !stopped_) {
+    scheduler_.turn();
+    const TimePoint now = scheduler_.now();
+    if (!measuring && now >= begins_) {
+      measuring = true;
+      late_task_.start();
+      for (auto& s : sidecars_) s->at_begin = usage_of(s->process.pid()).value_or(Usage{});
+    }
+    if (progress && now >= next_progress) {
+      progress(now - begins_, experiment_.lasts, ledger_);
+      next_progress = now + Span::ms(200);
+    }
+  }
+  callers_.stop();
+  Span longest;
+  for (const TrackSpec& t : experiment_.tracks) longest = std::max(longest, t.client_timeout);
+  const TimePoint latest = scheduler_.now() + longest + experiment_.rules.slack * 2.0;
+  while (callers_.open_wishes() > 0 && scheduler_.now() < latest && !stopped_) scheduler_.turn();
+
+  Result out(ledger_);
+  out.seed = seed_;
+  out.stopped = stopped_;
+  for (auto& s : sidecars_) {
+    SidecarResult r;
+    r.name = s->name;
+    r.usage = s->used;
+    r.crash = s->crash;
+    if (const auto used = usage_of(s->process.pid())) {
+      const bool same = s->starts == 1;  // else what it used before the measured time went with its process
+      r.usage.cpu_ms += used->cpu_ms - (same ? s->at_begin.cpu_ms : 0.0);
+      r.usage.user_ms += used->user_ms - (same ? s->at_begin.user_ms : 0.0);
+      r.usage.system_ms += used->system_ms - (same ? s->at_begin.system_ms : 0.0);
+      r.usage.resident_kb = used->resident_kb;
+      r.usage.most_resident_kb = std::max(s->used.most_resident_kb, used->most_resident_kb);
+    }
+    out.sidecars.push_back(r);
+  }
+  if (!stopped_) auditor_.finish(scheduler_.now());
+  out.breaches = auditor_.breaches();
+  out.breach_count = auditor_.breach_count();
+  out.dispatches = auditor_.dispatches();
+  out.effects = auditor_.effects();
+  out.strikes = shared_.strikes;
+  out.most_cold_part = auditor_.most_cold_part();
+  out.lateness = {lateness_.quantile(0.5), lateness_.quantile(0.99), most_late_ms_};
+  out.is_void = out.lateness.p99_ms > experiment_.lateness_bound.as_ms();
+  out.lab_cpu_ms = own_cpu_ms() - cpu_before;
+  out.caller_connections = callers_.connections_opened();
+  for (auto& s : sidecars_) s->process.kill();
+  return out;
+}
+
+}  // namespace chutevane::lab
--- /dev/null
+++ b/src/lab/fleet.hpp
@@ -0,0 +1,161 @@
+// A whole fleet in one process, its sidecars beside it: stand-ins put together as an experiment says, run
+// through its time line, judged and counted.
+#pragma once
+
+#include <array>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lab/auditor.hpp"
+#include "lab/callers.hpp"
+#include "lab/discovery.hpp"
+#include "lab/endpoint.hpp"
+#include "lab/front.hpp"
+#include "lab/ledger.hpp"
+#include "lab/process.hpp"
+#include "lab/timeline.hpp"
+
+namespace chutevane::lab {
+
+struct Places {
+  std::string sidecar;  // the program
+  std::string folder;   // for configurations and logs; it is there
+};
+
+struct SidecarResult {
+  std::string name;
+  Usage usage;
+  std::string crash;  // how it ended and its last log lines; empty: it did not
+};
+
+// How late the lab's own timers fired.
+struct Lateness {
+  double median_ms = 0.0, p99_ms = 0.0, most_ms = 0.0;
+};
+
+struct Result {
+  explicit Result(const Ledger& l) : ledger(l) {}
+  std::uint64_t seed = 0;
+  bool stopped = false;  // by a signal, before its end
+  Ledger ledger;
+  std::vector<Breach> breaches;
+  std::uint64_t breach_count = 0, dispatches = 0, effects = 0;
+  double most_cold_part = 0.0;
+  std::array<std::uint64_t, fault_kinds> strikes{};  // how often each kind of fault has shown
+  std::vector<SidecarResult> sidecars;
+  Lateness lateness;
+  bool is_void = false;  // the lab itself was too late
+  double lab_cpu_ms = 0.0;
+  std::uint64_t caller_connections = 0;
+  bool crashed() const;
+  bool broken() const { return breach_count > 0 || crashed(); }
+};
+
+// A block of loopback addresses that no other lab has: 127.N.0.0, held for as long as this lives.
+class AddressBlock {
+ public:
+  AddressBlock();  // throws std::runtime_error when none is free
+  ~AddressBlock();
+  AddressBlock(const AddressBlock&) = delete;
+  AddressBlock& operator=(const AddressBlock&) = delete;
+  sockaddr_in at(int group, std::size_t number, std::uint16_t port) const;
+  static std::string text(const sockaddr_in& address);
+
+ private:
+  int fd_ = -1, block_ = 0;
+};
+
+class Fleet {
+ public:
+  using Progress = std::function<void(Span done, Span whole, const Ledger& ledger)>;
+  // Throws std::system_error or std::runtime_error where the machine does not allow it.
+  Fleet(const Experiment& experiment, std::uint64_t seed, const Places& places);
+  ~Fleet();
+  Result run(const Progress& progress);
+  // From a signal handler's place in the loop: ends the run early.
+  void stop() { stopped_ = true; }
+  pid_t sidecar_pid(std::size_t sidecar) const { return sidecars_[sidecar]->process.pid(); }
+
+ private:
+  static constexpr net::Waker::Bits due = net::Waker::own;
+  enum class Doing : std::uint8_t { starting, serving, draining, down };
+  struct SidecarPlace {
+    std::string name, config, log;
+    std::size_t number = 0, tier = 0, before = 0;  // `before`: which of its tier
+    sockaddr_in listen{}, discovery{};
+    std::unique_ptr<DiscoveryAgent> agent;
+    Process process;
+    Doing doing = Doing::down;
+    TimePoint kill_at = TimePoint::never();
+    bool restarts = false;  // when it has drained
+    Usage used;             // by processes that have ended
+    Usage at_begin;         // of the measured time
+    std::string crash;
+    int starts = 0;
+  };
+  struct EndpointPlace {
+    std::size_t tier = 0, place = 0;
+    std::unique_ptr<EndpointStandIn> now;
+    Listed listed;
+    int lives = 0;
+    bool waits_for_sidecar = false;
+  };
+  struct Later {
+    TimePoint at;
+    std::function<void()> what;
+  };
+
+  void make_sidecars();
+  void write_config(SidecarPlace& s);
+  void start_sidecar(SidecarPlace& s);
+  void kill_sidecar(SidecarPlace& s);
+  void watch_processes();
+  void sidecar_ready(std::size_t number);
+  SidecarPlace* sidecar_of(const EndpointPlace& e);  // through which it calls the next tier
+  bool has_own_sidecar(const EndpointPlace& e) const;
+  void bring_up(EndpointPlace& e, bool cold);
+  void open_endpoint(EndpointPlace& e);
+  void take_down(EndpointPlace& e);
+  void publish(EndpointPlace& e, Availability availability);
+  EndpointPlace& endpoint(std::size_t tier, std::size_t place);
+  void release_next(std::size_t fault, std::size_t nth);
+  void step(const Step& step);
+  void apply_ills();
+  void later(Span in, std::function<void()> what);
+  net::Task keep_time();
+  net::Task measure_lateness();
+  bool all_ready() const;
+
+  Experiment experiment_;
+  std::uint64_t seed_;
+  Places places_;
+  net::Scheduler scheduler_;
+  AddressBlock addresses_;
+  Timeline timeline_;
+  Auditor auditor_;
+  Shared shared_;
+  std::vector<Book> books_;  // by tier
+  std::vector<std::unique_ptr<SidecarPlace>> sidecars_;
+  std::vector<std::unique_ptr<EndpointPlace>> endpoints_;
+  std::vector<std::unique_ptr<EndpointStandIn>> graves_;  // ended, until their connections are gone
+  ReadyChecks ready_checks_;
+  Front front_;
+  TimePoint begins_;
+  Ledger ledger_;
+  CallerStandIns callers_;
+  std::vector<bool> in_force_;
+  std::vector<Later> later_;
+  EndpointKey last_key_ = 0;
+  std::size_t next_step_ = 0;
+  bool stopped_ = false, timekeeper_started_ = false;
+  LatencyTable lateness_;
+  double most_late_ms_ = 0.0;
+  net::Waker waker_, late_waker_;
+  net::Timer timer_, late_timer_;
+  net::Task timekeeper_, late_task_;
+};
+
+}  // namespace chutevane::lab
--- /dev/null
+++ b/src/lab/process.cpp
@@ -0,0 +1,102 @@
+#include "lab/process.hpp"
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <csignal>
+#include <deque>
+#include <fstream>
+#include <sstream>
+#include <system_error>
+
+namespace chutevane::lab {
+
+std::optional<Usage> usage_of(pid_t pid) {
+  const std::string folder = "/proc/" + std::to_string(pid);
+  std::ifstream stat(folder + "/stat"), status(folder + "/status");
+  std::string line;
+  if (!stat || !std::getline(stat, line)) return std::nullopt;
+  std::istringstream rest(line.substr(line.rfind(')') + 1));
+  std::string skipped;
+  for (int i = 0; i < 11; ++i) rest >> skipped;
+  double user = 0, system = 0;
+  rest >> user >> system;
+  const double tick_ms = 1000.0 / static_cast<double>(::sysconf(_SC_CLK_TCK));
+  Usage out;
+  out.user_ms = user * tick_ms;
+  out.system_ms = system * tick_ms;
+  out.cpu_ms = out.user_ms + out.system_ms;
+  while (std::getline(status, line)) {
+    if (line.starts_with("VmRSS:")) out.resident_kb = std::stod(line.substr(6));
+    if (line.starts_with("VmHWM:")) out.most_resident_kb = std::stod(line.substr(6));
+  }
+  return out;
+}
+
+void Process::start(const std::vector<std::string>& command, const std::string& log) {
+  kill();
+  const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  if (out < 0) throw std::system_error(errno, std::generic_category(), log);
+  std::vector<char*> words;
+  for (const std::string& word : command) words.push_back(const_cast<char*>(word.c_str()));
+  words.push_back(nullptr);
+  const pid_t parent = ::getpid();
+  const pid_t pid = ::fork();
+  if (pid < 0) {
+    const int error = errno;
+    ::close(out);
+    throw std::system_error(error, std::generic_category(), "fork");
+  }
+  if (pid == 0) {
+    // Guards against a sidecar that outlives a killed lab; the lab may have ended before this line.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (::getppid() != parent) ::_exit(126);
+    sigset_t none;
+    sigemptyset(&none);
+    ::sigprocmask(SIG_SETMASK, &none, nullptr);
+    ::dup2(out, STDOUT_FILENO);
+    ::dup2(out, STDERR_FILENO);
+    ::execv(words[0], words.data());
+    ::_exit(127);
+  }
+  ::close(out);
+  pid_ = pid;
+}
+
+void Process::signal(int number) {
+  if (pid_ > 0) ::kill(pid_, number);
+}
+
+void Process::kill() {
+  if (pid_ <= 0) return;
+  ::kill(pid_, SIGKILL);
+  while (::waitpid(pid_, nullptr, 0) < 0 && errno == EINTR) {
+  }
+  pid_ = 0;
+}
+
+std::optional<std::string> Process::ended() {
+  int status = 0;
+  if (pid_ <= 0 || ::waitpid(pid_, &status, WNOHANG) != pid_) return std::nullopt;
+  pid_ = 0;
+  if (WIFSIGNALED(status)) return "signal " + std::to_string(WTERMSIG(status));
+  return "exit status " + std::to_string(WEXITSTATUS(status));
+}
+
+std::string last_lines(const std::string& file, std::size_t lines) {
+  std::ifstream in(file);
+  std::deque<std::string> kept;
+  std::string line;
+  while (std::getline(in, line)) {
+    kept.push_back(line);
+    if (kept.size() > lines) kept.pop_front();
+  }
+  std::string out;
+  for (const std::string& one : kept) out += one + "\n";
+  return out;
+}
+
+}  // namespace chutevane::lab
--- /dev/null
+++ b/src/lab/sidecar_config.cpp
@@ -0,0 +1,74 @@
+#include "lab/sidecar_config.hpp"
+
+#include <cstdio>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+#include "lab/timeline.hpp"
+
+namespace chutevane::lab {
+namespace {
+
+using nlohmann::json;
+
+const char* effect_name(TrackEffect e) {
+  return e == TrackEffect::replayable ? "safe" : e == TrackEffect::referenced ? "keyed" : "unsafe";
+}
+
+const char* scope_name(Scope s) { return s == Scope::all ? "all" : s == Scope::zone ? "zone" : "cell"; }
+
+json classes_of(const Experiment& e) {
+  json out = json::array();
+  for (const TrackSpec& t : e.tracks) {
+    out.push_back({{"name", t.name},
+                   {"target_ms", t.soft_limit.as_ms()},
+                   {"give_up_ms", t.client_timeout.as_ms()},
+                   {"points", t.payoff},
+                   {"late_share", t.late_payoff},
+                   {"effect", effect_name(t.effect)},
+                   {"key_scope", scope_name(t.scope)},
+                   {"memory_span_ms", t.remembered.as_ms()}});
+  }
+  return out;
+}
+
+}  // namespace
+
+void write_sidecar_config(const Experiment& e, const SidecarConfig& c, const std::string& file) {
+  const TierSpec& tier = e.tiers[c.tier];
+  char seed[20];
+  std::snprintf(seed, sizeof seed, "%016llx", static_cast<unsigned long long>(c.seed));
+  json settings;
+  settings["tier"] = c.tier;
+  settings["n_instances"] = sidecars_of(e, c.tier);
+  settings["discovery"] = "automatic";
+  settings["zone"] = tier.zones[c.place % tier.zones.size()];
+  settings["zones"] = tier.zones;
+  settings["client_habits"] = {{"marks_retry", e.callers.marks_repeats}};
+  settings["allowed"] = {{"probes", false},
+                         {"cancel", e.allowed.cancel},
+                         {"may_duplicate", e.allowed.copies},
+                         {"retry_after", e.allowed.retry_after},
+                         {"max_retry_after_ms", e.allowed.most_retry_after.as_ms()},
+                         {"max_attempts", e.allowed.dispatches},
+                         {"connect_timeout_ms", e.allowed.connect_timeout.as_ms()},
+                         {"idle_close_ms", tier.idle_close.as_ms()}};
+  settings["rules"] = {{"cold_share", e.rules.cold_share},
+                       {"fall_multiple", e.rules.fall_multiple},
+                       {"fall_ms", e.rules.fall_window.as_ms()},
+                       {"warm_after_ms", e.rules.warm_after.as_ms()}};
+  settings["classes"] = classes_of(e);
+  const json out = {{"name", c.name},
+                    {"listen", c.listen},
+                    {"discovery", c.discovery},
+                    {"seed", seed},
+                    {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 4096}}},
+                    {"known", json::parse(c.known)},
+                    {"settings", settings}};
+  std::ofstream into(file, std::ios::trunc);
+  into << out.dump(1) << "\n";
+  if (!into.flush()) throw std::runtime_error(file + ": cannot be written");
+}
+
+}  // namespace chutevane::lab
--- /dev/null
+++ b/src/lab/sidecar_config.hpp
@@ -0,0 +1,20 @@
+// A sidecar's configuration as the platform writes it, from an experiment.
+#pragma once
+
+#include <string>
+
+#include "lab/experiment.hpp"
+
+namespace chutevane::lab {
+
+struct SidecarConfig {
+  std::string name, listen, discovery;
+  std::uint64_t seed = 0;
+  std::size_t tier = 0, place = 0;  // which of its tier's sidecars
+  std::string known;                // discovery's JSON
+};
+
+// Throws std::runtime_error when the file cannot be written.
+void write_sidecar_config(const Experiment& experiment, const SidecarConfig& config, const std::string& file);
+
+}  // namespace chutevane::lab
