Routing: tables of routes, splits, failover and limits as choices without I/O

A sidecar serves one list of endpoints with one set of settings; other installations need many services, tiers of pools and moves of traffic between versions. Nothing of it is called by the sidecar yet.

--- /dev/null
+++ b/src/opfile/model.hpp
@@ -0,0 +1,74 @@
+// What an operator's file says: listeners, services, routes, pools, tracks, limits, clients. Plain values,
+// checked.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "chutevane/types.hpp"
+#include "discovery/list.hpp"
+#include "limit/limiter.hpp"
+#include "pool/failover.hpp"
+#include "pool/onward.hpp"
+#include "route/table.hpp"
+
+namespace chutevane::opfile {
+
+struct TrackModel {
+  std::string name;
+  pool::Effect effect = pool::Effect::replayable;
+  std::string repeat_group = "all";  // all, zone or cell
+  Span remembered, soft_limit, client_timeout;
+  double payoff = 1.0, late_payoff = 0.0;
+};
+
+struct PoolModel {
+  std::string name;
+  std::string discovery;        // an address; empty: the endpoints below
+  discovery::List endpoints;    // static, or what is known at the start
+  std::string zone;             // of this sidecar; empty: none
+  std::string reference_group;  // pools of one group remember references together; empty: its own
+  double carries_per_s = 0.0;   // calls that it is stated to carry when whole; 0: not stated
+  int sidecars = 1;             // that share it
+  int dispatches = 4;           // of one call, over all pools that it goes to
+  bool cancel = true, copies = false;
+  Span connect_timeout, idle_close, most_retry_after, warm_after, fall_window;
+  double cold_share = 0.2, fall_multiple = 3.0;
+};
+
+struct SideModel {
+  std::string name;
+  double weight = 1.0;
+  std::vector<std::size_t> pools;  // by priority
+};
+
+struct ServiceModel {
+  std::string name;
+  std::vector<SideModel> sides;
+  std::string split_header;  // whose value keeps a caller on its side; empty: each call is drawn
+  pool::FailoverSpec failover;
+  limit::LimitSpec limits;
+};
+
+struct RouteModel {
+  route::Route match;
+  std::size_t service = 0, track = 0;
+};
+
+struct Model {
+  std::string name = "sidecar";
+  std::uint64_t seed = 0;
+  std::size_t sockets = 1024;
+  Span request_most, idle_most;
+  std::vector<std::string> listen;
+  std::string client_header;  // whose value names a client; empty: the peer's address
+  std::string id_header = "X-Request-ID", wait_header = "X-Timeout", reference_header = "Idempotency-Key",
+              proof_header = "X-Not-Processed";
+  std::vector<TrackModel> tracks;
+  std::vector<PoolModel> pools;
+  std::vector<ServiceModel> services;
+  std::vector<RouteModel> routes;
+  route::Table table;
+};
+
+}  // namespace chutevane::opfile
