Services: many behind one sidecar, by routes, splits, failover and limits

The sidecar served one list with one set of settings. `chutevane serve FILE.toml` reads an operator's file and runs each pool with its own balancer; src/sidecar/services hands a call to a pool, counts how it ended and gives it to the next one where the track's rules on repeats allow, within one budget of dispatches. The platform's file is one service with one pool and goes straight to its driver. `check` and `explain` take the file too.

Leftovers first went to any pool with endpoints ready, which ended the bound where the first was lost whole; they stay with the first now.

The lab's reset-before fault did not show where no new connection came up; it resets those at rest now.

--- a/include/chutevane/types.hpp
+++ b/include/chutevane/types.hpp
@@ -72,12 +72,21 @@
 
 enum class ListKind : std::uint8_t { failed, full, cached, changes };
 
+// What was done for an API call before it came here, by other pools of endpoints.
+struct Elsewhere {
+  bool was = false;
+  std::uint8_t dispatches = 0;
+  bool may_have_run = false;  // one of them
+  Span spent;                 // since the call was first taken
+};
+
 struct ApiCall {
   CallId id = 0;
   std::uint32_t track = 0;
   std::uint32_t account = 0;
   Span left;  // until the client gives this try up
   bool repeated = false;
+  Elsewhere elsewhere{};
 };
 
 enum class Outcome : std::uint8_t {
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -469,7 +469,7 @@
 
 bool Balancer::State::may_go_again(const Call& c, TimePoint now) {
   const Track& t = tracks[c.track];
-  if (c.sent >= most_dispatches) return false;
+  if (c.sent + c.sent_elsewhere >= most_dispatches) return false;
   if (c.bound_to >= 0 && t.effect != Effect::replayable) {
     if (t.effect == Effect::single_use || now - c.bound_since >= t.repeat_window) return false;
   }
@@ -763,18 +763,23 @@
   c.track = call.track;
   c.arrived = now;
   c.timeout = now + call.left;
-  c.soft_end = now + s.tracks[c.track].soft_limit;
+  c.soft_end = now + s.tracks[c.track].soft_limit - call.elsewhere.spent;
+  c.sent_elsewhere = call.elsewhere.dispatches;
   c.in_use = true;
   s.call_index.put(call.id, at);
   c.payoff = s.payoff_of(call, now);
   s.payoff_seen = std::min(1.0 / mean_gain, s.payoff_seen + 1.0);
   s.payoff_mean += (c.payoff - s.payoff_mean) / s.payoff_seen;
-  s.retry_tokens = std::min(retry_depth, s.retry_tokens + retry_share);
+  if (!call.elsewhere.was) s.retry_tokens = std::min(retry_depth, s.retry_tokens + retry_share);
   ++s.step_arrivals;
   ++s.calls_out;
   s.step_peak = std::max(s.step_peak, s.calls_out);
-  if (s.first_tier) c.soft_end = c.soft_end - s.age_of(call);
+  if (s.first_tier && !call.elsewhere.was) c.soft_end = c.soft_end - s.age_of(call);
   if (!s.admitted(c)) return s.give_up(at, now, true);
+  // One that may have run in another pool is a dispatch again here. Guards the retry budget against a lost
+  // pool whose calls all come on to this one.
+  if (call.elsewhere.may_have_run && s.retry_tokens < 1.0) return s.give_up(at, now, false);
+  if (call.elsewhere.may_have_run) s.retry_tokens -= 1.0;
   return s.place(at, now);
 }
 
--- a/src/lab/endpoint.cpp
+++ b/src/lab/endpoint.cpp
@@ -311,6 +311,14 @@
       listener_.open(spec_.address);
     }
   }
+  // Connections at rest go too: else those that are kept would hide that no new one comes up.
+  for (std::size_t i = 0; ills.reset_accepted && !before.reset_accepted && i < served_.size(); ++i) {
+    ServedConnection& c = served_[i];
+    if (c.job_ != 0 || !c.in_.empty() || !c.out_.empty()) continue;
+    shared_.struck(FaultKind::reset_before);
+    c.socket_.reset();
+    c.waker_.set(ServedConnection::dropped);
+  }
   listener_.silence(ills.silent);
   if (before.silent && !ills.silent) {
     for (std::size_t i = 0; i < served_.size(); ++i) served_[i].waker_.set(ServedConnection::healed);
--- a/src/lab/experiment.hpp
+++ b/src/lab/experiment.hpp
@@ -81,7 +81,7 @@
   slow,                 // its cores work at 1/factor
   neighbour,            // another takes `part` of its cores
   refused,              // connections are refused; those open go on
-  reset_before,         // connections reset as they are accepted
+  reset_before,         // connections reset as they are accepted, and those at rest as it begins
   reset_amid,           // in the middle of a request
   reset_after,          // after the whole request, which may have run
   reset_answer,         // in the middle of the answer
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,34 +5,70 @@
 #include <string>
 
 #include "config/config.hpp"
+#include "opfile/explain.hpp"
+#include "opfile/file.hpp"
 #include "sidecar/sidecar.hpp"
 
+namespace {
+
+using namespace chutevane;
+
+int explain(const opfile::Model& model, const cxxopts::ParseResult& given) {
+  opfile::Question q;
+  q.host = given["host"].as<std::string>();
+  q.path = given["path"].as<std::string>();
+  q.method = given["method"].as<std::string>();
+  if (given.count("header") > 0) {
+    for (const std::string& one : given["header"].as<std::vector<std::string>>()) {
+      const std::size_t equal = one.find('=');
+      if (equal == std::string::npos) throw std::runtime_error("--header " + one + ": write NAME=VALUE");
+      q.headers[one.substr(0, equal)] = one.substr(equal + 1);
+    }
+  }
+  return std::printf("%s", opfile::explain(model, q).c_str()) < 0 ? 1 : 0;
+}
+
+}  // namespace
+
 int main(int argc, char** argv) {
-  using namespace chutevane;
   cxxopts::Options options("chutevane", "A load balancer for services that call services");
-  options.add_options()("command", "serve, check (the configuration) or version",
-                        cxxopts::value<std::string>())("c,config",
-                                                       "the configuration; else what EDGE_CONFIG names",
-                                                       cxxopts::value<std::string>())("h,help", "this text");
-  options.parse_positional("command");
-  options.positional_help("serve|check|version");
+  auto add = options.add_options();
+  add("command", "serve, check (a configuration), explain (what a file makes of a request) or version",
+      cxxopts::value<std::string>());
+  add("file", "an operator's file, in TOML", cxxopts::value<std::string>());
+  add("c,config", "the platform's configuration; else what EDGE_CONFIG names", cxxopts::value<std::string>());
+  add("host", "explain: the request's host", cxxopts::value<std::string>()->default_value(""));
+  add("path", "explain: its path", cxxopts::value<std::string>()->default_value("/"));
+  add("method", "explain: its method", cxxopts::value<std::string>()->default_value("GET"));
+  add("header", "explain: NAME=VALUE, any number", cxxopts::value<std::vector<std::string>>());
+  add("h,help", "this text");
+  options.parse_positional({"command", "file"});
+  options.positional_help("serve [FILE.toml] | check [FILE.toml] | explain FILE.toml | version");
   try {
     const auto given = options.parse(argc, argv);
     const std::string command = given.count("command") > 0 ? given["command"].as<std::string>() : "";
+    const std::string file = given.count("file") > 0 ? given["file"].as<std::string>() : "";
     if (given.count("help") > 0) return std::printf("%s", options.help().c_str()) < 0 ? 1 : 0;
     if (command == "version") return std::printf("chutevane %s\n", CHUTEVANE_VERSION) < 0 ? 1 : 0;
-    if (command != "serve" && command != "check") {
+    if ((command != "serve" && command != "check" && command != "explain") ||
+        (command == "explain" && file.empty())) {
       std::fprintf(stderr, "%s", options.help().c_str());
       return 2;
     }
+    if (!file.empty()) {
+      const opfile::Model model = opfile::load(file);
+      if (command == "explain") return explain(model, given);
+      if (command == "serve") return sidecar::serve_file(model);
+      return std::printf("%s", opfile::summary(model).c_str()) < 0 ? 1 : 0;
+    }
     const std::string path = given.count("config") > 0 ? given["config"].as<std::string>() : "";
     const auto reading = [&] {
       return config::load(path, [](const char* name) { return std::getenv(name); });
     };
     if (command == "serve") return sidecar::serve(reading);
     return std::printf("%s: in order\n", reading().name.c_str()) < 0 ? 1 : 0;
-  } catch (const ConfigError& e) {
-    std::fprintf(stderr, "chutevane: %s\n", e.what());
+  } catch (const opfile::FileError& e) {
+    std::fprintf(stderr, "%s\n", e.what());
   } catch (const std::exception& e) {
     std::fprintf(stderr, "chutevane: %s\n", e.what());
   }
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -139,6 +139,13 @@
   return out;
 }
 
+std::optional<sockaddr_in> Socket::peer() const {
+  sockaddr_in out{};
+  socklen_t size = sizeof out;
+  if (::getpeername(fd_, reinterpret_cast<sockaddr*>(&out), &size) != 0) return std::nullopt;
+  return out;
+}
+
 void Socket::end_writing() { ::shutdown(fd_, SHUT_WR); }
 
 void Socket::reset() {
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -37,6 +37,7 @@
   bool quiet() const;      // nothing to read, not ended either
   bool has_bytes() const;  // there is something to read
   std::optional<sockaddr_in> local() const;
+  std::optional<sockaddr_in> peer() const;
   void end_writing();  // the peer reads to the end of what was written
   void reset();        // ends the connection with a reset, whatever is still on its way
   void close();
--- a/src/pool/failover.cpp
+++ b/src/pool/failover.cpp
@@ -18,9 +18,9 @@
 
 Failover::Failover(const FailoverSpec& spec, const std::vector<double>& stated, std::uint64_t seed,
                    TimePoint now)
-    : spec_(spec), chance_(seed), pools_(stated.size()), wanted_(stated.size()), stepped_(now) {
+    : spec_(spec), chance_(seed), pools_(stated.size()), began_(now), stepped_(now) {
   for (std::size_t i = 0; i < stated.size(); ++i) pools_[i].stated = stated[i];
-  if (!pools_.empty()) pools_[0].share = 1.0;
+  pools_[0].share = pools_[0].kept = 1.0;
 }
 
 void Failover::ready(std::size_t pool, double endpoints, TimePoint now) {
@@ -49,6 +49,7 @@
 // to carry and a little more, and at first something for each endpoint. Guards against failover that turns
 // one lost pool into two.
 double Failover::trusted(const Pool& p) const {
+  if (p.ready <= 0.0) return 0.0;
   if (p.stated > 0.0) return p.stated * (p.most_ready > 0.0 ? p.ready / p.most_ready : 1.0);
   return std::max(spec_.unknown_per_s * p.ready, p.carried * (1.0 + spec_.growth));
 }
@@ -59,62 +60,73 @@
   stepped_ = now;
   const double seconds = std::min(10.0, since.as_ms() / 1000.0);
   const double fade = std::exp(-since.as_ms() / spec_.memory.as_ms());
-  const double window = spec_.memory.as_ms() / 1000.0;
-  double best = 0.0, ready = 0.0;
+  double best = 0.0, ready = 0.0, asked = 0.0;
   for (Pool& p : pools_) {
     p.most_ready = std::max(p.ready, p.most_ready * (1.0 - forget_most_per_s * seconds));
-    const double endings = p.well + p.ill, rate = p.asked / window;
+    const double endings = p.well + p.ill, rate = rate_of(p, now);
     // What it has been seen to do well it can do again; a little more is tried while it does.
     p.carried *= 1.0 - carried_fades_per_s * seconds;
     if (endings >= evidence && p.well >= carried_well * endings) p.carried = std::max(p.carried, rate);
     p.health = judge(p);
+    asked += rate;
     p.well *= fade, p.ill *= fade, p.asked *= fade;
     best = std::max(best, p.health);
     ready += p.ready;
   }
-  double asked = 0.0;
-  for (const Pool& p : pools_) asked += p.asked / window;
   panic_ = best < spec_.panic_below && ready > 0.0;
-  // Wanted shares: each pool takes of what the ones before it leave, as much as it is whole and known to
-  // carry.
-  double left = 1.0;
-  for (std::size_t i = 0; i < pools_.size(); ++i) {
-    Pool& p = pools_[i];
-    if (panic_) {
-      wanted_[i] = p.ready / ready;
-      continue;
-    }
-    double part = left * p.health;
-    if (i > 0 && asked > 0.0) part = std::min(part, trusted(p) / asked);
-    wanted_[i] = part;
-    left -= part;
+  if (panic_) {
+    for (Pool& p : pools_) p.share = p.kept = p.ready / ready;
+    return;
   }
-  // What nobody is trusted with stays with the first pool that has anything ready: it knows how to refuse.
-  if (!panic_ && left > 0.0) {
-    for (std::size_t i = 0; i < pools_.size(); ++i) {
-      if (pools_[i].ready <= 0.0 && i + 1 < pools_.size()) continue;
-      wanted_[i] += left;
-      break;
-    }
+  // By health: each pool takes of what the ones before it leave. Away from a pool quickly, back to an earlier
+  // one slowly: a pool that flaps does not move its calls each time.
+  double left = 1.0, sum = 0.0;
+  for (const Pool& p : pools_) {
+    sum += left * p.health;
+    left -= left * p.health;
   }
-  // Away from a pool quickly, back to an earlier one slowly: a pool that flaps does not move its calls each
-  // time.
-  double higher = 0.0, wanted_higher = 0.0,
-         placed = 0.0;  // shares of pools up to here: as they were, wanted, new
+  double higher = 0.0, wanted_higher = 0.0, placed = 0.0;  // shares up to here: as kept, wanted, new
+  left = 1.0;
   for (std::size_t i = 0; i < pools_.size(); ++i) {
-    wanted_higher += wanted_[i];
-    const double now_higher = higher + pools_[i].share;
-    double next = wanted_higher;
-    if (wanted_higher > now_higher)
-      next = std::min(wanted_higher, now_higher + spec_.return_per_s * seconds);
-    else
-      next = now_higher + (wanted_higher - now_higher) * std::min(1.0, rise_per_s * seconds);
-    if (panic_) next = wanted_higher;
+    Pool& p = pools_[i];
+    // Where all together lack something, what nobody has room for goes to each by what it has.
+    wanted_higher += sum > 0.0 ? left * p.health / sum : i == 0 ? 1.0 : 0.0;
+    left -= left * p.health;
+    higher += p.kept;
+    double next = wanted_higher > higher
+                      ? std::min(wanted_higher, higher + spec_.return_per_s * seconds)
+                      : higher + (wanted_higher - higher) * std::min(1.0, rise_per_s * seconds);
     if (i + 1 == pools_.size()) next = 1.0;
-    higher = now_higher;
-    pools_[i].share = std::max(0.0, next - placed);
+    p.kept = std::max(0.0, next - placed);
     placed = std::max(placed, next);
   }
+  // By trust: what a pool is not known to carry stays with the first one, also when that is lost: its
+  // balancer refuses at once. This takes effect at once, in both directions.
+  double rest = 1.0;
+  for (std::size_t i = pools_.size(); i-- > 1;) {
+    Pool& p = pools_[i];
+    p.share = asked > 0.0 ? std::min(p.kept, trusted(p) / asked) : p.kept;
+    rest -= p.share;
+  }
+  pools_[0].share = std::max(0.0, rest);
+}
+
+// Calls/s that a pool is sent of late.
+double Failover::rate_of(const Pool& p, TimePoint now) const {
+  // Not the whole memory has been filled yet at the start.
+  const double filled = 1.0 - std::exp(std::max(step_every, now - began_) / spec_.memory * -1.0);
+  return p.asked / (spec_.memory.as_ms() / 1000.0 * filled);
+}
+
+bool Failover::has_room(std::size_t pool, TimePoint now) {
+  step(now);
+  const Pool& p = pools_[pool];
+  return p.ready > 0.0 && (pool == 0 || rate_of(p, now) < trusted(p));
+}
+
+void Failover::sent(std::size_t pool, TimePoint now) {
+  step(now);
+  pools_[pool].asked += 1.0;
 }
 
 std::size_t Failover::choose(TimePoint now) {
--- a/src/pool/failover.hpp
+++ b/src/pool/failover.hpp
@@ -27,11 +27,14 @@
 class Failover {
  public:
   // The pool of place 0 is the first choice.
-  // `stated`: calls/s that the operator says each pool carries when whole; 0: not stated.
+  // One pool at least. `stated`: calls/s that the operator says each pool carries when whole; 0: not stated.
   Failover(const FailoverSpec& spec, const std::vector<double>& stated, std::uint64_t seed, TimePoint now);
 
   // The pool for a call that comes now.
   std::size_t choose(TimePoint now);
+  // Whether a pool may be sent one more call that another has given up, and that it was.
+  bool has_room(std::size_t pool, TimePoint now);
+  void sent(std::size_t pool, TimePoint now);
   // A call that was in that pool has ended; `well`: done, or the caller's own doing.
   void ended(std::size_t pool, bool well, TimePoint now);
   // How many endpoints a pool has ready, each counted for what it can do by now.
@@ -49,17 +52,19 @@
     double asked = 0.0;                    // calls sent to it, fading: its rate
     double carried = 0.0;                  // calls/s that it has been seen to carry
     double stated = 0.0;                   // the same as the operator says; 0: not said
-    double health = 1.0, share = 0.0;
+    double health = 1.0;
+    double kept = 0.0;   // of all calls, by health: falls quickly, returns slowly
+    double share = 0.0;  // of that, what it is trusted with
   };
   void step(TimePoint now);
   double judge(const Pool& p) const;
   double trusted(const Pool& p) const;
+  double rate_of(const Pool& p, TimePoint now) const;
 
   FailoverSpec spec_;
   Pcg chance_;
   std::vector<Pool> pools_;
-  std::vector<double> wanted_;
-  TimePoint stepped_;
+  TimePoint began_, stepped_;
   bool panic_ = false;
 };
 
--- a/src/sidecar/callers.cpp
+++ b/src/sidecar/callers.cpp
@@ -35,6 +35,7 @@
       idle_since_(scheduler.now()),
       task_(run()) {
   socket_.adopt(fd);
+  peer_ = socket_.peer().value_or(sockaddr_in{});
 }
 
 CallerConnection::~CallerConnection() = default;
@@ -57,10 +58,10 @@
 void CallerConnection::done(const http::Parser& response) {
   answer([&](net::Buffer& out) { all_.front_.write_done(out, response, last_); });
 }
-void CallerConnection::rejected(Span come_back) {
+void CallerConnection::rejected(Span come_back, const pool::Spent&) {
   answer([&](net::Buffer& out) { all_.front_.write_rejection(out, come_back, last_); });
 }
-void CallerConnection::broken_off(bool timed_out) {
+void CallerConnection::broken_off(bool timed_out, const pool::Spent&) {
   answer([&](net::Buffer& out) { all_.front_.write_broken_off(out, timed_out, last_); });
 }
 void CallerConnection::answer_plain(int status, std::string_view text) {
@@ -77,8 +78,9 @@
 void CallerConnection::begin_request() {
   ApiCall call;
   std::string_view why;
+  std::uint32_t way = 0;
   taken_ = parser_.size();
-  switch (all_.front_.read_request(parser_, call, why)) {
+  switch (all_.intake_.read(parser_, call, way, why)) {
     case Front::Kind::ready:
       if (all_.draining_) {
         answer_plain(503, "draining\n");
@@ -86,6 +88,10 @@
         answer_plain(200, "ready\n");
       }
       break;
+    case Front::Kind::nowhere:
+      ++all_.counters_.bad_requests;
+      answer_plain(404, std::string(why) + "\n");
+      break;
     case Front::Kind::bad:
       ++all_.counters_.bad_requests;
       last_ = buffer_.size() > taken_;  // a caller that sends such requests in heaps is read no further
@@ -93,14 +99,15 @@
       break;
     case Front::Kind::call: {
       // Guards rule 1 for the call that has this id: its endpoint would take both for one.
-      if (!id_.take(all_.front_.id_of(parser_))) {
+      const std::string_view name = all_.front_.id_of(parser_);
+      if (!name.empty() && !id_.take(name)) {
         ++all_.counters_.bad_requests;
         answer_plain(409, "a call with this X-Request-ID is open\n");
         break;
       }
       // One that came whole behind another request has been waited for since.
       if (came_behind_) call.left = call.left - (scheduler_.now() - read_at_);
-      const CallId id = all_.driver_.take(call, *this);
+      const CallId id = all_.intake_.take(call, way, peer_, *this);
       if (to_write_ == 0) call_ = id;  // not answered at once
       break;
     }
@@ -159,7 +166,7 @@
       const CallId gone = std::exchange(call_, 0);
       socket_.close();
       id_.give_back();
-      all_.driver_.caller_left(gone);
+      all_.intake_.caller_left(gone);
       break;
     }
     served_ = true;
@@ -198,11 +205,11 @@
   all_.left(*this);
 }
 
-Callers::Callers(net::Scheduler& scheduler, const config::Config& config, const Front& front, Driver& driver,
-                 Counters& counters)
+Callers::Callers(net::Scheduler& scheduler, const config::Config& config, const Front& front, Intake& intake,
+                 Counters& counters, OpenIds& open_ids)
     : scheduler_(scheduler),
       front_(front),
-      driver_(driver),
+      intake_(intake),
       counters_(counters),
       idle_most_(config.idle_most),
       request_most_(config.request_most),
@@ -210,6 +217,7 @@
       waker_(scheduler),
       timer_(scheduler, waker_, retry),
       socket_(scheduler, waker_),
+      open_ids_(open_ids),
       connections_(scheduler),
       task_(accept()) {}
 
--- a/src/sidecar/callers.hpp
+++ b/src/sidecar/callers.hpp
@@ -17,6 +17,25 @@
 
 class Callers;
 
+// What requests are handed to: one service, or many behind routes.
+class Intake {
+ public:
+  // What a request is, and of a call all but its id. `way`: what the intake needs to remember of it until
+  // take().
+  virtual Front::Kind read(const http::Parser& request, ApiCall& call, std::uint32_t& way,
+                           std::string_view& why) const = 0;
+  // A new call; its id. The answer may come before this returns. `peer`: where the caller is.
+  virtual CallId take(const ApiCall& call, std::uint32_t way, const sockaddr_in& peer, Caller& caller) = 0;
+  virtual void caller_left(CallId call) = 0;
+  // The process is about to end: every call still in hand gets its final answer now.
+  virtual void break_off_all() = 0;
+
+ protected:
+  ~Intake() = default;
+};
+
+using OpenIds = std::unordered_set<std::string>;
+
 // The id of an open call, held by its connection: the one place that takes and gives it back.
 class OpenId {
  public:
@@ -45,8 +64,8 @@
 
   const http::Parser& request() const override { return parser_; }
   void done(const http::Parser& response) override;
-  void rejected(Span come_back) override;
-  void broken_off(bool timed_out) override;
+  void rejected(Span come_back, const pool::Spent& spent) override;
+  void broken_off(bool timed_out, const pool::Spent& spent) override;
 
   std::size_t crew_place = 0;
 
@@ -69,6 +88,7 @@
   net::Waker waker_;
   net::Timer timer_;
   net::Socket socket_;
+  sockaddr_in peer_{};
   net::Buffer buffer_;  // the request, then its answer in its place
   http::Parser parser_{http::Side::request};
   OpenId id_;
@@ -85,8 +105,8 @@
 
 class Callers {
  public:
-  Callers(net::Scheduler& scheduler, const config::Config& config, const Front& front, Driver& driver,
-          Counters& counters);
+  Callers(net::Scheduler& scheduler, const config::Config& config, const Front& front, Intake& intake,
+          Counters& counters, OpenIds& open_ids);
   void listen(const sockaddr_in& at);  // throws std::system_error
   std::optional<sockaddr_in> address() const { return socket_.local(); }
 
@@ -110,7 +130,7 @@
 
   net::Scheduler& scheduler_;
   const Front& front_;
-  Driver& driver_;
+  Intake& intake_;
   Counters& counters_;
   Span idle_most_, request_most_;
   const std::size_t connections_most_;
@@ -118,7 +138,7 @@
   net::Waker waker_;
   net::Timer timer_;
   net::Socket socket_;
-  std::unordered_set<std::string> open_ids_;
+  OpenIds& open_ids_;
   net::Crew<CallerConnection> connections_;
   net::Task task_;
 };
--- a/src/sidecar/counters.cpp
+++ b/src/sidecar/counters.cpp
@@ -13,6 +13,7 @@
   out.key("api_calls").open('{');
   put("taken", calls), put("done", done), put("rejected", rejected), put("broken_off", broken_off);
   put("callers_left", callers_left), put("bad_requests", bad_requests);
+  put("limited", limited), put("went_on", went_on);
   out.close('}');
   out.key("dispatches").open('{');
   put("sent", dispatches);
--- a/src/sidecar/counters.hpp
+++ b/src/sidecar/counters.hpp
@@ -11,6 +11,7 @@
 
 struct Counters {
   std::uint64_t calls = 0, done = 0, rejected = 0, broken_off = 0, callers_left = 0, bad_requests = 0;
+  std::uint64_t limited = 0, went_on = 0;  // refused by a service's limits; given by one pool to another
   std::uint64_t dispatches = 0;
   std::array<std::uint64_t, 8> outcomes{};  // by Outcome
   std::uint64_t connections_opened = 0, connections_reused = 0;
--- a/src/sidecar/driver.cpp
+++ b/src/sidecar/driver.cpp
@@ -35,11 +35,12 @@
       balancer_(config.settings, config.seed, scheduler.now()),
       module_asks_(text_or_none(config.settings, "discovery") == "subscribe"),
       zones_(split(text_or_none(config.settings, "zones"))),
-      watch_(scheduler, config.discovery, !module_asks_, config.seed, *this),
       waker_(scheduler),
       timer_(scheduler, waker_, due),
       timekeeper_(keep_time()) {
   endpoints.tell(*this);
+  if (!config.discovery.empty())
+    watch_.emplace(scheduler, config.discovery, !module_asks_, config.seed, *this);
   take_list(ListKind::cached, config.known);
   timekeeper_.start();
 }
@@ -79,7 +80,7 @@
     Caller* const caller = release(at);
     if (caller == nullptr) continue;
     ++counters_.broken_off;
-    caller->broken_off(true);
+    caller->broken_off(true, calls_[at].spent);
     apply(balancer_.client_left(id, scheduler_.now()));
     withdraw_unsent(id);
     settle(at);
@@ -111,6 +112,9 @@
   Call& c = calls_[at];
   c.dispatches[dispatch.number] = nullptr;
   c.timed_out = outcome == Outcome::timed_out;
+  const bool never_ran =
+      outcome == Outcome::not_sent || outcome == Outcome::not_connected || outcome == Outcome::turned_away;
+  if (!never_ran && !std::exchange(c.spent.may_have_run, true)) c.spent.first_sent = dispatch.sent;
   if (outcome == Outcome::done) {
     if (Caller* caller = release(at)) {
       ++counters_.done;
@@ -220,9 +224,9 @@
         const bool reject = answer.verdict == Verdict::reject;
         ++(reject ? counters_.rejected : counters_.broken_off);
         if (reject) {
-          caller->rejected(answer.span);
+          caller->rejected(answer.span, calls_[at].spent);
         } else {
-          caller->broken_off(calls_[at].timed_out);
+          caller->broken_off(calls_[at].timed_out, calls_[at].spent);
         }
         withdraw_unsent(answer.call);
       }
@@ -232,7 +236,9 @@
       if (known && answer.number < dispatches_most && calls_[at].dispatches[answer.number] != nullptr)
         endpoints_.give_up(*calls_[at].dispatches[answer.number]);
       break;
-    case Verdict::subscribe: watch_.start(); break;
+    case Verdict::subscribe:
+      if (watch_) watch_->start();
+      break;
     case Verdict::log: log_line("%s", answer.text.data()); break;
   }
 }
@@ -241,6 +247,7 @@
   const TimePoint now = scheduler_.now();
   const Dispatch d{answer.call, answer.endpoint, answer.number, now, answer.span};
   ++calls_[at].out;
+  ++calls_[at].spent.dispatches;
   if (calls_[at].caller == nullptr) {  // it left, or was answered, between the decision and here
     dispatch_over(d, Outcome::not_sent, nullptr);
     return;
--- a/src/sidecar/driver.hpp
+++ b/src/sidecar/driver.hpp
@@ -3,24 +3,27 @@
 
 #include <array>
 #include <deque>
+#include <optional>
 
 #include "base/slab.hpp"
 #include "chutevane/balancer.hpp"
 #include "config/config.hpp"
 #include "discovery/watch.hpp"
 #include "net/scheduler.hpp"
+#include "pool/onward.hpp"
 #include "sidecar/counters.hpp"
 #include "sidecar/endpoints.hpp"
 
 namespace chutevane::sidecar {
 
-// Who waits for the final answer of an API call. Gets exactly one of the three, unless it leaves.
+// Who waits for the final answer of an API call. Gets exactly one of the three, unless it leaves. `spent`:
+// what was done for the call until then.
 class Caller {
  public:
   virtual const http::Parser& request() const = 0;
   virtual void done(const http::Parser& response) = 0;
-  virtual void rejected(Span come_back) = 0;
-  virtual void broken_off(bool timed_out) = 0;
+  virtual void rejected(Span come_back, const pool::Spent& spent) = 0;
+  virtual void broken_off(bool timed_out, const pool::Spent& spent) = 0;
 
  protected:
   ~Caller() = default;
@@ -33,7 +36,10 @@
   // A new call; its id. The answer may come before this returns.
   CallId take(ApiCall call, Caller& caller);
   void caller_left(CallId call);
-  void move_discovery(const std::string& address) { watch_.move(address); }
+  void move_discovery(const std::string& address) {
+    if (watch_) watch_->move(address);
+  }
+  std::size_t endpoints_ready() const { return endpoints_.ready(); }
   // The process is about to end: every call still in hand gets its final answer now.
   void break_off_all();
 
@@ -48,6 +54,7 @@
     Caller* caller = nullptr;  // none once answered, or left
     std::uint8_t out = 0;
     bool timed_out = false;  // how its last dispatch ended
+    pool::Spent spent;
     std::array<EndpointConnection*, dispatches_most> dispatches{};
   };
 
@@ -74,7 +81,7 @@
   std::deque<Answer> answers_;    // still to be done, in order
   std::deque<DispatchEnd> ends_;  // still to be told
   bool pumping_ = false;
-  discovery::Watch watch_;
+  std::optional<discovery::Watch> watch_;  // none: the list is the one that was given
   net::Waker waker_;
   net::Timer timer_;
   net::Task timekeeper_;
--- a/src/sidecar/endpoints.cpp
+++ b/src/sidecar/endpoints.cpp
@@ -113,19 +113,32 @@
   socket_.close();
   timer_.cancel();
   --endpoint_.connections;
+  --pool_.room_.used;
   pool_.forget(endpoint_);
   pool_.connections_.retire(*this);
 }
 
 Endpoints::Endpoints(net::Scheduler& scheduler, const config::Config& config, const Front& front,
-                     Counters& counters)
+                     Counters& counters, Room* shared)
     : scheduler_(scheduler),
       front_(front),
       counters_(counters),
       connect_timeout_(config.connect_timeout),
       idle_most_(config.idle_close * idle_part),
-      connections_most_(static_cast<std::size_t>(static_cast<double>(config.sockets) * endpoint_part)),
-      connections_(scheduler) {}
+      own_{static_cast<std::size_t>(static_cast<double>(config.sockets) * endpoint_part), 0, {}},
+      room_(shared != nullptr ? *shared : own_),
+      connections_(scheduler) {
+  if (shared != nullptr) room_.most = own_.most;
+  room_.pools.push_back(this);
+}
+
+Endpoints::~Endpoints() { std::erase(room_.pools, this); }
+
+std::size_t Endpoints::ready() const {
+  return static_cast<std::size_t>(std::count_if(endpoints_.begin(), endpoints_.end(), [](const auto& one) {
+    return one.second.availability == Availability::ready;
+  }));
+}
 
 EndpointId Endpoints::learn(const discovery::Entry& entry) {
   const auto known = ids_.find(entry.id);
@@ -219,17 +232,26 @@
   connection.stage_ = EndpointConnection::Stage::closed;
 }
 
-// At the bound the longest idle connection goes.
-bool Endpoints::make_room() {
-  if (connections_.size() < connections_most_) return true;
+EndpointConnection* Endpoints::longest_idle() {
   EndpointConnection* oldest = nullptr;
   for (auto& [id, e] : endpoints_) {
     if (!e.idle.empty() && (oldest == nullptr || e.idle.front()->idle_since_ < oldest->idle_since_))
       oldest = e.idle.front();
   }
+  return oldest;
+}
+
+// At the bound the longest idle connection goes, of whichever pool.
+bool Endpoints::make_room() {
+  if (room_.used < room_.most) return true;
+  EndpointConnection* oldest = nullptr;
+  for (Endpoints* pool : room_.pools) {
+    EndpointConnection* const one = pool->longest_idle();
+    if (one != nullptr && (oldest == nullptr || one->idle_since_ < oldest->idle_since_)) oldest = one;
+  }
   if (oldest == nullptr) return false;
-  unrest(*oldest);
-  drop(*oldest, Outcome::not_sent);
+  oldest->pool_.unrest(*oldest);
+  oldest->pool_.drop(*oldest, Outcome::not_sent);
   return true;
 }
 
@@ -266,6 +288,7 @@
   }
   EndpointConnection& c = connections_.add(std::make_unique<EndpointConnection>(scheduler_, *this, *e));
   ++e->connections;
+  ++room_.used;
   begin(c);
   ++counters_.connections_opened;
   c.task_.start();
--- a/src/sidecar/endpoints.hpp
+++ b/src/sidecar/endpoints.hpp
@@ -81,9 +81,20 @@
   net::Task task_;
 };
 
+// Descriptors for connections to endpoints, over all pools.
+struct Room {
+  std::size_t most = 0, used = 0;
+  std::vector<Endpoints*> pools;
+};
+
 class Endpoints {
  public:
-  Endpoints(net::Scheduler& scheduler, const config::Config& config, const Front& front, Counters& counters);
+  // Of its own room, or of one shared with other pools, which outlives it.
+  Endpoints(net::Scheduler& scheduler, const config::Config& config, const Front& front, Counters& counters,
+            Room* shared = nullptr);
+  ~Endpoints();
+  Endpoints(const Endpoints&) = delete;
+  Endpoints& operator=(const Endpoints&) = delete;
   void tell(DispatchSink& sink) { sink_ = &sink; }
 
   // Takes over what discovery says; the id under which the module knows the endpoint, or 0 for one that is
@@ -93,6 +104,7 @@
   // All but these are gone.
   void forget_unnamed(std::vector<EndpointId> named);
   std::size_t size() const { return endpoints_.size(); }  // known ones
+  std::size_t ready() const;                              // those that take calls, by the list
 
   // Sends `request` to the endpoint; how it ends is told to the sink, perhaps before this returns.
   EndpointConnection* send(const Dispatch& dispatch, const http::Parser& request);
@@ -106,6 +118,7 @@
   void now_closed_to_new(Endpoint& endpoint);
   void forget(Endpoint& endpoint);  // if nothing holds it
   bool make_room();
+  EndpointConnection* longest_idle();
   bool rest(EndpointConnection& connection);  // whether it is kept for the next dispatch
   void unrest(EndpointConnection& connection);
   void drop(EndpointConnection& connection, Outcome outcome);
@@ -115,7 +128,8 @@
   Counters& counters_;
   DispatchSink* sink_ = nullptr;
   const Span connect_timeout_, idle_most_;
-  const std::size_t connections_most_;
+  Room own_;
+  Room& room_;
   EndpointId last_id_ = 0;
   std::unordered_map<EndpointId, Endpoint> endpoints_;
   std::unordered_map<std::string, EndpointId> ids_;  // by discovery's
--- a/src/sidecar/front.cpp
+++ b/src/sidecar/front.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <cstdio>
 #include <optional>
+#include <utility>
 
 #include "base/settings_reader.hpp"
 #include "http/writer.hpp"
@@ -11,10 +12,7 @@
 namespace chutevane::sidecar {
 namespace {
 
-constexpr std::string_view request_id = "X-Request-ID", track_name = "X-Priority-Class",
-                           time_left = "X-Timeout", repeated = "X-Retried", key = "Idempotency-Key",
-                           never_ran = "X-Not-Processed", come_back_after = "Retry-After",
-                           ready_path = "/ready";
+constexpr std::string_view come_back_after = "Retry-After", ready_path = "/ready";
 
 constexpr std::size_t id_most = 256;  // bytes: kept while the call is open
 constexpr double longest_ms = 3.6e6;  // of a stated wait: an hour is no longer a figure to believe
@@ -33,19 +31,28 @@
   return Span::ms(ms);
 }
 
-// What is said for one connection and not for the message, or is written anew.
-bool passed_on(std::string_view name) {
-  static constexpr std::string_view kept_back[] = {
-      "connection", "keep-alive",         "proxy-connection", "te",     "trailer",
-      "upgrade",    "transfer-encoding",  "content-length",   "expect", "proxy-authenticate",
-      "x-timeout",  "proxy-authorization"};
+}  // namespace
+
+// What is said for one connection and not for the message, or is written anew, stays here.
+bool Front::passed_on(std::string_view name) const {
+  static constexpr std::string_view kept_back[] = {"connection",
+                                                   "keep-alive",
+                                                   "proxy-connection",
+                                                   "te",
+                                                   "trailer",
+                                                   "upgrade",
+                                                   "transfer-encoding",
+                                                   "expect",
+                                                   "content-length",
+                                                   "proxy-authenticate",
+                                                   "proxy-authorization"};
   for (const std::string_view k : kept_back) {
     if (http::same_name(name, k)) return false;
   }
-  return true;
+  return !http::same_name(name, names_.wait);
 }
 
-void copy_fields(http::Writer& out, const http::Parser& from) {
+void Front::copy_fields(http::Writer& out, const http::Parser& from) const {
   const std::string_view dropped = from.find("Connection").value_or("");
   for (std::size_t i = 0; i < from.fields(); ++i) {
     const http::Field f = from.field(i);
@@ -53,9 +60,7 @@
   }
 }
 
-}  // namespace
-
-Front::Front(const Settings& settings) {
+Front::Front(const Settings& settings, HeaderNames names) : names_(std::move(names)) {
   const SettingsReader reader(settings);
   for (int i = 0; i < reader.number("tracks.count"); ++i) {
     const std::string at = "tracks." + std::to_string(i) + ".";
@@ -71,7 +76,9 @@
     return Kind::bad;
   };
   // Nothing that an endpoint would turn away, or read in another way, leaves here.
-  for (const std::string_view once : {std::string_view("Host"), request_id, track_name, time_left, key}) {
+  for (const std::string_view once :
+       {std::string_view("Host"), std::string_view(names_.id), std::string_view(names_.track),
+        std::string_view(names_.wait), std::string_view(names_.reference)}) {
     if (request.count(once) > 1) return bad("a header field that may come once comes twice");
   }
   const std::string_view id = id_of(request);
@@ -80,7 +87,7 @@
     return bad("no X-Request-ID");
   }
   if (id.size() > id_most) return bad("X-Request-ID too long");
-  const auto name = request.find(track_name);
+  const auto name = request.find(names_.track);
   if (!name) return bad("no X-Priority-Class");
   call.track = 0;
   while (call.track < tracks_.size() && tracks_[call.track].name != *name) ++call.track;
@@ -88,20 +95,37 @@
   const Track& track = tracks_[call.track];
   if (request.method() != (track.read_only ? "GET" : "POST")) return bad("method does not fit the class");
   if (track.read_only && !request.body().empty()) return bad("a body with GET");
+  const std::string& key = names_.reference;
   if (request.find(key).value_or("").empty() == track.keyed || (!track.keyed && request.count(key) > 0))
     return bad("Idempotency-Key does not fit the class");
-  call.left = track.client_timeout;
-  if (const auto wait = request.find(time_left)) {
+  return read_rest(request, call, why) ? Kind::call : Kind::bad;
+}
+
+Front::Kind Front::read_routed(const http::Parser& request, ApiCall& call, std::string_view& why) const {
+  for (const std::string_view once : {std::string_view("Host"), std::string_view(names_.id),
+                                      std::string_view(names_.wait), std::string_view(names_.reference)}) {
+    if (request.count(once) > 1) return why = "a header field that may come once comes twice", Kind::bad;
+  }
+  if (id_of(request).size() > id_most) return why = "id too long", Kind::bad;
+  // Guards rule 2: what the endpoints tell repeats by must be there.
+  if (tracks_[call.track].keyed && request.find(names_.reference).value_or("").empty())
+    return why = "this track's calls carry a reference", Kind::bad;
+  return read_rest(request, call, why) ? Kind::call : Kind::bad;
+}
+
+bool Front::read_rest(const http::Parser& request, ApiCall& call, std::string_view& why) const {
+  call.left = tracks_[call.track].client_timeout;
+  if (const auto wait = request.find(names_.wait)) {
     const auto left = read_wait(*wait);
-    if (!left) return bad("malformed X-Timeout");
+    if (!left) return why = "malformed time to wait", false;
     call.left = *left;
   }
-  call.repeated = request.find(repeated) == "1";
-  return Kind::call;
+  call.repeated = request.find(names_.repeated) == "1";
+  return true;
 }
 
 std::string_view Front::id_of(const http::Parser& request) const {
-  return request.find(request_id).value_or("");
+  return request.find(names_.id).value_or("");
 }
 
 void Front::write_dispatch(net::Buffer& out, const http::Parser& request, Span wait) const {
@@ -112,7 +136,7 @@
   writer.request_line(request.method(), request.target());
   if (!request.find("Host")) writer.field("Host", "");  // from before HTTP/1.1
   copy_fields(writer, request);
-  writer.field(time_left, {room.data(), static_cast<std::size_t>(end - room.data()) + 1});
+  writer.field(names_.wait, {room.data(), static_cast<std::size_t>(end - room.data()) + 1});
   if (request.body().empty() && request.method() != "POST") {
     writer.no_body();
   } else {
@@ -123,7 +147,7 @@
 Outcome Front::outcome_of(const http::Parser& response) const {
   const int status = response.status();
   if (status == 200) return Outcome::done;
-  if ((status == 503 || status == 504) && response.find(never_ran) == "1") return Outcome::turned_away;
+  if ((status == 503 || status == 504) && response.find(names_.never_ran) == "1") return Outcome::turned_away;
   return Outcome::error;
 }
 
--- a/src/sidecar/front.hpp
+++ b/src/sidecar/front.hpp
@@ -8,17 +8,26 @@
 
 #include "chutevane/types.hpp"
 #include "http/parser.hpp"
+#include "http/writer.hpp"
 #include "net/buffer.hpp"
 
 namespace chutevane::sidecar {
 
+// Which header says what.
+struct HeaderNames {
+  std::string id = "X-Request-ID", track = "X-Priority-Class", wait = "X-Timeout", repeated = "X-Retried",
+              reference = "Idempotency-Key", never_ran = "X-Not-Processed";
+};
+
 class Front {
  public:
-  explicit Front(const Settings& settings);
+  explicit Front(const Settings& settings, HeaderNames names = {});
 
-  enum class Kind : std::uint8_t { call, ready, bad };
+  enum class Kind : std::uint8_t { call, ready, bad, nowhere };
   // What a caller's request is. Of a call it reads all but the id; of a bad one it says why.
   Kind read_request(const http::Parser& request, ApiCall& call, std::string_view& why) const;
+  // The same where a route has told the track, and with it what the request is: any method, an id or none.
+  Kind read_routed(const http::Parser& request, ApiCall& call, std::string_view& why) const;
   // What names a call; no two that are open share it.
   std::string_view id_of(const http::Parser& request) const;
   void write_dispatch(net::Buffer& out, const http::Parser& request, Span wait) const;
@@ -31,11 +40,15 @@
   void write_plain(net::Buffer& out, int status, std::string_view text, bool close) const;
 
  private:
+  bool read_rest(const http::Parser& request, ApiCall& call, std::string_view& why) const;
+  bool passed_on(std::string_view name) const;
+  void copy_fields(http::Writer& out, const http::Parser& from) const;
   struct Track {
     std::string name;
     Span client_timeout;
     bool read_only = false, keyed = false;  // GET, or POST with a key, or POST without
   };
+  HeaderNames names_;
   std::vector<Track> tracks_;
 };
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -36,22 +36,48 @@
 
 Sidecar::Sidecar(net::Scheduler& scheduler, const config::Config& config)
     : scheduler_(scheduler),
-      listen_at_(*net::parse_address(config.listen)),
+      listen_at_{*net::parse_address(config.listen)},
       longest_timeout_(config.longest_timeout),
       front_(config.settings),
-      endpoints_(scheduler, config, front_, counters_),
-      driver_(scheduler, config, endpoints_, counters_),
-      callers_(scheduler, config, front_, driver_, counters_),
       waker_(scheduler),
-      timer_(scheduler, waker_, due) {}
+      timer_(scheduler, waker_, due) {
+  pools_.push_back(std::make_unique<Pool>(scheduler, config, front_, counters_));
+  single_ = std::make_unique<SingleService>(front_, pools_.front()->driver);
+  callers_.push_back(std::make_unique<Callers>(scheduler, config, front_, *single_, counters_, open_ids_));
+}
+
+Sidecar::Sidecar(net::Scheduler& scheduler, const opfile::Model& model)
+    : scheduler_(scheduler),
+      longest_timeout_(pool_config(model, 0).longest_timeout),
+      front_(opfile::settings_of(model, model.pools.front()), header_names(model)),
+      waker_(scheduler),
+      timer_(scheduler, waker_, due) {
+  for (std::size_t i = 0; i < model.pools.size(); ++i)
+    pools_.push_back(std::make_unique<Pool>(scheduler, pool_config(model, i), front_, counters_, &room_));
+  services_ = std::make_unique<Services>(scheduler, model, front_, pools_, counters_);
+  for (const std::string& address : model.listen) {
+    listen_at_.push_back(*net::parse_address(address));
+    config::Config part = pool_config(model, 0);
+    part.sockets /= model.listen.size();  // listeners share the callers' descriptors evenly
+    callers_.push_back(std::make_unique<Callers>(scheduler, part, front_, *services_, counters_, open_ids_));
+  }
+}
 
-void Sidecar::listen() { callers_.listen(listen_at_); }
+void Sidecar::listen() {
+  for (std::size_t i = 0; i < callers_.size(); ++i) callers_[i]->listen(listen_at_[i]);
+}
+
+std::size_t Sidecar::callers() const {
+  std::size_t out = 0;
+  for (const auto& one : callers_) out += one->size();
+  return out;
+}
 
 Span Sidecar::drain_time() const { return std::min(longest_timeout_, drain_most) + drain_slack; }
 
 void Sidecar::reconfigure(const config::Config& config) {
-  driver_.move_discovery(config.discovery);
-  callers_.set_bounds(config.request_most, config.idle_most);
+  pools_.front()->driver.move_discovery(config.discovery);
+  callers_.front()->set_bounds(config.request_most, config.idle_most);
 }
 
 void Sidecar::drain(Span within) {
@@ -63,20 +89,20 @@
 
 net::Task Sidecar::end(Span within) {
   const TimePoint last = scheduler_.now() + std::max(within, crossing);
-  callers_.begin_drain();
+  for (auto& one : callers_) one->begin_drain();
   timer_.set(scheduler_.now() + crossing);
   co_await waker_.wait(due);
-  callers_.stop_listening();
-  while (callers_.size() > 0 && scheduler_.now() < last - drain_last) {
+  for (auto& one : callers_) one->stop_listening();
+  while (callers() > 0 && scheduler_.now() < last - drain_last) {
     timer_.set(scheduler_.now() + drain_look);
     co_await waker_.wait(due);
   }
-  callers_.close_all();
-  while (callers_.size() > 0 && scheduler_.now() < last) {
+  for (auto& one : callers_) one->close_all();
+  while (callers() > 0 && scheduler_.now() < last) {
     timer_.set(scheduler_.now() + drain_look);
     co_await waker_.wait(due);
   }
-  driver_.break_off_all();
+  intake().break_off_all();
   timer_.set(scheduler_.now() + drain_look);  // for the answers to be written
   co_await waker_.wait(due);
   finished_ = true;
@@ -96,31 +122,28 @@
   }
 }
 
-int serve(const Reading& reading) {
-  config::Config config = reading();
-  const config::Config in_force = config;
-  config.sockets = std::min(config.sockets, descriptors_for(config.sockets));
-  net::Scheduler scheduler;
-  net::Waker waker(scheduler);
-  net::Signals signals(scheduler, waker, {SIGTERM, SIGINT, SIGUSR1, SIGHUP});
-  std::signal(SIGPIPE, SIG_IGN);
-  Sidecar sidecar(scheduler, config);
+namespace {
+
+// Serves, and does what signals ask for: `again` on SIGHUP.
+template <class Again>
+int serve_until_drained(Sidecar& sidecar, net::Scheduler& scheduler, net::Signals& signals,
+                        const std::string& name, const std::string& where, Again again) {
   try {
     sidecar.listen();
   } catch (const std::system_error& e) {
-    log_line("%s: %s", config.listen.c_str(), e.what());
+    log_line("%s: %s", where.c_str(), e.what());
     return 1;
   }
-  log_line("%s serves at %s", config.name.c_str(), config.listen.c_str());
+  log_line("%s serves at %s", name.c_str(), where.c_str());
   while (!sidecar.finished()) {
     scheduler.turn();
     while (const int number = signals.next()) {
       if (number == SIGUSR1) {
         log_line("%s", sidecar.counters().as_json().c_str());
       } else if (number == SIGHUP) {
-        reload(sidecar, reading, in_force);
+        again();
       } else {
-        log_line("%s drains", config.name.c_str());
+        log_line("%s drains", name.c_str());
         sidecar.drain(sidecar.drain_time());
       }
     }
@@ -129,4 +152,34 @@
   return 0;
 }
 
+}  // namespace
+
+int serve(const Reading& reading) {
+  config::Config config = reading();
+  const config::Config in_force = config;
+  config.sockets = std::min(config.sockets, descriptors_for(config.sockets));
+  net::Scheduler scheduler;
+  net::Waker waker(scheduler);
+  net::Signals signals(scheduler, waker, {SIGTERM, SIGINT, SIGUSR1, SIGHUP});
+  std::signal(SIGPIPE, SIG_IGN);
+  Sidecar sidecar(scheduler, config);
+  return serve_until_drained(sidecar, scheduler, signals, config.name, config.listen,
+                             [&] { reload(sidecar, reading, in_force); });
+}
+
+int serve_file(const opfile::Model& given) {
+  opfile::Model model = given;
+  model.sockets = std::min(model.sockets, descriptors_for(model.sockets));
+  net::Scheduler scheduler;
+  net::Waker waker(scheduler);
+  net::Signals signals(scheduler, waker, {SIGTERM, SIGINT, SIGUSR1, SIGHUP});
+  std::signal(SIGPIPE, SIG_IGN);
+  Sidecar sidecar(scheduler, model);
+  std::string where;
+  for (const std::string& one : model.listen) where += (where.empty() ? "" : ", ") + one;
+  return serve_until_drained(sidecar, scheduler, signals, model.name, where, [] {
+    log_line("the operator's file is read at a start only; nothing changes");
+  });
+}
+
 }  // namespace chutevane::sidecar
--- a/src/sidecar/sidecar.hpp
+++ b/src/sidecar/sidecar.hpp
@@ -11,12 +11,16 @@
 #include "sidecar/driver.hpp"
 #include "sidecar/endpoints.hpp"
 #include "sidecar/front.hpp"
+#include "sidecar/services.hpp"
 
 namespace chutevane::sidecar {
 
 class Sidecar {
  public:
+  // The platform's: one service with one pool.
   Sidecar(net::Scheduler& scheduler, const config::Config& config);
+  // An operator's: what its file says, which outlives it.
+  Sidecar(net::Scheduler& scheduler, const opfile::Model& model);
   void listen();  // from here on it serves; throws std::system_error
   // Takes over what may change while it serves: where discovery is, and the bounds on callers. Connections,
   // calls and the list stay.
@@ -27,20 +31,29 @@
   // How long the platform leaves it: until no client waits any more, at most so long.
   Span drain_time() const;
   bool finished() const { return finished_; }
-  std::optional<sockaddr_in> address() const { return callers_.address(); }
+  std::optional<sockaddr_in> address() const { return callers_.front()->address(); }
+  // Where each listener listens, in the file's order.
+  std::optional<sockaddr_in> address(std::size_t listener) const { return callers_[listener]->address(); }
+  const Services* services() const { return services_.get(); }  // none: the platform's
   const Counters& counters() const { return counters_; }
 
  private:
   net::Task end(Span within);
+  Intake& intake() { return single_ ? static_cast<Intake&>(*single_) : *services_; }
 
   net::Scheduler& scheduler_;
-  const sockaddr_in listen_at_;
+  std::size_t callers() const;
+
+  std::vector<sockaddr_in> listen_at_;
   const Span longest_timeout_;
   Counters counters_;
   Front front_;
-  Endpoints endpoints_;
-  Driver driver_;
-  Callers callers_;
+  Room room_;
+  std::vector<std::unique_ptr<Pool>> pools_;
+  std::unique_ptr<SingleService> single_;
+  std::unique_ptr<Services> services_;
+  OpenIds open_ids_;
+  std::vector<std::unique_ptr<Callers>> callers_;  // one for each listener
   bool draining_ = false, finished_ = false;
   net::Waker waker_;
   net::Timer timer_;
@@ -53,6 +66,9 @@
 // changes; false then.
 bool reload(Sidecar& sidecar, const Reading& reading, const config::Config& in_force);
 
+// The same for an operator's file; SIGHUP changes nothing yet and says so.
+int serve_file(const opfile::Model& model);
+
 // Serves until SIGTERM or SIGINT and the drain after it; SIGHUP reads the configuration again, SIGUSR1 prints
 // the counters. The exit status.
 int serve(const Reading& reading);
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -72,6 +72,7 @@
   TimePoint arrived, timeout, wait_until;
   TimePoint soft_end;  // the soft limit counts from the client's first try
   std::uint8_t sent = 0, out = 0;
+  std::uint8_t sent_elsewhere = 0;  // by other pools: one budget counts over all
   bool over = false, waiting = false, streaming = false, in_use = false;
   int bound_to = -1;  // endpoint of the earliest dispatch that may have run
   TimePoint bound_since;
