Pools keep a dispatch for the next one; the lab plays pools; files, limits, pools tested

A pool whose endpoints refuse spent all four dispatches of a call and left none for the pool that was there: found by the first loopback test of failover. One dispatch is kept for each pool that the call has not been to.

--- a/src/lab/auditor.cpp
+++ b/src/lab/auditor.cpp
@@ -208,8 +208,9 @@
                   text("single-use, sent to endpoint %u though endpoint %u may have run it", d.endpoint,
                        before.endpoint));
   const Life &to = endpoints_[d.endpoint].life, &from = endpoints_[before.endpoint].life;
-  const bool group = track.scope == Scope::all || (track.scope == Scope::zone && to.zone == from.zone) ||
-                     (track.scope == Scope::cell && to.cell == from.cell);
+  const bool group = to.group == from.group &&
+                     (track.scope == Scope::all || (track.scope == Scope::zone && to.zone == from.zone) ||
+                      (track.scope == Scope::cell && to.cell == from.cell));
   if (!group)
     breach(2, c.ask.call, d.last_byte,
            text("referenced, sent to endpoint %u outside the group of endpoint %u, which may have run it",
--- a/src/lab/auditor.hpp
+++ b/src/lab/auditor.hpp
@@ -58,8 +58,8 @@
   // --- Endpoints
   struct Life {
     EndpointKey endpoint = 0;
-    std::size_t zone = 0, cell = 0;
-    TimePoint came_up;  // zero: long warm
+    std::size_t group = 0, zone = 0, cell = 0;  // group: a pool; none remembers another's references
+    TimePoint came_up;                          // zero: long warm
     double mean_work_ms = 0.0;
     double cores = 1.0;
   };
--- a/src/lab/callers.cpp
+++ b/src/lab/callers.cpp
@@ -120,6 +120,7 @@
   text.left = left;
   text.repeated = w.tries > 0 && experiment_.callers.marks_repeats;
   text.body = experiment_.callers.request_bytes;
+  text.client = t.client;
   Auditor::Ask ask;
   ask.call = text.call;
   ask.track = w.track;
--- a/src/lab/client.hpp
+++ b/src/lab/client.hpp
@@ -123,6 +123,7 @@
   Span left;
   bool repeated = false;
   std::size_t body = 0;
+  std::string_view client;  // who asks; empty: not said
 };
 std::string call_text(const CallText& call);
 // An id's number, or 0 when it is none that the lab makes.
--- a/src/lab/endpoint.cpp
+++ b/src/lab/endpoint.cpp
@@ -186,7 +186,8 @@
     } else {
       call_ = call_of(parser_.find("X-Request-ID").value_or(""));
       dispatch_ = auditor.dispatched(call_, owner_.spec_.key, first_byte_, last_byte_);
-      if (owner_.spec_.tier == 0) owner_.shared_.first_tier_dispatch(call_);
+      if (owner_.spec_.tier == 0 || owner_.shared_.experiment.pools)
+        owner_.shared_.first_tier_dispatch(call_);
       if (!owner_.ills_.silent && may(owner_.chance_, owner_.ills_.reset_amid)) {
         owner_.shared_.struck(FaultKind::reset_amid);
         socket_.reset();
@@ -268,6 +269,7 @@
   timekeeper_.start();
   Auditor::Life life;
   life.endpoint = spec.key;
+  life.group = shared.experiment.pools ? spec.tier : 0;
   life.zone = spec.zone;
   life.cell = spec.cell;
   life.came_up = spec.came_up;
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -78,6 +78,7 @@
   out.effect = t.word<TrackEffect>("effect", effect_words, TrackEffect::replayable);
   out.payoff = t.number("payoff", 1.0, 0.0, 1e6);
   out.late_payoff = t.number("late_payoff", 0.0, 0.0, 1.0);
+  out.client = t.text("client", "");
   out.soft_limit = t.span("soft_limit_ms", std::nullopt, 1.0);
   out.client_timeout = t.span("client_timeout_ms", std::nullopt, 1.0);
   if (out.soft_limit > out.client_timeout) t.wrong("soft_limit_ms", "longer than client_timeout_ms");
@@ -99,6 +100,7 @@
   out.connections = t.whole("connections", 1000, 1, 100000);
   out.idle_close = t.span("idle_close_ms", 10000.0, 10.0);
   out.list_delay = t.span("list_delay_ms", 500.0);
+  out.carries_per_s = t.number("carries_per_s", 0.0, 0.0, 1e9);
   out.calls_next = t.whole("calls_next", 1, 0, 20);
   out.answer_bytes = static_cast<std::size_t>(t.whole("answer_bytes", 200, 0, 60000));
   if (const toml::table* work = t.table("work")) {
@@ -216,6 +218,9 @@
     out.seed = static_cast<std::uint64_t>(t.number("seed", 1.0, 0.0, 1e15));
     out.settle = t.span("settle_ms", 1000.0);
     out.lasts = t.span("lasts_ms", 10000.0, 100.0);
+    out.pools = t.flag("pools", false);
+    out.service = t.text("service", "");
+    if (!out.service.empty() && !out.pools) t.wrong("service", "only with pools = true");
     out.lateness_bound = t.span("lateness_bound_ms", 25.0, 0.1);
     if (const toml::table* callers = t.table("callers")) {
       Table c(*callers, "callers.", errors);
--- a/src/lab/experiment.hpp
+++ b/src/lab/experiment.hpp
@@ -28,6 +28,7 @@
   Span remembered;  // a reference, by its group
   double payoff = 1.0, late_payoff = 0.0;
   Span soft_limit, client_timeout;
+  std::string client;  // who its callers say they are; empty: nobody
 };
 
 struct TierSpec {
@@ -42,8 +43,9 @@
   double connect_cost_ms = 0.0;  // work of a new connection
   int connections = 1000;        // that an endpoint holds; one more is closed
   Span idle_close;
-  Span list_delay;     // before discovery tells of a change
-  int calls_next = 1;  // calls to the next tier, one after another, for each request
+  Span list_delay;             // before discovery tells of a change
+  double carries_per_s = 0.0;  // with `pools`: calls that the pool is stated to carry; 0: not stated
+  int calls_next = 1;          // calls to the next tier, one after another, for each request
   std::size_t answer_bytes = 200;
 };
 
@@ -125,6 +127,9 @@
   CallersSpec callers;
   RulesSpec rules;
   AllowedSpec allowed;
+  // The tiers are pools of one service, by priority, behind the first one's sidecars, instead of a chain.
+  bool pools = false;
+  std::string service;  // with `pools`: further keys of the service, in the operator's form
   std::vector<TrackSpec> tracks;
   std::vector<TierSpec> tiers;
   std::vector<FaultSpec> faults;
--- a/src/lab/fleet.cpp
+++ b/src/lab/fleet.cpp
@@ -129,14 +129,19 @@
       s->tier = t;
       s->before = i;
       s->name = experiment_.tiers[t].name + "-" + std::to_string(i);
-      s->config = places_.folder + "/" + s->name + ".json";
+      s->config = places_.folder + "/" + s->name + (experiment_.pools ? ".toml" : ".json");
       s->log = places_.folder + "/" + s->name + ".log";
       std::ofstream(s->log, std::ios::trunc);
       s->listen = addresses_.at(sidecar_group + static_cast<int>(t), i + 1, service_port);
-      s->discovery = addresses_.at(sidecar_group + static_cast<int>(t), i + 1, discovery_port);
-      s->agent = std::make_unique<DiscoveryAgent>(scheduler_, books_[t], s->number,
-                                                  experiment_.tiers[t].list_delay, shared_);
-      s->agent->open(s->discovery);
+      for (std::size_t of = t; of < (experiment_.pools ? experiment_.tiers.size() : t + 1); ++of) {
+        SidecarPlace::Agent agent;
+        agent.tier = of;
+        agent.at = addresses_.at(sidecar_group + static_cast<int>(of), i + 1, discovery_port);
+        agent.agent = std::make_unique<DiscoveryAgent>(scheduler_, books_[of], s->number,
+                                                       experiment_.tiers[of].list_delay, shared_);
+        agent.agent->open(agent.at);
+        s->agents.push_back(std::move(agent));
+      }
       sidecars_.push_back(std::move(s));
     }
   }
@@ -146,18 +151,24 @@
   SidecarConfig c;
   c.name = s.name;
   c.listen = AddressBlock::text(s.listen);
-  c.discovery = AddressBlock::text(s.discovery);
+  c.discovery = AddressBlock::text(s.agents.front().at);
   c.seed = seed_ * 1000003U + s.number * 101U + static_cast<unsigned>(s.starts);
   c.tier = s.tier;
   c.place = s.before;
-  c.known = s.agent->known();
-  write_sidecar_config(experiment_, c, s.config);
+  c.known = s.agents.front().agent->known();
+  if (!experiment_.pools) return write_sidecar_config(experiment_, c, s.config);
+  std::vector<std::string> discovery;
+  for (const SidecarPlace::Agent& a : s.agents) discovery.push_back(AddressBlock::text(a.at));
+  write_operator_file(experiment_, c, discovery, s.config);
 }
 
 void Fleet::start_sidecar(SidecarPlace& s) {
   ++s.starts;
   write_config(s);
-  s.process.start({places_.sidecar, "serve", "--config", s.config}, s.log);
+  if (experiment_.pools)
+    s.process.start({places_.sidecar, "serve", s.config}, s.log);
+  else
+    s.process.start({places_.sidecar, "serve", "--config", s.config}, s.log);
   s.doing = Doing::starting;
   s.kill_at = TimePoint::never();
   ready_checks_.begin(s.number, s.listen);
@@ -221,8 +232,12 @@
                         [&](const auto& e) { return e->tier == tier && e->place == place; });
 }
 
+bool Fleet::calls_on(const EndpointPlace& e) const {
+  return !experiment_.pools && e.tier + 1 < experiment_.tiers.size();
+}
+
 Fleet::SidecarPlace* Fleet::sidecar_of(const EndpointPlace& e) {
-  if (e.tier + 1 >= experiment_.tiers.size()) return nullptr;
+  if (!calls_on(e)) return nullptr;
   const std::size_t before = e.place % sidecars_of(experiment_, e.tier + 1);
   for (auto& s : sidecars_) {
     if (s->tier == e.tier + 1 && s->before == before) return s.get();
@@ -231,7 +246,7 @@
 }
 
 bool Fleet::has_own_sidecar(const EndpointPlace& e) const {
-  return e.tier + 1 < experiment_.tiers.size() && experiment_.tiers[e.tier + 1].sidecars == 0;
+  return calls_on(e) && experiment_.tiers[e.tier + 1].sidecars == 0;
 }
 
 // A new life: an id of its own, at the old address. It is listed once its sidecar is ready.
@@ -278,13 +293,17 @@
   publish(e, Availability::gone);
 }
 
+void Fleet::look_at_books() {
+  for (auto& s : sidecars_) {
+    for (auto& a : s->agents) a.agent->look();
+  }
+}
+
 void Fleet::publish(EndpointPlace& e, Availability availability) {
   e.listed.availability = availability;
   // What is there from the start was told long ago.
   books_[e.tier].publish(e.listed, begins_ == TimePoint::never() ? TimePoint() : scheduler_.now());
-  for (auto& s : sidecars_) {
-    if (s->tier == e.tier) s->agent->look();
-  }
+  look_at_books();
 }
 
 // --- The time line ---------------------------------------------------------------------------------
@@ -297,7 +316,9 @@
   for (auto& e : endpoints_) {
     if (e->now && !e->waits_for_sidecar) e->now->suffer(timeline_.ills(e->tier, e->place, in_force_));
   }
-  for (auto& s : sidecars_) s->agent->suffer(timeline_.list_ills(s->tier, in_force_));
+  for (auto& s : sidecars_) {
+    for (auto& a : s->agents) a.agent->suffer(timeline_.list_ills(a.tier, in_force_));
+  }
   const double factor = timeline_.rate_factor(in_force_);
   if (factor != 1.0) shared_.struck(FaultKind::burst);
   callers_.rate_factor(factor);
@@ -401,13 +422,13 @@
 
 Result Fleet::run(const Progress& progress) {
   for (auto& e : endpoints_) {
-    if (e->tier + 1 == experiment_.tiers.size()) bring_up(*e, false);
+    if (!calls_on(*e)) bring_up(*e, false);
   }
   // Tiers come up from the last to the first, so that each list that a sidecar starts with is whole.
   for (std::size_t t = experiment_.tiers.size(); t-- > 0;) {
     const auto of_tier = [&](const auto& one) { return one->tier == t; };
     for (auto& s : sidecars_) {
-      if (of_tier(s)) s->agent->look();
+      if (of_tier(s)) look_at_books();
     }
     for (auto& s : sidecars_) {
       if (of_tier(s) && s->doing == Doing::down) start_sidecar(*s);
--- a/src/lab/fleet.hpp
+++ b/src/lab/fleet.hpp
@@ -85,8 +85,13 @@
   struct SidecarPlace {
     std::string name, config, log;
     std::size_t number = 0, tier = 0, before = 0;  // `before`: which of its tier
-    sockaddr_in listen{}, discovery{};
-    std::unique_ptr<DiscoveryAgent> agent;
+    sockaddr_in listen{};
+    struct Agent {
+      std::size_t tier = 0;
+      sockaddr_in at{};
+      std::unique_ptr<DiscoveryAgent> agent;
+    };
+    std::vector<Agent> agents;  // one; with pools, one for each
     Process process;
     Doing doing = Doing::down;
     TimePoint kill_at = TimePoint::never();
@@ -115,10 +120,12 @@
   void watch_processes();
   void sidecar_ready(std::size_t number);
   SidecarPlace* sidecar_of(const EndpointPlace& e);  // through which it calls the next tier
+  bool calls_on(const EndpointPlace& e) const;       // whether it asks a next tier
   bool has_own_sidecar(const EndpointPlace& e) const;
   void bring_up(EndpointPlace& e, bool cold);
   void open_endpoint(EndpointPlace& e);
   void take_down(EndpointPlace& e);
+  void look_at_books();
   void publish(EndpointPlace& e, Availability availability);
   EndpointPlace& endpoint(std::size_t tier, std::size_t place);
   void release_next(std::size_t fault, std::size_t nth);
--- a/src/lab/sidecar_config.cpp
+++ b/src/lab/sidecar_config.cpp
@@ -3,6 +3,7 @@
 #include <cstdio>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <sstream>
 #include <stdexcept>
 
 #include "lab/timeline.hpp"
@@ -71,4 +72,41 @@
   if (!into.flush()) throw std::runtime_error(file + ": cannot be written");
 }
 
+void write_operator_file(const Experiment& e, const SidecarConfig& c,
+                         const std::vector<std::string>& discovery, const std::string& file) {
+  std::ostringstream out;
+  out << "name = '" << c.name << "'\n[calls]\nclient_header = 'X-Client'\n[limits]\nsockets = 4096\n"
+      << "[[listener]]\naddress = '" << c.listen << "'\n";
+  for (const TrackSpec& t : e.tracks) {
+    const char* effect = t.effect == TrackEffect::replayable   ? "replayable"
+                         : t.effect == TrackEffect::referenced ? "referenced"
+                                                               : "single-use";
+    out << "[[track]]\nname = '" << t.name << "'\neffect = '" << effect
+        << "'\nsoft_limit_ms = " << t.soft_limit.as_ms()
+        << "\nclient_timeout_ms = " << t.client_timeout.as_ms() << "\npayoff = " << t.payoff
+        << "\nlate_payoff = " << t.late_payoff << "\nrepeat_group = '" << scope_name(t.scope)
+        << "'\nrepeat_window_ms = " << t.remembered.as_ms() << "\n[[route]]\nservice = 'lab'\ntrack = '"
+        << t.name << "'\nheader = [{ name = 'X-Priority-Class', value = '" << t.name << "' }]\n";
+  }
+  std::string pools;
+  for (std::size_t i = 0; i < e.tiers.size(); ++i) {
+    const TierSpec& t = e.tiers[i];
+    out << "[[pool]]\nname = '" << t.name << "'\ndiscovery = '" << discovery[i]
+        << "'\nsidecars = " << sidecars_of(e, 0)
+        << "\ncarries_per_s = " << t.carries_per_s / static_cast<double>(sidecars_of(e, 0))
+        << "\nmax_dispatches = " << e.allowed.dispatches
+        << "\nconnect_timeout_ms = " << e.allowed.connect_timeout.as_ms()
+        << "\nidle_close_ms = " << t.idle_close.as_ms()
+        << "\nmax_retry_after_ms = " << e.allowed.most_retry_after.as_ms()
+        << "\ncold_share = " << e.rules.cold_share << "\nwarm_after_ms = " << e.rules.warm_after.as_ms()
+        << "\nfall_multiple = " << e.rules.fall_multiple << "\nfall_ms = " << e.rules.fall_window.as_ms()
+        << "\n";
+    pools += (i == 0 ? "'" : ", '") + t.name + "'";
+  }
+  out << "[[service]]\nname = 'lab'\npools = [" << pools << "]\n" << e.service << "\n";
+  std::ofstream into(file, std::ios::trunc);
+  into << out.str();
+  if (!into.flush()) throw std::runtime_error(file + ": cannot be written");
+}
+
 }  // namespace chutevane::lab
--- a/src/lab/timeline.cpp
+++ b/src/lab/timeline.cpp
@@ -11,6 +11,7 @@
 }
 
 std::size_t sidecars_of(const Experiment& e, std::size_t tier) {
+  if (e.pools && tier > 0) return 0;
   const int own = e.tiers[tier].sidecars;
   return static_cast<std::size_t>(own > 0 || tier == 0 ? own : e.tiers[tier - 1].endpoints);
 }
--- a/src/sidecar/services.cpp
+++ b/src/sidecar/services.cpp
@@ -1,7 +1,7 @@
 #include "sidecar/services.hpp"
 
 #include <algorithm>
-#include <array>
+#include <bit>
 
 #include "base/log.hpp"
 
@@ -183,11 +183,18 @@
   ApiCall call = f.call;
   const Span passed = scheduler_.now() - f.taken;
   call.left = f.call.left - passed;
-  call.elsewhere = {f.starts > 0, static_cast<std::uint8_t>(f.spent.dispatches), f.spent.may_have_run,
-                    passed};
+  const Side& side = services_[model_.routes[f.route].service].sides[f.side];
+  // One of the call's dispatches is kept for each pool that it has not been to. Guards against a lost pool
+  // that spends all of them on endpoints that refuse, and leaves none for the pool that is there.
+  const int most = model_.pools[side.pools[nth]].dispatches;
+  const int untried = static_cast<int>(side.pools.size()) - std::popcount(f.tried);
+  const int kept = std::clamp(most - f.spent.dispatches - 1, 0, std::max(0, untried));
+  call.elsewhere.was = f.starts > 0;
+  call.elsewhere.dispatches = static_cast<std::uint8_t>(f.spent.dispatches + kept);
+  call.elsewhere.may_have_run = f.spent.may_have_run;
+  call.elsewhere.spent = passed;
   const std::uint32_t mine = ++f.starts;
   const CallId id = f.id;
-  const Side& side = services_[model_.routes[f.route].service].sides[f.side];
   const CallId inner = pools_[side.pools[nth]]->driver.take(call, f);
   // Answered, or gone on to another pool, before this returned: what stands there is not this start's to
   // write.
--- a/src/toml/checked.cpp
+++ b/src/toml/checked.cpp
@@ -12,15 +12,18 @@
 
 // How many letters apart two words are, for "did you mean".
 std::size_t distance(std::string_view a, std::string_view b) {
-  std::vector<std::size_t> row(b.size() + 1);
+  std::vector<std::size_t> row(b.size() + 1),
+      above(b.size() + 1);  // of this letter of `a`, and of the one before
   for (std::size_t j = 0; j <= b.size(); ++j) row[j] = j;
   for (std::size_t i = 0; i < a.size(); ++i) {
-    std::size_t corner = std::exchange(row[0], i + 1);
+    std::vector<std::size_t> next(b.size() + 1, i + 1);
     for (std::size_t j = 0; j < b.size(); ++j) {
-      const std::size_t swap = corner + (a[i] == b[j] ? 0U : 1U);
-      corner = row[j + 1];
-      row[j + 1] = std::min({row[j] + 1, corner + 1, swap});
+      next[j + 1] = std::min({next[j] + 1, row[j + 1] + 1, row[j] + (a[i] == b[j] ? 0U : 1U)});
+      // Two letters the wrong way round are one slip.
+      if (i > 0 && j > 0 && a[i] == b[j - 1] && a[i - 1] == b[j])
+        next[j + 1] = std::min(next[j + 1], above[j - 1] + 1);
     }
+    above = std::exchange(row, next);
   }
   return row[b.size()];
 }
--- a/tests/lab_fleet_test.cpp
+++ b/tests/lab_fleet_test.cpp
@@ -116,6 +116,120 @@
       return name;
     });
 
+// --- Pools behind one sidecar -----------------------------------------------------------------------
+
+// Two pools; `far` is told what follows.
+std::string pools_text(const std::string& far, const std::string& more) {
+  return R"(name = "pools"
+settle_ms = 600
+lasts_ms = 4500
+lateness_bound_ms = 2000
+pools = true
+service = """
+[service.failover]
+return_per_s = 0.5
+memory_ms = 1000
+"""
+[callers]
+rate = 150
+repeats = 1
+[rules]
+slack_ms = 400
+warm_after_ms = 1000
+[[track]]
+name = "plan"
+share = 4
+soft_limit_ms = 300
+client_timeout_ms = 800
+[[track]]
+name = "alert"
+effect = "referenced"
+repeat_window_ms = 5000
+soft_limit_ms = 300
+client_timeout_ms = 800
+[[track]]
+name = "sale"
+effect = "single-use"
+soft_limit_ms = 300
+client_timeout_ms = 800
+[[tier]]
+name = "near"
+endpoints = 3
+cores = 2
+list_delay_ms = 100
+work = { mean_ms = 5 }
+[[tier]]
+name = "far"
+endpoints = 3
+cores = 2
+work = { mean_ms = 5 }
+)" + far +
+         more;
+}
+
+Result play(const std::string& text, std::string& table) {
+  const Experiment e = read_experiment(text, "pools");
+  Folder folder;
+  Fleet fleet(e, 4, {SIDECAR, folder.path});
+  Result out = fleet.run({});
+  table = table_of(e, out);
+  return out;
+}
+
+const std::string lost = "[[fault]]\nkind = \"end\"\ntier = \"near\"\nendpoints = 3\nat_ms = 1000\n";
+
+// The pool's endpoints are gone for good; the other one carries on, no rule broken, and single-use calls
+// never twice.
+TEST(Pools, ALostPoolIsTakenOverByTheNext) {
+  std::string table;
+  const Result r = play(pools_text("carries_per_s = 400\n", lost), table);
+  EXPECT_FALSE(r.broken()) << table;
+  Tally after;  // from half a second after the loss
+  for (std::size_t i = 6; i < r.ledger.slices().size(); ++i) after.add(r.ledger.slices()[i]);
+  EXPECT_GT(after.service(), 0.9) << table;
+}
+
+// The next pool is given no more than it is stated to carry; the rest is refused at once.
+TEST(Pools, TheNextPoolIsNotPushedOver) {
+  std::string table;
+  const Result r = play(pools_text("carries_per_s = 40\n", lost), table);
+  EXPECT_FALSE(r.broken()) << table;
+  Tally after;
+  for (std::size_t i = 8; i < r.ledger.slices().size(); ++i) after.add(r.ledger.slices()[i]);
+  EXPECT_GT(after.of(Ending::rejected), after.asked / 3) << table;
+  EXPECT_LT(after.dispatches, after.asked / 2)
+      << table;  // 40 of 150 a second, and what had to be told of the loss
+}
+
+TEST(Pools, AFlappingPoolBreaksNothing) {
+  std::string faults;
+  for (const char* at : {"800", "1800", "2800"})
+    faults += std::string("[[fault]]\nkind = \"silent\"\ntier = \"near\"\nendpoints = 3\nat_ms = ") + at +
+              "\nfor_ms = 500\n";
+  std::string table;
+  const Result r = play(pools_text("carries_per_s = 400\n", faults), table);
+  EXPECT_FALSE(r.broken()) << table;
+  EXPECT_GT(r.ledger.all().service(), 0.7) << table;
+}
+
+// Ten times as many calls as the other client makes, and more than the pool can do.
+TEST(Pools, ANoisyClientLeavesTheQuietOneItsShare) {
+  std::string text = pools_text("", "");
+  const auto replace = [&](const std::string& what, const std::string& with) {
+    text.replace(text.find(what), what.size(), with);
+  };
+  replace("[service.failover]", "[service.limits]\nin_flight = 12\n[service.failover]");
+  replace("rate = 150\nrepeats = 1", "rate = 900\nconnections = 300\nspread = true");
+  replace("share = 4", "share = 30\nclient = \"noisy\"");
+  replace("name = \"alert\"", "name = \"alert\"\nclient = \"quiet\"");
+  replace("name = \"sale\"", "name = \"sale\"\nclient = \"quiet\"");
+  std::string table;
+  const Result r = play(text, table);
+  EXPECT_FALSE(r.broken()) << table;
+  EXPECT_GT(r.ledger.tracks()[1].service(), 0.8) << table;
+  EXPECT_GT(r.ledger.tracks()[2].service(), 0.8) << table;
+}
+
 std::size_t open_descriptors() {
   return static_cast<std::size_t>(
       std::distance(fs::directory_iterator("/proc/self/fd"), fs::directory_iterator()));
