Lab: requests by tier over time; whose CPU a load costs is found by its address

How much a standby pool is sent while the first is lost could not be seen. The report draws and lists requests by tier.

--- a/src/lab/endpoint.cpp
+++ b/src/lab/endpoint.cpp
@@ -186,8 +186,7 @@
     } else {
       call_ = call_of(parser_.find("X-Request-ID").value_or(""));
       dispatch_ = auditor.dispatched(call_, owner_.spec_.key, first_byte_, last_byte_);
-      if (owner_.spec_.tier == 0 || owner_.shared_.experiment.pools)
-        owner_.shared_.first_tier_dispatch(call_);
+      owner_.shared_.on_dispatch(owner_.spec_.tier, call_, last_byte_);
       if (!owner_.ills_.silent && may(owner_.chance_, owner_.ills_.reset_amid)) {
         owner_.shared_.struck(FaultKind::reset_amid);
         socket_.reset();
--- a/src/lab/endpoint.hpp
+++ b/src/lab/endpoint.hpp
@@ -36,8 +36,9 @@
   const Experiment& experiment;
   Auditor& auditor;
   std::array<std::uint64_t, fault_kinds> strikes{};
-  // Tells of a whole request for a call of the first tier.
-  std::function<void(CallKey)> first_tier_dispatch = [](CallKey) {};
+  // Tells of a whole request that came to an endpoint of a tier.
+  std::function<void(std::size_t tier, CallKey, TimePoint)> on_dispatch = [](std::size_t, CallKey,
+                                                                             TimePoint) {};
 
  private:
   std::uint64_t seed_;
--- a/src/lab/fleet.cpp
+++ b/src/lab/fleet.cpp
@@ -106,7 +106,10 @@
     ::setrlimit(RLIMIT_NOFILE, &limit);
   }
   std::signal(SIGPIPE, SIG_IGN);
-  shared_.first_tier_dispatch = [this](CallKey call) { callers_.dispatched(call); };
+  shared_.on_dispatch = [this](std::size_t tier, CallKey call, TimePoint at) {
+    ledger_.came_to(tier, at);
+    if (tier == 0 || experiment_.pools) callers_.dispatched(call);
+  };
   make_sidecars();
   for (std::size_t t = 0; t < experiment_.tiers.size(); ++t) {
     for (std::size_t i = 0; i < static_cast<std::size_t>(experiment_.tiers[t].endpoints); ++i) {
--- a/src/lab/ledger.cpp
+++ b/src/lab/ledger.cpp
@@ -33,7 +33,8 @@
     : experiment_(experiment),
       begins_(begins),
       tracks_(experiment.tracks.size()),
-      slices_(place(experiment.lasts - Span::us(1)) + 1) {}
+      slices_(place(experiment.lasts - Span::us(1)) + 1),
+      came_(experiment.tiers.size(), std::vector<std::uint32_t>(slices_.size())) {}
 
 Tally* Ledger::slice_of(TimePoint intended) {
   if (intended < begins_ || intended - begins_ >= experiment_.lasts) return nullptr;
@@ -63,6 +64,11 @@
   ++tracks_[track].dispatches;
 }
 
+void Ledger::came_to(std::size_t tier, TimePoint at) {
+  if (at < begins_ || at - begins_ >= experiment_.lasts) return;
+  ++came_[tier][std::min(slices_.size() - 1, place(at - begins_))];
+}
+
 Tally Ledger::all() const {
   Tally out;
   for (const Tally& t : tracks_) out.add(t);
--- a/src/lab/ledger.hpp
+++ b/src/lab/ledger.hpp
@@ -41,6 +41,11 @@
   // A dispatch of such a wish's call came to an endpoint of the first tier.
   void dispatched(std::size_t track, TimePoint intended);
 
+  // A request came to an endpoint of that tier.
+  void came_to(std::size_t tier, TimePoint at);
+  // By tier and slice.
+  const std::vector<std::vector<std::uint32_t>>& came() const { return came_; }
+
   const std::vector<Tally>& tracks() const { return tracks_; }
   const std::vector<Tally>& slices() const { return slices_; }
   Tally all() const;
@@ -53,6 +58,7 @@
   Experiment experiment_;  // its own: results outlive what they came from
   TimePoint begins_;
   std::vector<Tally> tracks_, slices_;
+  std::vector<std::vector<std::uint32_t>> came_;
 };
 
 }  // namespace chutevane::lab
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -164,6 +164,7 @@
       throw std::runtime_error("--to " + to +
                                ": no address in 127.0.0.0/8 with a port; load stays on this machine");
     spec.to = *address;
+    if (spec.pid == 0) spec.pid = listening_at(spec.to);
   } else {
     const fs::path out = given["out"].as<std::string>();
     fs::create_directories(out);
@@ -243,7 +244,7 @@
   add("sidecar-b", "compare: another build for B", cxxopts::value<std::string>());
   add("pairs", "compare: how many seeds", cxxopts::value<int>()->default_value("5"));
   add("to", "load: an address in 127.0.0.0/8; else it brings its own", cxxopts::value<std::string>());
-  add("pid", "load: whose CPU and memory to show, with --to", cxxopts::value<int>());
+  add("pid", "load: whose CPU and memory to show, with --to; else who listens there", cxxopts::value<int>());
   add("rate", "load: calls/s; 0: each caller asks again at once",
       cxxopts::value<double>()->default_value("0"));
   add("callers", "load: connections", cxxopts::value<std::size_t>()->default_value("64"));
--- a/src/lab/process.cpp
+++ b/src/lab/process.cpp
@@ -7,7 +7,9 @@
 
 #include <cerrno>
 #include <csignal>
+#include <cstdio>
 #include <deque>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <system_error>
@@ -36,6 +38,30 @@
   return out;
 }
 
+pid_t listening_at(const sockaddr_in& address) {
+  namespace fs = std::filesystem;
+  char wanted[20];
+  std::snprintf(wanted, sizeof wanted, "%08X:%04X", address.sin_addr.s_addr, ntohs(address.sin_port));
+  std::ifstream table("/proc/net/tcp");
+  std::string line, socket;
+  while (std::getline(table, line)) {  // sl local remote state queues timer retransmits uid timeout inode
+    std::istringstream fields(line);
+    std::string place, local, remote, state, skipped, inode;
+    fields >> place >> local >> remote >> state >> skipped >> skipped >> skipped >> skipped >> skipped >>
+        inode;
+    if (local == wanted && state == "0A") socket = "socket:[" + inode + "]";
+  }
+  std::error_code error;
+  for (const auto& entry : fs::directory_iterator("/proc", error)) {
+    const std::string name = entry.path().filename();
+    if (socket.empty() || name.find_first_not_of("0123456789") != std::string::npos) continue;
+    for (const auto& fd : fs::directory_iterator(entry.path() / "fd", error)) {
+      if (fs::read_symlink(fd, error) == socket) return static_cast<pid_t>(std::stol(name));
+    }
+  }
+  return 0;
+}
+
 void Process::start(const std::vector<std::string>& command, const std::string& log) {
   kill();
   const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
--- a/src/lab/process.hpp
+++ b/src/lab/process.hpp
@@ -1,6 +1,7 @@
 // A sidecar's process: started, watched, ended. It ends with the lab, however the lab ends.
 #pragma once
 
+#include <netinet/in.h>
 #include <sys/types.h>
 
 #include <optional>
@@ -17,6 +18,9 @@
 // Of any process; nothing where there is none.
 std::optional<Usage> usage_of(pid_t pid);
 
+// The process that listens at an address, as far as this user may see; 0: none.
+pid_t listening_at(const sockaddr_in& address);
+
 class Process {
  public:
   Process() = default;
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -228,6 +228,7 @@
   out["slices_ms"] = Ledger::slice.as_ms();
   out["slices"] = json::array();
   for (const Tally& t : r.ledger.slices()) out["slices"].push_back(as_json(t));
+  for (std::size_t t = 0; t < e.tiers.size(); ++t) out["came"][e.tiers[t].name] = r.ledger.came()[t];
   out["breach_texts"] = json::array();
   for (const Breach& b : r.breaches) out["breach_texts"].push_back(breach_text(b, r.ledger.begins()));
   out["sidecars"] = json::array();
@@ -268,7 +269,16 @@
       escaped(e.name) + "</h1><p><strong>" + escaped(verdict_of(r)) + "</strong></p>";
   out += chart(e, "Payoff answered, by when it was asked for", {service, rejected, broken}, 100.0, "%");
   out += chart(e, "Time to the answer, from when it was meant to be asked", {p50, p99}, top_ms, " ms");
-  out += chart(e, "Asked", {rate}, top_rate, "");
+  static constexpr const char* colours[] = {"#1b6e3c", "#b36b00", "#1f5fa8", "#7a3aa3"};
+  std::vector<Line> flows{rate};
+  for (std::size_t t = 0; t < e.tiers.size(); ++t) {
+    flows.push_back({e.tiers[t].name.c_str(), colours[t % std::size(colours)], {}});
+    for (const std::uint32_t n : r.ledger.came()[t]) {
+      flows.back().values.push_back(n / Ledger::slice.as_ms() * 1000.0);
+      top_rate = std::max(top_rate, flows.back().values.back());
+    }
+  }
+  out += chart(e, "Asked, and come to each tier", flows, top_rate, "/s");
   out += "<h2>Figures</h2><pre>" + escaped(table_of(e, r)) + "</pre></body></html>\n";
   return out;
 }
--- a/tests/lab_fleet_test.cpp
+++ b/tests/lab_fleet_test.cpp
@@ -201,6 +201,20 @@
       << table;  // 40 of 150 a second, and what had to be told of the loss
 }
 
+// The next pool is cold when it takes over: each sidecar's budget for cold endpoints holds, whatever comes
+// over.
+TEST(Pools, AColdNextPoolIsNotPushedOver) {
+  std::string faults = lost;
+  for (const char* at : {"600", "700", "800"})
+    faults +=
+        std::string("[[fault]]\nkind = \"restart\"\ntier = \"far\"\nendpoints = 3\ndown_ms = 50\nat_ms = ") +
+        at + "\n";
+  std::string table;
+  const Result r = play(pools_text("carries_per_s = 400\n", faults), table);
+  EXPECT_FALSE(r.broken()) << table;  // rule 4 among them
+  EXPECT_GT(r.most_cold_part, 0.0) << table;
+}
+
 TEST(Pools, AFlappingPoolBreaksNothing) {
   std::string faults;
   for (const char* at : {"800", "1800", "2800"})
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include <cmath>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 
@@ -455,9 +456,13 @@
   EXPECT_NEAR(l.tracks()[sale].latency.quantile(1.0), 400.0, 4.0);
 }
 
-TEST(Examples, AreInOrder) {
-  for (const char* name : {"calm", "silent", "demo"})
-    EXPECT_EQ(load_experiment(std::string(EXAMPLES) + "/" + name + ".toml").name, name);
+TEST(Examples, AreInOrderAndNamedAsTheirFiles) {
+  int read = 0;
+  for (const auto& file : std::filesystem::directory_iterator(EXAMPLES)) {
+    EXPECT_EQ(load_experiment(file.path()).name, file.path().stem());
+    ++read;
+  }
+  EXPECT_GE(read, 6);
 }
 
 }  // namespace
