Services: what is still out counts as may have run; the peer is asked for only where it matters

Read once more: a call that a pool gives up while a dispatch of it is still out would have gone on to the next pool as never run. The module does not do so today (it gives up with nothing out), but the rule must not hang on that: the driver tells it as may have run, with no memory counted on. The peer's address is no longer asked of the system at each accept, only for limits by client without a header.

--- a/src/limit/limiter.cpp
+++ b/src/limit/limiter.cpp
@@ -56,9 +56,7 @@
 }
 
 std::uint32_t Limiter::place_of(std::string_view client, TimePoint now) {
-  if (client.empty() ||
-      (spec_.client_in_flight <= 0.0 && spec_.client_rate.per_s <= 0.0 && spec_.in_flight <= 0.0))
-    return shared_place;
+  if (client.empty() || !tells_clients()) return shared_place;
   const std::uint64_t key = XXH3_64bits_withSeed(client.data(), client.size(), seed_);
   const auto found = index_.find(key);
   if (found != index_.end()) {
--- a/src/limit/limiter.hpp
+++ b/src/limit/limiter.hpp
@@ -54,6 +54,10 @@
   Limiter(const LimitSpec& spec, std::uint64_t seed, TimePoint now);
   // Clients by the hash of their key; empty: nobody in particular, all of them one.
   Admission admit(std::string_view client, TimePoint now);
+  // Whether it matters who asks.
+  bool tells_clients() const {
+    return spec_.client_in_flight > 0.0 || spec_.client_rate.per_s > 0.0 || spec_.in_flight > 0.0;
+  }
   void ended(std::uint32_t place);  // of a call that was admitted
   std::size_t clients() const { return index_.size(); }
   std::size_t bytes() const;
--- a/src/sidecar/callers.cpp
+++ b/src/sidecar/callers.cpp
@@ -35,7 +35,6 @@
       idle_since_(scheduler.now()),
       task_(run()) {
   socket_.adopt(fd);
-  peer_ = socket_.peer().value_or(sockaddr_in{});
 }
 
 CallerConnection::~CallerConnection() = default;
@@ -107,7 +106,7 @@
       }
       // One that came whole behind another request has been waited for since.
       if (came_behind_) call.left = call.left - (scheduler_.now() - read_at_);
-      const CallId id = all_.intake_.take(call, way, peer_, *this);
+      const CallId id = all_.intake_.take(call, way, *this);
       if (to_write_ == 0) call_ = id;  // not answered at once
       break;
     }
--- a/src/sidecar/callers.hpp
+++ b/src/sidecar/callers.hpp
@@ -24,8 +24,8 @@
   // take().
   virtual Front::Kind read(const http::Parser& request, ApiCall& call, std::uint32_t& way,
                            std::string_view& why) const = 0;
-  // A new call; its id. The answer may come before this returns. `peer`: where the caller is.
-  virtual CallId take(const ApiCall& call, std::uint32_t way, const sockaddr_in& peer, Caller& caller) = 0;
+  // A new call; its id. The answer may come before this returns.
+  virtual CallId take(const ApiCall& call, std::uint32_t way, Caller& caller) = 0;
   virtual void caller_left(CallId call) = 0;
   // The process is about to end: every call still in hand gets its final answer now.
   virtual void break_off_all() = 0;
@@ -63,6 +63,7 @@
   ~CallerConnection();
 
   const http::Parser& request() const override { return parser_; }
+  sockaddr_in peer() const override { return socket_.peer().value_or(sockaddr_in{}); }
   void done(const http::Parser& response) override;
   void rejected(Span come_back, const pool::Spent& spent) override;
   void broken_off(bool timed_out, const pool::Spent& spent) override;
@@ -88,7 +89,6 @@
   net::Waker waker_;
   net::Timer timer_;
   net::Socket socket_;
-  sockaddr_in peer_{};
   net::Buffer buffer_;  // the request, then its answer in its place
   http::Parser parser_{http::Side::request};
   OpenId id_;
--- a/src/sidecar/driver.cpp
+++ b/src/sidecar/driver.cpp
@@ -80,7 +80,7 @@
     Caller* const caller = release(at);
     if (caller == nullptr) continue;
     ++counters_.broken_off;
-    caller->broken_off(true, calls_[at].spent);
+    caller->broken_off(true, spent_of(at));
     apply(balancer_.client_left(id, scheduler_.now()));
     withdraw_unsent(id);
     settle(at);
@@ -90,6 +90,16 @@
 // Takes the caller out of its call: from here on nothing more is owed to it.
 Caller* Driver::release(std::uint32_t at) { return std::exchange(calls_[at].caller, nullptr); }
 
+// What is still out may run yet. Guards rule 2 over pools: such a call has not been proven never to have run.
+pool::Spent Driver::spent_of(std::uint32_t at) const {
+  pool::Spent out = calls_[at].spent;
+  if (calls_[at].out > 0 && !out.may_have_run) {
+    out.may_have_run = true;
+    out.first_sent = TimePoint();  // not known here: no memory of it is counted on
+  }
+  return out;
+}
+
 // Guards rule 1 where cancels are not allowed: what has not begun when its call is over must not begin later.
 void Driver::withdraw_unsent(CallId call) {
   for (std::size_t i = 0; i < dispatches_most; ++i) {
@@ -224,9 +234,9 @@
         const bool reject = answer.verdict == Verdict::reject;
         ++(reject ? counters_.rejected : counters_.broken_off);
         if (reject) {
-          caller->rejected(answer.span, calls_[at].spent);
+          caller->rejected(answer.span, spent_of(at));
         } else {
-          caller->broken_off(calls_[at].timed_out, calls_[at].spent);
+          caller->broken_off(calls_[at].timed_out, spent_of(at));
         }
         withdraw_unsent(answer.call);
       }
--- a/src/sidecar/driver.hpp
+++ b/src/sidecar/driver.hpp
@@ -21,6 +21,7 @@
 class Caller {
  public:
   virtual const http::Parser& request() const = 0;
+  virtual sockaddr_in peer() const = 0;  // where it is
   virtual void done(const http::Parser& response) = 0;
   virtual void rejected(Span come_back, const pool::Spent& spent) = 0;
   virtual void broken_off(bool timed_out, const pool::Spent& spent) = 0;
@@ -64,6 +65,7 @@
   void act(const Answer& answer);
   void dispatch(std::uint32_t at, const Answer& answer);
   Caller* release(std::uint32_t at);
+  pool::Spent spent_of(std::uint32_t at) const;
   void withdraw_unsent(CallId call);
   void settle(std::uint32_t at);
   std::uint16_t zone_of(const std::string& name);
--- a/src/sidecar/services.cpp
+++ b/src/sidecar/services.cpp
@@ -19,6 +19,7 @@
   explicit Flight(Services& owner) : all(owner) {}
 
   const http::Parser& request() const override { return outer->request(); }
+  sockaddr_in peer() const override { return outer->peer(); }
   void done(const http::Parser& response) override {
     all.count(*this, true);
     all.release(*this)->done(response);
@@ -137,12 +138,18 @@
   return front_.read_routed(request, call, why);
 }
 
-CallId Services::take(const ApiCall& call, std::uint32_t way, const sockaddr_in& peer, Caller& caller) {
+CallId Services::take(const ApiCall& call, std::uint32_t way, Caller& caller) {
   const opfile::RouteModel& route = model_.routes[way];
   Service& s = services_[route.service];
   const TimePoint now = scheduler_.now();
-  std::string_view client(reinterpret_cast<const char*>(&peer.sin_addr), sizeof peer.sin_addr);
-  if (!model_.client_header.empty()) client = caller.request().find(model_.client_header).value_or("");
+  std::string_view client;
+  sockaddr_in peer{};
+  if (!model_.client_header.empty()) {
+    client = caller.request().find(model_.client_header).value_or("");
+  } else if (s.limiter.tells_clients()) {  // else nobody asks the system for it
+    peer = caller.peer();
+    client = {reinterpret_cast<const char*>(&peer.sin_addr), sizeof peer.sin_addr};
+  }
   const limit::Admission admission = s.limiter.admit(client, now);
   if (admission.refusal != limit::Refusal::none) {
     ++counters_.calls;
--- a/src/sidecar/services.hpp
+++ b/src/sidecar/services.hpp
@@ -31,7 +31,7 @@
                    std::string_view& why) const override {
     return front_.read_request(request, call, why);
   }
-  CallId take(const ApiCall& call, std::uint32_t, const sockaddr_in&, Caller& caller) override {
+  CallId take(const ApiCall& call, std::uint32_t, Caller& caller) override {
     return driver_.take(call, caller);
   }
   void caller_left(CallId call) override { driver_.caller_left(call); }
@@ -51,7 +51,7 @@
 
   Front::Kind read(const http::Parser& request, ApiCall& call, std::uint32_t& way,
                    std::string_view& why) const override;
-  CallId take(const ApiCall& call, std::uint32_t way, const sockaddr_in& peer, Caller& caller) override;
+  CallId take(const ApiCall& call, std::uint32_t way, Caller& caller) override;
   void caller_left(CallId call) override;
   void break_off_all() override;
 
