--- a/tests/opfile_test.cpp
+++ b/tests/opfile_test.cpp
@@ -1,6 +1,8 @@
 // The operator's file: what is read, and how what is wrong is told.
 #include <gtest/gtest.h>
 
+#include <filesystem>
+
 #include "chutevane/balancer.hpp"
 #include "opfile/explain.hpp"
 #include "opfile/file.hpp"
@@ -86,6 +88,14 @@
   says("", "listener: missing");
 }
 
+TEST(OperatorsFile, TheExampleIsInOrder) {
+  const auto file = std::filesystem::path(__FILE__).parent_path() / "../deploy/example.toml";
+  const Model m = load(file.string());
+  EXPECT_EQ(m.routes.size(), 3U);
+  const std::string text = explain(m, {"shop.example.org", "/api/sale", "POST", {{"x-user", "anna"}}});
+  EXPECT_NE(text.find("track: sale, single-use"), std::string::npos) << text;
+}
+
 TEST(OperatorsFile, ExplainsARequest) {
   const Model m =
       read(base + "[[route]]\nservice = \"shop\"\ntrack = \"read\"\npath_prefix = \"/a\"\n", "f.toml");
