Lab: one place judges what a caller was answered

Callers and endpoints that call the next tier each worked out how an answer ends a call and whether its body is its own; two readings of one rule could drift apart.

--- a/src/lab/callers.cpp
+++ b/src/lab/callers.cpp
@@ -161,13 +161,7 @@
 }
 
 void CallerStandIns::answered(std::uint64_t request, const http::Parser& answer) {
-  const int status = answer.status();
-  const Final how = status == 200                    ? Final::done
-                    : status == 503 || status == 429 ? Final::rejected
-                                                     : Final::broken_off;
-  const std::string_view body = answer.body();
-  const bool own = body.starts_with("id=") && body.size() > 19 && call_of(body.substr(3, 16)) == request;
-  shared_.auditor.answered(request, how, own, scheduler_.now());
+  const Final how = shared_.judge(request, answer, scheduler_.now());
   ++answered_calls_;
   const std::uint64_t id = take_wish_of(request);
   if (id == 0) return;
--- a/src/lab/endpoint.cpp
+++ b/src/lab/endpoint.cpp
@@ -37,6 +37,17 @@
   return memories_.try_emplace(key, t.remembered).first->second;
 }
 
+Final Shared::judge(CallKey call, const http::Parser& answer, TimePoint now) {
+  const int status = answer.status();
+  const Final how = status == 200                    ? Final::done
+                    : status == 503 || status == 429 ? Final::rejected
+                                                     : Final::broken_off;
+  const std::string_view body = answer.body();
+  const bool own = body.starts_with("id=") && body.size() > 19 && call_of(body.substr(3, 16)) == call;
+  auditor.answered(call, how, own, now);
+  return how;
+}
+
 // --- One connection --------------------------------------------------------------------------------
 
 ServedConnection::ServedConnection(net::Scheduler& scheduler, EndpointStandIn& owner, int fd)
@@ -433,14 +444,8 @@
 }
 
 void EndpointStandIn::answered(std::uint64_t request, const http::Parser& answer) {
-  const TimePoint now = scheduler_.now();
-  const int status = answer.status();
-  const bool done = status == 200;
-  const Final how = done ? Final::done : status == 503 || status == 429 ? Final::rejected : Final::broken_off;
-  const std::string_view body = answer.body();
-  const bool own = body.starts_with("id=") && body.size() > 19 && call_of(body.substr(3, 16)) == request;
-  shared_.auditor.answered(request, how, own, now);
-  next_over(request, done);
+  const Final how = shared_.judge(request, answer, scheduler_.now());
+  next_over(request, how == Final::done);
 }
 
 void EndpointStandIn::failed(std::uint64_t request, Failure how) {
--- a/src/lab/endpoint.hpp
+++ b/src/lab/endpoint.hpp
@@ -30,6 +30,9 @@
   // The memory of the group that an endpoint belongs to, for a track.
   ReferenceMemory& memory(std::size_t tier, std::size_t track, std::size_t zone, std::size_t cell);
 
+  // What a caller, from outside or an endpoint, was answered; the auditor hears it, and whether the body is
+  // the one that an endpoint made for this call.
+  Final judge(CallKey call, const http::Parser& answer, TimePoint now);
   // A fault has shown: at a request, a connection, an endpoint, a sidecar, an answer of discovery.
   void struck(FaultKind kind) { ++strikes[static_cast<std::size_t>(kind)]; }
 
