Calls with a warm key are drawn from its cell, others from an own arc where connections are shared

Cause: every sidecar drew from every endpoint. At lakes 333 sidecars asked 51 endpoints for 333 connections each, and 76 are accepted; at perth a key met a cell that knew it once in some 35 draws, so nearly all work was done in full. Settings read: me, zones, allowed.streams_per_conn, extra.warm_keys; the adapter passes the call's key.

Change: the endpoints stand on a ring whose order all sidecars share. Shares are cumulative along it; a draw is made from a part of it: the cell that a key's hash ranks first by listed size, else an own arc as wide as the calls of the window can tell of (15 answers an endpoint, 4 endpoints at least, two a mean call in flight). The share draw decides within the part as before. In one location the endpoints that fail together are a cell, not the zone: two failures passed over the whole fleet (lost(), read off the code).

--- a/include/chutevane/types.hpp
+++ b/include/chutevane/types.hpp
@@ -87,6 +87,7 @@
   Span left;  // until the client gives this try up
   bool repeated = false;
   Elsewhere elsewhere{};
+  std::uint64_t key = 0;  // what the call is about; 0: not told
 };
 
 enum class Outcome : std::uint8_t {
@@ -103,6 +104,7 @@
 // What an endpoint says of its load; a negative figure was not given.
 struct LoadReport {
   double waiting = -1.0;
+  double held = -1.0;  // API calls that it holds, waiting or in work
   double busy = -1.0;
   double service_ms = -1.0;
 };
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -23,6 +23,7 @@
 #include <cstdarg>
 #include <cstdio>
 #include <cstdlib>
+#include <numeric>
 
 #include "state.hpp"
 
@@ -42,9 +43,12 @@
 constexpr double pass_over_factor = 1.2;  // x mean in flight: what is "well above" where endpoints choke
 constexpr double pass_over_extra = 0.5;   // calls: at a mean near 0, an endpoint with one out is passed over
 constexpr int draws = 4;                  // tries at the share draw before the least loaded is taken
-constexpr double near_most = 16.0;  // more draws for an endpoint in the own zone: few crossings are left
-constexpr double near_slow = 0.5;   // of all zones' mean speed: an own zone so slow is not preferred
-constexpr double near_fair = 0.8;   // of the same: preferred in full; zones differ by chance up to this
+constexpr double near_most = 16.0;    // more draws for an endpoint in the own zone: few crossings are left
+constexpr double near_slow = 0.5;     // of all zones' mean speed: an own zone so slow is not preferred
+constexpr double near_fair = 0.8;     // of the same: preferred in full; zones differ by chance up to this
+constexpr double arc_least = 4.0;     // endpoints: two may fail and two are left to choose from
+constexpr double arc_per_call = 2.0;  // endpoints per mean call in flight: most draws find one with none out
+constexpr int key_cells = 3;          // cells tried for a key before any: its load moves on, its warmth stays
 // Admission
 constexpr Span limit_every = Span::ms(250);  // long enough for some tens of answers on a busy sidecar
 constexpr double limit_least = 2.5;   // calls at work per endpoint over all sidecars: fewer idle its cores
@@ -98,6 +102,13 @@
 constexpr Span answer_guard = Span::ms(25);  // waits end this long before the client timeout
 constexpr Span subscribe_first = Span::ms(500), subscribe_most = Span::ms(8000);  // pause after a failed ask
 
+// Spreads ids over all bits; the same everywhere (the finalizer of splitmix64).
+std::uint64_t mixed(std::uint64_t v) {
+  v = (v ^ (v >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+  v = (v ^ (v >> 27U)) * 0x94d049bb133111ebULL;
+  return v ^ (v >> 31U);
+}
+
 }  // namespace
 
 bool Balancer::State::measured(TimePoint now) { return times.count(now) >= estimate_samples; }
@@ -120,6 +131,11 @@
       settings.number("penalties.cross_zone") > 0.0)
     own_zone = static_cast<int>(settings.number("zone"));
   sidecars = std::max(1.0, settings.number("sidecars"));
+  if (settings.has("me")) seat = std::clamp(settings.number("me") / sidecars, 0.0, 1.0);
+  warm_keys = settings.has("extra.warm_keys") && settings.flag("extra.warm_keys");
+  shared_connections =
+      settings.has("allowed.streams_per_conn") && settings.number("allowed.streams_per_conn") > 1.0;
+  one_location = settings.has("zones") && settings.text("zones").find(',') == std::string::npos;
   cold_share = settings.number("rules.cold_share");
   fall_multiple = settings.number("rules.fall_multiple");
   fall_window = settings.span("rules.fall_ms");
@@ -178,15 +194,62 @@
   return cold_share + (1.0 - cold_share) * std::max(0.0, (now - e.came_up) / warm_after);
 }
 
+// The order of the ring is the same at every sidecar that has the same list: endpoints that know the same
+// keys side by side, else by a hash, so that cells that fail together lie apart.
+void Balancer::State::order() {
+  const auto rank = [&](std::uint32_t i) {
+    return std::pair(warm_keys ? endpoints[i].cell : 0U, mixed(endpoints[i].id));
+  };
+  ring.resize(endpoints.size());
+  std::iota(ring.begin(), ring.end(), 0U);
+  std::sort(ring.begin(), ring.end(), [&](std::uint32_t a, std::uint32_t b) { return rank(a) < rank(b); });
+}
+
+// How far along the ring the own part reaches: as many endpoints as this sidecar's calls can tell of in the
+// window, and more where calls in flight ask for it. Guards against hundreds of sidecars that each hold a
+// connection to every endpoint and hear from none often enough to know it.
+void Balancer::State::widen() {
+  const auto all = static_cast<std::size_t>(ready_count);
+  spread = ready_count;
+  own = {static_cast<std::size_t>(seat * static_cast<double>(ring.size())), ring.size()};
+  if (!shared_connections || warm_keys) return;
+  const double known = rate * estimate_window.as_ms() / 1000.0 / outlier_samples;
+  const auto wanted = static_cast<std::size_t>(std::max({arc_least, known, mean_out * arc_per_call}));
+  std::size_t have = 0;
+  for (own.size = 0; own.size < ring.size() && have < wanted; ++own.size) {
+    const Endpoint& e = endpoints[ring[(own.from + own.size) % ring.size()]];
+    have += e.ready() && !e.doubted ? 1U : 0U;
+  }
+  spread = static_cast<int>(std::min(all, have));
+}
+
+// The part of the ring that a call's endpoint is drawn from; where none of it takes the call, the next.
+Arc Balancer::State::part_of(const Call& c, int turn) const {
+  if (!warm_keys || c.key == 0) return {own.from + static_cast<std::size_t>(turn) * own.size, own.size};
+  // Every sidecar ranks the cells alike for a key, by what they can do: a warm cell does a part of the work.
+  std::array<std::pair<double, std::size_t>, key_cells> best;
+  best.fill({1e300, 0});
+  for (std::size_t i = 0; i < cells.size(); ++i) {
+    if (cells[i].room <= 0.0) continue;
+    const double u = (static_cast<double>(mixed(c.key ^ mixed(cells[i].number + 1U)) >> 11U) + 0.5) * 0x1p-53;
+    std::pair<double, std::size_t> at{-std::log(u) / cells[i].room, i};
+    for (auto& b : best) {
+      if (at < b) std::swap(at, b);
+    }
+  }
+  const auto& chosen = best[static_cast<std::size_t>(turn)];
+  return chosen.first < 1e300 ? cells[chosen.second].arc : Arc{};
+}
+
 void Balancer::State::solve(TimePoint now) {
   double sum = 0.0, near_sum = 0.0;
   int heard = 0, near_heard = 0;
-  std::vector<double>& cumulative = shares;
-  cumulative.resize(endpoints.size());
   std::vector<double> tails;
   const double before = ready_warm;
   ready_count = 0;
   ready_warm = 0.0;
+  order();
+  cells.clear();
   for (Endpoint& e : endpoints) {
     if (!e.ready()) continue;
     ++ready_count;
@@ -211,7 +274,8 @@
     typical = tails[tails.size() / 2];
   }
   double total = 0.0;
-  for (std::size_t i = 0; i < endpoints.size(); ++i) {
+  shares.clear();
+  for (const std::uint32_t i : ring) {
     Endpoint& e = endpoints[i];
     const bool was = e.outlier;
     e.outlier = typical > 0.0 && e.times.count(now) >= outlier_samples &&
@@ -220,7 +284,12 @@
       say("endpoint %012llx %s", static_cast<unsigned long long>(e.id),
           e.outlier ? "answers far slower than its fellows" : "answers like its fellows again");
     if (e.ready()) total += (e.latency_ms > 0.0 ? 1.0 / e.latency_ms : mean) * warmth(e, now);
-    cumulative[i] = total;
+    shares.push_back(total);
+    if (!warm_keys) continue;
+    if (cells.empty() || cells.back().number != e.cell)
+      cells.push_back({e.cell, 0.0, {shares.size() - 1, 0}});
+    ++cells.back().arc.size;
+    if (e.ready()) cells.back().room += e.size * warmth(e, now);
   }
   const double cut = cuts.count(now), done = times.count(now);
   const bool was = starved;
@@ -235,23 +304,40 @@
     rate_since = now;
   }
   solve_at = now + solve_every;
+  widen();
 }
 
 int Balancer::State::pick(const Call& c, TimePoint now) {
   if (shares.size() != endpoints.size()) solve(now);
-  const double high = pass_over_factor * in_flight / std::max(1, ready_count) + pass_over_extra;
+  for (int turn = 0; turn < key_cells; ++turn) {
+    const Arc part = part_of(c, turn);
+    const int at = draw(c, part, now);
+    if (at >= 0 || part.size >= ring.size()) return at;
+  }
+  return draw(c, {own.from, ring.size()}, now);
+}
+
+int Balancer::State::draw(const Call& c, const Arc& part, TimePoint now) {
+  if (part.size == 0) return -1;
+  const double high = pass_over_factor * in_flight / std::max(1, spread) + pass_over_extra;
   const auto tried = [&](std::size_t i) {
     for (int n = 0; n < c.sent; ++n) {
       if (c.dispatches[static_cast<std::size_t>(n)].endpoint == i) return true;
     }
     return false;
   };
-  const double total = shares.empty() ? 0.0 : shares.back();
+  const auto mass = [&](std::size_t n) {  // of the first n of the ring, run round it as often as need be
+    return static_cast<double>(n / shares.size()) * shares.back() +
+           (n % shares.size() ? shares[n % shares.size() - 1] : 0.0);
+  };
+  const double before = mass(part.from), total = mass(part.from + part.size) - before;
   // Where crossing zones is priced, a draw outside the own zone is kept back while some more are made.
   int far = -1, last = draws - 1;
   for (int n = 0; n <= last && total > 0.0; ++n) {
-    const auto at = std::upper_bound(shares.begin(), shares.end(), chance.unit() * total);
-    const auto i = static_cast<std::size_t>(std::min<long>(at - shares.begin(), std::ssize(shares) - 1));
+    const auto at = std::upper_bound(shares.begin(), shares.end(),
+                                     std::fmod(before + chance.unit() * total, shares.back()));
+    const auto i =
+        ring[static_cast<std::size_t>(std::min<long>(at - shares.begin(), std::ssize(shares) - 1))];
     Endpoint& e = endpoints[i];
     if (e.in_flight > high || tried(i) || !healthy(e, now) || !open_by_rules(c, e, now)) continue;
     if (near_draws == 0 || e.zone == own_zone) return static_cast<int>(i);
@@ -260,15 +346,16 @@
   if (far >= 0) return far;
   // The draw met only loaded or closed ones: take the least loaded that may be used. When most are judged
   // unhealthy the judgement is worth little (all are slow), and the rules alone decide.
-  int best = -1;
+  int best = -1, unhealthy = 0, ready = 0;
   double best_load = 0.0;
-  int unhealthy = 0;
   for (int pass = 0; pass < 2 && best < 0; ++pass) {
-    if (pass == 1 && unhealthy * 2 <= ready_count) break;
-    for (std::size_t i = 0; i < endpoints.size(); ++i) {
+    if (pass == 1 && unhealthy * 2 <= ready) break;
+    for (std::size_t n = 0; n < part.size; ++n) {
+      const std::uint32_t i = ring[(part.from + n) % ring.size()];
       Endpoint& e = endpoints[i];
       if (!e.ready()) continue;
       const bool well = healthy(e, now);
+      ready += pass == 0 ? 1 : 0;
       unhealthy += pass == 0 && !well ? 1 : 0;
       if ((pass == 0 && !well) || !open_by_rules(c, e, now)) continue;
       const double load = (e.in_flight + 1) * std::max(1.0, e.latency_ms) + (tried(i) ? 1e9 : 0.0);
@@ -293,7 +380,7 @@
 // Guards against a cold endpoint being pushed over by all sidecars together: each sends it no more than
 // its own mean rate per endpoint, scaled by how warm it must be by now, in bursts well under the window.
 void Balancer::State::fill_cold(Endpoint& e, TimePoint now) {
-  const double per_s = std::max(cold_least / sidecars, rate / std::max(1, ready_count) * warmth(e, now));
+  const double per_s = std::max(cold_least / sidecars, rate / std::max(1, spread) * warmth(e, now));
   const double depth = std::max(1.0, per_s * fall_window.as_ms() / 1000.0 * fall_multiple * cold_depth);
   e.cold_tokens = std::min(depth, e.cold_tokens + per_s * (now - e.cold_filled).as_ms() / 1000.0);
   e.cold_filled = now;
@@ -301,12 +388,12 @@
 
 bool Balancer::State::healthy(const Endpoint& e, TimePoint now) {
   if (now < e.barred_until || (can_probe && e.doubted) || (e.outlier && e.in_flight > 0)) return false;
-  if (lost(e) && (can_probe || now < zones[e.zone].retry_at)) return false;
+  if (lost(e) && (can_probe || now < kin[e.kin].retry_at)) return false;
   return all_silent || !silent(e, now);
 }
 
 bool Balancer::State::silent(const Endpoint& e, TimePoint now) {
-  if ((can_probe && e.doubted) || (lost(e) && e.in_flight > 0 && e.quiet_since <= zones[e.zone].since))
+  if ((can_probe && e.doubted) || (lost(e) && e.in_flight > 0 && e.quiet_since <= kin[e.kin].since))
     return true;
   if (e.in_flight == 0 || !measured(now)) return false;
   const Span patience =
@@ -316,11 +403,11 @@
 
 // Guards against learning a lost zone endpoint by endpoint: where a sidecar sends each of them a call every
 // ten seconds, that took longer than the list. Two that fail with no answer from their zone speak for all.
-bool Balancer::State::lost(const Endpoint& e) const { return zones[e.zone].failed >= zone_failed; }
+bool Balancer::State::lost(const Endpoint& e) const { return kin[e.kin].failed >= zone_failed; }
 
 void Balancer::State::heard(Endpoint& e) {
   e.doubted = false;
-  zones[e.zone].failed = 0;
+  kin[e.kin].failed = 0;
 }
 
 void Balancer::State::miss(Endpoint& e, TimePoint now, const char* what, int weight) {
@@ -328,9 +415,10 @@
   if (e.misses < misses_allowed || now < e.barred_until) return;
   if (e.bar == Span()) {
     say("endpoint %012llx passed over: %s", static_cast<unsigned long long>(e.id), what);
-    Zone& z = zones[e.zone];
+    Kin& z = kin[e.kin];
     if (z.failed++ == 0) z.since = now;
-    if (z.failed == zone_failed) say("no endpoint of zone %u answers: passed over", e.zone);
+    if (z.failed == zone_failed)
+      say("no endpoint of %s %u answers: passed over", one_location ? "cell" : "zone", e.kin);
   }
   e.bar = std::clamp(e.bar * 2.0, bar_first, bar_most);
   e.barred_until = now + e.bar;
@@ -363,7 +451,7 @@
       }
       if (e.fresh_cap >= 0.0) {
         e.fresh_cap += fresh_growth;
-        const double enough = fresh_done * (in_flight + 1.0) / std::max(1, ready_count);
+        const double enough = fresh_done * (in_flight + 1.0) / std::max(1, spread);
         if (e.fresh_cap > std::max(2.0, enough) && warmth(e, now) >= 1.0) e.fresh_cap = -1.0;
       }
       break;
@@ -443,8 +531,10 @@
     }
     e.id = l.id;
     e.zone = l.zone;
-    if (s.zones.size() <= l.zone) s.zones.resize(l.zone + 1U);
     e.cell = l.cell;
+    e.size = l.size;
+    e.kin = s.one_location ? l.cell : l.zone;
+    if (s.kin.size() <= e.kin) s.kin.resize(e.kin + 1U);
     e.availability = l.availability;
   }
   for (std::size_t i = 0; kind != ListKind::changes && i < named.size(); ++i) {
@@ -511,7 +601,7 @@
   c.waiting = false;
   if (e.in_flight++ == 0) e.quiet_since = now;
   ++in_flight;
-  if (lost(e)) zones[e.zone].retry_at = now + zone_pause;
+  if (lost(e)) kin[e.kin].retry_at = now + zone_pause;
   if (warmth(e, now) < 1.0) e.cold_tokens -= 1.0;
   return a;
 }
@@ -627,8 +717,8 @@
     const bool quiet =
         e.in_flight > 0 && measured(now) && now - std::max(e.quiet_since, e.probed_at) > patience;
     if (!quiet && !e.doubted && !lost(e)) continue;
-    if (lost(e) && now < zones[e.zone].retry_at) continue;  // one of them tells
-    zones[e.zone].retry_at = now + zone_pause;
+    if (lost(e) && now < kin[e.kin].retry_at) continue;  // one of them tells
+    kin[e.kin].retry_at = now + zone_pause;
     e.probing = true;
     e.probed_at = now;
     push(Verdict::probe, 0, 0, e.id);
@@ -687,8 +777,8 @@
   // spread. Guards against a small part of the limit: with hundreds of sidecars it is a call or two each,
   // and as a bound on the moment it turned away a third of the calls of a half idle tier.
   const double room = std::max(limit, least_limit()) * level;
-  const double spread = mean_spread * std::sqrt(room);
-  if (calls_out - 1 < room + std::clamp((room - mean_out) * mean_pull, -spread, spread)) return true;
+  const double chance_off = mean_spread * std::sqrt(room);
+  if (calls_out - 1 < room + std::clamp((room - mean_out) * mean_pull, -chance_off, chance_off)) return true;
   limited = true;
   return false;
 }
@@ -709,6 +799,7 @@
   } else if (limited && step_ends > 0 && busy < busy_most) {  // no answer, no evidence of room
     limit += limit * limit_growth;
   }
+  widen();
   step_ends = 0;
   step_peak = calls_out;
   limited = false;
@@ -764,6 +855,7 @@
   Call& c = s.calls[at];
   c.id = call.id;
   c.track = call.track;
+  c.key = call.key;
   c.arrived = now;
   c.timeout = now + call.left;
   c.soft_end = now + s.tracks[c.track].soft_limit - call.elsewhere.spent;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -40,8 +40,10 @@
 struct Endpoint {
   EndpointId id = 0;
   std::uint16_t zone = 0, cell = 0;
+  std::uint16_t kin = 0;  // what fails together: its zone, or its cell where all stand in one location
   Availability availability = Availability::gone;
   bool ready() const { return availability == Availability::ready; }
+  double size = 1.0;  // relative, as listed
   TimePoint came_up, quiet_since, barred_until;
   Span bar;  // the pause before it is tried again; zero: none yet
   int in_flight = 0, misses = 0;
@@ -54,11 +56,24 @@
   WindowedHistogram times;  // done dispatches
 };
 
-struct Zone {
-  int failed = 0;  // endpoints newly passed over since one of the zone's last answered
+// Endpoints that fail together.
+struct Kin {
+  int failed = 0;  // endpoints newly passed over since one of them last answered
   TimePoint since, retry_at;
 };
 
+// Endpoints that follow one another on the ring, which may run past its end.
+struct Arc {
+  std::size_t from = 0, size = 0;
+};
+
+// Endpoints that know the same keys.
+struct Cell {
+  std::uint16_t number = 0;
+  double room = 0.0;  // what its ready endpoints can do together, as the list has it
+  Arc arc;
+};
+
 struct Dispatch {
   std::uint32_t endpoint = 0;
   TimePoint sent;
@@ -71,6 +86,7 @@
   std::uint32_t track = 0;
   double payoff = 0.0;
   TimePoint arrived, timeout, wait_until;
+  std::uint64_t key = 0;
   TimePoint soft_end;  // the soft limit counts from the client's first try
   std::uint8_t sent = 0, out = 0;
   std::uint8_t sent_elsewhere = 0;  // by other pools: one budget counts over all
@@ -87,7 +103,11 @@
   bool measured(TimePoint now);
   Span cap(const Call& c, TimePoint now);
   void solve(TimePoint now);
+  void order();
+  void widen();
+  Arc part_of(const Call& c, int turn) const;
   int pick(const Call& c, TimePoint now);
+  int draw(const Call& c, const Arc& part, TimePoint now);
 
   // Endpoints
   bool open_by_rules(const Call& c, const Endpoint& e, TimePoint now);
@@ -127,6 +147,8 @@
   const SettingsReader settings;
   Pcg chance;
   bool first_tier, can_probe, can_cancel, can_copy, can_come_back, must_subscribe, marks_repeats;
+  bool warm_keys = false, one_location = false, shared_connections = false;
+  double seat = 0.0;  // of this sidecar among all: 0 to under 1
   int own_zone = -1;   // where crossing zones is priced
   int near_draws = 0;  // more draws for an endpoint in it
   double sidecars, cold_share, fall_multiple, over_payoff;
@@ -139,8 +161,12 @@
 
   std::vector<Endpoint> endpoints;
   IdIndex endpoint_index;
-  std::vector<Zone> zones;
-  std::vector<double> shares;  // cumulative, one per endpoint
+  std::vector<Kin> kin;             // by number
+  std::vector<std::uint32_t> ring;  // places of endpoints, in an order that all sidecars share
+  std::vector<double> shares;       // cumulative along the ring
+  std::vector<Cell> cells;
+  Arc own;         // the part of the ring that calls without a warm key are drawn from
+  int spread = 0;  // ready endpoints that the calls of this sidecar spread over
   Slab<Call> calls;
   IdIndex call_index;
   std::vector<std::uint32_t> waiting;
--- a/src/tundra/codec.cpp
+++ b/src/tundra/codec.cpp
@@ -127,6 +127,7 @@
       e.call.id = get<std::uint64_t>(r + 3);
       e.call.track = r[11];
       e.call.left = Span::ms(get<double>(r + 12));
+      e.call.key = get<std::uint64_t>(r + 28);
       e.call.repeated = (r[36] & 2U) != 0;
       e.call.account = get<std::uint16_t>(r + 37);
       break;
@@ -259,6 +260,7 @@
     const std::string_view name = fields.substr(0, comma);
     fields.remove_prefix(std::min(comma + 1, fields.size()));
     if (name == "q") out.waiting = event.load[i];
+    if (name == "rif") out.held = event.load[i];
     if (name == "busy") out.busy = event.load[i];
     if (name == "lat_ms") out.service_ms = event.load[i];
   }
