A crowded cell passes part of its key's calls to the key's next cell

Answers report held calls (rif), which the adapter dropped. Change: held calls smoothed by cell; over 1.2 x the mean + 0.5 (2.5 at least) the excess share of the calls moves on. A call sent again begins at the next cell.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -62,6 +62,7 @@
 constexpr double limit_cut = 0.9;     // factor per step: halves in under 2 s
 constexpr double limit_growth = 0.02;  // per step when it binds: a tenth a second, as crowding shows late
 constexpr double busy_gain = 0.05;     // per answer that tells: the mean of some 20
+constexpr double held_gain = 0.25;     // per answer that tells: of a cell, which is heard from seldom
 constexpr double busy_most = 0.75;  // of the cores, reported: busier than that there is no room to grow into
 constexpr double payoff_slope = 0.2;                 // of the limit, per doubling of payoff over the mean
 constexpr double level_low = 0.2, level_high = 1.3;  // bounds of a call's part of the limit
@@ -309,14 +310,24 @@
 
 int Balancer::State::pick(const Call& c, TimePoint now) {
   if (shares.size() != endpoints.size()) solve(now);
-  for (int turn = 0; turn < key_cells; ++turn) {
+  // Sent again, a call moves on to its key's next cell.
+  for (int turn = warm_keys ? std::min<int>(c.sent, key_cells - 1) : 0; turn < key_cells; ++turn) {
     const Arc part = part_of(c, turn);
+    // Guards against one popular key crowding its cell: the part of its calls that is too many moves on.
+    if (turn + 1 < key_cells && crowding(part) > 1.0 && chance.unit() * crowding(part) > 1.0) continue;
     const int at = draw(c, part, now);
     if (at >= 0 || part.size >= ring.size()) return at;
   }
   return draw(c, {own.from, ring.size()}, now);
 }
 
+// What a key's cell was last said to hold, over what is well above the mean of all.
+double Balancer::State::crowding(const Arc& part) const {
+  if (!warm_keys || part.size == 0 || part.size >= ring.size()) return 0.0;
+  return held[endpoints[ring[part.from]].cell] /
+         std::max(limit_least, pass_over_factor * mean_held + pass_over_extra);
+}
+
 int Balancer::State::draw(const Call& c, const Arc& part, TimePoint now) {
   if (part.size == 0) return -1;
   const double high = pass_over_factor * in_flight / std::max(1, spread) + pass_over_extra;
@@ -441,6 +452,10 @@
       heard(e);
       e.bar = Span();
       e.quiet_since = now;
+      if (end.load.held >= 0.0) {
+        mean_held += (end.load.held - mean_held) * busy_gain;
+        held[e.cell] += (end.load.held - held[e.cell]) * held_gain;
+      }
       if (end.load.busy >= 0.0) busy += (end.load.busy - busy) * busy_gain;
       if (end.load.service_ms > 0.0 && end.elapsed > Span()) {
         if (answer_ms <= 0.0) own_ms = own_unknown * (answer_ms = end.elapsed.as_ms());
@@ -534,6 +549,7 @@
     e.cell = l.cell;
     e.size = l.size;
     e.kin = s.one_location ? l.cell : l.zone;
+    if (s.held.size() <= e.cell) s.held.resize(e.cell + 1U);
     if (s.kin.size() <= e.kin) s.kin.resize(e.kin + 1U);
     e.availability = l.availability;
   }
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -107,6 +107,7 @@
   void widen();
   Arc part_of(const Call& c, int turn) const;
   int pick(const Call& c, TimePoint now);
+  double crowding(const Arc& part) const;
   int draw(const Call& c, const Arc& part, TimePoint now);
 
   // Endpoints
@@ -165,6 +166,7 @@
   std::vector<std::uint32_t> ring;  // places of endpoints, in an order that all sidecars share
   std::vector<double> shares;       // cumulative along the ring
   std::vector<Cell> cells;
+  std::vector<double> held;  // calls an endpoint, by cell, as last reported; smoothed
   Arc own;         // the part of the ring that calls without a warm key are drawn from
   int spread = 0;  // ready endpoints that the calls of this sidecar spread over
   Slab<Call> calls;
@@ -181,6 +183,7 @@
   double own_ms = 0.0, answer_ms = 0.0, own_seen = 0.0,
          busy = 0.0;      // means over answers: the endpoint's own service time, and all of it
   double own_part = 0.0;  // of an answer's time, spent at the endpoint itself
+  double mean_held = 0.0;
   double late_part = 0.0, mean_out = 0.0;  // mean of calls_out
   int step_ends = 0, step_peak = 0, step_arrivals = 0;
   bool limited = false;
