Keys are drawn by hash to endpoints; reports tell of room and of crowding, sidecars of the crowded

At lakes the refusals came from hot sidecars against a floor that counts all alike. Lines at fault: part_of() by cell, least_limit() by sidecars, busy smoothed by 20 answers (4 s at 5 calls a second).

--- a/include/chutevane/balancer.hpp
+++ b/include/chutevane/balancer.hpp
@@ -34,6 +34,8 @@
   Answers client_left(CallId call, TimePoint now);
   // A probe has come back, or has not: `outcome` tells.
   Answers probed(EndpointId endpoint, Outcome outcome, TimePoint now);
+  // Another sidecar's `tell` has come: its endpoint and number.
+  void told(EndpointId endpoint, std::uint32_t news, TimePoint now);
   Answers woken(TimePoint now);
   TimePoint next_wake() const;
   std::size_t endpoints_kept() const;  // places: as many as were listed or still answered calls at one time
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -48,7 +48,16 @@
 constexpr double near_fair = 0.8;     // of the same: preferred in full; zones differ by chance up to this
 constexpr double arc_least = 4.0;     // endpoints: two may fail and two are left to choose from
 constexpr double arc_per_call = 2.0;  // endpoints per mean call in flight: most draws find one with none out
-constexpr int key_cells = 3;          // cells tried for a key before any: its load moves on, its warmth stays
+constexpr std::size_t arcs = 3;       // own arcs tried, one after the other, before all of the ring
+constexpr std::size_t key_places = 16;  // endpoints tried for a key: a popular one warms them all
+constexpr double key_spread = 2.0;  // endpoints per mean endpoint's load that a key brings: warm work is less
+constexpr double key_gain = 0.005;  // per call: popularity over the last 200
+constexpr double full_held = 4.0;   // x limit_least: taken as held by one that turns calls away
+constexpr Span held_holds = Span::ms(2000);  // a report older than that tells nothing of the load
+constexpr Span tell_pause =
+    Span::ms(500);                   // between news of one endpoint from all sidecars: as old as reports are
+constexpr double tell_scale = 16.0;  // news are whole numbers
+constexpr double busy_edge = 0.02;   // a core that is never idle counts as 50 calls held
 // Admission
 constexpr Span limit_every = Span::ms(250);  // long enough for some tens of answers on a busy sidecar
 constexpr double limit_least = 2.5;   // calls at work per endpoint over all sidecars: fewer idle its cores
@@ -62,8 +71,9 @@
 constexpr double limit_cut = 0.9;     // factor per step: halves in under 2 s
 constexpr double limit_growth = 0.02;  // per step when it binds: a tenth a second, as crowding shows late
 constexpr double busy_gain = 0.05;     // per answer that tells: the mean of some 20
-constexpr double held_gain = 0.25;     // per answer that tells: of a cell, which is heard from seldom
-constexpr double busy_most = 0.75;  // of the cores, reported: busier than that there is no room to grow into
+constexpr Span told_memory = Span::ms(1000);  // so long a sidecar that hears little goes by what it heard
+constexpr double used_calm = 0.8;   // of what may be in use: under that the cores do not make answers late
+constexpr double busy_most = 0.85;  // of the cores, reported: busier than that there is no room to grow into
 constexpr double payoff_slope = 0.2;                 // of the limit, per doubling of payoff over the mean
 constexpr double level_low = 0.2, level_high = 1.3;  // bounds of a call's part of the limit
 constexpr double mean_out_gain = 0.03;               // per look: the mean over about 1.5 s, some answer times
@@ -133,6 +143,7 @@
     own_zone = static_cast<int>(settings.number("zone"));
   sidecars = std::max(1.0, settings.number("sidecars"));
   if (settings.has("me")) seat = std::clamp(settings.number("me") / sidecars, 0.0, 1.0);
+  can_tell = settings.has("allowed.may_tell") && settings.flag("allowed.may_tell");
   warm_keys = settings.has("extra.warm_keys") && settings.flag("extra.warm_keys");
   shared_connections =
       settings.has("allowed.streams_per_conn") && settings.number("allowed.streams_per_conn") > 1.0;
@@ -195,15 +206,14 @@
   return cold_share + (1.0 - cold_share) * std::max(0.0, (now - e.came_up) / warm_after);
 }
 
-// The order of the ring is the same at every sidecar that has the same list: endpoints that know the same
-// keys side by side, else by a hash, so that cells that fail together lie apart.
+// The order of the ring is the same at every sidecar that has the same list, by a hash, so that endpoints
+// that fail together lie apart.
 void Balancer::State::order() {
-  const auto rank = [&](std::uint32_t i) {
-    return std::pair(warm_keys ? endpoints[i].cell : 0U, mixed(endpoints[i].id));
-  };
   ring.resize(endpoints.size());
   std::iota(ring.begin(), ring.end(), 0U);
-  std::sort(ring.begin(), ring.end(), [&](std::uint32_t a, std::uint32_t b) { return rank(a) < rank(b); });
+  std::sort(ring.begin(), ring.end(), [&](std::uint32_t a, std::uint32_t b) {
+    return mixed(endpoints[a].id) < mixed(endpoints[b].id);
+  });
 }
 
 // How far along the ring the own part reaches: as many endpoints as this sidecar's calls can tell of in the
@@ -224,22 +234,57 @@
   spread = static_cast<int>(std::min(all, have));
 }
 
-// The part of the ring that a call's endpoint is drawn from; where none of it takes the call, the next.
-Arc Balancer::State::part_of(const Call& c, int turn) const {
-  if (!warm_keys || c.key == 0) return {own.from + static_cast<std::size_t>(turn) * own.size, own.size};
-  // Every sidecar ranks the cells alike for a key, by what they can do: a warm cell does a part of the work.
-  std::array<std::pair<double, std::size_t>, key_cells> best;
+// Passed over by its last report, for the part of the calls that is too much: the rest still hears from it.
+bool Balancer::State::crowded(const Endpoint& e, TimePoint now) {
+  return now - e.held_at < held_holds && e.held > held_high() && chance.unit() * e.held > held_high();
+}
+
+double Balancer::State::held_high() const {
+  return std::max(limit_least, pass_over_factor * mean_held + pass_over_extra);
+}
+
+// The part of the recent calls that were about this key; little where it is none of the popular ones.
+double Balancer::State::popularity(std::uint64_t key) {
+  std::size_t at = keys.size(), least = 0;
+  for (std::size_t i = 0; i < keys.size(); ++i) {
+    keys[i].weight *= 1.0 - key_gain;
+    if (keys[i].key == key) at = i;
+    if (keys[i].weight < keys[least].weight) least = i;
+  }
+  if (at == keys.size()) keys[at = least] = {key, 0.0};
+  return keys[at].weight += key_gain;
+}
+
+// The endpoint for a call whose key some endpoint may know: a share draw by listed size whose chance is the
+// key's hash, so that all sidecars draw alike. Guards against work that a warm endpoint would be spared. One
+// that is crowded, by what it last reported, is passed over for a part of the calls; -1: draw from all.
+int Balancer::State::keyed(const Call& c, TimePoint now) {
+  const double part = popularity(c.key) * key_spread * ready_count;
+  const auto wanted = 1 + static_cast<std::size_t>(std::min(part, key_places - 1.0));
+  std::array<std::pair<double, std::size_t>, key_places> best;
   best.fill({1e300, 0});
-  for (std::size_t i = 0; i < cells.size(); ++i) {
-    if (cells[i].room <= 0.0) continue;
-    const double u = (static_cast<double>(mixed(c.key ^ mixed(cells[i].number + 1U)) >> 11U) + 0.5) * 0x1p-53;
-    std::pair<double, std::size_t> at{-std::log(u) / cells[i].room, i};
+  for (std::size_t i = 0; i < endpoints.size(); ++i) {
+    const Endpoint& e = endpoints[i];
+    if (!e.ready()) continue;
+    const double u = (static_cast<double>(mixed(c.key ^ mixed(e.id)) >> 11U) + 0.5) * 0x1p-53;
+    std::pair<double, std::size_t> at{-std::log(u) / (std::max(1e-3, e.size) * warmth(e, now)), i};
     for (auto& b : best) {
       if (at < b) std::swap(at, b);
     }
   }
-  const auto& chosen = best[static_cast<std::size_t>(turn)];
-  return chosen.first < 1e300 ? cells[chosen.second].arc : Arc{};
+  // Any of as many as the key is popular for, or one more; crowded or not if all of them are, for others
+  // would have the whole work to do.
+  const auto first = static_cast<std::size_t>(chance.unit() * static_cast<double>(wanted));
+  for (int pass = 0; pass < 2; ++pass) {
+    for (std::size_t n = 0; n < (pass == 0 ? wanted + 1 : key_places); ++n) {
+      const auto [rank, i] = best[(first + n) % key_places];
+      if (rank >= 1e300) continue;
+      Endpoint& e = endpoints[i];
+      if (pass == 0 && crowded(e, now)) continue;
+      if (!tried(c, i) && healthy(e, now) && open_by_rules(c, e, now)) return static_cast<int>(i);
+    }
+  }
+  return -1;
 }
 
 void Balancer::State::solve(TimePoint now) {
@@ -250,7 +295,6 @@
   ready_count = 0;
   ready_warm = 0.0;
   order();
-  cells.clear();
   for (Endpoint& e : endpoints) {
     if (!e.ready()) continue;
     ++ready_count;
@@ -286,11 +330,6 @@
           e.outlier ? "answers far slower than its fellows" : "answers like its fellows again");
     if (e.ready()) total += (e.latency_ms > 0.0 ? 1.0 / e.latency_ms : mean) * warmth(e, now);
     shares.push_back(total);
-    if (!warm_keys) continue;
-    if (cells.empty() || cells.back().number != e.cell)
-      cells.push_back({e.cell, 0.0, {shares.size() - 1, 0}});
-    ++cells.back().arc.size;
-    if (e.ready()) cells.back().room += e.size * warmth(e, now);
   }
   const double cut = cuts.count(now), done = times.count(now);
   const bool was = starved;
@@ -310,33 +349,26 @@
 
 int Balancer::State::pick(const Call& c, TimePoint now) {
   if (shares.size() != endpoints.size()) solve(now);
-  // Sent again, a call moves on to its key's next cell.
-  for (int turn = warm_keys ? std::min<int>(c.sent, key_cells - 1) : 0; turn < key_cells; ++turn) {
-    const Arc part = part_of(c, turn);
-    // Guards against one popular key crowding its cell: the part of its calls that is too many moves on.
-    if (turn + 1 < key_cells && crowding(part) > 1.0 && chance.unit() * crowding(part) > 1.0) continue;
+  if (warm_keys && c.key != 0) {
+    const int at = keyed(c, now);
+    if (at >= 0) return at;
+  }
+  for (Arc part = own; part.size < ring.size() && part.from < own.from + arcs * own.size;
+       part.from += part.size) {
     const int at = draw(c, part, now);
-    if (at >= 0 || part.size >= ring.size()) return at;
+    if (at >= 0) return at;
   }
   return draw(c, {own.from, ring.size()}, now);
 }
 
-// What a key's cell was last said to hold, over what is well above the mean of all.
-double Balancer::State::crowding(const Arc& part) const {
-  if (!warm_keys || part.size == 0 || part.size >= ring.size()) return 0.0;
-  return held[endpoints[ring[part.from]].cell] /
-         std::max(limit_least, pass_over_factor * mean_held + pass_over_extra);
+bool Balancer::State::tried(const Call& c, std::size_t endpoint) const {
+  return std::any_of(c.dispatches.begin(), c.dispatches.begin() + c.sent,
+                     [&](const Dispatch& d) { return d.endpoint == endpoint; });
 }
 
 int Balancer::State::draw(const Call& c, const Arc& part, TimePoint now) {
   if (part.size == 0) return -1;
   const double high = pass_over_factor * in_flight / std::max(1, spread) + pass_over_extra;
-  const auto tried = [&](std::size_t i) {
-    for (int n = 0; n < c.sent; ++n) {
-      if (c.dispatches[static_cast<std::size_t>(n)].endpoint == i) return true;
-    }
-    return false;
-  };
   const auto mass = [&](std::size_t n) {  // of the first n of the ring, run round it as often as need be
     return static_cast<double>(n / shares.size()) * shares.back() +
            (n % shares.size() ? shares[n % shares.size() - 1] : 0.0);
@@ -350,7 +382,8 @@
     const auto i =
         ring[static_cast<std::size_t>(std::min<long>(at - shares.begin(), std::ssize(shares) - 1))];
     Endpoint& e = endpoints[i];
-    if (e.in_flight > high || tried(i) || !healthy(e, now) || !open_by_rules(c, e, now)) continue;
+    if (e.in_flight > high || crowded(e, now) || tried(c, i) || !healthy(e, now) || !open_by_rules(c, e, now))
+      continue;
     if (near_draws == 0 || e.zone == own_zone) return static_cast<int>(i);
     if (far < 0) far = static_cast<int>(i), last = n + near_draws;
   }
@@ -369,7 +402,7 @@
       ready += pass == 0 ? 1 : 0;
       unhealthy += pass == 0 && !well ? 1 : 0;
       if ((pass == 0 && !well) || !open_by_rules(c, e, now)) continue;
-      const double load = (e.in_flight + 1) * std::max(1.0, e.latency_ms) + (tried(i) ? 1e9 : 0.0);
+      const double load = (e.in_flight + 1) * std::max(1.0, e.latency_ms) + (tried(c, i) ? 1e9 : 0.0);
       if (best < 0 || load < best_load) best = static_cast<int>(i), best_load = load;
     }
   }
@@ -452,11 +485,22 @@
       heard(e);
       e.bar = Span();
       e.quiet_since = now;
-      if (end.load.held >= 0.0) {
-        mean_held += (end.load.held - mean_held) * busy_gain;
-        held[e.cell] += (end.load.held - held[e.cell]) * held_gain;
+      if (end.load.busy >= 0.0 || end.load.held >= 0.0) {
+        const double part = end.load.busy >= 0.0 ? end.load.busy / busy_most : end.load.held / limit_least;
+        used += (part - used) * (told ? std::clamp((now - told_at) / told_memory, busy_gain, 1.0) : 1.0);
+        told_at = now;
+        told = true;
+        // How busy the cores are tells of calls held as one queue would have them.
+        const double holds =
+            end.load.held >= 0.0 ? end.load.held : end.load.busy / (1.0 + busy_edge - end.load.busy);
+        mean_held += (holds - mean_held) * busy_gain;
+        e.held = holds;
+        e.held_at = now;
+        if (can_tell && holds > held_high() && now - e.told_at > tell_pause) {
+          push(Verdict::tell, 0, static_cast<std::uint32_t>(holds * tell_scale), e.id);
+          e.told_at = now;
+        }
       }
-      if (end.load.busy >= 0.0) busy += (end.load.busy - busy) * busy_gain;
       if (end.load.service_ms > 0.0 && end.elapsed > Span()) {
         if (answer_ms <= 0.0) own_ms = own_unknown * (answer_ms = end.elapsed.as_ms());
         own_seen = std::min(1.0 / own_gain, own_seen + 1.0);
@@ -474,6 +518,8 @@
       heard(e);
       e.quiet_since = now;
       e.barred_until = std::max(e.barred_until, now + full_pause);
+      e.held = full_held * limit_least;
+      e.held_at = now;
       break;
     case Outcome::timed_out:
       if (d.cut) cuts.add(end.elapsed, now);
@@ -497,13 +543,13 @@
 
 // For a new endpoint: the place of one that is gone and that no call in hand was sent to, or a new place.
 std::uint32_t Balancer::State::free_place() {
-  std::vector<bool> used(endpoints.size() + 1, false);
+  std::vector<bool> taken(endpoints.size() + 1, false);
   for (std::uint32_t i = 0; i < calls.size(); ++i) {
     for (std::size_t n = 0; calls[i].in_use && n < calls[i].sent; ++n)
-      used[calls[i].dispatches[n].endpoint] = true;
+      taken[calls[i].dispatches[n].endpoint] = true;
   }
   std::uint32_t at = 0;
-  while (at < endpoints.size() && (used[at] || endpoints[at].availability != Availability::gone)) ++at;
+  while (at < endpoints.size() && (taken[at] || endpoints[at].availability != Availability::gone)) ++at;
   if (at == endpoints.size()) return endpoints.emplace_back(), at;
   endpoint_index.erase(endpoints[at].id);
   endpoints[at] = Endpoint();
@@ -549,7 +595,6 @@
     e.cell = l.cell;
     e.size = l.size;
     e.kin = s.one_location ? l.cell : l.zone;
-    if (s.held.size() <= e.cell) s.held.resize(e.cell + 1U);
     if (s.kin.size() <= e.kin) s.kin.resize(e.kin + 1U);
     e.availability = l.availability;
   }
@@ -793,6 +838,7 @@
   // spread. Guards against a small part of the limit: with hundreds of sidecars it is a call or two each,
   // and as a bound on the moment it turned away a third of the calls of a half idle tier.
   const double room = std::max(limit, least_limit()) * level;
+  if (told && used < 1.0) return true;
   const double chance_off = mean_spread * std::sqrt(room);
   if (calls_out - 1 < room + std::clamp((room - mean_out) * mean_pull, -chance_off, chance_off)) return true;
   limited = true;
@@ -809,10 +855,13 @@
 
 void Balancer::State::step_limit(TimePoint now) {
   step_at = now + limit_every;
-  limit = std::max(limit, least_limit());
-  if (step_ends > 0 && late_part > late_share) {
+  // While the endpoints report room, the calls in flight may grow by it. Guards against a sidecar that
+  // carries far more than its even part, or has just come to: the floor counts all sidecars alike.
+  limit = std::max({limit, least_limit(), told && used < 1.0 ? mean_out / std::max(0.25, used) : 0.0});
+  // Answers late while the endpoints report room are not late by crowding: fewer calls would not mend it.
+  if (step_ends > 0 && late_part > late_share && (!told || used > used_calm)) {
     limit = std::max(least_limit(), std::min<double>(limit, step_peak) * limit_cut);
-  } else if (limited && step_ends > 0 && busy < busy_most) {  // no answer, no evidence of room
+  } else if (limited && step_ends > 0 && used < 1.0) {  // no answer, no evidence of room
     limit += limit * limit_growth;
   }
   widen();
@@ -972,6 +1021,15 @@
   return s.answers;
 }
 
+void Balancer::told(EndpointId endpoint, std::uint32_t news, TimePoint now) {
+  State& s = *state_;
+  const std::uint32_t at = s.endpoint_index.find(endpoint);
+  if (at == IdIndex::none) return;
+  Endpoint& e = s.endpoints[at];
+  e.held = news / tell_scale;
+  e.held_at = e.told_at = now;
+}
+
 Answers Balancer::woken(TimePoint now) {
   state_->answers.clear();
   state_->tick(now);
--- a/src/simhost/host.cpp
+++ b/src/simhost/host.cpp
@@ -79,8 +79,8 @@
       send(in.balancer->woken(now));
       break;
     case EventCode::stop: in.balancer.reset(); break;
+    case EventCode::peer_data: in.balancer->told(event.end.endpoint, event.token, now); break;
     case EventCode::launch:
-    case EventCode::peer_data:
     case EventCode::snapshot_rows: break;
   }
 }
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -32,6 +32,11 @@
   std::size_t usual = 0;
 };
 
+struct KeyCount {
+  std::uint64_t key = 0;
+  double weight = 0.0;
+};
+
 struct Account {
   double per_s = 0.0;  // this sidecar's part of the allowance
   double tokens = 0.0;
@@ -52,7 +57,8 @@
   double latency_ms = 0.0;  // smoothed over done dispatches; 0: unheard
   double fresh_cap = -1.0;  // calls in flight; negative: no cap
   double cold_tokens = 0.0;
-  TimePoint cold_filled, probed_at;
+  double held = 0.0;  // calls, as last reported
+  TimePoint cold_filled, probed_at, held_at, told_at;
   WindowedHistogram times;  // done dispatches
 };
 
@@ -67,13 +73,6 @@
   std::size_t from = 0, size = 0;
 };
 
-// Endpoints that know the same keys.
-struct Cell {
-  std::uint16_t number = 0;
-  double room = 0.0;  // what its ready endpoints can do together, as the list has it
-  Arc arc;
-};
-
 struct Dispatch {
   std::uint32_t endpoint = 0;
   TimePoint sent;
@@ -105,9 +104,12 @@
   void solve(TimePoint now);
   void order();
   void widen();
-  Arc part_of(const Call& c, int turn) const;
+  double popularity(std::uint64_t key);
+  int keyed(const Call& c, TimePoint now);
+  bool crowded(const Endpoint& e, TimePoint now);
+  double held_high() const;
+  bool tried(const Call& c, std::size_t endpoint) const;
   int pick(const Call& c, TimePoint now);
-  double crowding(const Arc& part) const;
   int draw(const Call& c, const Arc& part, TimePoint now);
 
   // Endpoints
@@ -148,15 +150,16 @@
   const SettingsReader settings;
   Pcg chance;
   bool first_tier, can_probe, can_cancel, can_copy, can_come_back, must_subscribe, marks_repeats;
-  bool warm_keys = false, one_location = false, shared_connections = false;
-  double seat = 0.0;  // of this sidecar among all: 0 to under 1
+  bool can_tell = false, warm_keys = false, one_location = false, shared_connections = false;
+  double seat = 0.0;   // of this sidecar among all: 0 to under 1
   int own_zone = -1;   // where crossing zones is priced
   int near_draws = 0;  // more draws for an endpoint in it
   double sidecars, cold_share, fall_multiple, over_payoff;
   Span warm_after, fall_window, most_come_back;
   std::uint8_t most_dispatches;
   std::vector<Track> tracks;
-  std::vector<UsualWait> waits;  // one per track
+  std::vector<UsualWait> waits;   // one per track
+  std::array<KeyCount, 64> keys;  // the popular ones among those seen of late
   std::vector<Account> accounts;
   TimePoint accounts_filled;
 
@@ -165,10 +168,8 @@
   std::vector<Kin> kin;             // by number
   std::vector<std::uint32_t> ring;  // places of endpoints, in an order that all sidecars share
   std::vector<double> shares;       // cumulative along the ring
-  std::vector<Cell> cells;
-  std::vector<double> held;  // calls an endpoint, by cell, as last reported; smoothed
-  Arc own;         // the part of the ring that calls without a warm key are drawn from
-  int spread = 0;  // ready endpoints that the calls of this sidecar spread over
+  Arc own;                          // the part of the ring that calls without a warm key are drawn from
+  int spread = 0;                   // ready endpoints that the calls of this sidecar spread over
   Slab<Call> calls;
   IdIndex call_index;
   std::vector<std::uint32_t> waiting;
@@ -181,13 +182,13 @@
   int calls_out = 0;                   // calls with a dispatch out, or waiting
   double limit = 0.0, payoff_mean = 0.0, payoff_seen = 0.0, rate = 0.0, retry_tokens = 0.0;
   double own_ms = 0.0, answer_ms = 0.0, own_seen = 0.0,
-         busy = 0.0;      // means over answers: the endpoint's own service time, and all of it
+         used = 0.0;  // means over answers: the endpoint's own service time, all of it, what it has in use
   double own_part = 0.0;  // of an answer's time, spent at the endpoint itself
   double mean_held = 0.0;
   double late_part = 0.0, mean_out = 0.0;  // mean of calls_out
   int step_ends = 0, step_peak = 0, step_arrivals = 0;
-  bool limited = false;
-  TimePoint solve_at, look_at, step_at, subscribe_at = TimePoint::never(), rate_since;
+  bool limited = false, told = false;  // told: answers report how busy the cores are
+  TimePoint solve_at, look_at, step_at, subscribe_at = TimePoint::never(), rate_since, told_at;
   Span subscribe_pause;
 };
 
--- a/src/tundra/codec.cpp
+++ b/src/tundra/codec.cpp
@@ -12,9 +12,11 @@
 constexpr std::size_t event_size = 48;
 constexpr std::size_t action_size = 32;
 constexpr std::size_t entry_size = 25;
+constexpr std::size_t news_size = 8;  // an endpoint and a number
+constexpr std::uint32_t every_peer = 0xffffffffU;
 
-constexpr std::uint8_t stream_changes = 64, print = 65, after = 66, abandon = 68, exception = 69,
-                       pass_on = 70, reject = 71, sample = 72, respond_error = 73;
+constexpr std::uint8_t stream_changes = 64, print = 65, after = 66, publish = 67, abandon = 68,
+                       exception = 69, pass_on = 70, reject = 71, sample = 72, respond_error = 73;
 
 // Little-endian, whatever this machine is.
 template <class T>
@@ -154,7 +156,13 @@
       e.end.outcome = outcome_of(get<std::uint16_t>(r + 17), at + 17);
       read_report(19);
       break;
-    case EventCode::peer_data: read_text(7); break;
+    case EventCode::peer_data: {
+      const auto news = tail(at + 7, 1);
+      if (news.size() != news_size) break;  // not this adapter's: no endpoint has the id 0
+      e.end.endpoint = get_endpoint(news.data());
+      e.token = get<std::uint16_t>(news.data() + 6);
+      break;
+    }
     case EventCode::stop: break;
     case EventCode::snapshot_rows: {
       e.list = get<std::uint32_t>(r + 1);
@@ -220,6 +228,17 @@
       r[11] = static_cast<std::uint8_t>(a.number);
       break;
     case Verdict::probe: put_endpoint(record(sample, who) + 3, a.endpoint); break;
+    case Verdict::tell: {
+      r = record(publish, who);
+      put(r + 3, every_peer);
+      put(r + 7, static_cast<std::uint32_t>(tail_.size()));
+      put(r + 11, static_cast<std::uint32_t>(news_size));
+      tail_.resize(tail_.size() + news_size);
+      std::uint8_t* news = &tail_[tail_.size() - news_size];
+      put_endpoint(news, a.endpoint);
+      put(news + 6, static_cast<std::uint16_t>(std::min<std::uint32_t>(a.number, 0xffffU)));
+      break;
+    }
     case Verdict::subscribe: record(stream_changes, who)[3] = 1; break;
     case Verdict::log: text(print, who, a.text.data()); break;
   }
--- a/src/tundra/codec.hpp
+++ b/src/tundra/codec.hpp
@@ -38,13 +38,13 @@
   EventCode code{};
   std::uint16_t who = 0;
   std::uint64_t seed = 0;
-  std::string_view text;  // launch: the settings; peer_data: the octets
+  std::string_view text;  // launch: the settings
   ListKind list_kind{};
   std::uint32_t list = 0;               // targets, snapshot_rows: the list's number
   std::vector<ListedEndpoint> entries;  // snapshot_rows
   ApiCall call;
   DispatchEnd end;  // also started, vanished (call) and health (endpoint, outcome)
-  std::uint32_t token = 0;
+  std::uint32_t token = 0;  // peer_data: the number that was told of end.endpoint
   std::uint8_t load_count = 0;
   std::array<float, 4> load{};
 };
