--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -144,6 +144,8 @@
   sidecars = std::max(1.0, settings.number("sidecars"));
   if (settings.has("me")) seat = std::clamp(settings.number("me") / sidecars, 0.0, 1.0);
   can_tell = settings.has("allowed.may_tell") && settings.flag("allowed.may_tell");
+  will_tell = settings.has("report.how") && settings.text("report.how") == "inline";
+  one_layer = settings.has("layers") && settings.text("layers").find(',') == std::string::npos;
   warm_keys = settings.has("extra.warm_keys") && settings.flag("extra.warm_keys");
   shared_connections =
       settings.has("allowed.streams_per_conn") && settings.number("allowed.streams_per_conn") > 1.0;
@@ -185,7 +187,7 @@
   }
   accounts_filled = solve_at = look_at = step_at = rate_since = now;
   times = cuts = WindowedHistogram(estimate_window);
-  own_part = own_unknown;
+  own_part = one_layer ? 1.0 : own_unknown;
   own_seen = own_prior;
   retry_tokens = retry_depth;
   payoff_seen = payoff_prior;
@@ -211,6 +213,7 @@
 void Balancer::State::order() {
   ring.resize(endpoints.size());
   std::iota(ring.begin(), ring.end(), 0U);
+  if (!shared_connections) return;
   std::sort(ring.begin(), ring.end(), [&](std::uint32_t a, std::uint32_t b) {
     return mixed(endpoints[a].id) < mixed(endpoints[b].id);
   });
@@ -222,8 +225,9 @@
 void Balancer::State::widen() {
   const auto all = static_cast<std::size_t>(ready_count);
   spread = ready_count;
-  own = {static_cast<std::size_t>(seat * static_cast<double>(ring.size())), ring.size()};
+  own = {0, ring.size()};
   if (!shared_connections || warm_keys) return;
+  own.from = static_cast<std::size_t>(seat * static_cast<double>(ring.size()));
   const double known = rate * estimate_window.as_ms() / 1000.0 / outlier_samples;
   const auto wanted = static_cast<std::size_t>(std::max({arc_least, known, mean_out * arc_per_call}));
   std::size_t have = 0;
@@ -501,7 +505,7 @@
           e.told_at = now;
         }
       }
-      if (end.load.service_ms > 0.0 && end.elapsed > Span()) {
+      if (!one_layer && end.load.service_ms > 0.0 && end.elapsed > Span()) {
         if (answer_ms <= 0.0) own_ms = own_unknown * (answer_ms = end.elapsed.as_ms());
         own_seen = std::min(1.0 / own_gain, own_seen + 1.0);
         own_ms += (end.load.service_ms - own_ms) / own_seen;
@@ -518,8 +522,7 @@
       heard(e);
       e.quiet_since = now;
       e.barred_until = std::max(e.barred_until, now + full_pause);
-      e.held = full_held * limit_least;
-      e.held_at = now;
+      if (told) e.held = full_held * limit_least, e.held_at = now;
       break;
     case Outcome::timed_out:
       if (d.cut) cuts.add(end.elapsed, now);
@@ -838,7 +841,9 @@
   // spread. Guards against a small part of the limit: with hundreds of sidecars it is a call or two each,
   // and as a bound on the moment it turned away a third of the calls of a half idle tier.
   const double room = std::max(limit, least_limit()) * level;
-  if (told && used < 1.0) return true;
+  // Before the first report there is nothing to go by: the floor is an even part, which a hot sidecar
+  // exceeds.
+  if (told ? used < 1.0 : will_tell) return true;
   const double chance_off = mean_spread * std::sqrt(room);
   if (calls_out - 1 < room + std::clamp((room - mean_out) * mean_pull, -chance_off, chance_off)) return true;
   limited = true;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -150,7 +150,8 @@
   const SettingsReader settings;
   Pcg chance;
   bool first_tier, can_probe, can_cancel, can_copy, can_come_back, must_subscribe, marks_repeats;
-  bool can_tell = false, warm_keys = false, one_location = false, shared_connections = false;
+  bool can_tell = false, warm_keys = false, one_location = false, one_layer = false, will_tell = false,
+       shared_connections = false;
   double seat = 0.0;   // of this sidecar among all: 0 to under 1
   int own_zone = -1;   // where crossing zones is priced
   int near_draws = 0;  // more draws for an endpoint in it
