--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -46,8 +46,8 @@
 constexpr double near_most = 16.0;    // more draws for an endpoint in the own zone: few crossings are left
 constexpr double near_slow = 0.5;     // of all zones' mean speed: an own zone so slow is not preferred
 constexpr double near_fair = 0.8;     // of the same: preferred in full; zones differ by chance up to this
-constexpr double arc_least = 4.0;     // endpoints: two may fail and two are left to choose from
-constexpr double arc_per_call = 2.0;  // endpoints per mean call in flight: most draws find one with none out
+constexpr double arc_least = 3.0;     // endpoints: two may fail and two are left to choose from
+constexpr double arc_answers = 50.0;  // in the window, from each endpoint of the arc: enough to judge it well
 constexpr std::size_t arcs = 3;       // own arcs tried, one after the other, before all of the ring
 constexpr std::size_t key_places = 16;  // endpoints tried for a key: a popular one warms them all
 constexpr double key_spread = 2.0;  // endpoints per mean endpoint's load that a key brings: warm work is less
@@ -72,6 +72,8 @@
 constexpr double limit_growth = 0.02;  // per step when it binds: a tenth a second, as crowding shows late
 constexpr double busy_gain = 0.05;     // per answer that tells: the mean of some 20
 constexpr Span told_memory = Span::ms(1000);  // so long a sidecar that hears little goes by what it heard
+constexpr double room_gain = 0.05;            // per step: the room reported over some 5 s
+constexpr double room_kept = 0.5;             // of it, whatever lateness says: all sidecars then cut alike
 constexpr double used_calm = 0.8;   // of what may be in use: under that the cores do not make answers late
 constexpr double busy_most = 0.85;  // of the cores, reported: busier than that there is no room to grow into
 constexpr double payoff_slope = 0.2;                 // of the limit, per doubling of payoff over the mean
@@ -222,14 +224,16 @@
 // How far along the ring the own part reaches: as many endpoints as this sidecar's calls can tell of in the
 // window, and more where calls in flight ask for it. Guards against hundreds of sidecars that each hold a
 // connection to every endpoint and hear from none often enough to know it.
-void Balancer::State::widen() {
+void Balancer::State::widen(TimePoint now) {
   const auto all = static_cast<std::size_t>(ready_count);
   spread = ready_count;
   own = {0, ring.size()};
   if (!shared_connections || warm_keys) return;
   own.from = static_cast<std::size_t>(seat * static_cast<double>(ring.size()));
-  const double known = rate * estimate_window.as_ms() / 1000.0 / outlier_samples;
-  const auto wanted = static_cast<std::size_t>(std::max({arc_least, known, mean_out * arc_per_call}));
+  // What has come since the last solve counts at once: a hot sidecar would crowd a narrow part for seconds.
+  const double since = std::max((now - rate_since) / limit_every, 1.0) * limit_every.as_ms() / 1000.0;
+  const double known = std::max(rate, step_arrivals / since) * estimate_window.as_ms() / 1000.0 / arc_answers;
+  const auto wanted = static_cast<std::size_t>(std::max(arc_least, known));
   std::size_t have = 0;
   for (own.size = 0; own.size < ring.size() && have < wanted; ++own.size) {
     const Endpoint& e = endpoints[ring[(own.from + own.size) % ring.size()]];
@@ -348,7 +352,7 @@
     rate_since = now;
   }
   solve_at = now + solve_every;
-  widen();
+  widen(now);
 }
 
 int Balancer::State::pick(const Call& c, TimePoint now) {
@@ -862,14 +866,16 @@
   step_at = now + limit_every;
   // While the endpoints report room, the calls in flight may grow by it. Guards against a sidecar that
   // carries far more than its even part, or has just come to: the floor counts all sidecars alike.
-  limit = std::max({limit, least_limit(), told && used < 1.0 ? mean_out / std::max(0.25, used) : 0.0});
+  if (told && used < 1.0) room_told += (mean_out / std::max(0.25, used) - room_told) * room_gain;
+  const double least = std::max(least_limit(), room_told * room_kept);
+  limit = std::max({limit, least, told && used < 1.0 ? mean_out / std::max(0.25, used) : 0.0});
   // Answers late while the endpoints report room are not late by crowding: fewer calls would not mend it.
   if (step_ends > 0 && late_part > late_share && (!told || used > used_calm)) {
-    limit = std::max(least_limit(), std::min<double>(limit, step_peak) * limit_cut);
+    limit = std::max(least, std::min<double>(limit, step_peak) * limit_cut);
   } else if (limited && step_ends > 0 && used < 1.0) {  // no answer, no evidence of room
     limit += limit * limit_growth;
   }
-  widen();
+  widen(now);
   step_ends = 0;
   step_peak = calls_out;
   limited = false;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -103,7 +103,7 @@
   Span cap(const Call& c, TimePoint now);
   void solve(TimePoint now);
   void order();
-  void widen();
+  void widen(TimePoint now);
   double popularity(std::uint64_t key);
   int keyed(const Call& c, TimePoint now);
   bool crowded(const Endpoint& e, TimePoint now);
@@ -186,6 +186,7 @@
          used = 0.0;  // means over answers: the endpoint's own service time, all of it, what it has in use
   double own_part = 0.0;  // of an answer's time, spent at the endpoint itself
   double mean_held = 0.0;
+  double room_told = 0.0;                  // calls in flight that reports had room for of late
   double late_part = 0.0, mean_out = 0.0;  // mean of calls_out
   int step_ends = 0, step_peak = 0, step_arrivals = 0;
   bool limited = false, told = false;  // told: answers report how busy the cores are
