A connection that idled and met silence is not trusted again; a new one after as long an idle time

Checks: the losses begin and end with the trouble and fall on sidecars with long pauses; the endpoints answer others at that time. Ruled out: endpoints (probes are answered). Lines at fault: learn() counted a silent dispatch against the endpoint; CLOSE was unused. Change: where connections are shared, a dispatch after 0.5 s of idling that meets silence sets what idle time is trusted (0.8 of it) for 20 s; the next after as long goes out on a new connection, and the endpoint has no miss. Single-use calls profit most: theirs cannot go again.

--- a/include/chutevane/types.hpp
+++ b/include/chutevane/types.hpp
@@ -140,6 +140,7 @@
   std::uint32_t number = 0;
   Span span;
   TimePoint until;
+  bool fresh = false;  // dispatch: not on a connection that has idled; such ones are to be closed
   std::array<char, 96> text{};
 };
 
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -75,7 +75,7 @@
 constexpr double room_gain = 0.05;            // per step: the room reported over some 5 s
 constexpr double room_kept = 0.5;             // of it, whatever lateness says: all sidecars then cut alike
 constexpr double used_calm = 0.8;   // of what may be in use: under that the cores do not make answers late
-constexpr double busy_most = 0.85;  // of the cores, reported: busier than that there is no room to grow into
+constexpr double busy_most = 0.88;  // of the cores, reported: busier than that there is no room to grow into
 constexpr double payoff_slope = 0.2;                 // of the limit, per doubling of payoff over the mean
 constexpr double level_low = 0.2, level_high = 1.3;  // bounds of a call's part of the limit
 constexpr double mean_out_gain = 0.03;               // per look: the mean over about 1.5 s, some answer times
@@ -107,6 +107,11 @@
 constexpr double probe_after = 4.0;            // x median without a word: cheap to ask, dear to wait
 constexpr double probe_tail = 1.5;             // and x p95: a merely long call is no reason to ask
 constexpr Span probe_pause = Span::ms(500);    // between probes of one endpoint at the least
+// Connections dropped unseen
+constexpr Span idle_least = Span::ms(500);  // no network drops what was used just before
+constexpr double idle_margin = 0.8;         // of the idle time that one was lost at
+constexpr Span idle_doubt =
+    Span::ms(20000);  // after the last loss; new connections cost their endpoints work
 // Again and waiting
 constexpr double retry_share = 0.2;          // dispatches again per API call
 constexpr double retry_depth = 20.0;         // dispatches: a sidecar's calls on one endpoint that dies
@@ -478,10 +483,21 @@
   e.doubted = true;
 }
 
+// A connection that has idled and whose first dispatch meets silence was dropped unseen, for all that can be
+// known; that is not the endpoint's fault. Until the doubt has passed, one that idled as long is not used.
+bool Balancer::State::dropped(const Endpoint& e, const Dispatch& d, TimePoint now) {
+  if (!shared_connections || d.idle < idle_least || e.quiet_since > d.sent) return false;
+  idle_safe =
+      now - idle_lost_at < idle_doubt ? std::min(idle_safe, d.idle * idle_margin) : d.idle * idle_margin;
+  idle_lost_at = now;
+  return true;
+}
+
 void Balancer::State::learn(Endpoint& e, const Dispatch& d, const DispatchEnd& end, TimePoint now) {
   --e.in_flight;
   --in_flight;
   double speed_ms = 0.0;
+  if (end.outcome == Outcome::done) e.last_used = now;
   switch (end.outcome) {
     case Outcome::done:
       times.add(end.elapsed, now);
@@ -504,7 +520,7 @@
         mean_held += (holds - mean_held) * busy_gain;
         e.held = holds;
         e.held_at = now;
-        if (can_tell && holds > held_high() && now - e.told_at > tell_pause) {
+        if (can_tell && warm_keys && holds > held_high() && now - e.told_at > tell_pause) {
           push(Verdict::tell, 0, static_cast<std::uint32_t>(holds * tell_scale), e.id);
           e.told_at = now;
         }
@@ -531,13 +547,14 @@
     case Outcome::timed_out:
       if (d.cut) cuts.add(end.elapsed, now);
       // A wait shorter than most answers take tells of the caller, not of the endpoint.
+      if (dropped(e, d, now)) break;
       if (!measured(now) || end.elapsed >= times.quantile(cap_quantile, now))
         miss(e, now, "dispatches time out");
       break;
     case Outcome::not_connected: miss(e, now, "no connection", misses_allowed); break;  // no chance error
     case Outcome::reset: miss(e, now, "connections break"); break;
     case Outcome::cancelled:
-      if (d.rescued) miss(e, now, "silent");
+      if (d.rescued && !dropped(e, d, now)) miss(e, now, "silent");
       break;
     case Outcome::error:  // three running are the endpoint's own: failing fast, it would draw the most calls
       e.quiet_since = now;
@@ -663,8 +680,18 @@
   // Guards rule 2: a connection may take longer to come up than the reference is remembered.
   if (c.bound_to >= 0 && tracks[c.track].effect == Effect::referenced)
     a.until = c.bound_since + tracks[c.track].repeat_window;
+  const Span idle = e.in_flight > 0 ? Span() : now - e.last_used;
+  a.fresh = shared_connections && idle >= idle_safe && now - idle_lost_at < idle_doubt;
+  e.last_used = now;
   Dispatch& d = c.dispatches[c.sent++];
-  d = {static_cast<std::uint32_t>(endpoint), now, e.zone, e.cell, true, a.span < c.timeout - now, false};
+  d = {static_cast<std::uint32_t>(endpoint),
+       now,
+       e.zone,
+       e.cell,
+       true,
+       a.span < c.timeout - now,
+       false,
+       a.fresh ? Span() : idle};
   ++c.out;
   c.waiting = false;
   if (e.in_flight++ == 0) e.quiet_since = now;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -58,7 +58,7 @@
   double fresh_cap = -1.0;  // calls in flight; negative: no cap
   double cold_tokens = 0.0;
   double held = 0.0;  // calls, as last reported
-  TimePoint cold_filled, probed_at, held_at, told_at;
+  TimePoint cold_filled, probed_at, held_at, told_at, last_used;
   WindowedHistogram times;  // done dispatches
 };
 
@@ -78,6 +78,7 @@
   TimePoint sent;
   std::uint16_t zone = 0, cell = 0;  // the endpoint's as it was sent: an id may come back elsewhere
   bool out = false, cut = false, rescued = false;
+  Span idle;  // of the endpoint's connection before it
 };
 
 struct Call {
@@ -122,6 +123,7 @@
   std::uint32_t free_place();
   void fill_cold(Endpoint& e, TimePoint now);
   void miss(Endpoint& e, TimePoint now, const char* what, int weight = 1);
+  bool dropped(const Endpoint& e, const Dispatch& d, TimePoint now);
   void learn(Endpoint& e, const Dispatch& d, const DispatchEnd& end, TimePoint now);
 
   // Calls
@@ -191,6 +193,8 @@
   int step_ends = 0, step_peak = 0, step_arrivals = 0;
   bool limited = false, told = false;  // told: answers report how busy the cores are
   TimePoint solve_at, look_at, step_at, subscribe_at = TimePoint::never(), rate_since, told_at;
+  Span idle_safe;                                   // a connection that idled less is trusted
+  TimePoint idle_lost_at = TimePoint::at_ms(-1e9);  // the last that was dropped unseen
   Span subscribe_pause;
 };
 
--- a/src/tundra/codec.cpp
+++ b/src/tundra/codec.cpp
@@ -16,7 +16,7 @@
 constexpr std::uint32_t every_peer = 0xffffffffU;
 
 constexpr std::uint8_t stream_changes = 64, print = 65, after = 66, publish = 67, abandon = 68,
-                       exception = 69, pass_on = 70, reject = 71, sample = 72, respond_error = 73;
+                       exception = 69, pass_on = 70, reject = 71, sample = 72, respond_error = 73, close_idle = 74;
 
 // Little-endian, whatever this machine is.
 template <class T>
@@ -211,6 +211,7 @@
     case Verdict::nothing:
     case Verdict::wait: break;
     case Verdict::dispatch:
+      if (a.fresh) put_endpoint(record(close_idle, who) + 3, a.endpoint);
       r = record(pass_on, who);
       put(r + 3, a.call);
       put(r + 11, a.span.as_ms());
