Keys keep to their places, as many as four times their mean load; 1.2 reported calls are no more room

Cause: calls that moved to further endpoints for crowding found them cold for the key, four times the work; at 49 endpoints their keys pushed out others (27 keys an endpoint, some 50 remembered). Admission let 2.5 calls an endpoint be held before it counted as full: answers were late by then, and a spell that ends when endpoints rest went on.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -49,9 +49,10 @@
 constexpr double arc_least = 3.0;     // endpoints: two may fail and two are left to choose from
 constexpr double arc_answers = 50.0;  // in the window, from each endpoint of the arc: enough to judge it well
 constexpr std::size_t arcs = 3;       // own arcs tried, one after the other, before all of the ring
-constexpr std::size_t key_places = 16;  // endpoints tried for a key: a popular one warms them all
-constexpr double key_spread = 2.0;  // endpoints per mean endpoint's load that a key brings: warm work is less
+constexpr std::size_t key_places = 32;  // endpoints tried for a key: a popular one warms them all
+constexpr double key_spread = 4.0;  // endpoints per mean endpoint's load that a key brings: warm work is less
 constexpr double key_gain = 0.005;  // per call: popularity over the last 200
+constexpr double held_full = 1.2;   // calls an endpoint, reported: with more there is no room to grow into
 constexpr double full_held = 4.0;   // x limit_least: taken as held by one that turns calls away
 constexpr Span held_holds = Span::ms(2000);  // a report older than that tells nothing of the load
 constexpr Span tell_pause =
@@ -273,7 +274,7 @@
 // that is crowded, by what it last reported, is passed over for a part of the calls; -1: draw from all.
 int Balancer::State::keyed(const Call& c, TimePoint now) {
   const double part = popularity(c.key) * key_spread * ready_count;
-  const auto wanted = 1 + static_cast<std::size_t>(std::min(part, key_places - 1.0));
+  const auto wanted = static_cast<std::size_t>(std::clamp(part, 1.0, key_places - 1.0));
   std::array<std::pair<double, std::size_t>, key_places> best;
   best.fill({1e300, 0});
   for (std::size_t i = 0; i < endpoints.size(); ++i) {
@@ -289,7 +290,7 @@
   // would have the whole work to do.
   const auto first = static_cast<std::size_t>(chance.unit() * static_cast<double>(wanted));
   for (int pass = 0; pass < 2; ++pass) {
-    for (std::size_t n = 0; n < (pass == 0 ? wanted + 1 : key_places); ++n) {
+    for (std::size_t n = 0; n < (pass == 0 ? wanted : key_places); ++n) {
       const auto [rank, i] = best[(first + n) % key_places];
       if (rank >= 1e300) continue;
       Endpoint& e = endpoints[i];
@@ -510,7 +511,7 @@
       e.bar = Span();
       e.quiet_since = now;
       if (end.load.busy >= 0.0 || end.load.held >= 0.0) {
-        const double part = end.load.busy >= 0.0 ? end.load.busy / busy_most : end.load.held / limit_least;
+        const double part = end.load.busy >= 0.0 ? end.load.busy / busy_most : end.load.held / held_full;
         used += (part - used) * (told ? std::clamp((now - told_at) / told_memory, busy_gain, 1.0) : 1.0);
         told_at = now;
         told = true;
