--- a/include/chutevane/types.hpp
+++ b/include/chutevane/types.hpp
@@ -66,8 +66,9 @@
   std::uint16_t zone = 0;
   std::uint16_t cell = 0;
   Availability availability = Availability::ready;
-  double size = 1.0;  // relative, as the list states it
-  TimePoint came_up;  // zero: long ago
+  double size = 1.0;        // relative, as the list states it
+  TimePoint came_up;        // zero: long ago
+  std::uint16_t model = 0;  // of machine, as the list numbers them
 };
 
 enum class ListKind : std::uint8_t { failed, full, cached, changes };
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -51,9 +51,10 @@
 constexpr std::size_t arcs = 3;       // own arcs tried, one after the other, before all of the ring
 constexpr std::size_t key_places = 32;  // endpoints tried for a key: a popular one warms them all
 constexpr double key_spread = 4.0;  // endpoints per mean endpoint's load that a key brings: warm work is less
-constexpr double key_gain = 0.005;  // per call: popularity over the last 200
-constexpr double held_full = 1.2;   // calls an endpoint, reported: with more there is no room to grow into
-constexpr double full_held = 4.0;   // x limit_least: taken as held by one that turns calls away
+constexpr double model_gain = 0.02;  // per answer: the mean of some 50
+constexpr double key_gain = 0.005;   // per call: popularity over the last 200
+constexpr double held_full = 1.2;    // calls an endpoint, reported: with more there is no room to grow into
+constexpr double full_held = 4.0;    // x limit_least: taken as held by one that turns calls away
 constexpr Span held_holds = Span::ms(2000);  // a report older than that tells nothing of the load
 constexpr Span tell_pause =
     Span::ms(500);                   // between news of one endpoint from all sidecars: as old as reports are
@@ -269,19 +270,22 @@
   return keys[at].weight += key_gain;
 }
 
-// The endpoint for a call whose key some endpoint may know: a share draw by listed size whose chance is the
-// key's hash, so that all sidecars draw alike. Guards against work that a warm endpoint would be spared. One
-// that is crowded, by what it last reported, is passed over for a part of the calls; -1: draw from all.
+// The endpoint for a call whose key some endpoint may know: a share draw by its model's speed whose chance is
+// the key's hash, so that all sidecars draw alike. Guards against work that a warm endpoint would be spared.
+// One that is crowded, by what it last reported, is passed over for a part of the calls; -1: draw from all.
 int Balancer::State::keyed(const Call& c, TimePoint now) {
   const double part = popularity(c.key) * key_spread * ready_count;
   const auto wanted = static_cast<std::size_t>(std::clamp(part, 1.0, key_places - 1.0));
+  const double heard = std::accumulate(models.begin(), models.end(), 0.0);
+  const auto known = models.size() - std::count(models.begin(), models.end(), 0.0);
+  const double unheard = known > 0 ? heard / static_cast<double>(known) : 1.0;
   std::array<std::pair<double, std::size_t>, key_places> best;
   best.fill({1e300, 0});
   for (std::size_t i = 0; i < endpoints.size(); ++i) {
     const Endpoint& e = endpoints[i];
     if (!e.ready()) continue;
     const double u = (static_cast<double>(mixed(c.key ^ mixed(e.id)) >> 11U) + 0.5) * 0x1p-53;
-    std::pair<double, std::size_t> at{-std::log(u) / (std::max(1e-3, e.size) * warmth(e, now)), i};
+    std::pair<double, std::size_t> at{-std::log(u) * (models[e.model] > 0.0 ? models[e.model] : unheard) / warmth(e, now), i};
     for (auto& b : best) {
       if (at < b) std::swap(at, b);
     }
@@ -505,6 +509,7 @@
       e.times.add(end.elapsed, now);
       speed_ms = end.load.service_ms > 0.0 ? end.load.service_ms : end.elapsed.as_ms();
       e.latency_ms += (speed_ms - e.latency_ms) * (e.latency_ms > 0.0 ? latency_gain : 1.0);
+      models[e.model] += (speed_ms - models[e.model]) * (models[e.model] > 0.0 ? model_gain : 1.0);
       if (e.bar > Span()) say("endpoint %012llx answers again", static_cast<unsigned long long>(e.id));
       e.misses = 0;
       heard(e);
@@ -618,7 +623,8 @@
     e.id = l.id;
     e.zone = l.zone;
     e.cell = l.cell;
-    e.size = l.size;
+    e.model = l.model;
+    if (s.models.size() <= e.model) s.models.resize(e.model + 1U);
     e.kin = s.one_location ? l.cell : l.zone;
     if (s.kin.size() <= e.kin) s.kin.resize(e.kin + 1U);
     e.availability = l.availability;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -44,11 +44,10 @@
 
 struct Endpoint {
   EndpointId id = 0;
-  std::uint16_t zone = 0, cell = 0;
+  std::uint16_t zone = 0, cell = 0, model = 0;
   std::uint16_t kin = 0;  // what fails together: its zone, or its cell where all stand in one location
   Availability availability = Availability::gone;
   bool ready() const { return availability == Availability::ready; }
-  double size = 1.0;  // relative, as listed
   TimePoint came_up, quiet_since, barred_until;
   Span bar;  // the pause before it is tried again; zero: none yet
   int in_flight = 0, misses = 0;
@@ -168,6 +167,7 @@
 
   std::vector<Endpoint> endpoints;
   IdIndex endpoint_index;
+  std::vector<double> models;       // smoothed latency, ms; 0: unheard
   std::vector<Kin> kin;             // by number
   std::vector<std::uint32_t> ring;  // places of endpoints, in an order that all sidecars share
   std::vector<double> shares;       // cumulative along the ring
--- a/src/tundra/codec.cpp
+++ b/src/tundra/codec.cpp
@@ -16,7 +16,8 @@
 constexpr std::uint32_t every_peer = 0xffffffffU;
 
 constexpr std::uint8_t stream_changes = 64, print = 65, after = 66, publish = 67, abandon = 68,
-                       exception = 69, pass_on = 70, reject = 71, sample = 72, respond_error = 73, close_idle = 74;
+                       exception = 69, pass_on = 70, reject = 71, sample = 72, respond_error = 73,
+                       close_idle = 74;
 
 // Little-endian, whatever this machine is.
 template <class T>
@@ -175,7 +176,8 @@
         if (row[12] > 2) throw FrameError("unknown availability " + std::to_string(row[12]), row_at + 12);
         constexpr Availability states[] = {Availability::ready, Availability::gone, Availability::draining};
         e.entries.push_back({get_endpoint(row), get<std::uint16_t>(row + 6), get<std::uint16_t>(row + 10),
-                             states[row[12]], get<float>(row + 13), TimePoint::at_ms(get<double>(row + 17))});
+                             states[row[12]], get<float>(row + 13), TimePoint::at_ms(get<double>(row + 17)),
+                             get<std::uint16_t>(row + 8)});
       }
       break;
     }
