The program is ready for the move: settings checked, keys and marks read, learnt speeds handed on

Module: learnt() and recall() hand on an endpoint's smoothed latency, for the same process only (same start time); a list entry has a mark that all sidecars share, since the program numbers endpoints as they come and two sidecars would have drawn a key differently. The platform's protocol has no reports and no messages between sidecars, so report.how and may_tell are off there. A call's key is X-Attrs' affinity, hashed. A dispatch on a fresh connection closes what idles at its endpoint. `state` names a file: written as a drain begins, read at a start; damaged, older than a quarter of an hour or of other tracks, it costs one line and all is learnt anew. Tests: loopback, a follower that knows the speed before its first call. Line at fault: keyed() let a key's calls go past its own places (best[(first + n) % key_places]).

--- a/include/chutevane/balancer.hpp
+++ b/include/chutevane/balancer.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <memory>
 #include <span>
+#include <vector>
 
 #include "chutevane/types.hpp"
 
@@ -38,6 +39,9 @@
   void told(EndpointId endpoint, std::uint32_t news, TimePoint now);
   Answers woken(TimePoint now);
   TimePoint next_wake() const;
+  std::vector<Learnt> learnt() const;
+  // Takes what another process learnt of endpoints that the list has named; what is known already stands.
+  void recall(std::span<const Learnt> known, TimePoint now);
   std::size_t endpoints_kept() const;  // places: as many as were listed or still answered calls at one time
 
  private:
--- a/include/chutevane/types.hpp
+++ b/include/chutevane/types.hpp
@@ -69,6 +69,14 @@
   double size = 1.0;        // relative, as the list states it
   TimePoint came_up;        // zero: long ago
   std::uint16_t model = 0;  // of machine, as the list numbers them
+  std::uint64_t mark = 0;   // tells it from others, alike at all sidecars; 0: its id does
+};
+
+// What was learnt of an endpoint and still holds for another process beside the same callers.
+struct Learnt {
+  EndpointId endpoint = 0;
+  TimePoint came_up;        // of the process that it was learnt of
+  double latency_ms = 0.0;  // smoothed
 };
 
 enum class ListKind : std::uint8_t { failed, full, cached, changes };
@@ -84,7 +92,6 @@
 struct ApiCall {
   CallId id = 0;
   std::uint32_t track = 0;
-  std::uint32_t account = 0;
   Span left;  // until the client gives this try up
   bool repeated = false;
   Elsewhere elsewhere{};
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -64,9 +64,6 @@
 constexpr Span limit_every = Span::ms(250);  // long enough for some tens of answers on a busy sidecar
 constexpr double limit_least = 2.5;   // calls at work per endpoint over all sidecars: fewer idle its cores
 constexpr double own_unknown = 0.36;  // of an answer's time spent at the endpoint itself, if it does not tell
-constexpr double own_least = 0.14;    // a seventh: below that the reports lag too much to be built on
-constexpr double own_prior = 10.0;    // answers: first reports are of an endpoint that has hardly begun
-constexpr double own_gain = 0.01;     // per answer: the mean of some 100
 constexpr double late_at = 0.6;       // of the soft limit: answers beyond it warn of lateness
 constexpr double late_share = 0.2;    // of answers in a step: more lowers the limit
 constexpr double late_gain = 0.04;    // per answer: the share of about the last 25
@@ -85,7 +82,6 @@
 constexpr double mean_pull = 4.0;      // a mean off by a quarter of the limit moves the bound by the whole
 constexpr double mean_gain = 0.01;     // per call: payoff mean over about the last 100
 constexpr double payoff_prior = 5.0;   // calls that the tracks' mean counts for at the start
-constexpr double account_depth = 8.0;  // calls: chance alone empties less one time in ten
 constexpr double same_left = 0.01;     // of the client timeout: transit varies by less
 constexpr double usual_decay = 0.995;  // per call: the usual wait is learnt over some 200 calls
 constexpr double usual_sure = 10.0;    // calls with the usual wait before others count as repeats
@@ -187,17 +183,9 @@
   if (tracks.empty()) throw SettingError("tracks.count", "no track: '" + settings.text("tracks.count") + "'");
   for (const Track& t : tracks) payoff_mean += t.payoff / static_cast<double>(tracks.size());
   waits.resize(tracks.size());
-  if (settings.has("accounts.count")) {
-    over_payoff = settings.number("over_share_payoff");
-    for (int i = 0; i < settings.number("accounts.count"); ++i) {
-      const double per_s = settings.number("accounts." + std::to_string(i) + ".allowance_per_s") / sidecars;
-      accounts.push_back({per_s, std::max(account_depth * 0.5, per_s)});
-    }
-  }
-  accounts_filled = solve_at = look_at = step_at = rate_since = now;
+  solve_at = look_at = step_at = rate_since = now;
   times = cuts = WindowedHistogram(estimate_window);
   own_part = one_layer ? 1.0 : own_unknown;
-  own_seen = own_prior;
   retry_tokens = retry_depth;
   payoff_seen = payoff_prior;
   subscribe_pause = subscribe_first;
@@ -224,7 +212,7 @@
   std::iota(ring.begin(), ring.end(), 0U);
   if (!shared_connections) return;
   std::sort(ring.begin(), ring.end(), [&](std::uint32_t a, std::uint32_t b) {
-    return mixed(endpoints[a].id) < mixed(endpoints[b].id);
+    return mixed(endpoints[a].mark) < mixed(endpoints[b].mark);
   });
 }
 
@@ -284,18 +272,19 @@
   for (std::size_t i = 0; i < endpoints.size(); ++i) {
     const Endpoint& e = endpoints[i];
     if (!e.ready()) continue;
-    const double u = (static_cast<double>(mixed(c.key ^ mixed(e.id)) >> 11U) + 0.5) * 0x1p-53;
-    std::pair<double, std::size_t> at{-std::log(u) * (models[e.model] > 0.0 ? models[e.model] : unheard) / warmth(e, now), i};
+    const double u = (static_cast<double>(mixed(c.key ^ mixed(e.mark)) >> 11U) + 0.5) * 0x1p-53;
+    std::pair<double, std::size_t> at{
+        -std::log(u) * (models[e.model] > 0.0 ? models[e.model] : unheard) / warmth(e, now), i};
     for (auto& b : best) {
       if (at < b) std::swap(at, b);
     }
   }
-  // Any of as many as the key is popular for, or one more; crowded or not if all of them are, for others
-  // would have the whole work to do.
+  // Any of as many as the key is popular for; crowded or not if all of them are, for others would have the
+  // whole work to do.
   const auto first = static_cast<std::size_t>(chance.unit() * static_cast<double>(wanted));
   for (int pass = 0; pass < 2; ++pass) {
     for (std::size_t n = 0; n < (pass == 0 ? wanted : key_places); ++n) {
-      const auto [rank, i] = best[(first + n) % key_places];
+      const auto [rank, i] = best[pass == 0 ? (first + n) % wanted : n];
       if (rank >= 1e300) continue;
       Endpoint& e = endpoints[i];
       if (pass == 0 && crowded(e, now)) continue;
@@ -531,13 +520,6 @@
           e.told_at = now;
         }
       }
-      if (!one_layer && end.load.service_ms > 0.0 && end.elapsed > Span()) {
-        if (answer_ms <= 0.0) own_ms = own_unknown * (answer_ms = end.elapsed.as_ms());
-        own_seen = std::min(1.0 / own_gain, own_seen + 1.0);
-        own_ms += (end.load.service_ms - own_ms) / own_seen;
-        answer_ms += (end.elapsed.as_ms() - answer_ms) / own_seen;
-        own_part = std::clamp(own_ms / answer_ms, own_least, 1.0);
-      }
       if (e.fresh_cap >= 0.0) {
         e.fresh_cap += fresh_growth;
         const double enough = fresh_done * (in_flight + 1.0) / std::max(1, spread);
@@ -623,6 +605,7 @@
     e.id = l.id;
     e.zone = l.zone;
     e.cell = l.cell;
+    e.mark = l.mark != 0 ? l.mark : l.id;
     e.model = l.model;
     if (s.models.size() <= e.model) s.models.resize(e.model + 1U);
     e.kin = s.one_location ? l.cell : l.zone;
@@ -637,6 +620,23 @@
   return s.answers;
 }
 
+std::vector<Learnt> Balancer::learnt() const {
+  std::vector<Learnt> out;
+  for (const Endpoint& e : state_->endpoints)
+    if (e.ready() && e.latency_ms > 0.0) out.push_back({e.id, e.came_up, e.latency_ms});
+  return out;
+}
+
+void Balancer::recall(std::span<const Learnt> known, TimePoint now) {
+  for (const Learnt& l : known) {
+    const std::uint32_t at = state_->endpoint_index.find(l.endpoint);
+    if (at == IdIndex::none) continue;
+    Endpoint& e = state_->endpoints[at];
+    if (e.ready() && e.came_up == l.came_up && e.latency_ms <= 0.0) e.latency_ms = l.latency_ms;
+  }
+  state_->solve(now);
+}
+
 std::size_t Balancer::endpoints_kept() const { return state_->endpoints.size(); }
 
 // --- API calls -------------------------------------------------------------------------------------
@@ -691,14 +691,8 @@
   a.fresh = shared_connections && idle >= idle_safe && now - idle_lost_at < idle_doubt;
   e.last_used = now;
   Dispatch& d = c.dispatches[c.sent++];
-  d = {static_cast<std::uint32_t>(endpoint),
-       now,
-       e.zone,
-       e.cell,
-       true,
-       a.span < c.timeout - now,
-       false,
-       a.fresh ? Span() : idle};
+  d = {static_cast<std::uint32_t>(endpoint), now, e.zone, e.cell, true, a.span < c.timeout - now, false, {}};
+  d.idle = a.fresh ? Span() : idle;
   ++c.out;
   c.waiting = false;
   if (e.in_flight++ == 0) e.quiet_since = now;
@@ -829,21 +823,6 @@
 
 // --- Admission (first tier) ------------------------------------------------------------------------
 
-// An account's allowance is a mean: its bucket is deep enough for the chance of arrivals. Guards against a
-// part of a third of a call a second, where a bucket of one call took half of the allowed calls for excess.
-double Balancer::State::payoff_of(const ApiCall& call, TimePoint now) {
-  const double payoff = tracks[call.track].payoff;
-  if (!first_tier || call.account >= accounts.size()) return payoff;
-  const double seconds = (now - accounts_filled).as_ms() / 1000.0;
-  accounts_filled = now;
-  for (Account& a : accounts)
-    a.tokens = std::min(std::max(account_depth, a.per_s), a.tokens + a.per_s * seconds);
-  Account& a = accounts[call.account];
-  if (a.tokens < 1.0) return payoff * over_payoff;
-  a.tokens -= 1.0;
-  return payoff;
-}
-
 // How long ago the client first tried, as far as its stated wait tells: first tries of a track state the
 // same wait, a repeat what is left of the client timeout. Guards against serving clients' repeats whose soft
 // limit has passed: in an overload they took a quarter of the tier for no payoff.
@@ -972,7 +951,7 @@
   c.sent_elsewhere = call.elsewhere.dispatches;
   c.in_use = true;
   s.call_index.put(call.id, at);
-  c.payoff = s.payoff_of(call, now);
+  c.payoff = s.tracks[c.track].payoff;
   s.payoff_seen = std::min(1.0 / mean_gain, s.payoff_seen + 1.0);
   s.payoff_mean += (c.payoff - s.payoff_mean) / s.payoff_seen;
   if (!call.elsewhere.was) s.retry_tokens = std::min(retry_depth, s.retry_tokens + retry_share);
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <fstream>
 #include <iterator>
 
@@ -105,9 +106,37 @@
   }
 }
 
+// Settings that may be left out: each has a default in the module, but a wrong one is no default.
+void check_optional(const Settings& settings) {
+  const SettingsReader reader(settings);
+  const auto whole = [&](const std::string& key, double least, double most) {
+    if (!reader.has(key)) return;
+    const double v = reader.number(key);
+    if (v < least || v > most || v != std::floor(v))
+      throw SettingError(key, "no whole number from " + std::to_string(static_cast<long>(least)) + " to " +
+                                  std::to_string(static_cast<long>(most)));
+  };
+  const auto one_of = [&](const char* key, std::initializer_list<std::string_view> words) {
+    if (!reader.has(key) || std::find(words.begin(), words.end(), reader.text(key)) != words.end()) return;
+    std::string all;
+    for (const std::string_view w : words) all += (all.empty() ? "" : ", ") + std::string(w);
+    throw SettingError(key, "'" + reader.text(key) + "' is none of " + all);
+  };
+  whole("me", 0, std::max(1.0, reader.number("sidecars")) - 1);
+  whole("allowed.streams_per_conn", 1, 1e6);
+  one_of("allowed.may_tell", {"true", "false"});
+  one_of("extra.warm_keys", {"true", "false"});
+  one_of("client_habits.marks_retry", {"true", "false"});
+  one_of("report.how", {"inline", "on_probe", "off"});
+}
+
 void check_settings(Config& out) {
-  // The platform's protocol has no probes: the module is not to count on any.
+  check_optional(out.settings);
+  // The platform's protocol has no probes, no reports of load and no messages between sidecars: the module is
+  // not to count on any.
   out.settings.insert_or_assign("allowed.probes", "false");
+  out.settings.insert_or_assign("allowed.may_tell", "false");
+  out.settings.insert_or_assign("report.how", "off");
   number_zone(out.settings);
   const Balancer tried(out.settings, out.seed, TimePoint());
   const SettingsReader settings(out.settings);
@@ -147,6 +176,10 @@
     out.request_most = Span::ms(limit_of(*limits, "request_ms", out.request_most.as_ms(), 1, 3.6e6));
     out.idle_most = Span::ms(limit_of(*limits, "caller_idle_ms", out.idle_most.as_ms(), 1, 3.6e6));
   }
+  if (const json::Value* state = root.find("state")) {
+    if (!state->is(Kind::text) || state->text.empty()) throw ConfigError("state", "no path");
+    out.state = state->text;
+  }
   const json::Value* known = root.find("known");
   if (known == nullptr) throw ConfigError("known", "missing");
   try {
@@ -185,6 +218,7 @@
   };
   note(in_force.name == read_again.name, "name");
   note(in_force.listen == read_again.listen, "listen");
+  note(in_force.state == read_again.state, "state");
   note(in_force.sockets == read_again.sockets, "limits.sockets");
   note(in_force.settings == read_again.settings, "settings");
   return out;
--- a/src/config/names.cpp
+++ b/src/config/names.cpp
@@ -20,7 +20,6 @@
     {"may_duplicate", "second_copies"},
     {"max_attempts", "max_dispatches"},
     {"n_instances", "sidecars"},
-    {"over_share_worth", "over_share_payoff"},
 };
 constexpr Name effects[] = {{"safe", "replayable"}, {"keyed", "referenced"}, {"unsafe", "single-use"}};
 
--- a/src/discovery/list.cpp
+++ b/src/discovery/list.cpp
@@ -44,6 +44,7 @@
     if (!net::parse_address(out.address)) throw ListError(where + "addr: no address: '" + out.address + "'");
   }
   if (value.find("zone") != nullptr) out.zone = member(value, "zone", Kind::text, where).text;
+  if (value.find("kind") != nullptr) out.model = member(value, "kind", Kind::text, where).text;
   out.cell = static_cast<std::uint16_t>(number_or(value, "cell", 0, 0, 65535, where));
   out.size = number_or(value, "weight", 1, 0, 1e9, where);
   out.came_up = TimePoint::at_ms(number_or(value, "started_ms", 0, 0, 1e14, where));
--- a/src/discovery/list.hpp
+++ b/src/discovery/list.hpp
@@ -17,7 +17,7 @@
 };
 
 struct Entry {
-  std::string id, address, zone;
+  std::string id, address, zone, model;
   std::uint16_t cell = 0;
   Availability availability = Availability::ready;
   double size = 1.0;
--- a/src/sidecar/driver.cpp
+++ b/src/sidecar/driver.cpp
@@ -1,5 +1,7 @@
 #include "sidecar/driver.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 #include "base/log.hpp"
@@ -23,6 +25,14 @@
   return found == settings.end() ? "" : found->second;
 }
 
+// The place of a name among those seen, at the end if it is new.
+std::uint16_t place_in(std::vector<std::string>& names, const std::string& name) {
+  const auto found = std::find(names.begin(), names.end(), name);
+  const auto at = static_cast<std::uint16_t>(found - names.begin());
+  if (found == names.end()) names.push_back(name);
+  return at;
+}
+
 constexpr net::Waker::Bits due = net::Waker::own;
 
 }  // namespace
@@ -153,11 +163,19 @@
   if (module_asks_) apply(balancer_.listed(ListKind::failed, {}, scheduler_.now()));
 }
 
-std::uint16_t Driver::zone_of(const std::string& name) {
-  const auto found = std::find(zones_.begin(), zones_.end(), name);
-  const auto at = static_cast<std::uint16_t>(found - zones_.begin());
-  if (found == zones_.end()) zones_.push_back(name);
-  return at;
+std::vector<Remembered> Driver::remember() const {
+  std::vector<Remembered> out;
+  for (const Learnt& l : balancer_.learnt())
+    out.push_back({endpoints_.name_of(l.endpoint), l.came_up, l.latency_ms});
+  return out;
+}
+
+void Driver::recall(const std::vector<Remembered>& known) {
+  std::vector<Learnt> out;
+  for (const Remembered& r : known) {
+    if (const EndpointId id = endpoints_.id_of(r.name)) out.push_back({id, r.came_up, r.latency_ms});
+  }
+  balancer_.recall(out, scheduler_.now());
 }
 
 void Driver::take_list(ListKind kind, const discovery::List& list) {
@@ -171,7 +189,9 @@
     if (id == 0) continue;
     ListedEndpoint& l = entries.emplace_back();
     l.id = id;
-    l.zone = zone_of(e.zone);
+    l.zone = place_in(zones_, e.zone);
+    l.model = place_in(models_, e.model);
+    l.mark = XXH3_64bits(e.id.data(), e.id.size());  // ours are numbered as they come, not alike at all
     l.cell = e.cell;
     l.availability = e.availability;
     l.size = e.size;
@@ -224,7 +244,8 @@
   switch (answer.verdict) {
     case Verdict::nothing:
     case Verdict::wait:
-    case Verdict::probe: break;  // no probes here: the configuration says so to the module
+    case Verdict::probe:
+    case Verdict::tell: break;  // neither here: the configuration says so to the module
     case Verdict::dispatch:
       if (known) dispatch(at, answer);
       break;
@@ -265,6 +286,7 @@
     dispatch_over(d, Outcome::not_sent, nullptr);
     return;
   }
+  if (answer.fresh) endpoints_.close_idle(answer.endpoint);
   EndpointConnection* const on = endpoints_.send(d, calls_[at].caller->request());
   const std::uint32_t still = call_index_.find(answer.call);
   if (on != nullptr && still != IdIndex::none) calls_[still].dispatches[answer.number] = on;
--- a/src/sidecar/driver.hpp
+++ b/src/sidecar/driver.hpp
@@ -13,6 +13,7 @@
 #include "pool/onward.hpp"
 #include "sidecar/counters.hpp"
 #include "sidecar/endpoints.hpp"
+#include "sidecar/memory.hpp"
 
 namespace chutevane::sidecar {
 
@@ -41,6 +42,8 @@
     if (watch_) watch_->move(address);
   }
   std::size_t endpoints_ready() const { return endpoints_.ready(); }
+  std::vector<Remembered> remember() const;
+  void recall(const std::vector<Remembered>& known);
   // The process is about to end: every call still in hand gets its final answer now.
   void break_off_all();
 
@@ -68,7 +71,7 @@
   pool::Spent spent_of(std::uint32_t at) const;
   void withdraw_unsent(CallId call);
   void settle(std::uint32_t at);
-  std::uint16_t zone_of(const std::string& name);
+
   net::Task keep_time();
 
   net::Scheduler& scheduler_;
@@ -76,7 +79,7 @@
   Counters& counters_;
   Balancer balancer_;
   const bool module_asks_;  // for the list; otherwise the watch looks after itself
-  std::vector<std::string> zones_;
+  std::vector<std::string> zones_, models_;
   CallId last_id_ = 0;
   Slab<Call> calls_;
   IdIndex call_index_;
--- a/src/sidecar/endpoints.cpp
+++ b/src/sidecar/endpoints.cpp
@@ -243,6 +243,25 @@
   connection.stage_ = EndpointConnection::Stage::closed;
 }
 
+void Endpoints::close_idle(EndpointId id) {
+  const auto found = endpoints_.find(id);
+  while (found != endpoints_.end() && !found->second.idle.empty()) {
+    EndpointConnection& c = *found->second.idle.back();
+    unrest(c);
+    drop(c, Outcome::not_sent);
+  }
+}
+
+std::string Endpoints::name_of(EndpointId id) const {
+  const auto found = endpoints_.find(id);
+  return found == endpoints_.end() ? "" : found->second.name;
+}
+
+EndpointId Endpoints::id_of(const std::string& name) const {
+  const auto found = ids_.find(name);
+  return found == ids_.end() ? 0 : found->second;
+}
+
 EndpointConnection* Endpoints::longest_idle() {
   EndpointConnection* oldest = nullptr;
   for (auto& [id, e] : endpoints_) {
--- a/src/sidecar/endpoints.hpp
+++ b/src/sidecar/endpoints.hpp
@@ -106,6 +106,10 @@
   EndpointId learn(const discovery::Entry& entry);
   // All but these are gone.
   void forget_unnamed(std::vector<EndpointId> named);
+  // Closes what idles at it: the next dispatch there opens a new connection.
+  void close_idle(EndpointId id);
+  std::string name_of(EndpointId id) const;               // discovery's; empty: not known
+  EndpointId id_of(const std::string& name) const;        // 0: not known
   std::size_t size() const { return endpoints_.size(); }  // known ones
   std::size_t ready() const;                              // those that take calls, by the list
 
--- a/src/sidecar/front.cpp
+++ b/src/sidecar/front.cpp
@@ -1,5 +1,7 @@
 #include "sidecar/front.hpp"
 
+#include <xxhash.h>
+
 #include <array>
 #include <charconv>
 #include <cstdio>
@@ -60,7 +62,9 @@
   }
 }
 
-Front::Front(const Settings& settings, HeaderNames names) : names_(std::move(names)) {
+Front::Front(const Settings& settings, HeaderNames names)
+    : warm_keys_(settings.contains("extra.warm_keys") && settings.find("extra.warm_keys")->second == "true"),
+      names_(std::move(names)) {
   const SettingsReader reader(settings);
   for (int i = 0; i < reader.number("tracks.count"); ++i) {
     const std::string at = "tracks." + std::to_string(i) + ".";
@@ -113,6 +117,21 @@
   return read_rest(request, call, why) ? Kind::call : Kind::bad;
 }
 
+// What the call is about, where endpoints that know it do less work: an attribute, hashed alike everywhere.
+std::uint64_t Front::key_of(const http::Parser& request) const {
+  constexpr std::string_view name = "affinity=";
+  std::string_view rest = request.find(names_.attributes).value_or("");
+  while (!rest.empty()) {
+    const std::size_t comma = std::min(rest.find(','), rest.size());
+    std::string_view one = rest.substr(0, comma);
+    rest.remove_prefix(std::min(comma + 1, rest.size()));
+    one.remove_prefix(std::min(one.find_first_not_of(' '), one.size()));
+    if (one.starts_with(name) && one.size() > name.size())
+      return XXH3_64bits(one.data() + name.size(), one.size() - name.size());
+  }
+  return 0;
+}
+
 bool Front::read_rest(const http::Parser& request, ApiCall& call, std::string_view& why) const {
   call.left = tracks_[call.track].client_timeout;
   if (const auto wait = request.find(names_.wait)) {
@@ -121,6 +140,7 @@
     call.left = *left;
   }
   call.repeated = request.find(names_.repeated) == "1";
+  if (warm_keys_) call.key = key_of(request);
   return true;
 }
 
--- a/src/sidecar/front.hpp
+++ b/src/sidecar/front.hpp
@@ -16,7 +16,7 @@
 // Which header says what.
 struct HeaderNames {
   std::string id = "X-Request-ID", track = "X-Priority-Class", wait = "X-Timeout", repeated = "X-Retried",
-              reference = "Idempotency-Key", never_ran = "X-Not-Processed";
+              reference = "Idempotency-Key", never_ran = "X-Not-Processed", attributes = "X-Attrs";
 };
 
 class Front {
@@ -48,6 +48,8 @@
     Span client_timeout;
     bool read_only = false, keyed = false;  // GET, or POST with a key, or POST without
   };
+  std::uint64_t key_of(const http::Parser& request) const;
+  const bool warm_keys_;
   HeaderNames names_;
   std::vector<Track> tracks_;
 };
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <fstream>
 #include <system_error>
 
 #include "base/log.hpp"
@@ -17,7 +18,8 @@
 // Callers go on using the connections that they have. Those are served until this long before the end: most
 // answers take less, and the process that follows comes no sooner for an early end.
 constexpr Span drain_last = Span::ms(600);
-constexpr Span drain_look = Span::ms(10);  // between looks at what is left
+constexpr std::size_t state_most = 1U << 20U;  // bytes: 200 for each of thousands of endpoints
+constexpr Span drain_look = Span::ms(10);      // between looks at what is left
 
 }  // namespace
 
@@ -25,6 +27,7 @@
     : scheduler_(scheduler),
       listen_at_{*net::parse_address(config.listen)},
       longest_timeout_(config.longest_timeout),
+      deployment_(deployment_of(config.settings)),
       front_(config.settings),
       waker_(scheduler),
       timer_(scheduler, waker_, due) {
@@ -60,6 +63,16 @@
   return out;
 }
 
+std::string Sidecar::memory(TimePoint now) const {
+  return write_memory(pools_.front()->driver.remember(), deployment_, now);
+}
+
+void Sidecar::recall(std::string_view memory, TimePoint now) {
+  const std::vector<Remembered> known = read_memory(memory, deployment_, now);
+  pools_.front()->driver.recall(known);
+  log_line("state: %zu endpoints known from before", known.size());
+}
+
 Span Sidecar::drain_time() const { return std::min(longest_timeout_, drain_most) + drain_slack; }
 
 void Sidecar::reconfigure(const config::Config& config) {
@@ -127,7 +140,9 @@
       in_force_(reading_()),
       name_(in_force_.name),
       where_(in_force_.listen),
-      sidecar_(scheduler, within(in_force_, scheduler.system())) {}
+      sidecar_(scheduler, within(in_force_, scheduler.system())) {
+  recall();
+}
 
 Daemon::Daemon(net::Scheduler& scheduler, const opfile::Model& model)
     : scheduler_(scheduler),
@@ -139,6 +154,25 @@
   for (const std::string& one : model.listen) where_ += (where_.empty() ? "" : ", ") + one;
 }
 
+// What cannot be used costs one line, and everything is learnt anew.
+void Daemon::recall() {
+  if (in_force_.state.empty()) return;
+  std::ifstream in(in_force_.state, std::ios::binary);
+  if (!in) {
+    log_line("state: none at %s, all is learnt anew", in_force_.state.c_str());
+    return;
+  }
+  std::string text(state_most + 1, '\0');
+  in.read(text.data(), static_cast<std::streamsize>(text.size()));
+  text.resize(static_cast<std::size_t>(in.gcount()));
+  try {
+    if (text.size() > state_most) throw MemoryError("larger than a state is");
+    sidecar_.recall(text, scheduler_.now());
+  } catch (const MemoryError& e) {
+    log_line("state: set aside, all is learnt anew: %s", e.what());
+  }
+}
+
 bool Daemon::listen() {
   try {
     sidecar_.listen();
@@ -155,6 +189,8 @@
     log_line("%s", sidecar_.counters().as_json().c_str());
   } else if (signal != SIGHUP) {
     log_line("%s drains", name_.c_str());
+    // Now, not at the end: the process that follows may start while this one still answers.
+    if (!in_force_.state.empty()) save_memory(in_force_.state, sidecar_.memory(scheduler_.now()));
     sidecar_.drain(sidecar_.drain_time());
   } else if (reading_) {
     reload(sidecar_, reading_, in_force_);
--- a/src/sidecar/sidecar.hpp
+++ b/src/sidecar/sidecar.hpp
@@ -31,6 +31,9 @@
   void drain(Span within);
   // How long the platform leaves it: until no client waits any more, at most so long.
   Span drain_time() const;
+  // What is known of the endpoints, for the process that follows; and what one before has left, in its form.
+  std::string memory(TimePoint now) const;
+  void recall(std::string_view memory, TimePoint now);  // throws MemoryError
   bool finished() const { return finished_; }
   std::optional<sockaddr_in> address() const { return callers_.front()->address(); }
   // Where each listener listens, in the file's order.
@@ -47,6 +50,7 @@
 
   std::vector<sockaddr_in> listen_at_;
   const Span longest_timeout_;
+  const std::string deployment_;
   Counters counters_;
   Front front_;
   Room room_;
@@ -82,6 +86,7 @@
   static config::Config within(config::Config config, net::System& system);
   static opfile::Model within(opfile::Model model, net::System& system);
   void heed(int signal);
+  void recall();
 
   net::Scheduler& scheduler_;
   net::Waker waker_;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -37,13 +37,9 @@
   double weight = 0.0;
 };
 
-struct Account {
-  double per_s = 0.0;  // this sidecar's part of the allowance
-  double tokens = 0.0;
-};
-
 struct Endpoint {
   EndpointId id = 0;
+  std::uint64_t mark = 0;  // alike at all sidecars
   std::uint16_t zone = 0, cell = 0, model = 0;
   std::uint16_t kin = 0;  // what fails together: its zone, or its cell where all stand in one location
   Availability availability = Availability::gone;
@@ -138,7 +134,6 @@
   void rescue(TimePoint now);
   void probe_doubtful(TimePoint now);
   void cancel_others(std::uint32_t at);
-  double payoff_of(const ApiCall& call, TimePoint now);
   Span age_of(const ApiCall& call);
   bool admitted(const Call& c);
   void count_answer(const Call& c, bool done, TimePoint now);
@@ -156,14 +151,12 @@
   double seat = 0.0;   // of this sidecar among all: 0 to under 1
   int own_zone = -1;   // where crossing zones is priced
   int near_draws = 0;  // more draws for an endpoint in it
-  double sidecars, cold_share, fall_multiple, over_payoff;
+  double sidecars, cold_share, fall_multiple;
   Span warm_after, fall_window, most_come_back;
   std::uint8_t most_dispatches;
   std::vector<Track> tracks;
   std::vector<UsualWait> waits;   // one per track
   std::array<KeyCount, 64> keys;  // the popular ones among those seen of late
-  std::vector<Account> accounts;
-  TimePoint accounts_filled;
 
   std::vector<Endpoint> endpoints;
   IdIndex endpoint_index;
@@ -184,11 +177,9 @@
   int in_flight = 0, ready_count = 0;  // dispatches out at ready endpoints; such endpoints
   int calls_out = 0;                   // calls with a dispatch out, or waiting
   double limit = 0.0, payoff_mean = 0.0, payoff_seen = 0.0, rate = 0.0, retry_tokens = 0.0;
-  double own_ms = 0.0, answer_ms = 0.0, own_seen = 0.0,
-         used = 0.0;  // means over answers: the endpoint's own service time, all of it, what it has in use
-  double own_part = 0.0;  // of an answer's time, spent at the endpoint itself
-  double mean_held = 0.0;
-  double room_told = 0.0;                  // calls in flight that reports had room for of late
+  double used = 0.0, mean_held = 0.0;  // means over answers: of what endpoints may have in use; calls held
+  double own_part = 0.0;               // of an answer's time, spent at the endpoint itself
+  double room_told = 0.0;              // calls in flight that reports had room for of late
   double late_part = 0.0, mean_out = 0.0;  // mean of calls_out
   int step_ends = 0, step_peak = 0, step_arrivals = 0;
   bool limited = false, told = false;  // told: answers report how busy the cores are
--- a/src/tundra/codec.cpp
+++ b/src/tundra/codec.cpp
@@ -132,7 +132,6 @@
       e.call.left = Span::ms(get<double>(r + 12));
       e.call.key = get<std::uint64_t>(r + 28);
       e.call.repeated = (r[36] & 2U) != 0;
-      e.call.account = get<std::uint16_t>(r + 37);
       break;
     case EventCode::started:
       e.end.call = get<std::uint64_t>(r + 3);
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -83,5 +83,33 @@
   EXPECT_EQ(config::platform_name("tracks.0.client_timeout_ms"), "classes.0.give_up_ms");
 }
 
+TEST(Events, NewsOfAnEndpointComeBackAsTheyWent) {
+  Reply reply;
+  Answer a;
+  a.verdict = Verdict::tell, a.endpoint = 0x2bc3074a120aU, a.number = 77;
+  reply.clear();
+  reply.answer(3, a);
+  const auto sent = reply.finish();
+  Bytes b = frame(8);
+  b[header_size + 11] = 8;
+  b.insert(b.end(), sent.end() - 8, sent.end());
+  b[0] = static_cast<std::uint8_t>(b.size());
+  const Event e = Batch(b).event(0);
+  EXPECT_EQ(e.end.endpoint, a.endpoint);
+  EXPECT_EQ(e.token, 77U);
+}
+
+TEST(Actions, AFreshDispatchClosesIdleConnectionsFirst) {
+  Reply reply;
+  Answer a;
+  a.verdict = Verdict::dispatch, a.fresh = true;
+  reply.clear();
+  reply.answer(3, a);
+  const auto sent = reply.finish();
+  ASSERT_EQ(sent.size(), 8U + 2 * 32U);
+  EXPECT_EQ(sent[8], 74);
+  EXPECT_EQ(sent[8 + 32], 70);
+}
+
 }  // namespace
 }  // namespace chutevane::tundra
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -80,5 +80,20 @@
   EXPECT_EQ(platform_name("tracks.0.client_timeout_ms"), "classes.0.give_up_ms");
 }
 
+// What the module takes a default for must not be taken for one when it is wrong.
+TEST(Config, OptionalSettingsAreChecked) {
+  const auto key = [](const std::string& setting) {
+    return key_of_error(with("\"tier\":0", "\"tier\":0," + setting));
+  };
+  EXPECT_EQ(key("\"me\":0"), "");
+  EXPECT_EQ(key("\"me\":1"), "settings.me");  // of one
+  EXPECT_EQ(key("\"extra\":{\"warm_keys\":\"yes\"}"), "settings.extra.warm_keys");
+  EXPECT_EQ(key("\"report\":{\"how\":\"loudly\"}"), "settings.report.how");
+  EXPECT_EQ(key_of_error(with("\"probes\":false", "\"streams_per_conn\":0")),
+            "settings.allowed.streams_per_conn");
+  EXPECT_EQ(key_of_error(with("\"probes\":false", "\"may_tell\":7")), "settings.allowed.may_tell");
+  EXPECT_EQ(key_of_error(with("\"listen\"", "\"state\":\"\",\"listen\"")), "state");
+}
+
 }  // namespace
 }  // namespace chutevane::config
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -688,5 +688,90 @@
   EXPECT_LT(b.scheduler.now() - from, Span::ms(2000));
 }
 
+// --- From one process to the next --------------------------------------------------------------------------
+
+// The first seconds after a switch: the follower knows the endpoint's speed before its first call, and
+// serves.
+TEST(Memory, AFollowerKnowsTheEndpointsFromItsFirstCall) {
+  SidecarBench b;
+  Peer endpoint;
+  Peer caller = b.call(request_text("a", "plan"), endpoint);
+  endpoint.say(answer_text("one"));
+  ASSERT_TRUE(b.hears(caller, "one"));
+  const std::string left = b.sidecar->memory(b.scheduler.now());
+  std::string text = config_text(b.discovery.text(), b.endpoint.text());
+  b.sidecar = std::make_unique<Sidecar>(b.scheduler, config::read(text, no_environment));
+  EXPECT_EQ(b.sidecar->memory(b.scheduler.now()).find("latency_us"), std::string::npos);
+  b.sidecar->recall(left, b.scheduler.now());
+  EXPECT_NE(b.sidecar->memory(b.scheduler.now()).find("latency_us"), std::string::npos);
+  b.sidecar->listen();
+  Peer again;
+  Peer other = b.call(request_text("b", "plan"), again);
+  again.say(answer_text("two"));
+  EXPECT_TRUE(b.hears(other, "two"));
+}
+
+TEST(Memory, WhatDoesNotFitIsNamed) {
+  const TimePoint now = TimePoint::at_ms(1e12);
+  const auto wrong = [&](const std::string& text) {
+    try {
+      read_memory(text, "tier 0: plan", now);
+    } catch (const MemoryError& e) {
+      return std::string(e.what()).substr(0, std::string(e.what()).find(':'));
+    }
+    return std::string();
+  };
+  const std::string good = write_memory({{"s-1", TimePoint::at_ms(5), 12.5}}, "tier 0: plan", now);
+  ASSERT_EQ(wrong(good), "");
+  EXPECT_EQ(read_memory(good, "tier 0: plan", now).front().latency_ms, 12.5);
+  EXPECT_EQ(wrong(good.substr(0, good.size() / 2)), "no JSON");
+  EXPECT_EQ(wrong("{}"), "form");
+  EXPECT_EQ(wrong("[]"), "form");
+  EXPECT_EQ(wrong(write_memory({}, "tier 0: sale", now)), "deployment");
+  EXPECT_EQ(wrong(write_memory({}, "tier 0: plan", now - Span::ms(3.6e6))), "written_ms");
+  EXPECT_EQ(wrong(write_memory({{"s-1", TimePoint(), 0.0}}, "tier 0: plan", now)), "latency_us");
+}
+
+// A damaged file from before must not keep a sidecar from starting.
+TEST(Memory, ADamagedStateCostsOneLineAndTheSidecarStarts) {
+  const std::string path = ::testing::TempDir() + "chutevane-state-" + std::to_string(::getpid());
+  ASSERT_TRUE(save_memory(path, "{\"form\":1"));
+  std::string text = config_text();
+  text.insert(1, "\"state\":\"" + path + "\",");
+  int lines = 0;
+  send_log_to([&](std::string_view line) { lines += line.starts_with("state: set aside") ? 1 : 0; });
+  {
+    net::Scheduler scheduler;
+    Daemon daemon(scheduler, [&] { return config::read(text, no_environment); });
+    EXPECT_TRUE(daemon.listen());
+  }
+  send_log_to({});
+  EXPECT_EQ(lines, 1);
+  std::remove(path.c_str());
+}
+
+// Endpoints are numbered as they come; what sidecars must draw alike goes by discovery's names.
+TEST(Keys, OfACallIsReadWhereEndpointsAreWarmForIt) {
+  const Front cold(config::read(config_text(), no_environment).settings);
+  Settings s = config::read(config_text(), no_environment).settings;
+  s["extra.warm_keys"] = "true";
+  const Front warm(s);
+  const auto key = [](const Front& front, const std::string& attributes) {
+    std::string text = request_text("a", "plan");
+    text.insert(text.find("\r\n") + 2, "X-Attrs: " + attributes + "\r\n");
+    http::Parser parser(http::Side::request);
+    parser.feed({text.data(), text.size()});
+    ApiCall call;
+    std::string_view why;
+    EXPECT_EQ(front.read_request(parser, call, why), Front::Kind::call) << why;
+    return call.key;
+  };
+  EXPECT_EQ(key(cold, "affinity=17"), 0U);
+  EXPECT_EQ(key(warm, "hint_ms=3"), 0U);
+  EXPECT_NE(key(warm, "hint_ms=3, affinity=17"), 0U);
+  EXPECT_EQ(key(warm, "affinity=17"), key(warm, "hint_ms=3,affinity=17"));
+  EXPECT_NE(key(warm, "affinity=17"), key(warm, "affinity=18"));
+}
+
 }  // namespace
 }  // namespace chutevane::sidecar
