--- a/include/chutevane/balancer.hpp
+++ b/include/chutevane/balancer.hpp
@@ -29,12 +29,8 @@
   Answer arrived(const ApiCall& call, TimePoint now);
   // A dispatch has ended. Without `call_over` the call is still owed its answer.
   Answers ended(const DispatchEnd& end, TimePoint now);
-  // A streamed answer has begun: from here on the dispatch belongs to the client.
-  Answers started(CallId call, std::uint32_t number, TimePoint now);
   // The client has left; nothing more is owed.
   Answers client_left(CallId call, TimePoint now);
-  // A probe has come back, or has not: `outcome` tells.
-  Answers probed(EndpointId endpoint, Outcome outcome, TimePoint now);
   // Another sidecar's `tell` has come: its endpoint and number.
   void told(EndpointId endpoint, std::uint32_t news, TimePoint now);
   Answers woken(TimePoint now);
--- a/include/chutevane/types.hpp
+++ b/include/chutevane/types.hpp
@@ -135,7 +135,6 @@
   reject,     // final: safe to try again, after `span` where one is stated
   break_off,  // final: no promise
   cancel,     // stop waiting for dispatch `number` of `call`
-  probe,      // ask `endpoint` whether it lives
   tell,       // pass `endpoint` and `number` on to all other sidecars, which take it in told()
   subscribe,  // ask for the list and its changes
   log,        // `text` is worth a line in the log
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -1,21 +1,17 @@
 // All decisions of chutevane. The interface is include/chutevane/balancer.hpp.
 //
-// How to call it: make one Balancer for each sidecar and called tier, hand it every event with the time
-// of your clock, and act on the answers in order. A call that is answered `wait` stays with the balancer,
-// which comes back to it in woken() or when an endpoint frees. docs/design.md tells the why at length.
-//
-// The design (docs/design.md): each dispatch is capped at the least of client timeout, time left and
-// 3 x recent p95 of done dispatches, floor 50 ms; spent calls are not sent, short retries are skipped;
-// every 2 s shares are solved from inverse smoothed latency and drawn at random, with pass-over.
+// Make one Balancer for each sidecar and called tier, hand it every event with the time of your clock, and
+// act on the answers in order. A call answered `wait` stays with it: it comes back in woken() or when an
+// endpoint frees. docs/design.md has the design (caps, cutoffs, shares) and the why of all that follows.
 //
 // Beside the design stand these mechanisms, six at most:
 //  1. admission: the first tier holds the calls in flight to a limit that follows how their answers sit
-//     against their soft limits; a call's place under that limit goes by its payoff
+//     against their soft limits and what endpoints report; a call's place under it goes by its payoff
 //  2. fresh cap: a fresh or returning endpoint has a cap in flight that grows with its answers, and a cold
 //     one a budget of sends per window
 //  3. outliers: an endpoint whose high quantile is far above its fellows' gets one call at a time
-//  4. silence: an endpoint that answers nothing while its fellows do is passed over, its calls are sent
-//     elsewhere where their track permits, and it is tried again after growing pauses
+//  4. silence: an endpoint that answers nothing while its fellows do is passed over, its calls go elsewhere
+//     where their track permits, and it is tried again after pauses; an idle connection is doubted first
 //  5. retry budget: dispatches again are a bounded share of the API calls
 //  6. short waits: a call that finds no endpoint now is held for a moment, the best paid first
 #include <algorithm>
@@ -56,10 +52,9 @@
 constexpr double held_full = 1.2;    // calls an endpoint, reported: with more there is no room to grow into
 constexpr double full_held = 4.0;    // x limit_least: taken as held by one that turns calls away
 constexpr Span held_holds = Span::ms(2000);  // a report older than that tells nothing of the load
-constexpr Span tell_pause =
-    Span::ms(500);                   // between news of one endpoint from all sidecars: as old as reports are
-constexpr double tell_scale = 16.0;  // news are whole numbers
-constexpr double busy_edge = 0.02;   // a core that is never idle counts as 50 calls held
+constexpr Span tell_pause = Span::ms(500);   // between news of one endpoint: as old as reports are
+constexpr double tell_scale = 16.0;          // news are whole numbers
+constexpr double busy_edge = 0.02;           // a core that is never idle counts as 50 calls held
 // Admission
 constexpr Span limit_every = Span::ms(250);  // long enough for some tens of answers on a busy sidecar
 constexpr double limit_least = 2.5;   // calls at work per endpoint over all sidecars: fewer idle its cores
@@ -98,18 +93,12 @@
 constexpr Span bar_first = Span::ms(500);      // about the time a passing fault takes to show it passed
 constexpr Span bar_most = Span::ms(4000);      // a returned endpoint is found this soon
 constexpr Span full_pause = Span::ms(50);      // a full queue drains a few calls in this time
-constexpr int zone_failed = 2;                 // endpoints of a zone, with no answer from it between
-constexpr Span zone_pause = Span::ms(1000);    // between looks at a lost zone: hundreds of sidecars look
 constexpr double silence_factor = 1.5;         // x p95 without any answer with two or more out
 constexpr double silence_alone = 2.5;          // x p95 with a single one out: it may just be a long call
-constexpr double probe_after = 4.0;            // x median without a word: cheap to ask, dear to wait
-constexpr double probe_tail = 1.5;             // and x p95: a merely long call is no reason to ask
-constexpr Span probe_pause = Span::ms(500);    // between probes of one endpoint at the least
 // Connections dropped unseen
-constexpr Span idle_least = Span::ms(500);  // no network drops what was used just before
-constexpr double idle_margin = 0.8;         // of the idle time that one was lost at
-constexpr Span idle_doubt =
-    Span::ms(20000);  // after the last loss; new connections cost their endpoints work
+constexpr Span idle_least = Span::ms(500);    // no network drops what was used just before
+constexpr double idle_margin = 0.8;           // of the idle time that one was lost at
+constexpr Span idle_doubt = Span::ms(20000);  // after a loss; new connections cost endpoints work
 // Again and waiting
 constexpr double retry_share = 0.2;          // dispatches again per API call
 constexpr double retry_depth = 20.0;         // dispatches: a sidecar's calls on one endpoint that dies
@@ -129,15 +118,14 @@
 
 bool Balancer::State::measured(TimePoint now) { return times.count(now) >= estimate_samples; }
 
-// The floor of the admission limit. A call that its endpoint holds while it waits on deeper tiers keeps no
-// core busy; where reports give the endpoint's own service time, the floor leaves room for such calls.
+// The floor of the admission limit. A call that waits on deeper tiers keeps none of its endpoint's cores
+// busy.
 double Balancer::State::least_limit() const {
   return limit_least / own_part / sidecars * std::max(1.0, ready_warm);
 }
 
 Balancer::State::State(const Settings& s, std::uint64_t seed, TimePoint now) : settings(s), chance(seed) {
   first_tier = settings.number("tier") == 0;
-  can_probe = settings.flag("allowed.probes");
   can_cancel = settings.flag("allowed.cancel");
   can_copy = settings.flag("allowed.second_copies");
   can_come_back = settings.flag("allowed.retry_after");
@@ -154,7 +142,6 @@
   warm_keys = settings.has("extra.warm_keys") && settings.flag("extra.warm_keys");
   shared_connections =
       settings.has("allowed.streams_per_conn") && settings.number("allowed.streams_per_conn") > 1.0;
-  one_location = settings.has("zones") && settings.text("zones").find(',') == std::string::npos;
   cold_share = settings.number("rules.cold_share");
   fall_multiple = settings.number("rules.fall_multiple");
   fall_window = settings.span("rules.fall_ms");
@@ -205,8 +192,8 @@
   return cold_share + (1.0 - cold_share) * std::max(0.0, (now - e.came_up) / warm_after);
 }
 
-// The order of the ring is the same at every sidecar that has the same list, by a hash, so that endpoints
-// that fail together lie apart.
+// Where sidecars keep to parts of the ring its order is alike at all, by a hash: what fails together lies
+// apart.
 void Balancer::State::order() {
   ring.resize(endpoints.size());
   std::iota(ring.begin(), ring.end(), 0U);
@@ -216,9 +203,8 @@
   });
 }
 
-// How far along the ring the own part reaches: as many endpoints as this sidecar's calls can tell of in the
-// window, and more where calls in flight ask for it. Guards against hundreds of sidecars that each hold a
-// connection to every endpoint and hear from none often enough to know it.
+// How far along the ring the own part reaches: as many endpoints as this sidecar's calls can tell of. Guards
+// against hundreds of sidecars that each hold a connection to every endpoint and hear from none often enough.
 void Balancer::State::widen(TimePoint now) {
   const auto all = static_cast<std::size_t>(ready_count);
   spread = ready_count;
@@ -232,7 +218,7 @@
   std::size_t have = 0;
   for (own.size = 0; own.size < ring.size() && have < wanted; ++own.size) {
     const Endpoint& e = endpoints[ring[(own.from + own.size) % ring.size()]];
-    have += e.ready() && !e.doubted ? 1U : 0U;
+    have += e.ready() && e.bar == Span() ? 1U : 0U;
   }
   spread = static_cast<int>(std::min(all, have));
 }
@@ -258,23 +244,19 @@
   return keys[at].weight += key_gain;
 }
 
-// The endpoint for a call whose key some endpoint may know: a share draw by its model's speed whose chance is
-// the key's hash, so that all sidecars draw alike. Guards against work that a warm endpoint would be spared.
-// One that is crowded, by what it last reported, is passed over for a part of the calls; -1: draw from all.
+// The endpoint for a call whose key one may know: a share draw by its model's speed whose chance is the key's
+// hash, so that all sidecars draw alike. Guards against work that a warm endpoint is spared; -1: draw from
+// all.
 int Balancer::State::keyed(const Call& c, TimePoint now) {
   const double part = popularity(c.key) * key_spread * ready_count;
   const auto wanted = static_cast<std::size_t>(std::clamp(part, 1.0, key_places - 1.0));
-  const double heard = std::accumulate(models.begin(), models.end(), 0.0);
-  const auto known = models.size() - std::count(models.begin(), models.end(), 0.0);
-  const double unheard = known > 0 ? heard / static_cast<double>(known) : 1.0;
   std::array<std::pair<double, std::size_t>, key_places> best;
   best.fill({1e300, 0});
   for (std::size_t i = 0; i < endpoints.size(); ++i) {
     const Endpoint& e = endpoints[i];
     if (!e.ready()) continue;
     const double u = (static_cast<double>(mixed(c.key ^ mixed(e.mark)) >> 11U) + 0.5) * 0x1p-53;
-    std::pair<double, std::size_t> at{
-        -std::log(u) * (models[e.model] > 0.0 ? models[e.model] : unheard) / warmth(e, now), i};
+    std::pair<double, std::size_t> at{-std::log(u) * std::max(1e-9, models[e.model]) / warmth(e, now), i};
     for (auto& b : best) {
       if (at < b) std::swap(at, b);
     }
@@ -312,11 +294,10 @@
       tails.push_back(e.times.quantile(outlier_quantile, now).as_ms());
   }
   // What the limit has learnt is per warm endpoint. Guards against a lost zone's load crowding the endpoints
-  // left, and against a growing fleet of cold ones being taken for more room.
+  // left, and against a growing fleet of cold ones taken for more room.
   if (before > 0.0 && ready_count > 0) limit *= ready_warm / before;
   const double mean = heard > 0 ? sum / heard : 1.0;
-  // Guards against a zone that has lost machines, or is sent more than its part, being kept to until it
-  // chokes.
+  // Guards against keeping to a zone that has lost machines, or is sent more than its part, until it chokes.
   const double fair = near_heard > 0 ? near_sum / near_heard / mean : 1.0;
   const double keep = std::clamp((fair - near_slow) / (near_fair - near_slow), 0.0, 1.0);
   near_draws = own_zone < 0 ? 0 : static_cast<int>(near_most * keep);
@@ -395,8 +376,8 @@
     if (far < 0) far = static_cast<int>(i), last = n + near_draws;
   }
   if (far >= 0) return far;
-  // The draw met only loaded or closed ones: take the least loaded that may be used. When most are judged
-  // unhealthy the judgement is worth little (all are slow), and the rules alone decide.
+  // The draw met only loaded or closed ones: take the least loaded that may be used. Where most are judged
+  // unhealthy all are slow, and the rules alone decide.
   int best = -1, unhealthy = 0, ready = 0;
   double best_load = 0.0;
   for (int pass = 0; pass < 2 && best < 0; ++pass) {
@@ -428,8 +409,8 @@
   return e.cold_tokens >= 1.0;
 }
 
-// Guards against a cold endpoint being pushed over by all sidecars together: each sends it no more than
-// its own mean rate per endpoint, scaled by how warm it must be by now, in bursts well under the window.
+// Guards against a cold endpoint pushed over by all sidecars together: each sends it no more than its own
+// mean rate per endpoint, scaled by how warm it must be by now, in bursts well under the window.
 void Balancer::State::fill_cold(Endpoint& e, TimePoint now) {
   const double per_s = std::max(cold_least / sidecars, rate / std::max(1, spread) * warmth(e, now));
   const double depth = std::max(1.0, per_s * fall_window.as_ms() / 1000.0 * fall_multiple * cold_depth);
@@ -438,43 +419,24 @@
 }
 
 bool Balancer::State::healthy(const Endpoint& e, TimePoint now) {
-  if (now < e.barred_until || (can_probe && e.doubted) || (e.outlier && e.in_flight > 0)) return false;
-  if (lost(e) && (can_probe || now < kin[e.kin].retry_at)) return false;
+  if (now < e.barred_until || (e.outlier && e.in_flight > 0)) return false;
   return all_silent || !silent(e, now);
 }
 
 bool Balancer::State::silent(const Endpoint& e, TimePoint now) {
-  if ((can_probe && e.doubted) || (lost(e) && e.in_flight > 0 && e.quiet_since <= kin[e.kin].since))
-    return true;
   if (e.in_flight == 0 || !measured(now)) return false;
   const Span patience =
       times.quantile(cap_quantile, now) * (e.in_flight > 1 ? silence_factor : silence_alone);
   return now - e.quiet_since > std::max(cap_floor, patience);
 }
 
-// Guards against learning a lost zone endpoint by endpoint: where a sidecar sends each of them a call every
-// ten seconds, that took longer than the list. Two that fail with no answer from their zone speak for all.
-bool Balancer::State::lost(const Endpoint& e) const { return kin[e.kin].failed >= zone_failed; }
-
-void Balancer::State::heard(Endpoint& e) {
-  e.doubted = false;
-  kin[e.kin].failed = 0;
-}
-
 void Balancer::State::miss(Endpoint& e, TimePoint now, const char* what, int weight) {
   e.misses += weight;
   if (e.misses < misses_allowed || now < e.barred_until) return;
-  if (e.bar == Span()) {
-    say("endpoint %012llx passed over: %s", static_cast<unsigned long long>(e.id), what);
-    Kin& z = kin[e.kin];
-    if (z.failed++ == 0) z.since = now;
-    if (z.failed == zone_failed)
-      say("no endpoint of %s %u answers: passed over", one_location ? "cell" : "zone", e.kin);
-  }
+  if (e.bar == Span()) say("endpoint %012llx passed over: %s", static_cast<unsigned long long>(e.id), what);
   e.bar = std::clamp(e.bar * 2.0, bar_first, bar_most);
   e.barred_until = now + e.bar;
   e.fresh_cap = fresh_start;
-  e.doubted = true;
 }
 
 // A connection that has idled and whose first dispatch meets silence was dropped unseen, for all that can be
@@ -498,10 +460,10 @@
       e.times.add(end.elapsed, now);
       speed_ms = end.load.service_ms > 0.0 ? end.load.service_ms : end.elapsed.as_ms();
       e.latency_ms += (speed_ms - e.latency_ms) * (e.latency_ms > 0.0 ? latency_gain : 1.0);
-      models[e.model] += (speed_ms - models[e.model]) * (models[e.model] > 0.0 ? model_gain : 1.0);
+      std::replace(models.begin(), models.end(), 0.0, speed_ms);  // unheard ones are taken for like it
+      models[e.model] += (speed_ms - models[e.model]) * model_gain;
       if (e.bar > Span()) say("endpoint %012llx answers again", static_cast<unsigned long long>(e.id));
       e.misses = 0;
-      heard(e);
       e.bar = Span();
       e.quiet_since = now;
       if (end.load.busy >= 0.0 || end.load.held >= 0.0) {
@@ -527,7 +489,6 @@
       }
       break;
     case Outcome::turned_away:
-      heard(e);
       e.quiet_since = now;
       e.barred_until = std::max(e.barred_until, now + full_pause);
       if (told) e.held = full_held * limit_least, e.held_at = now;
@@ -607,9 +568,7 @@
     e.cell = l.cell;
     e.mark = l.mark != 0 ? l.mark : l.id;
     e.model = l.model;
-    if (s.models.size() <= e.model) s.models.resize(e.model + 1U);
-    e.kin = s.one_location ? l.cell : l.zone;
-    if (s.kin.size() <= e.kin) s.kin.resize(e.kin + 1U);
+    if (s.models.size() <= e.model) s.models.resize(e.model + 1U, s.models.empty() ? 0.0 : s.models[0]);
     e.availability = l.availability;
   }
   for (std::size_t i = 0; kind != ListKind::changes && i < named.size(); ++i) {
@@ -697,7 +656,6 @@
   c.waiting = false;
   if (e.in_flight++ == 0) e.quiet_since = now;
   ++in_flight;
-  if (lost(e)) kin[e.kin].retry_at = now + zone_pause;
   if (warmth(e, now) < 1.0) e.cold_tokens -= 1.0;
   return a;
 }
@@ -770,9 +728,8 @@
   }
 }
 
-// Calls out at an endpoint that has gone silent while its fellows answer go elsewhere, where the track
-// permits: as a second copy, or by cancelling where copies are barred (the cancelled end sends it again).
-// Guards against a hung or vanished endpoint holding its calls for 3 x p95, beyond their soft limits.
+// Calls out at an endpoint that is silent while its fellows answer go elsewhere where the track permits: as a
+// second copy, or by cancelling where copies are barred. Guards against calls held past their soft limits.
 void Balancer::State::rescue(TimePoint now) {
   int quiet = 0;
   for (const Endpoint& e : endpoints) quiet += e.ready() && silent(e, now) ? 1 : 0;
@@ -780,13 +737,12 @@
   if (quiet == 0 || all_silent || (!can_copy && !can_cancel)) return;
   for (std::uint32_t at = 0; at < calls.size(); ++at) {
     Call& c = calls[at];
-    if (!c.in_use || c.over || c.streaming || c.out != 1 || c.sent == 0 || retry_tokens < 1.0) continue;
+    if (!c.in_use || c.over || c.out != 1 || c.sent == 0 || retry_tokens < 1.0) continue;
     Dispatch& d = c.dispatches[c.sent - 1U];
     Endpoint& e = endpoints[d.endpoint];
     if (!d.out || d.rescued || tracks[c.track].effect != Effect::replayable) continue;
-    const bool proven = can_probe && e.doubted;
     const bool old = now - d.sent >= times.quantile(cap_quantile, now);
-    if (!silent(e, now) || (!proven && !old) || !may_go_again(c, now)) continue;
+    if (!silent(e, now) || !old || !may_go_again(c, now)) continue;
     if (can_copy) {
       const int endpoint = pick(c, now);
       if (endpoint < 0 || endpoint == static_cast<int>(d.endpoint)) continue;
@@ -801,31 +757,11 @@
   }
 }
 
-// Where probes are allowed, an endpoint with calls out and no word for a while is asked whether it lives, and
-// one that was passed over is asked before calls are risked on it. Guards against a lost zone: silence alone
-// tells only after several seconds where answers take one, and by then the lost calls fill the limit.
-void Balancer::State::probe_doubtful(TimePoint now) {
-  if (!can_probe) return;
-  const Span patience = std::max(
-      {cap_floor, times.quantile(0.5, now) * probe_after, times.quantile(cap_quantile, now) * probe_tail});
-  for (Endpoint& e : endpoints) {
-    if (!e.ready() || e.probing || now < e.barred_until || now - e.probed_at < probe_pause) continue;
-    const bool quiet =
-        e.in_flight > 0 && measured(now) && now - std::max(e.quiet_since, e.probed_at) > patience;
-    if (!quiet && !e.doubted && !lost(e)) continue;
-    if (lost(e) && now < kin[e.kin].retry_at) continue;  // one of them tells
-    kin[e.kin].retry_at = now + zone_pause;
-    e.probing = true;
-    e.probed_at = now;
-    push(Verdict::probe, 0, 0, e.id);
-  }
-}
-
 // --- Admission (first tier) ------------------------------------------------------------------------
 
-// How long ago the client first tried, as far as its stated wait tells: first tries of a track state the
-// same wait, a repeat what is left of the client timeout. Guards against serving clients' repeats whose soft
-// limit has passed: in an overload they took a quarter of the tier for no payoff.
+// How long ago the client first tried, as far as its stated wait tells: first tries of a track state the same
+// wait, a repeat what is left. Guards against repeats past their soft limit: a quarter of a tier for no
+// payoff.
 Span Balancer::State::age_of(const ApiCall& call) {
   const Span whole = tracks[call.track].client_timeout;
   UsualWait& w = waits[call.track];
@@ -847,19 +783,17 @@
 // Deeper tiers turn nothing away early: work is already in the call, and its caller was admitted.
 bool Balancer::State::admitted(const Call& c) {
   if (!first_tier) return true;
-  // Repeats only: with a median over a track's soft limit its first tries would all be turned away, the dear
-  // ones with the shortest limit first, and the slow tracks left would keep the median up.
+  // Repeats only: with a median over a track's soft limit its first tries would all be turned away for good.
   const Span whole = tracks[c.track].soft_limit, useful = c.soft_end - c.arrived;
   if (tracks[c.track].late_payoff <= 0.0 && useful < std::min(whole, times.quantile(0.5, c.arrived)))
     return false;
   const double above = std::log2(std::max(1e-6, c.payoff / std::max(1e-6, payoff_mean)));
   const double level = std::clamp(1.0 + payoff_slope * above, level_low, level_high);
-  // The limit holds the mean of the calls in flight; at any one time they may be off it by their chance
-  // spread. Guards against a small part of the limit: with hundreds of sidecars it is a call or two each,
-  // and as a bound on the moment it turned away a third of the calls of a half idle tier.
-  const double room = std::max(limit, least_limit()) * level;
-  // Before the first report there is nothing to go by: the floor is an even part, which a hot sidecar
+  // The limit holds the mean of the calls in flight; at any time they may be off it by their chance spread.
+  // Guards against a part of a call or two: as a bound on the moment it turned away a third of a half idle
+  // tier. Before the first report there is nothing to go by: the floor is an even part, which a hot sidecar
   // exceeds.
+  const double room = std::max(limit, least_limit()) * level;
   if (told ? used < 1.0 : will_tell) return true;
   const double chance_off = mean_spread * std::sqrt(room);
   if (calls_out - 1 < room + std::clamp((room - mean_out) * mean_pull, -chance_off, chance_off)) return true;
@@ -877,8 +811,7 @@
 
 void Balancer::State::step_limit(TimePoint now) {
   step_at = now + limit_every;
-  // While the endpoints report room, the calls in flight may grow by it. Guards against a sidecar that
-  // carries far more than its even part, or has just come to: the floor counts all sidecars alike.
+  // While endpoints report room the calls in flight may grow by it: the floor counts all sidecars alike.
   if (told && used < 1.0) room_told += (mean_out / std::max(0.25, used) - room_told) * room_gain;
   const double least = std::max(least_limit(), room_told * room_kept);
   limit = std::max({limit, least, told && used < 1.0 ? mean_out / std::max(0.25, used) : 0.0});
@@ -919,7 +852,6 @@
   if (now >= look_at) {
     look_at = now + look_every;
     mean_out += (calls_out - mean_out) * mean_out_gain;
-    probe_doubtful(now);
     rescue(now);
     serve_waiting(now);
   }
@@ -1005,21 +937,6 @@
   return s.answers;
 }
 
-Answers Balancer::started(CallId call, std::uint32_t number, TimePoint now) {
-  State& s = *state_;
-  s.answers.clear();
-  const std::uint32_t at = s.call_index.find(call);
-  if (at == IdIndex::none) return s.answers;
-  Call& c = s.calls[at];
-  if (c.over || number >= c.sent) return s.answers;
-  s.count_answer(c, true, now);
-  c.streaming = true;
-  c.dispatches[number].out = false;  // not to be cancelled: it belongs to the client now
-  s.finish(at);
-  c.dispatches[number].out = true;
-  return s.answers;
-}
-
 Answers Balancer::client_left(CallId call, TimePoint now) {
   State& s = *state_;
   s.answers.clear();
@@ -1030,21 +947,6 @@
   return s.answers;
 }
 
-Answers Balancer::probed(EndpointId endpoint, Outcome outcome, TimePoint now) {
-  State& s = *state_;
-  s.answers.clear();
-  const std::uint32_t at = s.endpoint_index.find(endpoint);
-  if (at == IdIndex::none) return s.answers;
-  Endpoint& e = s.endpoints[at];
-  e.probing = false;
-  if (outcome == Outcome::done) {
-    s.heard(e);
-  } else if (e.quiet_since <= e.probed_at) {
-    s.miss(e, now, "probes fail", misses_allowed);
-  }
-  return s.answers;
-}
-
 void Balancer::told(EndpointId endpoint, std::uint32_t news, TimePoint now) {
   State& s = *state_;
   const std::uint32_t at = s.endpoint_index.find(endpoint);
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -132,9 +132,8 @@
 
 void check_settings(Config& out) {
   check_optional(out.settings);
-  // The platform's protocol has no probes, no reports of load and no messages between sidecars: the module is
+  // The platform's protocol has no reports of load and no messages between sidecars: the module is
   // not to count on any.
-  out.settings.insert_or_assign("allowed.probes", "false");
   out.settings.insert_or_assign("allowed.may_tell", "false");
   out.settings.insert_or_assign("report.how", "off");
   number_zone(out.settings);
--- a/src/sidecar/driver.cpp
+++ b/src/sidecar/driver.cpp
@@ -244,8 +244,7 @@
   switch (answer.verdict) {
     case Verdict::nothing:
     case Verdict::wait:
-    case Verdict::probe:
-    case Verdict::tell: break;  // neither here: the configuration says so to the module
+    case Verdict::tell: break;  // none here: the configuration says so to the module
     case Verdict::dispatch:
       if (known) dispatch(at, answer);
       break;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -41,28 +41,20 @@
   EndpointId id = 0;
   std::uint64_t mark = 0;  // alike at all sidecars
   std::uint16_t zone = 0, cell = 0, model = 0;
-  std::uint16_t kin = 0;  // what fails together: its zone, or its cell where all stand in one location
   Availability availability = Availability::gone;
   bool ready() const { return availability == Availability::ready; }
   TimePoint came_up, quiet_since, barred_until;
   Span bar;  // the pause before it is tried again; zero: none yet
   int in_flight = 0, misses = 0;
-  bool outlier = false, probing = false;
-  bool doubted = false;     // failed, and no probe or call has been answered since
+  bool outlier = false;
   double latency_ms = 0.0;  // smoothed over done dispatches; 0: unheard
   double fresh_cap = -1.0;  // calls in flight; negative: no cap
   double cold_tokens = 0.0;
   double held = 0.0;  // calls, as last reported
-  TimePoint cold_filled, probed_at, held_at, told_at, last_used;
+  TimePoint cold_filled, held_at, told_at, last_used;
   WindowedHistogram times;  // done dispatches
 };
 
-// Endpoints that fail together.
-struct Kin {
-  int failed = 0;  // endpoints newly passed over since one of them last answered
-  TimePoint since, retry_at;
-};
-
 // Endpoints that follow one another on the ring, which may run past its end.
 struct Arc {
   std::size_t from = 0, size = 0;
@@ -85,7 +77,7 @@
   TimePoint soft_end;  // the soft limit counts from the client's first try
   std::uint8_t sent = 0, out = 0;
   std::uint8_t sent_elsewhere = 0;  // by other pools: one budget counts over all
-  bool over = false, waiting = false, streaming = false, in_use = false;
+  bool over = false, waiting = false, in_use = false;
   int bound_to = -1;  // the earliest dispatch that may have run
   TimePoint bound_since;
   std::array<Dispatch, 8> dispatches;
@@ -112,8 +104,6 @@
   bool open_by_rules(const Call& c, const Endpoint& e, TimePoint now);
   bool healthy(const Endpoint& e, TimePoint now);
   bool silent(const Endpoint& e, TimePoint now);
-  bool lost(const Endpoint& e) const;
-  void heard(Endpoint& e);
   double warmth(const Endpoint& e, TimePoint now) const;
   std::uint32_t free_place();
   void fill_cold(Endpoint& e, TimePoint now);
@@ -132,7 +122,6 @@
   void settle(std::uint32_t at);
   void serve_waiting(TimePoint now);
   void rescue(TimePoint now);
-  void probe_doubtful(TimePoint now);
   void cancel_others(std::uint32_t at);
   Span age_of(const ApiCall& call);
   bool admitted(const Call& c);
@@ -145,9 +134,8 @@
 
   const SettingsReader settings;
   Pcg chance;
-  bool first_tier, can_probe, can_cancel, can_copy, can_come_back, must_subscribe, marks_repeats;
-  bool can_tell = false, warm_keys = false, one_location = false, one_layer = false, will_tell = false,
-       shared_connections = false;
+  bool first_tier, can_cancel, can_copy, can_come_back, must_subscribe, marks_repeats;
+  bool can_tell = false, warm_keys = false, one_layer = false, will_tell = false, shared_connections = false;
   double seat = 0.0;   // of this sidecar among all: 0 to under 1
   int own_zone = -1;   // where crossing zones is priced
   int near_draws = 0;  // more draws for an endpoint in it
@@ -161,7 +149,6 @@
   std::vector<Endpoint> endpoints;
   IdIndex endpoint_index;
   std::vector<double> models;       // smoothed latency, ms; 0: unheard
-  std::vector<Kin> kin;             // by number
   std::vector<std::uint32_t> ring;  // places of endpoints, in an order that all sidecars share
   std::vector<double> shares;       // cumulative along the ring
   Arc own;                          // the part of the ring that calls without a warm key are drawn from
--- a/src/tundra/codec.cpp
+++ b/src/tundra/codec.cpp
@@ -16,8 +16,7 @@
 constexpr std::uint32_t every_peer = 0xffffffffU;
 
 constexpr std::uint8_t stream_changes = 64, print = 65, after = 66, publish = 67, abandon = 68,
-                       exception = 69, pass_on = 70, reject = 71, sample = 72, respond_error = 73,
-                       close_idle = 74;
+                       exception = 69, pass_on = 70, reject = 71, respond_error = 73, close_idle = 74;
 
 // Little-endian, whatever this machine is.
 template <class T>
@@ -229,7 +228,6 @@
       put(r + 3, a.call);
       r[11] = static_cast<std::uint8_t>(a.number);
       break;
-    case Verdict::probe: put_endpoint(record(sample, who) + 3, a.endpoint); break;
     case Verdict::tell: {
       r = record(publish, who);
       put(r + 3, every_peer);
--- a/src/world/coverage.cpp
+++ b/src/world/coverage.cpp
@@ -10,7 +10,7 @@
 constexpr const char* outcome_names[] = {"done",          "error", "turned-away", "timed-out",
                                          "not-connected", "reset", "cancelled",   "not-sent"};
 constexpr const char* verdict_names[] = {"nothing", "dispatch", "wait",      "reject", "break-off",
-                                         "cancel",  "probe",    "subscribe", "log"};
+                                         "cancel",  "tell",     "subscribe", "log"};
 constexpr const char* caller_names[] = {"before-request", "within-request", "call-in-hand",
                                         "writing",        "after-last",     "idle"};
 
