--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -127,7 +127,6 @@
 Balancer::State::State(const Settings& s, std::uint64_t seed, TimePoint now) : settings(s), chance(seed) {
   first_tier = settings.number("tier") == 0;
   can_cancel = settings.flag("allowed.cancel");
-  can_copy = settings.flag("allowed.second_copies");
   can_come_back = settings.flag("allowed.retry_after");
   marks_repeats = settings.has("client_habits.marks_retry") && settings.flag("client_habits.marks_retry");
   must_subscribe = settings.text("discovery") == "subscribe";
@@ -646,7 +645,7 @@
   // Guards rule 2: a connection may take longer to come up than the reference is remembered.
   if (c.bound_to >= 0 && tracks[c.track].effect == Effect::referenced)
     a.until = c.bound_since + tracks[c.track].repeat_window;
-  const Span idle = e.in_flight > 0 ? Span() : now - e.last_used;
+  const Span idle = e.in_flight > 0 || e.last_used == TimePoint() ? Span() : now - e.last_used;
   a.fresh = shared_connections && idle >= idle_safe && now - idle_lost_at < idle_doubt;
   e.last_used = now;
   Dispatch& d = c.dispatches[c.sent++];
@@ -689,7 +688,7 @@
   c.over = true;
   c.waiting = false;
   --calls_out;
-  cancel_others(at);
+  if (can_cancel && c.sent > 0 && c.dispatches[c.sent - 1U].out) push(Verdict::cancel, c.id, c.sent - 1U);
   settle(at);
 }
 
@@ -703,13 +702,6 @@
   calls.give_back(at);
 }
 
-void Balancer::State::cancel_others(std::uint32_t at) {
-  Call& c = calls[at];
-  for (std::uint8_t n = 0; can_cancel && n < c.sent; ++n) {
-    if (c.dispatches[n].out) push(Verdict::cancel, c.id, n);
-  }
-}
-
 void Balancer::State::serve_waiting(TimePoint now) {
   if (waiting.empty()) return;
   std::erase_if(waiting, [&](std::uint32_t at) { return !calls[at].waiting; });
@@ -728,13 +720,13 @@
   }
 }
 
-// Calls out at an endpoint that is silent while its fellows answer go elsewhere where the track permits: as a
-// second copy, or by cancelling where copies are barred. Guards against calls held past their soft limits.
+// Calls out at an endpoint that is silent while its fellows answer are cancelled and go elsewhere where the
+// track permits. Guards against a hung endpoint holding its calls past their soft limits.
 void Balancer::State::rescue(TimePoint now) {
   int quiet = 0;
   for (const Endpoint& e : endpoints) quiet += e.ready() && silent(e, now) ? 1 : 0;
   all_silent = quiet * 2 > ready_count;
-  if (quiet == 0 || all_silent || (!can_copy && !can_cancel)) return;
+  if (quiet == 0 || all_silent || !can_cancel) return;
   for (std::uint32_t at = 0; at < calls.size(); ++at) {
     Call& c = calls[at];
     if (!c.in_use || c.over || c.out != 1 || c.sent == 0 || retry_tokens < 1.0) continue;
@@ -743,16 +735,8 @@
     if (!d.out || d.rescued || tracks[c.track].effect != Effect::replayable) continue;
     const bool old = now - d.sent >= times.quantile(cap_quantile, now);
     if (!silent(e, now) || !old || !may_go_again(c, now)) continue;
-    if (can_copy) {
-      const int endpoint = pick(c, now);
-      if (endpoint < 0 || endpoint == static_cast<int>(d.endpoint)) continue;
-      d.rescued = true;
-      miss(e, now, "silent");
-      answers.push_back(send(at, endpoint, now));
-    } else {
-      d.rescued = true;
-      push(Verdict::cancel, c.id, c.sent - 1U);
-    }
+    d.rescued = true;
+    push(Verdict::cancel, c.id, c.sent - 1U);
     retry_tokens -= 1.0;
   }
 }
--- a/src/opfile/file.cpp
+++ b/src/opfile/file.cpp
@@ -76,9 +76,12 @@
   out.reference_group = t.text("reference_group", "");
   out.carries_per_s = t.number("carries_per_s", 0.0, 0.0, 1e9);
   out.sidecars = t.whole("sidecars", 1, 1, 100000);
+  out.place = t.whole("place", 0, 0, 99999);
+  if (out.place >= out.sidecars)
+    t.wrong("place", "of " + std::to_string(out.sidecars) + " sidecars, counted from 0");
+  out.calls_per_connection = t.whole("calls_per_connection", 1, 1, 100000);
   out.dispatches = t.whole("max_dispatches", 4, 1, 8);
   out.cancel = t.flag("cancel", true);
-  out.copies = t.flag("second_copies", false);
   out.connect_timeout = t.span("connect_timeout_ms", 250.0, 1.0);
   out.idle_close = t.span("idle_close_ms", 10000.0, 1.0);
   out.most_retry_after = t.span("max_retry_after_ms", 2000.0);
@@ -260,6 +263,7 @@
       out.reference_header = c.text("reference_header", out.reference_header);
       out.proof_header = c.text("proof_header", out.proof_header);
       out.client_header = c.text("client_header", "");
+      out.key_header = c.text("key_header", "");
     }
     std::set<std::string> listen;
     for (const toml::table* one : t.tables("listener")) {
@@ -325,10 +329,11 @@
   const auto flag = [](bool v) { return std::string(v ? "true" : "false"); };
   out["tier"] = "0";
   out["sidecars"] = number(p.sidecars);
+  out["me"] = number(p.place);
+  out["allowed.streams_per_conn"] = number(p.calls_per_connection);
+  out["extra.warm_keys"] = flag(!m.key_header.empty());
   out["discovery"] = "automatic";
-  out["allowed.probes"] = "false";
   out["allowed.cancel"] = flag(p.cancel);
-  out["allowed.second_copies"] = flag(p.copies);
   out["allowed.retry_after"] = flag(p.most_retry_after > Span());
   out["allowed.max_retry_after_ms"] = number(p.most_retry_after.as_ms());
   out["allowed.max_dispatches"] = number(p.dispatches);
--- a/src/sidecar/front.cpp
+++ b/src/sidecar/front.cpp
@@ -120,6 +120,10 @@
 // What the call is about, where endpoints that know it do less work: an attribute, hashed alike everywhere.
 std::uint64_t Front::key_of(const http::Parser& request) const {
   constexpr std::string_view name = "affinity=";
+  if (!names_.key.empty()) {
+    const std::string_view own = request.find(names_.key).value_or("");
+    return own.empty() ? 0 : XXH3_64bits(own.data(), own.size());
+  }
   std::string_view rest = request.find(names_.attributes).value_or("");
   while (!rest.empty()) {
     const std::size_t comma = std::min(rest.find(','), rest.size());
--- a/src/sidecar/front.hpp
+++ b/src/sidecar/front.hpp
@@ -17,6 +17,7 @@
 struct HeaderNames {
   std::string id = "X-Request-ID", track = "X-Priority-Class", wait = "X-Timeout", repeated = "X-Retried",
               reference = "Idempotency-Key", never_ran = "X-Not-Processed", attributes = "X-Attrs";
+  std::string key;  // a header of its own for what the call is about; empty: an attribute
 };
 
 class Front {
--- a/src/sidecar/services.cpp
+++ b/src/sidecar/services.cpp
@@ -79,6 +79,7 @@
   out.wait = model.wait_header;
   out.reference = model.reference_header;
   out.never_ran = model.proof_header;
+  out.key = model.key_header;
   return out;
 }
 
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -122,7 +122,6 @@
   void settle(std::uint32_t at);
   void serve_waiting(TimePoint now);
   void rescue(TimePoint now);
-  void cancel_others(std::uint32_t at);
   Span age_of(const ApiCall& call);
   bool admitted(const Call& c);
   void count_answer(const Call& c, bool done, TimePoint now);
@@ -134,7 +133,7 @@
 
   const SettingsReader settings;
   Pcg chance;
-  bool first_tier, can_cancel, can_copy, can_come_back, must_subscribe, marks_repeats;
+  bool first_tier, can_cancel, can_come_back, must_subscribe, marks_repeats;
   bool can_tell = false, warm_keys = false, one_layer = false, will_tell = false, shared_connections = false;
   double seat = 0.0;   // of this sidecar among all: 0 to under 1
   int own_zone = -1;   // where crossing zones is priced
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -28,7 +28,6 @@
              {"discovery", "automatic"},
              {"allowed.probes", "false"},
              {"allowed.cancel", "true"},
-             {"allowed.second_copies", "false"},
              {"allowed.retry_after", "true"},
              {"allowed.max_retry_after_ms", "2000"},
              {"allowed.max_dispatches", "4"},
--- a/tests/opfile_test.cpp
+++ b/tests/opfile_test.cpp
@@ -57,6 +57,19 @@
   EXPECT_NO_THROW(Balancer(s, 1, TimePoint()));
 }
 
+// What a sidecar among hundreds needs to know of itself; a place beyond the last would leave a part unserved.
+TEST(OperatorsFile, AmongManySidecarsAPlaceAndAKeyAreRead) {
+  const std::string many =
+      with("discovery = \"127.0.0.1:2\"",
+           "discovery = \"127.0.0.1:2\"\nsidecars = 300\nplace = 299\ncalls_per_connection = 100");
+  const Model m = read(many + "[calls]\nkey_header = \"X-Cab\"\n", "f.toml");
+  const Settings s = settings_of(m, m.pools[1]);
+  EXPECT_EQ(s.at("extra.warm_keys"), "true");
+  EXPECT_NO_THROW(Balancer(s, 1, TimePoint()));
+  const std::string e = error_of(with("name = \"far\"", "name = \"far\"\nsidecars = 3\nplace = 3"));
+  EXPECT_NE(e.find("pool.place: of 3 sidecars, counted from 0"), std::string::npos) << e;
+}
+
 TEST(OperatorsFile, EveryMistakeIsToldAtOnceWithItsPlace) {
   const std::string e =
       error_of(with("pools = [\"near\", \"far\"]", "pools = [\"naer\"]\nlimit = 3") + "[other]\n");
