Where connections are refused sidecars keep to own parts, keys or not; spare cores count in a part's shares

Cause: keys send every sidecar to every endpoint, a connection each, and refused calls ask the next. Ruled out: admission (median 20 ms), retries (nothing ran, the budget is free for them by design). Change: when more than 0.3 of the last dispatches were refused, keys are left for 20 s and the own part of the ring is drawn from; it does not reach further past endpoints that refuse, as all do.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -95,7 +95,9 @@
 constexpr Span full_pause = Span::ms(50);      // a full queue drains a few calls in this time
 constexpr double silence_factor = 1.5;         // x p95 without any answer with two or more out
 constexpr double silence_alone = 2.5;          // x p95 with a single one out: it may just be a long call
-// Connections dropped unseen
+// Connections refused, or dropped unseen
+constexpr double refused_gain = 0.1;          // per dispatch: the part of the last 10 or so
+constexpr double refused_most = 0.3;          // of the dispatches: single endpoints that are down are fewer
 constexpr Span idle_least = Span::ms(500);    // no network drops what was used just before
 constexpr double idle_margin = 0.8;           // of the idle time that one was lost at
 constexpr Span idle_doubt = Span::ms(20000);  // after a loss; new connections cost endpoints work
@@ -196,7 +198,7 @@
 void Balancer::State::order() {
   ring.resize(endpoints.size());
   std::iota(ring.begin(), ring.end(), 0U);
-  if (!shared_connections) return;
+  if (!shared_connections && !warm_keys) return;
   std::sort(ring.begin(), ring.end(), [&](std::uint32_t a, std::uint32_t b) {
     return mixed(endpoints[a].mark) < mixed(endpoints[b].mark);
   });
@@ -208,7 +210,7 @@
   const auto all = static_cast<std::size_t>(ready_count);
   spread = ready_count;
   own = {0, ring.size()};
-  if (!shared_connections || warm_keys) return;
+  if (!shared_connections && now >= scarce_until) return;
   own.from = static_cast<std::size_t>(seat * static_cast<double>(ring.size()));
   // What has come since the last solve counts at once: a hot sidecar would crowd a narrow part for seconds.
   const double since = std::max((now - rate_since) / limit_every, 1.0) * limit_every.as_ms() / 1000.0;
@@ -217,7 +219,7 @@
   std::size_t have = 0;
   for (own.size = 0; own.size < ring.size() && have < wanted; ++own.size) {
     const Endpoint& e = endpoints[ring[(own.from + own.size) % ring.size()]];
-    have += e.ready() && e.bar == Span() ? 1U : 0U;
+    have += e.ready() && (e.bar == Span() || now < scarce_until) ? 1U : 0U;
   }
   spread = static_cast<int>(std::min(all, have));
 }
@@ -315,7 +317,8 @@
     if (e.outlier != was)
       say("endpoint %012llx %s", static_cast<unsigned long long>(e.id),
           e.outlier ? "answers far slower than its fellows" : "answers like its fellows again");
-    if (e.ready()) total += (e.latency_ms > 0.0 ? 1.0 / e.latency_ms : mean) * warmth(e, now);
+    const double spare = shared_connections ? 1.0 / (1.0 + e.held) : 1.0;
+    if (e.ready()) total += (e.latency_ms > 0.0 ? 1.0 / e.latency_ms : mean) * warmth(e, now) * spare;
     shares.push_back(total);
   }
   const double cut = cuts.count(now), done = times.count(now);
@@ -336,7 +339,9 @@
 
 int Balancer::State::pick(const Call& c, TimePoint now) {
   if (shares.size() != endpoints.size()) solve(now);
-  if (warm_keys && c.key != 0) {
+  // Guards against a fleet whose every sidecar wants a connection everywhere when endpoints accept few of
+  // them.
+  if (warm_keys && c.key != 0 && now >= scarce_until) {
     const int at = keyed(c, now);
     if (at >= 0) return at;
   }
@@ -453,6 +458,8 @@
   --in_flight;
   double speed_ms = 0.0;
   if (end.outcome == Outcome::done) e.last_used = now;
+  refused += ((end.outcome == Outcome::not_connected ? 1.0 : 0.0) - refused) * refused_gain;
+  if (warm_keys && refused > refused_most) scarce_until = now + idle_doubt;
   switch (end.outcome) {
     case Outcome::done:
       times.add(end.elapsed, now);
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -170,7 +170,9 @@
   int step_ends = 0, step_peak = 0, step_arrivals = 0;
   bool limited = false, told = false;  // told: answers report how busy the cores are
   TimePoint solve_at, look_at, step_at, subscribe_at = TimePoint::never(), rate_since, told_at;
-  Span idle_safe;                                   // a connection that idled less is trusted
+  double refused = 0.0;    // part of the dispatches that got no connection
+  TimePoint scarce_until;  // connections are: sidecars keep to parts of the endpoints
+  Span idle_safe;          // a connection that idled less is trusted
   TimePoint idle_lost_at = TimePoint::at_ms(-1e9);  // the last that was dropped unseen
   Span subscribe_pause;
 };
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -531,6 +531,29 @@
   EXPECT_GT(used_by(s, 7).size(), 3U);
 }
 
+// 645 sidecars that each wanted a connection everywhere met endpoints that took few: nine in ten were
+// refused.
+TEST(Keys, AreLeftWhileConnectionsAreRefused) {
+  Settings s = of_many(1, false);
+  s["extra.warm_keys"] = "true";
+  Bench b(40, s);
+  const auto used = [&](CallId from, double when, Outcome outcome) {
+    std::set<EndpointId> out;
+    for (CallId id = from; id < from + 40; ++id) {
+      const Answer a = b.balancer.arrived({.id = id, .left = Span::ms(4000), .key = id}, at(when));
+      if (a.verdict != Verdict::dispatch) continue;
+      out.insert(a.endpoint);
+      DispatchEnd e{id, a.endpoint, 0, true, outcome, Span::ms(1), {}};
+      b.balancer.ended(e, at(when));
+    }
+    return out.size();
+  };
+  EXPECT_GT(used(1, 10, Outcome::done), 15U);
+  used(100, 20, Outcome::not_connected);
+  for (double ms = 50; ms <= 12000; ms += 50) b.balancer.woken(at(ms));
+  EXPECT_LT(used(200, 12000, Outcome::done), 15U);
+}
+
 TEST(Keys, ACrowdedPlaceIsPassedOverWhenToldOf) {
   Settings s = of_many(1, false);
   s["extra.warm_keys"] = "true";
