Time-outs and full queues count as use where endpoints report

Cause: reports come with answers; in a jam nothing answers, the use last told stayed under 1 and no call was refused (admitted(), learn()). Ruled out: the floor, some 3 calls a node. Change: a time-out (of no idle connection) or a full queue counts as 1.2 of what may be in use.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -68,8 +68,9 @@
 constexpr Span told_memory = Span::ms(1000);  // so long a sidecar that hears little goes by what it heard
 constexpr double room_gain = 0.05;            // per step: the room reported over some 5 s
 constexpr double room_kept = 0.5;             // of it, whatever lateness says: all sidecars then cut alike
-constexpr double used_calm = 0.8;   // of what may be in use: under that the cores do not make answers late
-constexpr double busy_most = 0.88;  // of the cores, reported: busier than that there is no room to grow into
+constexpr double used_calm = 0.8;    // of what may be in use: under that the cores do not make answers late
+constexpr double used_jammed = 1.2;  // what a time-out or a full queue tells, for want of a report
+constexpr double busy_most = 0.88;   // of the cores, reported: busier than that there is no room to grow into
 constexpr double payoff_slope = 0.2;                 // of the limit, per doubling of payoff over the mean
 constexpr double level_low = 0.2, level_high = 1.3;  // bounds of a call's part of the limit
 constexpr double mean_out_gain = 0.03;               // per look: the mean over about 1.5 s, some answer times
@@ -453,6 +454,11 @@
   return true;
 }
 
+void Balancer::State::tell_use(double part, TimePoint now) {
+  used += (part - used) * (told ? std::clamp((now - told_at) / told_memory, busy_gain, 1.0) : 1.0);
+  told_at = now;
+}
+
 void Balancer::State::learn(Endpoint& e, const Dispatch& d, const DispatchEnd& end, TimePoint now) {
   --e.in_flight;
   --in_flight;
@@ -474,8 +480,7 @@
       e.quiet_since = now;
       if (end.load.busy >= 0.0 || end.load.held >= 0.0) {
         const double part = end.load.busy >= 0.0 ? end.load.busy / busy_most : end.load.held / held_full;
-        used += (part - used) * (told ? std::clamp((now - told_at) / told_memory, busy_gain, 1.0) : 1.0);
-        told_at = now;
+        tell_use(part, now);
         told = true;
         // How busy the cores are tells of calls held as one queue would have them.
         const double holds =
@@ -497,12 +502,13 @@
     case Outcome::turned_away:
       e.quiet_since = now;
       e.barred_until = std::max(e.barred_until, now + full_pause);
-      if (told) e.held = full_held * limit_least, e.held_at = now;
+      if (told) e.held = full_held * limit_least, e.held_at = now, tell_use(used_jammed, now);
       break;
     case Outcome::timed_out:
       if (d.cut) cuts.add(end.elapsed, now);
       // A wait shorter than most answers take tells of the caller, not of the endpoint.
       if (dropped(e, d, now)) break;
+      if (told) tell_use(used_jammed, now);  // a jam answers nothing, and reports come with answers
       if (!measured(now) || end.elapsed >= times.quantile(cap_quantile, now))
         miss(e, now, "dispatches time out");
       break;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -109,6 +109,7 @@
   void fill_cold(Endpoint& e, TimePoint now);
   void miss(Endpoint& e, TimePoint now, const char* what, int weight = 1);
   bool dropped(const Endpoint& e, const Dispatch& d, TimePoint now);
+  void tell_use(double part, TimePoint now);
   void learn(Endpoint& e, const Dispatch& d, const DispatchEnd& end, TimePoint now);
 
   // Calls
--- a/src/tundra/codec.hpp
+++ b/src/tundra/codec.hpp
@@ -43,7 +43,7 @@
   std::uint32_t list = 0;               // targets, snapshot_rows: the list's number
   std::vector<ListedEndpoint> entries;  // snapshot_rows
   ApiCall call;
-  DispatchEnd end;  // also started, vanished (call) and health (endpoint, outcome)
+  DispatchEnd end;          // also started, vanished (call) and health (endpoint, outcome)
   std::uint32_t token = 0;  // peer_data: the number that was told of end.endpoint
   std::uint8_t load_count = 0;
   std::array<float, 4> load{};
