Calls run ahead of reports that tell of room by 1.5 times the limit, not without bound

Line at fault: admitted() took every call while the use last told was under 1, and reports lag by a second or two. Change: while they tell of room the limit counts 1.5 times. Open: the spell itself; nothing lets the endpoints rest so that it ends.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -69,6 +69,7 @@
 constexpr double room_gain = 0.05;            // per step: the room reported over some 5 s
 constexpr double room_kept = 0.5;             // of it, whatever lateness says: all sidecars then cut alike
 constexpr double used_calm = 0.8;    // of what may be in use: under that the cores do not make answers late
+constexpr double used_ahead = 1.5;   // x limit: so far may calls run ahead of reports that tell of room
 constexpr double used_jammed = 1.2;  // what a time-out or a full queue tells, for want of a report
 constexpr double busy_most = 0.88;   // of the cores, reported: busier than that there is no room to grow into
 constexpr double payoff_slope = 0.2;                 // of the limit, per doubling of payoff over the mean
@@ -790,8 +791,9 @@
   // Guards against a part of a call or two: as a bound on the moment it turned away a third of a half idle
   // tier. Before the first report there is nothing to go by: the floor is an even part, which a hot sidecar
   // exceeds.
-  const double room = std::max(limit, least_limit()) * level;
-  if (told ? used < 1.0 : will_tell) return true;
+  const double ahead = told && used < 1.0 ? used_ahead : 1.0;  // reports lag by a second or two
+  const double room = std::max(limit, least_limit()) * level * ahead;
+  if (will_tell && !told) return true;
   const double chance_off = mean_spread * std::sqrt(room);
   if (calls_out - 1 < room + std::clamp((room - mean_out) * mean_pull, -chance_off, chance_off)) return true;
   limited = true;
