Second address with figures, and a drain that operators begin and end

Cause: nothing listened where operators call; end() was SIGTERM's alone and could not be undone.

src/admin answers the four calls; Sidecar::step holds the drain and SIGTERM's end as one state machine; Counters count answers by class and status as they are decided, forwards with the last byte written; Balancer::avoided tells what is passed over. Scheduler::run_ready runs at most four rounds before sockets and timers are looked at again, since a peer that always has more to read kept the rest waiting.

--- a/include/chutevane/balancer.hpp
+++ b/include/chutevane/balancer.hpp
@@ -38,6 +38,7 @@
   std::vector<Learnt> learnt() const;
   // Takes what another process learnt of endpoints that the list has named; what is known already stands.
   void recall(std::span<const Learnt> known, TimePoint now);
+  std::size_t avoided(TimePoint now) const;  // ready endpoints that are passed over now
   std::size_t endpoints_kept() const;  // places: as many as were listed or still answered calls at one time
 
  private:
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -612,6 +612,12 @@
   state_->solve(now);
 }
 
+std::size_t Balancer::avoided(TimePoint now) const {
+  std::size_t out = 0;
+  for (const Endpoint& e : state_->endpoints) out += e.ready() && (e.bar > Span() || state_->silent(e, now));
+  return out;
+}
+
 std::size_t Balancer::endpoints_kept() const { return state_->endpoints.size(); }
 
 // --- API calls -------------------------------------------------------------------------------------
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -69,6 +69,14 @@
   return out;
 }
 
+// The second address, where there is to be one.
+std::string admin_of(const json::Value& root, const Environment& env) {
+  constexpr const char *key = "admin_addr", *variable = "EDGE_ADMIN_ADDR";
+  const char* given = env(variable);
+  if (root.find(key) == nullptr && (given == nullptr || *given == '\0')) return "";
+  return address_of(root, key, variable, env);
+}
+
 std::uint64_t seed_of(const json::Value& root) {
   const json::Value* found = root.find("seed");
   if (found == nullptr) return 0;
@@ -167,6 +175,9 @@
   out.name = text_of(root, "name", "EDGE_NAME", environment);
   out.listen = address_of(root, "listen", "EDGE_LISTEN", environment);
   out.discovery = address_of(root, "discovery", "EDGE_DISCOVERY", environment);
+  out.admin = admin_of(root, environment);
+  if (!out.admin.empty() && out.admin == out.listen && !out.admin.ends_with(":0"))
+    throw ConfigError("admin_addr", "is that of callers: '" + out.admin + "'");
   out.seed = seed_of(root);
   if (const json::Value* limits = root.find("limits")) {
     if (!limits->is(Kind::object)) throw ConfigError("limits", "no object");
@@ -217,6 +228,7 @@
   };
   note(in_force.name == read_again.name, "name");
   note(in_force.listen == read_again.listen, "listen");
+  note(in_force.admin == read_again.admin, "admin_addr");
   note(in_force.state == read_again.state, "state");
   note(in_force.sockets == read_again.sockets, "limits.sockets");
   note(in_force.settings == read_again.settings, "settings");
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -14,6 +14,7 @@
 struct Config {
   std::string name = "sidecar";
   std::string listen, discovery;  // "a.b.c.d:port"
+  std::string admin;              // the second address; empty: none
   std::uint64_t seed = 0;
   std::size_t sockets = 1024;          // descriptors that the process may hold
   Span request_most = Span::ms(2500);  // of a caller's request: the first from when it connects, others
--- a/src/http/writer.cpp
+++ b/src/http/writer.cpp
@@ -19,6 +19,7 @@
     case 200: return "OK";
     case 400: return "Bad Request";
     case 404: return "Not Found";
+    case 405: return "Method Not Allowed";
     case 408: return "Request Timeout";
     case 409: return "Conflict";
     case 413: return "Content Too Large";
--- a/src/net/scheduler.cpp
+++ b/src/net/scheduler.cpp
@@ -9,7 +9,8 @@
 namespace chutevane::net {
 namespace {
 
-constexpr std::size_t batch = 256;              // events taken in one turn
+constexpr std::size_t batch = 256;  // events taken in one turn
+constexpr int rounds = 4;  // of ready coroutines in a row, before sockets and timers are looked at again
 constexpr Span longest_wait = Span::ms(60000);  // timers beyond it are found in a later turn
 
 }  // namespace
@@ -110,7 +111,8 @@
 }
 
 void Scheduler::run_ready() {
-  while (!ready_.empty()) {
+  // Guards timers and quiet sockets against peers that always have more to read.
+  for (int round = 0; round < rounds && !ready_.empty(); ++round) {
     running_.swap(ready_);
     for (std::size_t i = 0; i < running_.size(); ++i) {
       if (running_[i] != nullptr) running_[i]->run();
--- a/src/opfile/file.cpp
+++ b/src/opfile/file.cpp
@@ -272,6 +272,8 @@
       if (!listen.insert(out.listen.back()).second) l.wrong("address", "comes twice");
     }
     if (out.listen.empty()) t.wrong("listener", "missing");
+    out.admin = address(t, "admin_addr", "");
+    if (listen.contains(out.admin)) t.wrong("admin_addr", "is a listener's");
     tracks = t.tables("track");
     pools = t.tables("pool");
     services = t.tables("service");
--- a/src/opfile/model.hpp
+++ b/src/opfile/model.hpp
@@ -63,6 +63,7 @@
   std::size_t sockets = 1024;
   Span request_most, idle_most;
   std::vector<std::string> listen;
+  std::string admin;          // the second address; empty: none
   std::string client_header;  // whose value names a client; empty: the peer's address
   std::string id_header = "X-Request-ID", wait_header = "X-Timeout", reference_header = "Idempotency-Key",
               proof_header = "X-Not-Processed",
--- a/src/sidecar/callers.cpp
+++ b/src/sidecar/callers.cpp
@@ -37,7 +37,12 @@
   socket_.adopt(fd);
 }
 
-CallerConnection::~CallerConnection() = default;
+CallerConnection::~CallerConnection() { end_outstanding(); }
+
+void CallerConnection::end_outstanding() {
+  if (std::exchange(outstanding_, false)) --all_.counters_.outstanding;
+}
+void CallerConnection::count_end(Result result) { all_.counters_.ended(track_, result); }
 
 template <class Write>
 void CallerConnection::answer(Write write) {
@@ -55,12 +60,15 @@
 }
 
 void CallerConnection::done(const http::Parser& response) {
+  count_end(Result::succeeded);
   answer([&](net::Buffer& out) { all_.front_.write_done(out, response, last_); });
 }
 void CallerConnection::rejected(Span come_back, const pool::Spent&) {
+  count_end(Result::declined);
   answer([&](net::Buffer& out) { all_.front_.write_rejection(out, come_back, last_); });
 }
 void CallerConnection::broken_off(bool timed_out, const pool::Spent&) {
+  count_end(Result::aborted);
   answer([&](net::Buffer& out) { all_.front_.write_broken_off(out, timed_out, last_); });
 }
 void CallerConnection::answer_plain(int status, std::string_view text) {
@@ -106,6 +114,9 @@
       }
       // One that came whole behind another request has been waited for since.
       if (came_behind_) call.left = call.left - (scheduler_.now() - read_at_);
+      track_ = call.track;
+      outstanding_ = true;
+      ++all_.counters_.outstanding;
       const CallId id = all_.intake_.take(call, way, *this);
       if (to_write_ == 0) call_ = id;  // not answered at once
       break;
@@ -163,6 +174,7 @@
     }
     if (!up) {  // the caller has gone away
       left_call_ = true;
+      end_outstanding();
       const CallId gone = std::exchange(call_, 0);
       socket_.close();
       id_.give_back();
@@ -182,6 +194,7 @@
       const Waker::Bits bits = co_await waker_.wait(Waker::writable | due | dropped);
       if ((bits & (due | dropped)) != 0) up = false;
     }
+    end_outstanding();
     if (last_ && up) {  // closing on bytes not read yet would take the answer away from its reader
       lingering_ = true;
       socket_.end_writing();
@@ -305,11 +318,10 @@
   socket_.close();
 }
 
-void Callers::close_all() {
-  closing_ = true;
+void Callers::close_idle(Span least) {
   for (std::size_t i = 0; i < connections_.size(); ++i) {
     CallerConnection& c = connections_[i];
-    if (!c.idle() || !c.socket_.quiet()) continue;
+    if (!c.idle() || scheduler_.now() - c.idle_since_ < least || !c.socket_.quiet()) continue;
     c.socket_.close();
     c.waker_.set(CallerConnection::dropped);
   }
--- a/src/sidecar/callers.hpp
+++ b/src/sidecar/callers.hpp
@@ -82,6 +82,8 @@
   void refuse_request(int status, std::string_view text);
   void begin_request();
   std::optional<TimePoint> spare_since() const;
+  void count_end(Result result);
+  void end_outstanding();
   CallerEnd stage() const;
   bool idle() const { return call_ == 0 && to_write_ == 0 && !parser_.begun(); }
 
@@ -93,6 +95,8 @@
   net::Buffer buffer_;  // the request, then its answer in its place
   http::Parser parser_{http::Side::request};
   OpenId id_;
+  std::uint32_t track_ = 0;   // of the request in hand
+  bool outstanding_ = false;  // it counts as taken and not ended
   CallId call_ = 0;           // 0: none in hand
   std::size_t taken_ = 0;     // bytes of the request at the buffer's front
   std::size_t to_write_ = 0;  // bytes of the answer at the buffer's front
@@ -116,10 +120,14 @@
   void set_bounds(Span request_most, Span idle_most) { request_most_ = request_most, idle_most_ = idle_most; }
   // From now on `GET /ready` says no; all else is served as before.
   void begin_drain() { draining_ = true; }
+  // All that a drain began is over: yes, and connections are kept.
+  void end_drain() { draining_ = closing_ = false; }
   // Takes what has come up so far, then no new connection.
   void stop_listening();
-  // From now on each answer ends its connection; those with nothing on them are closed.
-  void close_all();
+  // From now on each answer ends its connection.
+  void end_with_answers() { closing_ = true; }
+  // Closes what has had nothing on it for so long.
+  void close_idle(Span least);
   std::size_t size() const { return connections_.size(); }
 
  private:
--- a/src/sidecar/counters.cpp
+++ b/src/sidecar/counters.cpp
@@ -29,4 +29,19 @@
   return out.result();
 }
 
+std::string Counters::figures(std::size_t discovered, std::size_t ejected) const {
+  static constexpr const char* names[] = {"succeeded", "declined", "aborted"};
+  json::Writer out;
+  out.open('{').key("results").open('{');
+  for (const Class& c : classes) {
+    out.key(c.name).open('{');
+    for (std::size_t i = 0; i < c.results.size(); ++i) out.key(names[i]).number(c.results[i]);
+    out.close('}');
+  }
+  out.close('}').key("forwards").number(forwards).key("outstanding").number(outstanding);
+  out.key("discovered").number(discovered).key("ejected").number(ejected);
+  out.key("sighup_applied").number(sighup_applied).key("sighup_rejected").number(sighup_rejected);
+  return out.close('}').result();
+}
+
 }  // namespace chutevane::sidecar
--- a/src/sidecar/counters.hpp
+++ b/src/sidecar/counters.hpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "chutevane/types.hpp"
 
@@ -19,7 +20,19 @@
   idle
 };
 
+// How a request ended for its caller, by the status that was sent.
+enum class Result : std::uint8_t { succeeded, declined, aborted };
+
 struct Counters {
+  // What operators ask for: requests by class and how they ended, each once; dispatches whose last byte was
+  // written; requests taken and not ended.
+  struct Class {
+    std::string name;
+    std::array<std::uint64_t, 3> results{};  // by Result
+  };
+  std::vector<Class> classes;  // by track
+  std::uint64_t forwards = 0, outstanding = 0;
+  std::uint64_t sighup_applied = 0, sighup_rejected = 0;
   std::uint64_t calls = 0, done = 0, rejected = 0, broken_off = 0, callers_left = 0, bad_requests = 0;
   std::uint64_t limited = 0, went_on = 0;  // refused by a service's limits; given by one pool to another
   std::uint64_t dispatches = 0;
@@ -33,7 +46,12 @@
   std::uint64_t callers_accepted = 0, callers_shed = 0;  // connections; shed: closed for want of room
   std::uint64_t lists = 0, list_failures = 0;
 
+  void ended(std::uint32_t track, Result result) {
+    if (track < classes.size()) ++classes[track].results[static_cast<std::size_t>(result)];
+  }
   std::string as_json() const;
+  // `discovered`: endpoints in the list; `ejected`: those of them that are avoided now.
+  std::string figures(std::size_t discovered, std::size_t ejected) const;
 };
 
 }  // namespace chutevane::sidecar
--- a/src/sidecar/driver.hpp
+++ b/src/sidecar/driver.hpp
@@ -41,6 +41,8 @@
   void move_discovery(const std::string& address) {
     if (watch_) watch_->move(address);
   }
+  std::size_t endpoints_listed() const { return endpoints_.listed(); }
+  std::size_t endpoints_avoided() const { return balancer_.avoided(scheduler_.now()); }
   std::size_t endpoints_ready() const { return endpoints_.ready(); }
   std::vector<Remembered> remember() const;
   void recall(const std::vector<Remembered>& known);
--- a/src/sidecar/endpoints.cpp
+++ b/src/sidecar/endpoints.cpp
@@ -75,6 +75,7 @@
       break;
     }
     stage_ = Stage::reading;
+    ++pool_.counters_.forwards;
     timer_.set(dispatch_.sent + dispatch_.wait);
     parser_.reset(bodiless_);
     http::Progress progress = http::Progress::more;
@@ -149,6 +150,12 @@
   }));
 }
 
+std::size_t Endpoints::listed() const {
+  return static_cast<std::size_t>(std::count_if(endpoints_.begin(), endpoints_.end(), [](const auto& one) {
+    return one.second.availability != Availability::gone;
+  }));
+}
+
 EndpointId Endpoints::learn(const discovery::Entry& entry) {
   const auto known = ids_.find(entry.id);
   if (known == ids_.end() && entry.availability == Availability::gone) return 0;
--- a/src/sidecar/endpoints.hpp
+++ b/src/sidecar/endpoints.hpp
@@ -111,6 +111,7 @@
   std::string name_of(EndpointId id) const;               // discovery's; empty: not known
   EndpointId id_of(const std::string& name) const;        // 0: not known
   std::size_t size() const { return endpoints_.size(); }  // known ones
+  std::size_t listed() const;                             // those in the list
   std::size_t ready() const;                              // those that take calls, by the list
 
   // Sends `request` to the endpoint; how it ends is told to the sink, perhaps before this returns.
--- a/src/sidecar/front.cpp
+++ b/src/sidecar/front.cpp
@@ -74,6 +74,12 @@
   }
 }
 
+std::vector<Counters::Class> Front::classes() const {
+  std::vector<Counters::Class> out;
+  for (const Track& t : tracks_) out.push_back({t.name, {}});
+  return out;
+}
+
 Front::Kind Front::read_request(const http::Parser& request, ApiCall& call, std::string_view& why) const {
   const auto bad = [&](std::string_view text) {
     why = text;
--- a/src/sidecar/front.hpp
+++ b/src/sidecar/front.hpp
@@ -10,6 +10,7 @@
 #include "http/parser.hpp"
 #include "http/writer.hpp"
 #include "net/buffer.hpp"
+#include "sidecar/counters.hpp"
 
 namespace chutevane::sidecar {
 
@@ -24,6 +25,7 @@
  public:
   explicit Front(const Settings& settings, HeaderNames names = {});
 
+  std::vector<Counters::Class> classes() const;  // the tracks, with nothing counted
   enum class Kind : std::uint8_t { call, ready, bad, nowhere };
   // What a caller's request is. Of a call it reads all but the id; of a bad one it says why.
   Kind read_request(const http::Parser& request, ApiCall& call, std::string_view& why) const;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -10,7 +10,7 @@
 namespace chutevane::sidecar {
 namespace {
 
-constexpr net::Waker::Bits due = net::Waker::own;
+constexpr net::Waker::Bits due = net::Waker::own, told = net::Waker::own << 1U;
 constexpr Span crossing = Span::ms(600);  // new connections still come for so long
 constexpr Span drain_most =
     Span::ms(3000);  // the platform kills after the longest client timeout, at most this,
@@ -19,7 +19,12 @@
 // answers take less, and the process that follows comes no sooner for an early end.
 constexpr Span drain_last = Span::ms(600);
 constexpr std::size_t state_most = 1U << 18U;  // bytes: some 3,700 endpoints; parsed it stays under 16 MB
-constexpr Span drain_look = Span::ms(10);      // between looks at what is left
+// Out of service: idle connections are closed once most that are in use have ended with an answer, and those
+// that were just served have had time for a request that crosses. All of it is over two seconds before the
+// platform's look at 4 s.
+constexpr Span idle_from = Span::ms(600), idle_least = Span::ms(250);
+constexpr std::size_t desk_least = 8, desk_most = 32;  // connections at the second address, of a 24th of all
+constexpr Span drain_look = Span::ms(10);              // between looks at what is left
 
 }  // namespace
 
@@ -30,10 +35,13 @@
       deployment_(deployment_of(config.settings)),
       front_(config.settings),
       waker_(scheduler),
-      timer_(scheduler, waker_, due) {
+      timer_(scheduler, waker_, due),
+      keeper_(keep_phase()) {
+  counters_.classes = front_.classes();
   pools_.push_back(std::make_unique<Pool>(scheduler, config, front_, counters_));
   single_ = std::make_unique<SingleService>(front_, pools_.front()->driver);
   callers_.push_back(std::make_unique<Callers>(scheduler, config, front_, *single_, counters_, open_ids_));
+  open_desk(config.admin, config.sockets);
 }
 
 Sidecar::Sidecar(net::Scheduler& scheduler, const opfile::Model& model)
@@ -41,7 +49,10 @@
       longest_timeout_(pool_config(model, 0).longest_timeout),
       front_(opfile::settings_of(model, model.pools.front()), header_names(model)),
       waker_(scheduler),
-      timer_(scheduler, waker_, due) {
+      timer_(scheduler, waker_, due),
+      keeper_(keep_phase()) {
+  for (const opfile::TrackModel& t : model.tracks) counters_.classes.push_back({t.name, {}});
+  open_desk(model.admin, model.sockets);
   for (std::size_t i = 0; i < model.pools.size(); ++i)
     pools_.push_back(std::make_unique<Pool>(scheduler, pool_config(model, i), front_, counters_, &room_));
   services_ = std::make_unique<Services>(scheduler, model, front_, pools_, counters_);
@@ -54,7 +65,10 @@
 }
 
 void Sidecar::listen() {
+  if (desk_) desk_->listen(*desk_at_);
   for (std::size_t i = 0; i < callers_.size(); ++i) callers_[i]->listen(listen_at_[i]);
+  enter(Phase::serving, scheduler_.now());
+  keeper_.start();
 }
 
 std::size_t Sidecar::callers() const {
@@ -80,32 +94,104 @@
   callers_.front()->set_bounds(config.request_most, config.idle_most);
 }
 
+void Sidecar::open_desk(const std::string& address, std::size_t sockets) {
+  if (address.empty()) return;
+  desk_at_ = net::parse_address(address);
+  desk_ = std::make_unique<admin::Server>(scheduler_, *this, std::clamp(sockets / 24, desk_least, desk_most));
+}
+
+std::string Sidecar::figures() const {
+  std::size_t listed = 0, avoided = 0;
+  for (const auto& pool : pools_) {
+    listed += pool->driver.endpoints_listed();
+    avoided += pool->driver.endpoints_avoided();
+  }
+  return counters_.figures(listed, avoided);
+}
+
+bool Sidecar::out_of_service() {
+  if (phase_ == Phase::serving) {
+    log_line("out of service: told at the second address");
+    enter(Phase::crossing, scheduler_.now());
+  }
+  return true;
+}
+
+bool Sidecar::in_service() {
+  if (ending_) return false;
+  if (phase_ == Phase::crossing || phase_ == Phase::emptying) {
+    log_line("in service again");
+    enter(Phase::serving, scheduler_.now());
+  }
+  return true;
+}
+
 void Sidecar::drain(Span within) {
-  if (draining_) return;
-  draining_ = true;
-  ender_ = end(within);
-  ender_.start();
-}
-
-net::Task Sidecar::end(Span within) {
-  const TimePoint last = scheduler_.now() + std::max(within, crossing);
-  for (auto& one : callers_) one->begin_drain();
-  timer_.set(scheduler_.now() + crossing);
-  co_await waker_.wait(due);
-  for (auto& one : callers_) one->stop_listening();
-  while (callers() > 0 && scheduler_.now() < last - drain_last) {
-    timer_.set(scheduler_.now() + drain_look);
-    co_await waker_.wait(due);
+  if (ending_) return;
+  ending_ = true;
+  const TimePoint now = scheduler_.now();
+  last_ = now + std::max(within, crossing);
+  enter(Phase::crossing, now);
+}
+
+void Sidecar::enter(Phase phase, TimePoint now) {
+  phase_ = phase;
+  since_ = now;
+  for (auto& one : callers_) {
+    switch (phase) {
+      case Phase::starting:
+      case Phase::breaking:
+      case Phase::finished: break;
+      case Phase::serving: one->end_drain(); break;
+      case Phase::crossing: one->begin_drain(); break;
+      case Phase::emptying:
+        if (ending_) {
+          one->stop_listening();
+        } else {
+          one->end_with_answers();
+        }
+        break;
+      case Phase::closing:
+        one->end_with_answers();
+        one->close_idle(Span());
+        break;
+    }
   }
-  for (auto& one : callers_) one->close_all();
-  while (callers() > 0 && scheduler_.now() < last) {
-    timer_.set(scheduler_.now() + drain_look);
-    co_await waker_.wait(due);
+  if (phase == Phase::breaking) intake().break_off_all();
+  waker_.set(told);
+}
+
+// One step of a drain or an end, by the time alone.
+void Sidecar::step(TimePoint now) {
+  switch (phase_) {
+    case Phase::starting:
+    case Phase::serving:
+    case Phase::finished: break;
+    case Phase::crossing:
+      if (now - since_ >= crossing) enter(Phase::emptying, now);
+      break;
+    case Phase::emptying:
+      if (!ending_ && now - since_ >= idle_from) {
+        for (auto& one : callers_) one->close_idle(idle_least);
+      }
+      if (ending_ && (callers() == 0 || now >= last_ - drain_last)) enter(Phase::closing, now);
+      break;
+    case Phase::closing:
+      if (callers() == 0 || now >= last_) enter(Phase::breaking, now);
+      break;
+    case Phase::breaking:  // one look's time for the answers to be written
+      if (now - since_ >= drain_look) enter(Phase::finished, now);
+      break;
+  }
+}
+
+net::Task Sidecar::keep_phase() {
+  while (!finished()) {
+    step(scheduler_.now());
+    timer_.cancel();
+    if (phase_ != Phase::serving && phase_ != Phase::starting) timer_.set(scheduler_.now() + drain_look);
+    co_await waker_.wait(due | told);
   }
-  intake().break_off_all();
-  timer_.set(scheduler_.now() + drain_look);  // for the answers to be written
-  co_await waker_.wait(due);
-  finished_ = true;
 }
 
 bool reload(Sidecar& sidecar, const Reading& reading, const config::Config& in_force) {
@@ -193,7 +279,7 @@
     if (!in_force_.state.empty()) save_memory(in_force_.state, sidecar_.memory(scheduler_.now()));
     sidecar_.drain(sidecar_.drain_time());
   } else if (reading_) {
-    reload(sidecar_, reading_, in_force_);
+    sidecar_.heard_sighup(reload(sidecar_, reading_, in_force_));
   } else {
     log_line("the operator's file is read at a start only; nothing changes");
   }
--- a/src/sidecar/sidecar.hpp
+++ b/src/sidecar/sidecar.hpp
@@ -3,6 +3,7 @@
 
 #include <functional>
 
+#include "admin/server.hpp"
 #include "config/config.hpp"
 #include "net/scheduler.hpp"
 #include "net/signals.hpp"
@@ -16,7 +17,7 @@
 
 namespace chutevane::sidecar {
 
-class Sidecar {
+class Sidecar final : public admin::Desk {
  public:
   // The platform's: one service with one pool.
   Sidecar(net::Scheduler& scheduler, const config::Config& config);
@@ -26,7 +27,8 @@
   // Takes over what may change while it serves: where discovery is, and the bounds on callers. Connections,
   // calls and the list stay.
   void reconfigure(const config::Config& config);
-  // Serves through the crossing of new connections, and those that stay for as long as leaves time to answer,
+  // The process is to end. Serves through the crossing of new connections, and those that stay for as long as
+  // leaves time to answer,
   // then ends once all is answered. What is left when the time is up is broken off.
   void drain(Span within);
   // How long the platform leaves it: until no client waits any more, at most so long.
@@ -34,7 +36,14 @@
   // What is known of the endpoints, for the process that follows; and what one before has left, in its form.
   std::string memory(TimePoint now) const;
   void recall(std::string_view memory, TimePoint now);  // throws MemoryError
-  bool finished() const { return finished_; }
+  bool finished() const { return phase_ == Phase::finished; }
+  // Operators' words, from the second address.
+  bool takes_clients() const override { return phase_ == Phase::serving; }
+  std::string figures() const override;
+  bool out_of_service() override;
+  bool in_service() override;
+  std::optional<sockaddr_in> admin_address() const { return desk_ ? desk_->address() : std::nullopt; }
+  void heard_sighup(bool applied) { ++(applied ? counters_.sighup_applied : counters_.sighup_rejected); }
   std::optional<sockaddr_in> address() const { return callers_.front()->address(); }
   // Where each listener listens, in the file's order.
   std::optional<sockaddr_in> address(std::size_t listener) const { return callers_[listener]->address(); }
@@ -42,7 +51,12 @@
   const Counters& counters() const { return counters_; }
 
  private:
-  net::Task end(Span within);
+  // `crossing` and `emptying` are a drain's, in service again or to the end; the others an end's alone.
+  enum class Phase : std::uint8_t { starting, serving, crossing, emptying, closing, breaking, finished };
+  net::Task keep_phase();
+  void step(TimePoint now);
+  void enter(Phase phase, TimePoint now);
+  void open_desk(const std::string& address, std::size_t sockets);
   Intake& intake() { return single_ ? static_cast<Intake&>(*single_) : *services_; }
 
   net::Scheduler& scheduler_;
@@ -59,10 +73,14 @@
   std::unique_ptr<Services> services_;
   OpenIds open_ids_;
   std::vector<std::unique_ptr<Callers>> callers_;  // one for each listener
-  bool draining_ = false, finished_ = false;
+  std::optional<sockaddr_in> desk_at_;
+  std::unique_ptr<admin::Server> desk_;  // none: no second address
+  Phase phase_ = Phase::starting;
+  bool ending_ = false;     // SIGTERM: whatever is said from here on, it ends
+  TimePoint since_, last_;  // of the phase; when all is answered at the latest
   net::Waker waker_;
   net::Timer timer_;
-  net::Task ender_;
+  net::Task keeper_;
 };
 
 using Reading = std::function<config::Config()>;  // of the configuration; throws ConfigError
