A new version under load: the queue of new connections and what is learnt are handed on

Lines at fault: Callers::listen() binds alone; state was saved at SIGTERM only, after the successor had started.

src/handover: Unix socket in TMPDIR, listening descriptors and a sealed file by SCM_RIGHTS, a link whose end tells that the other is gone.

--- a/include/chutevane/balancer.hpp
+++ b/include/chutevane/balancer.hpp
@@ -38,6 +38,11 @@
   std::vector<Learnt> learnt() const;
   // Takes what another process learnt of endpoints that the list has named; what is known already stands.
   void recall(std::span<const Learnt> known, TimePoint now);
+  Carried carried() const;
+  void carry(const Carried& from);  // once the list has come
+  // The part of this sidecar's budgets at cold endpoints that is this process's: two may serve as one
+  // sidecar.
+  void share(double part);
   std::size_t avoided(TimePoint now) const;  // ready endpoints that are passed over now
   std::size_t endpoints_kept() const;  // places: as many as were listed or still answered calls at one time
 
--- a/include/chutevane/types.hpp
+++ b/include/chutevane/types.hpp
@@ -79,6 +79,14 @@
   double latency_ms = 0.0;  // smoothed
 };
 
+// What a sidecar has learnt of its own load, for the process that takes its callers over.
+struct Carried {
+  double limit = 0.0;      // on calls in flight; 0: nothing was learnt
+  double rate = 0.0;       // calls/s
+  double late_part = 0.0;  // of its answers
+  double retry_tokens = 0.0;
+};
+
 enum class ListKind : std::uint8_t { failed, full, cached, changes };
 
 // What was done for an API call before it came here, by other pools of endpoints.
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -1,10 +1,8 @@
 // All decisions of chutevane. The interface is include/chutevane/balancer.hpp.
 //
-// Make one Balancer for each sidecar and called tier, hand it every event with the time of your clock, and
-// act on the answers in order. A call answered `wait` stays with it: it comes back in woken() or when an
-// endpoint frees. docs/design.md has the design (caps, cutoffs, shares) and the why of all that follows.
-//
-// Beside the design stand these mechanisms, six at most:
+// A call answered `wait` stays with it: it comes back in woken() or when an endpoint frees. docs/design.md
+// has the design (caps, cutoffs, shares) and the why of all that follows. Beside the design stand these
+// mechanisms, six at most:
 //  1. admission: the first tier holds the calls in flight to a limit that follows how their answers sit
 //     against their soft limits and what endpoints report; a call's place under it goes by its payoff
 //  2. fresh cap: a fresh or returning endpoint has a cap in flight that grows with its answers, and a cold
@@ -122,8 +120,7 @@
 
 bool Balancer::State::measured(TimePoint now) { return times.count(now) >= estimate_samples; }
 
-// The floor of the admission limit. A call that waits on deeper tiers keeps none of its endpoint's cores
-// busy.
+// The floor of the admission limit. A call that waits on deeper tiers keeps no core busy.
 double Balancer::State::least_limit() const {
   return limit_least / own_part / sidecars * std::max(1.0, ready_warm);
 }
@@ -195,8 +192,7 @@
   return cold_share + (1.0 - cold_share) * std::max(0.0, (now - e.came_up) / warm_after);
 }
 
-// Where sidecars keep to parts of the ring its order is alike at all, by a hash: what fails together lies
-// apart.
+// Where sidecars keep to parts of the ring it is ordered by a hash: what fails together lies apart.
 void Balancer::State::order() {
   ring.resize(endpoints.size());
   std::iota(ring.begin(), ring.end(), 0U);
@@ -205,7 +201,7 @@
             [&](std::uint32_t a, std::uint32_t b) { return endpoints[a].mark < endpoints[b].mark; });
 }
 
-// How far along the ring the own part reaches: as many endpoints as this sidecar's calls can tell of. Guards
+// How far the own part of the ring reaches: as many endpoints as this sidecar's calls can tell of. Guards
 // against hundreds of sidecars that each hold a connection to every endpoint and hear from none often enough.
 void Balancer::State::widen(TimePoint now) {
   const auto all = static_cast<std::size_t>(ready_count);
@@ -249,8 +245,7 @@
 }
 
 // The endpoint for a call whose key one may know: a share draw by its model's speed whose chance is the key's
-// hash, so that all sidecars draw alike. Guards against work that a warm endpoint is spared; -1: draw from
-// all.
+// hash, alike at all sidecars. Guards against work that a warm endpoint is spared; -1: draw from all.
 int Balancer::State::keyed(const Call& c, TimePoint now) {
   const auto wanted =
       static_cast<std::size_t>(std::clamp(c.popularity * key_spread * ready_count, 1.0, key_places - 1.0));
@@ -266,8 +261,7 @@
       if (at < *b) std::swap(at, *b);
     }
   }
-  // Any of as many as the key is popular for; crowded or not if all of them are, for others would have the
-  // whole work to do.
+  // Any of as many as the key is popular for; crowded if all are: others would have the whole work to do.
   const auto first = static_cast<std::size_t>(chance.unit() * static_cast<double>(wanted));
   for (int pass = 0; pass < 2; ++pass) {
     for (std::size_t n = 0; n < (pass == 0 ? wanted : key_places); ++n) {
@@ -298,8 +292,7 @@
     if (e.times.count(now) >= outlier_samples)
       tails.push_back(e.times.quantile(outlier_quantile, now).as_ms());
   }
-  // What the limit has learnt is per warm endpoint. Guards against a lost zone's load crowding the endpoints
-  // left, and against a growing fleet of cold ones taken for more room.
+  // The limit is per warm endpoint. Guards those left of a lost zone, and a growing fleet of cold ones.
   if (before > 0.0 && ready_count > 0) limit *= ready_warm / before;
   const double mean = heard > 0 ? sum / heard : 1.0;
   // Guards against keeping to a zone that has lost machines, or is sent more than its part, until it chokes.
@@ -343,8 +336,7 @@
 
 int Balancer::State::pick(const Call& c, TimePoint now) {
   if (shares.size() != endpoints.size()) solve(now);
-  // Guards against a fleet whose every sidecar wants a connection everywhere when endpoints accept few of
-  // them.
+  // Guards endpoints that accept few connections against sidecars that all want one everywhere.
   if (warm_keys && c.key != 0 && now >= scarce_until) {
     const int at = keyed(c, now);
     if (at >= 0) return at;
@@ -384,8 +376,7 @@
     if (far < 0) far = static_cast<int>(i), last = n + near_draws;
   }
   if (far >= 0) return far;
-  // The draw met only loaded or closed ones: take the least loaded that may be used. Where most are judged
-  // unhealthy all are slow, and the rules alone decide.
+  // Only loaded or closed ones: the least loaded that may be used. Where most are unhealthy all are slow.
   int best = -1, unhealthy = 0, ready = 0;
   double best_load = 0.0;
   for (int pass = 0; pass < 2 && best < 0; ++pass) {
@@ -418,13 +409,14 @@
 }
 
 // Guards against a cold endpoint pushed over by all sidecars together: each sends it no more than its own
-// mean rate per endpoint, scaled by how warm it must be by now, in bursts well under the window. Outside its
-// own part a sidecar is one of all that may come.
+// mean rate per endpoint, by how warm it must be, in bursts under the window; outside its own part it is one
+// of all.
 void Balancer::State::fill_cold(Endpoint& e, TimePoint now) {
   const double per_s =
       std::max(cold_least / sidecars, rate / std::max(1, e.in_part ? spread : ready_count) * warmth(e, now));
-  const double depth = std::max(1.0, per_s * fall_window.as_ms() / 1000.0 * fall_multiple * cold_depth);
-  e.cold_tokens = std::min(depth, e.cold_tokens + per_s * (now - e.cold_filled).as_ms() / 1000.0);
+  const double depth =
+      std::max(1.0, cold_part * per_s * fall_window.as_ms() / 1000.0 * fall_multiple * cold_depth);
+  e.cold_tokens = std::min(depth, e.cold_tokens + cold_part * per_s * (now - e.cold_filled).as_ms() / 1000.0);
   e.cold_filled = now;
 }
 
@@ -449,8 +441,8 @@
   e.fresh_cap = fresh_start;
 }
 
-// A connection that has idled and whose first dispatch meets silence was dropped unseen, for all that can be
-// known; that is not the endpoint's fault. Until the doubt has passed, one that idled as long is not used.
+// A connection that has idled and whose first dispatch meets silence was dropped unseen, for all one can
+// know: not the endpoint's fault. Until the doubt has passed, one that idled as long is not used.
 bool Balancer::State::dropped(const Endpoint& e, const Dispatch& d, TimePoint now) {
   if (!shared_connections || d.idle < idle_least || e.quiet_since > d.sent) return false;
   idle_safe =
@@ -612,6 +604,17 @@
   state_->solve(now);
 }
 
+Carried Balancer::carried() const {
+  return {state_->limit, state_->rate, state_->late_part, state_->retry_tokens};
+}
+
+void Balancer::carry(const Carried& c) {
+  state_->limit = c.limit, state_->rate = c.rate, state_->late_part = c.late_part;
+  state_->retry_tokens = std::clamp(c.retry_tokens, 0.0, retry_depth);
+}
+
+void Balancer::share(double part) { state_->cold_part = part; }
+
 std::size_t Balancer::avoided(TimePoint now) const {
   std::size_t out = 0;
   for (const Endpoint& e : state_->endpoints) out += e.ready() && (e.bar > Span() || state_->silent(e, now));
@@ -743,8 +746,8 @@
   }
 }
 
-// Calls out at an endpoint that is silent while its fellows answer are cancelled and go elsewhere where the
-// track permits. Guards against a hung endpoint holding its calls past their soft limits.
+// Calls at an endpoint that is silent while its fellows answer are cancelled and go elsewhere where their
+// track permits. Guards against a hung endpoint holding them past their soft limits.
 void Balancer::State::rescue(TimePoint now) {
   int quiet = 0;
   for (const Endpoint& e : endpoints) quiet += e.ready() && silent(e, now) ? 1 : 0;
@@ -766,9 +769,8 @@
 
 // --- Admission (first tier) ------------------------------------------------------------------------
 
-// How long ago the client first tried, as far as its stated wait tells: first tries of a track state the same
-// wait, a repeat what is left. Guards against repeats past their soft limit: a quarter of a tier for no
-// payoff.
+// How long ago the client first tried: first tries of a track state the same wait, a repeat what is left.
+// Guards against repeats past their soft limit: a quarter of a tier for no payoff.
 Span Balancer::State::age_of(const ApiCall& call) {
   const Span whole = tracks[call.track].client_timeout;
   UsualWait& w = waits[call.track];
@@ -796,10 +798,8 @@
     return false;
   const double above = std::log2(std::max(1e-6, c.payoff / std::max(1e-6, payoff_mean)));
   const double level = std::clamp(1.0 + payoff_slope * above, level_low, level_high);
-  // The limit holds the mean of the calls in flight; at any time they may be off it by their chance spread.
-  // Guards against a part of a call or two: as a bound on the moment it turned away a third of a half idle
-  // tier. Before the first report there is nothing to go by: the floor is an even part, which a hot sidecar
-  // exceeds.
+  // The limit holds the mean of the calls in flight; they may be off it by their chance spread: as a bound on
+  // the moment it turned away a third of a half idle tier. Before the first report there is nothing to go by.
   const double ahead = told && used < 1.0 ? used_ahead : 1.0;  // reports lag by a second or two
   const double room = std::max(limit, least_limit()) * level * ahead;
   if (will_tell && !told) return true;
@@ -901,8 +901,7 @@
   s.step_peak = std::max(s.step_peak, s.calls_out);
   if (s.first_tier && !call.elsewhere.was) c.soft_end = c.soft_end - s.age_of(call);
   if (!s.admitted(c)) return s.give_up(at, now, true);
-  // One that may have run in another pool is a dispatch again here. Guards the retry budget against a lost
-  // pool whose calls all come on to this one.
+  // Guards the retry budget: one that may have run in another pool is a dispatch again here.
   if (call.elsewhere.may_have_run && s.retry_tokens < 1.0) return s.give_up(at, now, false);
   if (call.elsewhere.may_have_run) s.retry_tokens -= 1.0;
   return s.place(at, now);
--- a/src/discovery/list.cpp
+++ b/src/discovery/list.cpp
@@ -81,4 +81,17 @@
   }
 }
 
+void write_list(json::Writer& out, const List& list) {
+  static constexpr std::string_view states[] = {"SERVING", "DRAINING", "DELETED"};  // by Availability
+  out.open('{').key("version").number(list.version).key("full").truth(list.full).key("servers").open('[');
+  for (const Entry& e : list.entries) {
+    out.open('{').key("id").text(e.id);
+    if (!e.address.empty()) out.key("addr").text(e.address);
+    out.key("zone").text(e.zone).key("kind").text(e.model).key("cell").number(e.cell);
+    out.key("state").text(states[static_cast<std::size_t>(e.availability)]).key("weight").real(e.size);
+    out.key("started_ms").real(e.came_up.as_ms()).close('}');
+  }
+  out.close(']').close('}');
+}
+
 }  // namespace chutevane::discovery
--- a/src/discovery/list.hpp
+++ b/src/discovery/list.hpp
@@ -33,5 +33,6 @@
 // Throws ListError, naming the member that does not fit.
 List read_list(const json::Value& value);
 List read_list(std::string_view text);
+void write_list(json::Writer& out, const List& list);
 
 }  // namespace chutevane::discovery
--- a/src/json/value.cpp
+++ b/src/json/value.cpp
@@ -1,5 +1,6 @@
 #include "json/value.hpp"
 
+#include <array>
 #include <charconv>
 #include <cmath>
 
@@ -276,4 +277,19 @@
   return *this;
 }
 
+Writer& Writer::real(double value) {
+  std::array<char, 32> room;
+  const double sound = std::isfinite(value) ? value : 0.0;
+  const auto end = std::to_chars(room.data(), room.data() + room.size(), sound).ptr;
+  separate();
+  out_.append(room.data(), static_cast<std::size_t>(end - room.data()));
+  return *this;
+}
+
+Writer& Writer::truth(bool value) {
+  separate();
+  out_ += value ? "true" : "false";
+  return *this;
+}
+
 }  // namespace chutevane::json
--- a/src/json/value.hpp
+++ b/src/json/value.hpp
@@ -55,6 +55,8 @@
   Writer& key(std::string_view name);
   Writer& text(std::string_view value);
   Writer& number(std::uint64_t value);
+  Writer& real(double value);  // to the last digit; what is no number as 0
+  Writer& truth(bool value);
   const std::string& result() const { return out_; }
 
  private:
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -44,6 +44,8 @@
   add("h,help", "this text");
   options.parse_positional({"command", "file"});
   options.positional_help("serve [FILE.toml] | check [FILE.toml] | explain FILE.toml | version");
+  const char* const temporary = std::getenv("TMPDIR");
+  const std::string folder = temporary != nullptr ? temporary : "";
   try {
     const auto given = options.parse(argc, argv);
     const std::string command = given.count("command") > 0 ? given["command"].as<std::string>() : "";
@@ -58,14 +60,14 @@
     if (!file.empty()) {
       const opfile::Model model = opfile::load(file);
       if (command == "explain") return explain(model, given);
-      if (command == "serve") return sidecar::serve_file(model);
+      if (command == "serve") return sidecar::serve_file(model, folder);
       return std::printf("%s", opfile::summary(model).c_str()) < 0 ? 1 : 0;
     }
     const std::string path = given.count("config") > 0 ? given["config"].as<std::string>() : "";
     const auto reading = [&] {
       return config::load(path, [](const char* name) { return std::getenv(name); });
     };
-    if (command == "serve") return sidecar::serve(reading);
+    if (command == "serve") return sidecar::serve(reading, folder);
     return std::printf("%s: in order\n", reading().name.c_str()) < 0 ? 1 : 0;
   } catch (const opfile::FileError& e) {
     std::fprintf(stderr, "%s\n", e.what());
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -27,13 +27,14 @@
   Socket& operator=(const Socket&) = delete;
 
   bool open() const { return fd_ >= 0; }
-  void adopt(int fd);                   // takes over a descriptor that does not block
-  bool connect(const sockaddr_in& to);  // begins; `writable` or `hung_up` tells how it went
-  bool connected() const;               // after `writable`: whether it came up
-  void listen(const sockaddr_in& at);   // throws std::system_error
-  void backlog(int most);               // connections that may come up and wait to be accepted, from now on
-  int accept(bool& exhausted);          // a descriptor, or -1; `exhausted`: no descriptors are left
-  Result read(Buffer& into);            // what there is; of much a part, and `readable` stays set
+  int descriptor() const { return fd_; }  // stays this one's
+  void adopt(int fd);                     // takes over a descriptor that does not block
+  bool connect(const sockaddr_in& to);    // begins; `writable` or `hung_up` tells how it went
+  bool connected() const;                 // after `writable`: whether it came up
+  void listen(const sockaddr_in& at);     // throws std::system_error
+  void backlog(int most);                 // connections that may come up and wait to be accepted, from now on
+  int accept(bool& exhausted);            // a descriptor, or -1; `exhausted`: no descriptors are left
+  Result read(Buffer& into);              // what there is; of much a part, and `readable` stays set
   Result write(std::span<const char> bytes, std::size_t& written);
   bool quiet() const;      // nothing to read, not ended either
   bool has_bytes() const;  // there is something to read
--- a/src/sidecar/callers.cpp
+++ b/src/sidecar/callers.cpp
@@ -227,7 +227,8 @@
       counters_(counters),
       idle_most_(config.idle_most),
       request_most_(config.request_most),
-      connections_most_(static_cast<std::size_t>(static_cast<double>(config.sockets) * caller_part)),
+      connections_whole_(static_cast<std::size_t>(static_cast<double>(config.sockets) * caller_part)),
+      connections_most_(connections_whole_),
       waker_(scheduler),
       timer_(scheduler, waker_, retry),
       socket_(scheduler, waker_),
@@ -240,6 +241,19 @@
   task_.start();
 }
 
+void Callers::listen_on(int fd) {
+  socket_.adopt(fd);
+  task_.start();
+}
+
+void Callers::leave_new(bool to_other) {
+  if (std::exchange(leave_new_, to_other) && !to_other) waker_.set(room);
+}
+
+void Callers::share(double part) {
+  connections_most_ = static_cast<std::size_t>(static_cast<double>(connections_whole_) * part);
+}
+
 net::Task Callers::accept() {
   while (socket_.open()) {
     accept_all();
@@ -250,7 +264,7 @@
 // At the bound the longest idle connection goes for each new one; without one, accepting waits.
 void Callers::accept_all() {
   bool exhausted = false;
-  while (socket_.open()) {
+  while (socket_.open() && !leave_new_) {
     const bool full = connections_.size() >= connections_most_;
     CallerConnection* const idle = full ? longest_idle() : nullptr;
     paused_ = full && idle == nullptr;
--- a/src/sidecar/callers.hpp
+++ b/src/sidecar/callers.hpp
@@ -114,6 +114,11 @@
   Callers(net::Scheduler& scheduler, const config::Config& config, const Front& front, Intake& intake,
           Counters& counters, OpenIds& open_ids);
   void listen(const sockaddr_in& at);  // throws std::system_error
+  void listen_on(int fd);              // a listening descriptor that was handed over
+  int listener() const { return socket_.descriptor(); }
+  // Leaves new connections to the other process that listens with the same descriptor, until told otherwise.
+  void leave_new(bool to_other);
+  void share(double part);  // of the descriptors
   std::optional<sockaddr_in> address() const { return socket_.local(); }
 
   // The bounds on slow requests and idle connections, from the next wait of each connection on.
@@ -122,7 +127,7 @@
   void begin_drain() { draining_ = true; }
   // All that a drain began is over: yes, and connections are kept.
   void end_drain() { draining_ = closing_ = false; }
-  // Takes what has come up so far, then no new connection.
+  // Takes what has come up so far, but what the other process is left, then no new connection.
   void stop_listening();
   // From now on each answer ends its connection.
   void end_with_answers() { closing_ = true; }
@@ -143,8 +148,9 @@
   Intake& intake_;
   Counters& counters_;
   Span idle_most_, request_most_;
-  const std::size_t connections_most_;
-  bool draining_ = false, closing_ = false, paused_ = false;
+  const std::size_t connections_whole_;
+  std::size_t connections_most_;
+  bool leave_new_ = false, draining_ = false, closing_ = false, paused_ = false;
   net::Waker waker_;
   net::Timer timer_;
   net::Socket socket_;
--- a/src/sidecar/driver.cpp
+++ b/src/sidecar/driver.cpp
@@ -178,13 +178,31 @@
   balancer_.recall(out, scheduler_.now());
 }
 
+Handed Driver::hand_over() const {
+  Handed out{remember(), balancer_.carried(), {version_, true, {}}};
+  for (const auto& [id, entry] : listed_) out.list.entries.push_back(entry);
+  return out;
+}
+
+void Driver::take_over(const Handed& handed) {
+  recall(handed.known);
+  balancer_.carry(handed.carried);
+}
+
 void Driver::take_list(ListKind kind, const discovery::List& list) {
   // What the list takes back is told to the module after the list itself. Guards against its sending such a
   // call to the same endpoint again, which it would still take for ready.
   pumping_ = true;
+  if (kind != ListKind::changes) listed_.clear();
+  version_ = list.version;
   std::vector<ListedEndpoint> entries;
   entries.reserve(list.entries.size());
   for (const discovery::Entry& e : list.entries) {
+    if (e.availability == Availability::gone) {
+      listed_.erase(e.id);
+    } else {
+      listed_[e.id] = e;
+    }
     const EndpointId id = endpoints_.learn(e);
     if (id == 0) continue;
     ListedEndpoint& l = entries.emplace_back();
--- a/src/sidecar/driver.hpp
+++ b/src/sidecar/driver.hpp
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <deque>
+#include <map>
 #include <optional>
 
 #include "base/slab.hpp"
@@ -46,6 +47,10 @@
   std::size_t endpoints_ready() const { return endpoints_.ready(); }
   std::vector<Remembered> remember() const;
   void recall(const std::vector<Remembered>& known);
+  Handed hand_over() const;
+  void take_over(const Handed& handed);
+  // Of the sidecar's budgets: two processes may serve as one.
+  void share(double part) { balancer_.share(part), endpoints_.share(part); }
   // The process is about to end: every call still in hand gets its final answer now.
   void break_off_all();
 
@@ -81,6 +86,8 @@
   Balancer balancer_;
   const bool module_asks_;  // for the list; otherwise the watch looks after itself
   std::vector<std::string> zones_, models_;
+  std::map<std::string, discovery::Entry> listed_;  // as discovery last told, by id
+  std::uint64_t version_ = 0;                       // of it
   CallId last_id_ = 0;
   Slab<Call> calls_;
   IdIndex call_index_;
--- a/src/sidecar/endpoints.cpp
+++ b/src/sidecar/endpoints.cpp
@@ -135,10 +135,10 @@
       counters_(counters),
       connect_timeout_(config.connect_timeout),
       idle_most_(config.idle_close * idle_part),
-      own_{static_cast<std::size_t>(static_cast<double>(config.sockets) * endpoint_part), 0, {}},
+      own_{static_cast<std::size_t>(static_cast<double>(config.sockets) * endpoint_part), 0, 0, {}},
       room_(shared != nullptr ? *shared : own_),
       connections_(scheduler) {
-  if (shared != nullptr) room_.most = own_.most;
+  room_.most = room_.whole = own_.most;
   room_.pools.push_back(this);
 }
 
@@ -150,6 +150,10 @@
   }));
 }
 
+void Endpoints::share(double part) {
+  room_.most = static_cast<std::size_t>(static_cast<double>(room_.whole) * part);
+}
+
 std::size_t Endpoints::listed() const {
   return static_cast<std::size_t>(std::count_if(endpoints_.begin(), endpoints_.end(), [](const auto& one) {
     return one.second.availability != Availability::gone;
--- a/src/sidecar/endpoints.hpp
+++ b/src/sidecar/endpoints.hpp
@@ -86,7 +86,7 @@
 
 // Descriptors for connections to endpoints, over all pools.
 struct Room {
-  std::size_t most = 0, used = 0;
+  std::size_t most = 0, used = 0, whole = 0;  // whole: where no other process has a part
   std::vector<Endpoints*> pools;
 };
 
@@ -111,6 +111,7 @@
   std::string name_of(EndpointId id) const;               // discovery's; empty: not known
   EndpointId id_of(const std::string& name) const;        // 0: not known
   std::size_t size() const { return endpoints_.size(); }  // known ones
+  void share(double part);                                // of the descriptors
   std::size_t listed() const;                             // those in the list
   std::size_t ready() const;                              // those that take calls, by the list
 
--- a/src/sidecar/memory.cpp
+++ b/src/sidecar/memory.cpp
@@ -37,25 +37,22 @@
   return out;
 }
 
-std::string write_memory(const std::vector<Remembered>& known, const std::string& deployment, TimePoint now) {
+namespace {
+
+void write_endpoints(json::Writer& out, const std::vector<Remembered>& known, const std::string& deployment,
+                     TimePoint now) {
   const auto whole = [](double v) { return static_cast<std::uint64_t>(std::max(0.0, v)); };
-  json::Writer out;
-  out.open('{').key("form").number(whole(form)).key("deployment").text(deployment);
+  out.key("form").number(whole(form)).key("deployment").text(deployment);
   out.key("written_ms").number(whole(now.as_ms())).key("endpoints").open('[');
   for (const Remembered& r : known) {
     out.open('{').key("id").text(r.name).key("started_ms").number(whole(r.came_up.as_ms()));
     out.key("latency_us").number(whole(r.latency_ms * 1000.0)).close('}');
   }
-  return out.close(']').close('}').result();
+  out.close(']');
 }
 
-std::vector<Remembered> read_memory(std::string_view text, const std::string& deployment, TimePoint now) {
-  json::Value root;
-  try {
-    root = json::parse(text);
-  } catch (const json::ParseError& e) {
-    throw MemoryError(std::string("no JSON: ") + e.what());
-  }
+std::vector<Remembered> read_endpoints(const json::Value& root, const std::string& deployment,
+                                       TimePoint now) {
   if (member(root, "form", Kind::number).number != form) throw MemoryError("form: not this program's");
   const std::string& whose = member(root, "deployment", Kind::text).text;
   if (whose != deployment) throw MemoryError("deployment: '" + whose + "', this is '" + deployment + "'");
@@ -73,6 +70,58 @@
   return out;
 }
 
+json::Value parsed(std::string_view text) {
+  try {
+    return json::parse(text);
+  } catch (const json::ParseError& e) {
+    throw MemoryError(std::string("no JSON: ") + e.what());
+  }
+}
+
+}  // namespace
+
+std::string write_memory(const std::vector<Remembered>& known, const std::string& deployment, TimePoint now) {
+  json::Writer out;
+  out.open('{');
+  write_endpoints(out, known, deployment, now);
+  return out.close('}').result();
+}
+
+std::vector<Remembered> read_memory(std::string_view text, const std::string& deployment, TimePoint now) {
+  return read_endpoints(parsed(text), deployment, now);
+}
+
+std::string write_handed(const Handed& handed, const std::string& deployment, TimePoint now) {
+  json::Writer out;
+  out.open('{');
+  write_endpoints(out, handed.known, deployment, now);
+  out.key("carried").open('{').key("limit").real(handed.carried.limit).key("rate").real(handed.carried.rate);
+  out.key("late_part").real(handed.carried.late_part);
+  out.key("retry_tokens").real(handed.carried.retry_tokens).close('}').key("list");
+  discovery::write_list(out, handed.list);
+  return out.close('}').result();
+}
+
+Handed read_handed(std::string_view text, const std::string& deployment, TimePoint now) {
+  const json::Value root = parsed(text);
+  Handed out;
+  out.known = read_endpoints(root, deployment, now);
+  const json::Value& carried = member(root, "carried", Kind::object);
+  const auto figure = [&](const char* name, double most) {
+    const double v = member(carried, name, Kind::number).number;
+    if (!(v >= 0.0 && v <= most)) throw MemoryError(std::string(name) + ": out of range");
+    return v;
+  };
+  out.carried = {figure("limit", 1e7), figure("rate", 1e7), figure("late_part", 1.0),
+                 figure("retry_tokens", 1e4)};
+  try {
+    out.list = discovery::read_list(member(root, "list", Kind::object));
+  } catch (const discovery::ListError& e) {
+    throw MemoryError(std::string("list: ") + e.what());
+  }
+  return out;
+}
+
 bool save_memory(const std::string& path, const std::string& text) {
   const std::string beside = path + ".new";
   std::ofstream out(beside, std::ios::binary | std::ios::trunc);
--- a/src/sidecar/memory.hpp
+++ b/src/sidecar/memory.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "chutevane/types.hpp"
+#include "discovery/list.hpp"
 
 namespace chutevane::sidecar {
 
@@ -18,6 +19,13 @@
   double latency_ms = 0.0;
 };
 
+// What a process that still serves gives the one that takes over from it.
+struct Handed {
+  std::vector<Remembered> known;
+  Carried carried;
+  discovery::List list;  // as last had, whole
+};
+
 struct MemoryError : std::runtime_error {
   using std::runtime_error::runtime_error;
 };
@@ -29,6 +37,10 @@
 // Throws MemoryError: no such form, of another deployment, or too old.
 std::vector<Remembered> read_memory(std::string_view text, const std::string& deployment, TimePoint now);
 
+std::string write_handed(const Handed& handed, const std::string& deployment, TimePoint now);
+Handed read_handed(std::string_view text, const std::string& deployment,
+                   TimePoint now);  // throws MemoryError
+
 // The file is whole or as it was. False, and a line in the log, where it cannot be written.
 bool save_memory(const std::string& path, const std::string& text);
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -1,5 +1,7 @@
 #include "sidecar/sidecar.hpp"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <csignal>
 #include <fstream>
@@ -23,6 +25,8 @@
 // that were just served have had time for a request that crosses. All of it is over two seconds before the
 // platform's look at 4 s.
 constexpr Span idle_from = Span::ms(600), idle_least = Span::ms(250);
+constexpr double shared_part = 0.5;        // of what one sidecar may have, while two processes are one
+constexpr Span ask_most = Span::ms(2000);  // for the process before to answer: a turn of a busy one
 constexpr std::size_t desk_least = 8, desk_most = 32;  // connections at the second address, of a 24th of all
 constexpr Span drain_look = Span::ms(10);              // between looks at what is left
 
@@ -65,8 +69,59 @@
 }
 
 void Sidecar::listen() {
-  if (desk_) desk_->listen(*desk_at_);
   for (std::size_t i = 0; i < callers_.size(); ++i) callers_[i]->listen(listen_at_[i]);
+  open();
+}
+
+bool Sidecar::listen_on(const std::vector<int>& fds) {
+  bool fits = fds.size() == callers_.size();
+  for (std::size_t i = 0; fits && i < fds.size(); ++i) {
+    const auto at = scheduler_.system().local(fds[i]);
+    fits = at && at->sin_addr.s_addr == listen_at_[i].sin_addr.s_addr &&
+           (listen_at_[i].sin_port == 0 || at->sin_port == listen_at_[i].sin_port);
+  }
+  if (!fits) return false;
+  for (std::size_t i = 0; i < fds.size(); ++i) callers_[i]->listen_on(fds[i]);
+  open();
+  return true;
+}
+
+std::vector<int> Sidecar::listeners() const {
+  std::vector<int> out;
+  for (const auto& one : callers_) out.push_back(one->listener());
+  return out;
+}
+
+std::string Sidecar::hand_over(TimePoint now) const {
+  return write_handed(pools_.front()->driver.hand_over(), deployment_, now);
+}
+
+void Sidecar::take_over(std::string_view handed, TimePoint now) {
+  const Handed all = read_handed(handed, deployment_, now);
+  pools_.front()->driver.take_over(all);
+  log_line("handover: %zu endpoints known, a limit of %.1f calls", all.known.size(), all.carried.limit);
+}
+
+void Sidecar::beside(bool after_serves, bool before_serves, bool lives) {
+  const double part = lives ? shared_part : 1.0;
+  for (auto& pool : pools_) pool->driver.share(part);
+  other_serves_ = after_serves || (ending_ && before_serves);
+  for (auto& one : callers_) {
+    one->share(part);
+    one->leave_new(other_serves_);
+    if (!ending_) continue;
+    if (other_serves_) {  // a check of /ready that comes on a kept connection is told of the pair
+      one->end_drain();
+    } else if (phase_ != Phase::serving) {
+      one->begin_drain();
+    }
+    if (other_serves_ || phase_ == Phase::closing) one->end_with_answers();
+  }
+  waker_.set(told);
+}
+
+void Sidecar::open() {
+  if (desk_) desk_->listen(*desk_at_);
   enter(Phase::serving, scheduler_.now());
   keeper_.start();
 }
@@ -143,7 +198,13 @@
       case Phase::breaking:
       case Phase::finished: break;
       case Phase::serving: one->end_drain(); break;
-      case Phase::crossing: one->begin_drain(); break;
+      case Phase::crossing:
+        if (ending_ && other_serves_) {
+          one->end_with_answers();
+        } else {
+          one->begin_drain();
+        }
+        break;
       case Phase::emptying:
         if (ending_) {
           one->stop_listening();
@@ -168,10 +229,10 @@
     case Phase::serving:
     case Phase::finished: break;
     case Phase::crossing:
-      if (now - since_ >= crossing) enter(Phase::emptying, now);
+      if (now - since_ >= crossing || (ending_ && other_serves_)) enter(Phase::emptying, now);
       break;
     case Phase::emptying:
-      if (!ending_ && now - since_ >= idle_from) {
+      if ((!ending_ || other_serves_) && now - since_ >= idle_from) {
         for (auto& one : callers_) one->close_idle(idle_least);
       }
       if (ending_ && (callers() == 0 || now >= last_ - drain_last)) enter(Phase::closing, now);
@@ -218,7 +279,7 @@
   return model;
 }
 
-Daemon::Daemon(net::Scheduler& scheduler, Reading reading)
+Daemon::Daemon(net::Scheduler& scheduler, Reading reading, const std::string& folder)
     : scheduler_(scheduler),
       waker_(scheduler),
       signals_(scheduler, waker_, {SIGTERM, SIGINT, SIGUSR1, SIGHUP}),
@@ -226,18 +287,62 @@
       in_force_(reading_()),
       name_(in_force_.name),
       where_(in_force_.listen),
-      sidecar_(scheduler, within(in_force_, scheduler.system())) {
-  recall();
+      place_(handover::meeting_place(folder, name_)),
+      given_(handover::ask(place_, ask_most)),
+      sidecar_(scheduler, within(started_with(in_force_, given_, scheduler.now()), scheduler.system())) {
+  inherit();
 }
 
-Daemon::Daemon(net::Scheduler& scheduler, const opfile::Model& model)
+Daemon::Daemon(net::Scheduler& scheduler, const opfile::Model& model, const std::string& folder)
     : scheduler_(scheduler),
       waker_(scheduler),
       signals_(scheduler, waker_, {SIGTERM, SIGINT, SIGUSR1, SIGHUP}),
       model_(within(model, scheduler.system())),
       name_(model.name),
+      place_(handover::meeting_place(folder, name_)),
+      given_(handover::ask(place_, ask_most)),
       sidecar_(scheduler, model_) {
   for (const std::string& one : model.listen) where_ += (where_.empty() ? "" : ", ") + one;
+  inherit();
+}
+
+// The list that the process before had last stands for the one in the file, which may be old.
+config::Config Daemon::started_with(config::Config config, const handover::Given& given, TimePoint now) {
+  if (given.link < 0) return config;
+  try {
+    config.known = read_handed(given.state, deployment_of(config.settings), now).list;
+  } catch (const MemoryError&) {  // said when the rest of it is read
+  }
+  return config;
+}
+
+void Daemon::inherit() {
+  if (given_.busy) throw std::runtime_error("another successor starts at " + place_);
+  if (given_.link >= 0 && reading_) {
+    try {
+      return sidecar_.take_over(given_.state, scheduler_.now());
+    } catch (const MemoryError& e) {
+      log_line("handover: state set aside, all is learnt anew: %s", e.what());
+    }
+  }
+  recall();
+}
+
+handover::Estate Daemon::estate() const {
+  return {sidecar_.listeners(), reading_ ? sidecar_.hand_over(scheduler_.now()) : std::string("{}")};
+}
+
+void Daemon::meet() {
+  const handover::Link &before = post_->before(), &after = post_->after();
+  sidecar_.beside(after.serves(), before.serves(), before.lives() || after.lives());
+  // The successor that served is gone, or ends: clients are this one's again, and so are successors.
+  const bool mine = !sidecar_.ending() && !after.serves();
+  if (mine && !std::exchange(serves_, mine)) {
+    post_->open();
+    post_->say(true);
+  } else if (!mine && std::exchange(serves_, mine)) {
+    post_->say(false);
+  }
 }
 
 // What cannot be used costs one line, and everything is learnt anew.
@@ -261,12 +366,22 @@
 
 bool Daemon::listen() {
   try {
-    sidecar_.listen();
+    if (given_.link >= 0 && sidecar_.listen_on(given_.listeners)) {
+      given_.listeners.clear();  // they are the sidecar's now
+    } else {
+      sidecar_.listen();
+    }
   } catch (const std::system_error& e) {
     log_line("%s: %s", where_.c_str(), e.what());
     return false;
   }
   log_line("%s serves at %s", name_.c_str(), where_.c_str());
+  if (!place_.empty()) {
+    post_.emplace(
+        scheduler_, place_, [this] { return estate(); }, [this] { meet(); });
+    if (given_.link >= 0) post_->follow(std::exchange(given_.link, -1));
+    meet();
+  }
   return true;
 }
 
@@ -278,6 +393,7 @@
     // Now, not at the end: the process that follows may start while this one still answers.
     if (!in_force_.state.empty()) save_memory(in_force_.state, sidecar_.memory(scheduler_.now()));
     sidecar_.drain(sidecar_.drain_time());
+    if (post_) meet();
   } else if (reading_) {
     sidecar_.heard_sighup(reload(sidecar_, reading_, in_force_));
   } else {
@@ -305,15 +421,15 @@
 
 }  // namespace
 
-int serve(const Reading& reading) {
+int serve(const Reading& reading, const std::string& folder) {
   net::Scheduler scheduler;
-  Daemon daemon(scheduler, reading);
+  Daemon daemon(scheduler, reading, folder);
   return serve(daemon);
 }
 
-int serve_file(const opfile::Model& model) {
+int serve_file(const opfile::Model& model, const std::string& folder) {
   net::Scheduler scheduler;
-  Daemon daemon(scheduler, model);
+  Daemon daemon(scheduler, model, folder);
   return serve(daemon);
 }
 
--- a/src/sidecar/sidecar.hpp
+++ b/src/sidecar/sidecar.hpp
@@ -5,6 +5,7 @@
 
 #include "admin/server.hpp"
 #include "config/config.hpp"
+#include "handover/post.hpp"
 #include "net/scheduler.hpp"
 #include "net/signals.hpp"
 #include "net/task.hpp"
@@ -24,6 +25,13 @@
   // An operator's: what its file says, which outlives it.
   Sidecar(net::Scheduler& scheduler, const opfile::Model& model);
   void listen();  // from here on it serves; throws std::system_error
+  // The same with descriptors that another process listens with; false where they are not those.
+  bool listen_on(const std::vector<int>& fds);
+  std::vector<int> listeners() const;
+  // Of the other process on this address: whether a successor or one before serves, and whether any lives.
+  void beside(bool after_serves, bool before_serves, bool lives);
+  std::string hand_over(TimePoint now) const;
+  void take_over(std::string_view handed, TimePoint now);  // throws MemoryError
   // Takes over what may change while it serves: where discovery is, and the bounds on callers. Connections,
   // calls and the list stay.
   void reconfigure(const config::Config& config);
@@ -36,6 +44,7 @@
   // What is known of the endpoints, for the process that follows; and what one before has left, in its form.
   std::string memory(TimePoint now) const;
   void recall(std::string_view memory, TimePoint now);  // throws MemoryError
+  bool ending() const { return ending_; }
   bool finished() const { return phase_ == Phase::finished; }
   // Operators' words, from the second address.
   bool takes_clients() const override { return phase_ == Phase::serving; }
@@ -56,6 +65,7 @@
   net::Task keep_phase();
   void step(TimePoint now);
   void enter(Phase phase, TimePoint now);
+  void open();
   void open_desk(const std::string& address, std::size_t sockets);
   Intake& intake() { return single_ ? static_cast<Intake&>(*single_) : *services_; }
 
@@ -76,8 +86,9 @@
   std::optional<sockaddr_in> desk_at_;
   std::unique_ptr<admin::Server> desk_;  // none: no second address
   Phase phase_ = Phase::starting;
-  bool ending_ = false;     // SIGTERM: whatever is said from here on, it ends
-  TimePoint since_, last_;  // of the phase; when all is answered at the latest
+  bool other_serves_ = false;  // new connections are another process's
+  bool ending_ = false;        // SIGTERM: whatever is said from here on, it ends
+  TimePoint since_, last_;     // of the phase; when all is answered at the latest
   net::Waker waker_;
   net::Timer timer_;
   net::Task keeper_;
@@ -93,17 +104,23 @@
 // again, SIGUSR1 prints the counters.
 class Daemon {
  public:
-  Daemon(net::Scheduler& scheduler, Reading reading);  // throws ConfigError
+  // `folder`: where processes of one sidecar meet; empty: they do not. Throws ConfigError, and
+  // std::runtime_error where another successor starts already.
+  explicit Daemon(net::Scheduler& scheduler, Reading reading, const std::string& folder = "");
   // Of an operator's file; SIGHUP changes nothing yet and says so.
-  Daemon(net::Scheduler& scheduler, const opfile::Model& model);
+  Daemon(net::Scheduler& scheduler, const opfile::Model& model, const std::string& folder = "");
   bool listen();  // false, and a line in the log, where it cannot
   bool step();    // one turn, then what signals ask; false once it has drained
+  void heed(int signal);  // does what it asks
   const Sidecar& sidecar() const { return sidecar_; }
 
  private:
   static config::Config within(config::Config config, net::System& system);
+  static config::Config started_with(config::Config config, const handover::Given& given, TimePoint now);
   static opfile::Model within(opfile::Model model, net::System& system);
-  void heed(int signal);
+  void inherit();
+  void meet();
+  handover::Estate estate() const;
   void recall();
 
   net::Scheduler& scheduler_;
@@ -112,12 +129,16 @@
   Reading reading_;
   config::Config in_force_;
   opfile::Model model_;
-  std::string name_, where_;
+  std::string name_, where_, place_;
+  handover::Given given_;
   Sidecar sidecar_;
+  std::optional<handover::Post> post_;
+  bool serves_ = false;  // as last told to the other process
 };
 
 // Serve on this machine until a drain is over; the exit status.
-int serve(const Reading& reading);
-int serve_file(const opfile::Model& model);
+// `folder`: see Daemon.
+int serve(const Reading& reading, const std::string& folder = "");
+int serve_file(const opfile::Model& model, const std::string& folder);
 
 }  // namespace chutevane::sidecar
--- /dev/null
+++ b/tests/handover_test.cpp
@@ -0,0 +1,181 @@
+// A new version under load: two processes of one sidecar on one address.
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <filesystem>
+#include <thread>
+
+#include "helpers.hpp"
+
+namespace chutevane::sidecar {
+namespace {
+
+const std::string get_ready = "GET /ready HTTP/1.1\r\nHost: h\r\n\r\n";
+
+ino_t node_of(const std::string& path) {
+  struct stat about {};
+  return ::stat(path.c_str(), &about) == 0 ? about.st_ino : 0;
+}
+
+struct Two : Loop {
+  Two() {
+    folder = ::testing::TempDir() + "chutevane-" + std::to_string(::getpid()) + "-" +
+             ::testing::UnitTest::GetInstance()->current_test_info()->name();
+    std::filesystem::create_directories(folder);
+    Port free;
+    where = free.at;
+    config = config_text("127.0.0.1:2", endpoint.text());
+    const std::string any = "\"listen\":\"127.0.0.1:0\"";
+    config.replace(config.find(any), any.size(), "\"listen\":\"" + free.text() + "\"");
+  }
+  ~Two() {
+    stop(old_one), stop(new_one);
+    std::filesystem::remove_all(folder);
+  }
+  pid_t start() {
+    const pid_t child = ::fork();
+    if (child == 0) {
+      ::close_range(3, ~0U, 0);  // the peers of this test are not the child's to hold open
+      int status = 9;
+      try {
+        status = serve([&] { return config::read(config, no_environment); }, folder);
+      } catch (const std::exception&) {  // as the program does
+      }
+      ::_exit(status);
+    }
+    return child;
+  }
+  void stop(pid_t& one) {
+    if (one > 0 && ::kill(one, SIGKILL) == 0) ::waitpid(one, nullptr, 0);
+    one = -1;
+  }
+  int status_of(pid_t one) {
+    int status = -1;
+    return until([&] { return ::waitpid(one, &status, WNOHANG) == one; }) && WIFEXITED(status)
+               ? WEXITSTATUS(status)
+               : -1;
+  }
+  bool ready() {
+    Peer p = Peer::to(where);
+    p.say("GET /ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    until([&] { return p.over(); });
+    return p.has("HTTP/1.1 200");
+  }
+  bool comes_up() { return place_now(), ready(); }  // the place is there once it serves
+  // The place where successors ask is the newest one's once it serves.
+  bool took_over(ino_t before) {
+    const std::string place = folder + "/chutevane-n0.sock";
+    return until([&] { return node_of(place) != before; });
+  }
+  ino_t place_now() {
+    const std::string place = folder + "/chutevane-n0.sock";
+    until([&] { return std::filesystem::exists(place); });
+    return node_of(place);
+  }
+  Port endpoint;
+  std::string folder, config;
+  sockaddr_in where{};
+  pid_t old_one = -1, new_one = -1;
+};
+
+// No connection is refused or reset from one process to the next, and what the old one had is answered.
+TEST(Handover, ASuccessorTakesTheCallersOverAndTheOldOneEnds) {
+  Two t;
+  t.old_one = t.start();
+  ASSERT_TRUE(t.comes_up());
+  const auto before = t.place_now();
+  Peer kept = Peer::to(t.where), served;
+  kept.say(request_text("a", "plan"));
+  ASSERT_TRUE(t.until([&] { return t.endpoint.take(served); }));
+  ASSERT_TRUE(t.until([&] { return served.has("X-Request-ID: a"); }));
+  t.new_one = t.start();
+  ASSERT_TRUE(t.took_over(before));
+  ::kill(t.old_one, SIGTERM);
+  for (int i = 0; i < 200; ++i) ASSERT_TRUE(t.ready()) << i;
+  served.say(answer_text("one"));
+  EXPECT_TRUE(t.until([&] { return kept.has("one"); }));
+  EXPECT_TRUE(kept.has("Connection: close"));
+  kept.leave();
+  EXPECT_EQ(t.status_of(t.old_one), 0);
+  t.old_one = -1;
+  EXPECT_TRUE(t.ready());
+}
+
+TEST(Handover, ASuccessorThatDiesLeavesTheOldOneServing) {
+  Two t;
+  t.old_one = t.start();
+  ASSERT_TRUE(t.comes_up());
+  const auto before = t.place_now();
+  t.new_one = t.start();
+  ASSERT_TRUE(t.took_over(before));
+  t.stop(t.new_one);
+  ASSERT_TRUE(t.ready());
+  const auto again = t.place_now();
+  t.new_one = t.start();  // and the next one finds it
+  ASSERT_TRUE(t.took_over(again));
+  ::kill(t.new_one, SIGTERM);
+  EXPECT_EQ(t.status_of(t.new_one), 0);
+  t.new_one = -1;
+  EXPECT_TRUE(t.ready());
+}
+
+TEST(Handover, WhatADeadProcessLeftIsNoObstacle) {
+  Two t;
+  t.old_one = t.start();
+  ASSERT_TRUE(t.comes_up());
+  const auto before = t.place_now();
+  t.stop(t.old_one);
+  t.new_one = t.start();
+  ASSERT_TRUE(t.took_over(before));
+  EXPECT_TRUE(t.ready());
+}
+
+// Guards the successor that starts: a second one would split what it is given.
+TEST(Handover, ASecondSuccessorIsToldSo) {
+  Loop loop;
+  const std::string place = ::testing::TempDir() + "chutevane-second-" + std::to_string(::getpid());
+  Port held;
+  handover::Post post(
+      loop.scheduler, place,
+      [&] {
+        return handover::Estate{{held.descriptor()}, "text"};
+      },
+      [] {});
+  post.open();
+  post.say(true);
+  handover::Given first, second;
+  const auto asked = [&](handover::Given& into) {
+    std::thread asker([&] { into = handover::ask(place, Span::ms(2000)); });
+    loop.until([&, n = 0]() mutable { return ++n > 50; });
+    asker.join();
+  };
+  asked(first);
+  EXPECT_EQ(first.listeners.size(), 1U);
+  EXPECT_EQ(first.state, "text");
+  asked(second);
+  EXPECT_TRUE(second.busy);
+  EXPECT_TRUE(second.listeners.empty());
+}
+
+TEST(Handover, WhatIsHandedOnIsReadBackAndDamageIsNamed) {
+  Handed h;
+  h.known = {{"s-1", TimePoint::at_ms(1000), 3.5}};
+  h.carried = {12.5, 80.25, 0.125, 7};
+  h.list = discovery::read_list(list_text("127.0.0.1:3"));
+  const TimePoint now = TimePoint::at_ms(1.7e12);
+  const std::string text = write_handed(h, "tier 0: plan", now);
+  const Handed back = read_handed(text, "tier 0: plan", now);
+  EXPECT_EQ(back.carried.limit, 12.5);
+  EXPECT_EQ(back.carried.rate, 80.25);
+  ASSERT_EQ(back.list.entries.size(), h.list.entries.size());
+  EXPECT_EQ(back.list.entries[0].address, "127.0.0.1:3");
+  EXPECT_EQ(back.list.version, h.list.version);
+  EXPECT_EQ(back.known[0].latency_ms, 3.5);
+  EXPECT_THROW(read_handed(text, "tier 1: plan", now), MemoryError);
+  EXPECT_THROW(read_handed(text.substr(0, text.size() / 2), "tier 0: plan", now), MemoryError);
+}
+
+}  // namespace
+}  // namespace chutevane::sidecar
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -202,6 +202,7 @@
   }
   ~Port() { close(); }
   std::string text() const { return "127.0.0.1:" + std::to_string(ntohs(at.sin_port)); }
+  int descriptor() const { return fd_; }
   // Takes the next connection into `peer`, if there is one.
   bool take(Peer& peer) {
     const int fd = ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK);
