--- a/include/chutevane/balancer.hpp
+++ b/include/chutevane/balancer.hpp
@@ -29,6 +29,10 @@
   Answer arrived(const ApiCall& call, TimePoint now);
   // A dispatch has ended. Without `call_over` the call is still owed its answer.
   Answers ended(const DispatchEnd& end, TimePoint now);
+  // More of a call's request has come, or the last of it: its time counts from here.
+  void moved(CallId call, TimePoint now);
+  // An answer that had begun to go on, and whose dispatch was told as done then, has broken.
+  void broke(EndpointId endpoint, TimePoint now);
   // The client has left; nothing more is owed.
   Answers client_left(CallId call, TimePoint now);
   // Another sidecar's `tell` has come: its endpoint and number.
--- a/include/chutevane/types.hpp
+++ b/include/chutevane/types.hpp
@@ -132,7 +132,8 @@
   bool call_over = false;    // the client has its answer, or needs none
   Outcome outcome = Outcome::done;
   Span elapsed;
-  LoadReport load;
+  LoadReport load{};
+  bool last = false;  // its request is no longer held whole: it cannot go again
 };
 
 enum class Verdict : std::uint8_t {
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -1,12 +1,10 @@
 // All decisions of chutevane. The interface is include/chutevane/balancer.hpp.
 //
-// A call answered `wait` stays with it: it comes back in woken() or when an endpoint frees. docs/design.md
-// has the design (caps, cutoffs, shares) and the why of all that follows. Beside the design stand these
-// mechanisms, six at most:
+// docs/design.md has the design (caps, cutoffs, shares) and the why of all that follows. Beside the design
+// stand these mechanisms, six at most:
 //  1. admission: the first tier holds the calls in flight to a limit that follows how their answers sit
 //     against their soft limits and what endpoints report; a call's place under it goes by its payoff
-//  2. fresh cap: a fresh or returning endpoint has a cap in flight that grows with its answers, and a cold
-//     one a budget of sends per window
+//  2. fresh cap: a fresh or returning endpoint has a cap that grows with its answers, a cold one a budget
 //  3. outliers: an endpoint whose high quantile is far above its fellows' gets one call at a time
 //  4. silence: an endpoint that answers nothing while its fellows do is passed over, its calls go elsewhere
 //     where their track permits, and it is tried again after pauses; an idle connection is doubted first
@@ -201,8 +199,7 @@
             [&](std::uint32_t a, std::uint32_t b) { return endpoints[a].mark < endpoints[b].mark; });
 }
 
-// How far the own part of the ring reaches: as many endpoints as this sidecar's calls can tell of. Guards
-// against hundreds of sidecars that each hold a connection to every endpoint and hear from none often enough.
+// As many endpoints as this sidecar's calls can tell of: guards against hundreds of connections unused.
 void Balancer::State::widen(TimePoint now) {
   const auto all = static_cast<std::size_t>(ready_count);
   spread = ready_count;
@@ -244,8 +241,7 @@
   return keys[at].weight += key_gain;
 }
 
-// The endpoint for a call whose key one may know: a share draw by its model's speed whose chance is the key's
-// hash, alike at all sidecars. Guards against work that a warm endpoint is spared; -1: draw from all.
+// The endpoint for a call with a key, alike at all sidecars: a warm one has less work. -1: draw from all.
 int Balancer::State::keyed(const Call& c, TimePoint now) {
   const auto wanted =
       static_cast<std::size_t>(std::clamp(c.popularity * key_spread * ready_count, 1.0, key_places - 1.0));
@@ -408,9 +404,8 @@
   return e.cold_tokens >= 1.0;
 }
 
-// Guards against a cold endpoint pushed over by all sidecars together: each sends it no more than its own
-// mean rate per endpoint, by how warm it must be, in bursts under the window; outside its own part it is one
-// of all.
+// Guards against a cold endpoint pushed over by all sidecars: each sends its own mean rate per endpoint, by
+// how warm it must be, in bursts well under the window; outside its own part it is one of all.
 void Balancer::State::fill_cold(Endpoint& e, TimePoint now) {
   const double per_s =
       std::max(cold_least / sidecars, rate / std::max(1, e.in_part ? spread : ready_count) * warmth(e, now));
@@ -441,8 +436,7 @@
   e.fresh_cap = fresh_start;
 }
 
-// A connection that has idled and whose first dispatch meets silence was dropped unseen, for all one can
-// know: not the endpoint's fault. Until the doubt has passed, one that idled as long is not used.
+// Dropped unseen while it idled, for all one can know: not the endpoint's fault, but doubted for a while.
 bool Balancer::State::dropped(const Endpoint& e, const Dispatch& d, TimePoint now) {
   if (!shared_connections || d.idle < idle_least || e.quiet_since > d.sent) return false;
   idle_safe =
@@ -572,8 +566,7 @@
       if (s.warmth(e, now) < 1.0) e.fresh_cap = fresh_start;
     }
     e.id = l.id;
-    e.zone = l.zone;
-    e.cell = l.cell;
+    e.zone = l.zone, e.cell = l.cell;
     e.mark = mixed(l.mark != 0 ? l.mark : l.id);
     e.model = l.model;
     if (s.models.size() <= e.model) s.models.resize(e.model + 1U, s.models.empty() ? 0.0 : s.models[0]);
@@ -639,8 +632,7 @@
   if (c.bound_to >= 0 && t.effect != Effect::replayable) {
     if (t.effect == Effect::single_use || now - c.bound_since >= t.repeat_window) return false;
   }
-  // A retry that cannot end in time is skipped (the design). At the first tier, where a late answer pays
-  // nothing, the soft limit is the time that counts.
+  // A retry that cannot end in time is skipped (the design); where late answers pay nothing, in soft time.
   Span left = c.timeout - now;
   if (first_tier && t.late_payoff <= 0.0) left = std::min(left, c.soft_end - now);
   return left > (measured(now) ? times.quantile(0.5, now) : Span());
@@ -746,8 +738,7 @@
   }
 }
 
-// Calls at an endpoint that is silent while its fellows answer are cancelled and go elsewhere where their
-// track permits. Guards against a hung endpoint holding them past their soft limits.
+// Calls at an endpoint that alone is silent go elsewhere where their track permits, before their soft limit.
 void Balancer::State::rescue(TimePoint now) {
   int quiet = 0;
   for (const Endpoint& e : endpoints) quiet += e.ready() && silent(e, now) ? 1 : 0;
@@ -769,8 +760,7 @@
 
 // --- Admission (first tier) ------------------------------------------------------------------------
 
-// How long ago the client first tried: first tries of a track state the same wait, a repeat what is left.
-// Guards against repeats past their soft limit: a quarter of a tier for no payoff.
+// How long ago the client first tried, by its stated wait: repeats past their soft limit pay nothing.
 Span Balancer::State::age_of(const ApiCall& call) {
   const Span whole = tracks[call.track].client_timeout;
   UsualWait& w = waits[call.track];
@@ -798,8 +788,7 @@
     return false;
   const double above = std::log2(std::max(1e-6, c.payoff / std::max(1e-6, payoff_mean)));
   const double level = std::clamp(1.0 + payoff_slope * above, level_low, level_high);
-  // The limit holds the mean of the calls in flight; they may be off it by their chance spread: as a bound on
-  // the moment it turned away a third of a half idle tier. Before the first report there is nothing to go by.
+  // It holds the mean of the calls in flight: as a bound on the moment it turned away half idle tiers.
   const double ahead = told && used < 1.0 ? used_ahead : 1.0;  // reports lag by a second or two
   const double room = std::max(limit, least_limit()) * level * ahead;
   if (will_tell && !told) return true;
@@ -886,7 +875,7 @@
   c.track = call.track;
   c.key = call.key;
   if (s.warm_keys && c.key != 0) c.popularity = s.popularity(c.key);
-  c.arrived = now;
+  c.arrived = c.moved_at = now;
   c.timeout = now + call.left;
   c.soft_end = now + s.tracks[c.track].soft_limit - call.elsewhere.spent;
   c.sent_elsewhere = call.elsewhere.dispatches;
@@ -932,7 +921,7 @@
     s.finish(at);
   } else if (c.out == 0) {
     const bool free = !ran || d.rescued;
-    if (s.may_go_again(c, now) && (free || s.retry_tokens >= 1.0)) {
+    if (!end.last && s.may_go_again(c, now) && (free || s.retry_tokens >= 1.0)) {
       if (!free) s.retry_tokens -= 1.0;
       const Answer a = s.place(at, now);
       if (a.verdict != Verdict::wait) s.answers.push_back(a);
@@ -945,6 +934,23 @@
   return s.answers;
 }
 
+// Guards a large request against its own length: while it comes neither its client nor its endpoint waits.
+void Balancer::moved(CallId call, TimePoint now) {
+  const std::uint32_t at = state_->call_index.find(call);
+  if (at == IdIndex::none) return;
+  Call& c = state_->calls[at];
+  const Span later = now - std::exchange(c.moved_at, now);
+  c.arrived = c.arrived + later, c.timeout = c.timeout + later, c.soft_end = c.soft_end + later;
+  if (c.sent == 0) return;
+  Dispatch& d = c.dispatches[c.sent - 1U];
+  d.sent = state_->endpoints[d.endpoint].quiet_since = now;
+}
+
+void Balancer::broke(EndpointId endpoint, TimePoint now) {
+  const std::uint32_t at = state_->endpoint_index.find(endpoint);
+  if (at != IdIndex::none) state_->miss(state_->endpoints[at], now, "answers break");
+}
+
 Answers Balancer::client_left(CallId call, TimePoint now) {
   State& s = *state_;
   s.answers.clear();
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -16,6 +16,7 @@
 
 using Kind = json::Value::Kind;
 
+constexpr double memory_least = 8;    // MB; the program alone takes some 5
 constexpr double sockets_least = 64;  // below that there is no room beside what is kept spare
 
 // Nested settings as a flat map: list items under .0, .1, ..., their number under .count; plain lists with
@@ -183,6 +184,9 @@
     if (!limits->is(Kind::object)) throw ConfigError("limits", "no object");
     out.sockets = static_cast<std::size_t>(
         limit_of(*limits, "sockets", static_cast<double>(out.sockets), sockets_least, 1e7));
+    out.memory = static_cast<std::size_t>(
+        limit_of(*limits, "memory_mb", static_cast<double>(out.memory >> 20U), memory_least, 1e6) *
+        (1U << 20U));
     out.request_most = Span::ms(limit_of(*limits, "request_ms", out.request_most.as_ms(), 1, 3.6e6));
     out.idle_most = Span::ms(limit_of(*limits, "caller_idle_ms", out.idle_most.as_ms(), 1, 3.6e6));
   }
@@ -230,6 +234,7 @@
   note(in_force.listen == read_again.listen, "listen");
   note(in_force.admin == read_again.admin, "admin_addr");
   note(in_force.state == read_again.state, "state");
+  note(in_force.memory == read_again.memory, "limits.memory_mb");
   note(in_force.sockets == read_again.sockets, "limits.sockets");
   note(in_force.settings == read_again.settings, "settings");
   return out;
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -16,7 +16,8 @@
   std::string listen, discovery;  // "a.b.c.d:port"
   std::string admin;              // the second address; empty: none
   std::uint64_t seed = 0;
-  std::size_t sockets = 1024;          // descriptors that the process may hold
+  std::size_t memory = std::size_t{192} << 20U;  // bytes that the process may have
+  std::size_t sockets = 1024;                    // descriptors that the process may hold
   Span request_most = Span::ms(2500);  // of a caller's request: the first from when it connects, others
                                        // from their first byte, to the last
   Span idle_most = Span::ms(75000);    // of a connection without a request that has been served one
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -104,7 +104,7 @@
         const bool stop = (bits & (due | moved)) != 0;
         const Socket::Result result = stop ? Socket::Result::broken : socket_.read(buffer_);
         if (result == Socket::Result::some) progress = parser_.feed(buffer_.bytes());
-        if (result == Socket::Result::ended) progress = parser_.ended();
+        if (result == Socket::Result::ended) progress = parser_.ended(buffer_.bytes());
         if (result == Socket::Result::broken) up = false;
       }
       up = up && progress == http::Progress::complete && read_answer();
--- a/src/http/parser.hpp
+++ b/src/http/parser.hpp
@@ -2,6 +2,9 @@
 //
 // Feed it the same bytes again with more behind them until it says `complete` or `failed`; it goes on where
 // it stopped. A chunked body is put together in place. What it found stays valid while the bytes stay put.
+//
+// A body too large to be held comes in pieces: once the head is done, detach() and then more(), with the
+// bytes that have not been taken yet. However a message is cut, its pieces put together are the same.
 #pragma once
 
 #include <cstdint>
@@ -35,19 +38,35 @@
   void reset(bool bodiless = false);
 
   Progress feed(std::span<char> bytes);
-  Progress ended();  // no more bytes will come
+  // No more bytes will come; these are the ones fed last, wherever they are held by now.
+  Progress ended(std::span<char> bytes);
+  // From here on the body comes through more(); the head is read from `head`, which holds its bytes,
+  // head_size() of them. What was fed beyond size() has not been taken.
+  void detach(char* head);
+  // One step: how many of the bytes were taken, and a piece of the body among them, perhaps none. `more`
+  // without any taken: it needs more than these.
+  Progress more(std::span<char> bytes, std::size_t& taken, std::string_view& piece);
 
   bool begun() const { return stage_ != Stage::start || at_ > 0; }
   bool head_done() const { return stage_ > Stage::head; }
-  // What the message took of the bytes, once it is complete.
+  std::size_t come() const { return come_; }  // bytes of the body, so far
+  std::size_t head_size() const { return body_at_; }
+  // Whether a body follows the head, and its length where that is stated.
+  bool has_body() const { return bodied_; }
+  std::optional<std::size_t> length() const { return length_; }
+  bool http_1_0() const { return minor_ == 0; }
+  // What the message took of the bytes so far.
   std::size_t size() const { return at_; }
   // When failed: the status that says why, and the reason in words.
   int status_of_error() const { return error_status_; }
   std::string_view error() const { return error_; }
 
   std::string_view method() const { return view(first_); }
-  std::string_view target() const { return view(second_); }
+  std::string_view target() const { return rooted_ ? std::string_view("/") : view(second_); }
+  // Of an absolute form: what stands for the Host field.
+  std::string_view authority() const { return view(third_); }
   int status() const { return status_; }
+  // As far as it has come, while it is not detached.
   std::string_view body() const { return {base_ + body_at_, body_size_}; }
   bool keep_alive() const { return keep_alive_; }
   std::size_t fields() const { return fields_.size(); }
@@ -82,8 +101,7 @@
   bool read_field(std::string_view line);
   bool frame_body();
   bool read_chunk_size(std::string_view line);
-  // The line that starts at at_, without its end; nothing while the end has not come.
-  std::optional<std::string_view> line(std::size_t most);
+  Progress step(std::string_view bytes, std::size_t& taken, std::string_view& piece);
 
   Side side_;
   Limits limits_;
@@ -92,9 +110,12 @@
   std::size_t size_fed_ = 0;
   std::size_t at_ = 0, scanned_ = 0, head_start_ = 0;
   std::size_t body_at_ = 0, body_size_ = 0, left_ = 0, trailer_size_ = 0;
-  Piece first_, second_;
+  Piece first_, second_, third_;
   int status_ = 0, minor_ = 1;
-  bool keep_alive_ = true, bodiless_ = false;
+  std::optional<std::size_t> length_;
+  std::size_t come_ = 0;  // bytes of the body
+  bool detached_ = false;
+  bool keep_alive_ = true, bodiless_ = false, bodied_ = false, rooted_ = false;
   std::vector<FieldAt> fields_;
   int error_status_ = 0;
   std::string_view error_;
--- a/src/net/buffer.hpp
+++ b/src/net/buffer.hpp
@@ -8,10 +8,17 @@
 #include <string_view>
 #include <vector>
 
+#include "net/held.hpp"
+
 namespace chutevane::net {
 
 class Buffer {
  public:
+  Buffer() = default;
+  explicit Buffer(Held& held) : held_(&held) {}
+  ~Buffer() { resize(0); }
+  Buffer(const Buffer&) = delete;
+  Buffer& operator=(const Buffer&) = delete;
   std::size_t size() const { return end_ - begin_; }
   bool empty() const { return begin_ == end_; }
   std::span<char> bytes() { return {bytes_.data() + begin_, size()}; }
@@ -23,7 +30,8 @@
         end_ -= begin_;
         begin_ = 0;
       }
-      if (bytes_.size() - end_ < least) bytes_.resize(std::max(end_ + least, bytes_.size() * 2));
+      if (bytes_.size() - end_ < least)
+        resize(std::max(end_ + least, std::min(bytes_.size() * 2, bytes_.size() + growth_most)));
     }
     return {bytes_.data() + end_, bytes_.size() - end_};
   }
@@ -40,11 +48,26 @@
   // What an idle connection gives back.
   void shrink(std::size_t most) {
     if (!empty() || bytes_.size() <= most) return;
-    bytes_.resize(most);
+    resize(most);
     bytes_.shrink_to_fit();
   }
 
  private:
+  static constexpr std::size_t growth_most = 64 * 1024;  // bytes: from there on it grows by this
+  void resize(std::size_t size) {
+    if (held_ != nullptr) {
+      held_->give_back(bytes_.size());
+      held_->add(size);
+    }
+    if (size > bytes_.size()) {  // to the byte: a vector would take twice as much
+      std::vector<char> more(size);
+      if (!bytes_.empty()) std::memcpy(more.data(), bytes_.data(), bytes_.size());
+      bytes_.swap(more);
+    } else {
+      bytes_.resize(size);
+    }
+  }
+  Held* held_ = nullptr;  // none: nobody counts it
   std::vector<char> bytes_;
   std::size_t begin_ = 0, end_ = 0;
 };
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <charconv>
 #include <system_error>
@@ -10,8 +11,7 @@
 namespace chutevane::net {
 namespace {
 
-constexpr std::size_t read_least = 4096;      // bytes of room for one read: a common message whole
-constexpr std::size_t read_most = 16 * 1024;  // bytes at a time: no peer fills the memory or the turn
+constexpr std::size_t read_least = 4096;  // bytes of room for one read: a common message whole
 
 bool later(long result) { return result == -EAGAIN || result == -EWOULDBLOCK; }
 
@@ -72,11 +72,11 @@
   }
 }
 
-Socket::Result Socket::read(Buffer& into) {
+Socket::Result Socket::read(Buffer& into, std::size_t most) {
   bool any = false;
   const std::size_t before = into.size();
-  while (into.size() - before < read_most) {
-    const std::span<char> room = into.room(read_least);
+  while (into.size() - before < most) {
+    const std::span<char> room = into.room(std::min(read_least, most));
     const long got = scheduler_.system().receive(fd_, room);
     if (got > 0) {
       into.added(static_cast<std::size_t>(got));
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -34,7 +34,8 @@
   void listen(const sockaddr_in& at);     // throws std::system_error
   void backlog(int most);                 // connections that may come up and wait to be accepted, from now on
   int accept(bool& exhausted);            // a descriptor, or -1; `exhausted`: no descriptors are left
-  Result read(Buffer& into);              // what there is; of much a part, and `readable` stays set
+  // What there is; of much a part, at most about so many bytes, and `readable` stays set.
+  Result read(Buffer& into, std::size_t most = 16 * 1024);
   Result write(std::span<const char> bytes, std::size_t& written);
   bool quiet() const;      // nothing to read, not ended either
   bool has_bytes() const;  // there is something to read
--- a/src/opfile/file.cpp
+++ b/src/opfile/file.cpp
@@ -249,6 +249,7 @@
     out.name = t.text("name", out.name);
     if (const toml::table* limits = t.table("limits")) {
       Table l(*limits, "limits.", errors);
+      out.memory = static_cast<std::size_t>(l.number("memory_mb", 192.0, 8.0, 1e6)) << 20U;
       out.sockets = static_cast<std::size_t>(l.number("sockets", 1024.0, sockets_least, 1e7));
       out.request_most = l.span("request_ms", 2500.0, 1.0);
       out.idle_most = l.span("caller_idle_ms", 75000.0, 1.0);
--- a/src/opfile/model.hpp
+++ b/src/opfile/model.hpp
@@ -61,6 +61,7 @@
   std::string name = "sidecar";
   std::uint64_t seed = 0;
   std::size_t sockets = 1024;
+  std::size_t memory = std::size_t{192} << 20U;  // bytes
   Span request_most, idle_most;
   std::vector<std::string> listen;
   std::string admin;          // the second address; empty: none
--- a/src/sidecar/callers.cpp
+++ b/src/sidecar/callers.cpp
@@ -3,6 +3,8 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 
 #include "base/log.hpp"
 
@@ -13,7 +15,11 @@
 using net::Waker;
 
 constexpr double caller_part = 0.5;                // of the descriptors
-constexpr Span write_most = Span::ms(10000);       // for an answer to be taken
+constexpr Span write_most = Span::ms(10000);       // for more of an answer to be taken
+constexpr Span body_pause = Span::ms(1500);        // between bytes of a request's body
+constexpr Span body_slack = Span::ms(2300);        // by which a body may be behind the rate
+constexpr double body_rate = 16.0;                 // bytes/ms: a quarter of the slowest that is known
+constexpr std::size_t piece_most = 16 * 1024;      // bytes of a body at a time
 constexpr Span linger_most = Span::ms(1000);       // after an answer to what could not be read
 constexpr std::size_t linger_bytes = 1024 * 1024;  // of what nobody reads, before it is cut off
 constexpr Span request_grace = Span::ms(1000);     // for a request on its way, before its connection may go
@@ -30,6 +36,8 @@
       waker_(scheduler),
       timer_(scheduler, waker_, due),
       socket_(scheduler, waker_),
+      buffer_(all.held_),
+      out_(all.held_),
       id_(all.open_ids_),
       accepted_(scheduler.now()),
       idle_since_(scheduler.now()),
@@ -37,7 +45,73 @@
   socket_.adopt(fd);
 }
 
-CallerConnection::~CallerConnection() { end_outstanding(); }
+CallerConnection::~CallerConnection() {
+  end_outstanding();
+  if (body_) body_->produced_by(nullptr, 0);
+  if (answer_) answer_->leave();
+}
+
+// Bounds progress, not the whole: a large body may be long on its way, but not stand still.
+TimePoint CallerConnection::read_by() const {
+  const Span at_rate = Span::ms(static_cast<double>(parser_.come()) / body_rate);
+  return std::min(scheduler_.now() + body_pause, body_since_ + body_slack + at_rate);
+}
+
+bool CallerConnection::wants_pieces() const {
+  if (!parser_.head_done() || !parser_.has_body()) return false;
+  const std::size_t most = whole_most(all_.held_, true);
+  return parser_.length() ? *parser_.length() > most : parser_.body().size() > most;
+}
+
+void CallerConnection::take_in_pieces() {
+  head_.assign(buffer_.bytes().data(), parser_.head_size());
+  body_ = std::make_shared<Pipe>(all_.held_, true);
+  body_->produced_by(&waker_, moved);
+  body_->put(parser_.body());
+  buffer_.consume(parser_.size());
+  parser_.detach(head_.data());
+}
+
+http::Progress CallerConnection::pass_on(bool to_nobody) {
+  http::Progress progress = http::Progress::more;
+  std::size_t taken = 0;
+  do {
+    std::string_view piece;
+    progress = parser_.more(buffer_.bytes(), taken, piece);
+    if (!piece.empty() && !to_nobody) body_->put(piece);
+    buffer_.consume(taken);
+  } while (progress == http::Progress::more && taken > 0 && !buffer_.empty());
+  come_whole_ = progress == http::Progress::complete;
+  if (come_whole_ && !to_nobody) body_->end();
+  return progress;
+}
+
+void CallerConnection::leave_call() {
+  const CallId gone = std::exchange(call_, 0);
+  if (body_) body_->break_off();
+  id_.give_back();
+  end_outstanding();
+  all_.intake_.caller_left(gone);
+}
+
+bool CallerConnection::fill() {
+  if (tail_) return false;
+  const std::string_view all = answer_->ready(), piece = all.substr(0, piece_most);
+  const bool last = answer_->ended() && piece.size() == all.size();
+  if (piece.empty() && !last) return false;
+  if (chunked_ && !piece.empty()) {
+    std::array<char, 20> room;
+    const auto end = std::to_chars(room.data(), room.data() + room.size(), piece.size(), 16).ptr;
+    out_.append({room.data(), static_cast<std::size_t>(end - room.data())});
+    out_.append("\r\n");
+  }
+  out_.append(piece);
+  if (chunked_ && !piece.empty()) out_.append("\r\n");
+  if (chunked_ && last) out_.append("0\r\n\r\n");
+  tail_ = last;
+  answer_->took(piece.size());
+  return true;
+}
 
 void CallerConnection::end_outstanding() {
   if (std::exchange(outstanding_, false)) --all_.counters_.outstanding;
@@ -48,7 +122,7 @@
 void CallerConnection::answer(Write write) {
   call_ = 0;
   id_.give_back();
-  last_ = last_ || !parser_.keep_alive() || all_.closing_;
+  last_ = last_ || !parser_.keep_alive() || all_.closing_ || withheld_;
   buffer_.consume(std::exchange(taken_, 0));
   // What came after the request, if any and if it is still to be read.
   const std::string behind(buffer_.bytes().data(), last_ ? 0 : buffer_.size());
@@ -61,7 +135,15 @@
 
 void CallerConnection::done(const http::Parser& response) {
   count_end(Result::succeeded);
-  answer([&](net::Buffer& out) { all_.front_.write_done(out, response, last_); });
+  answer([&](net::Buffer& out) { all_.front_.write_done(out, response, last_, parser_.method() == "HEAD"); });
+}
+void CallerConnection::began(const http::Parser& response, const std::shared_ptr<Pipe>& body) {
+  answer_ = body;
+  answer_->consumed_by(&waker_, moved);
+  tail_ = false;
+  chunked_ = !response.length() && !parser_.http_1_0();
+  last_ = last_ || (!response.length() && !chunked_);  // its end is the connection's
+  answer([&](net::Buffer& out) { all_.front_.write_begun(out, response, chunked_, last_); });
 }
 void CallerConnection::rejected(Span come_back, const pool::Spent&) {
   count_end(Result::declined);
@@ -86,7 +168,7 @@
   ApiCall call;
   std::string_view why;
   std::uint32_t way = 0;
-  taken_ = parser_.size();
+  taken_ = body_ ? 0 : parser_.size();
   switch (all_.intake_.read(parser_, call, way, why)) {
     case Front::Kind::ready:
       if (all_.draining_) {
@@ -128,19 +210,27 @@
   bool up = true;
   while (up) {
     parser_.reset();
+    body_.reset();
+    come_whole_ = false;
     told_to_go_on_ = false;
+    bool head_seen = false;
+    withheld_ = false;
     idle_since_ = scheduler_.now();
     // One that has been served may rest. One that has not must ask, and end its request, within the bound.
     timer_.set(served_ ? idle_since_ + all_.idle_most_ : accepted_ + all_.request_most_);
     bool reading = false;
     came_behind_ = true;
     http::Progress progress = buffer_.empty() ? http::Progress::more : parser_.feed(buffer_.bytes());
-    while (up && progress == http::Progress::more) {
+    while (up && progress == http::Progress::more && !wants_pieces()) {
       if (!reading && parser_.begun()) {
         reading = true;
         request_since_ = scheduler_.now();
         if (served_) timer_.set(scheduler_.now() + all_.request_most_);
       }
+      if (parser_.head_done()) {
+        if (!std::exchange(head_seen, true)) body_since_ = scheduler_.now();
+        timer_.set(read_by());
+      }
       if (parser_.head_done() && !told_to_go_on_ && parser_.find("Expect") == "100-continue") {
         told_to_go_on_ = true;
         std::size_t written = 0;
@@ -154,31 +244,64 @@
       const Socket::Result result = socket_.read(buffer_);
       read_at_ = scheduler_.now();
       came_behind_ = false;
-      if (result == Socket::Result::some) progress = parser_.feed(buffer_.bytes());
+      // Also when nothing came: reading may have moved what is held.
+      if (result == Socket::Result::some || result == Socket::Result::later)
+        progress = parser_.feed(buffer_.bytes());
       if (result == Socket::Result::ended || result == Socket::Result::broken) up = false;
     }
     if (!up) break;
     timer_.cancel();
     if (progress == http::Progress::complete) {
       begin_request();
+    } else if (progress == http::Progress::more && wants_pieces()) {
+      if (!head_seen) body_since_ = scheduler_.now();
+      if (!told_to_go_on_ && parser_.find("Expect") == "100-continue") withheld_ = true;
+      take_in_pieces();
+      begin_request();
     } else {
       const bool slow = progress == http::Progress::more;
       refuse_request(slow ? 408 : parser_.status_of_error(), slow ? "request too slow" : parser_.error());
     }
-    while (to_write_ == 0) {
-      const Waker::Bits bits = co_await waker_.wait(answered | Waker::hung_up | dropped);
-      if ((bits & (Waker::hung_up | dropped)) != 0 && to_write_ == 0) {
+    if (to_write_ == 0 && std::exchange(withheld_, false)) {
+      std::size_t written = 0;
+      up = socket_.write(std::string_view("HTTP/1.1 100 Continue\r\n\r\n"), written) == Socket::Result::some;
+    }
+    while (up && to_write_ == 0) {
+      Waker::Bits bits = answered | Waker::hung_up | dropped;
+      bool reads = body_ && !come_whole_;
+      if (reads) {
+        progress = pass_on(false);
+        if (progress == http::Progress::failed) {
+          leave_call();
+          refuse_request(parser_.status_of_error(), parser_.error());
+          break;
+        }
+        const bool waits = body_->room() == 0 || (all_.held_.full() && !body_->ready().empty());
+        reads = progress == http::Progress::more && !waits;
+        bits |= reads ? Waker::readable | due : come_whole_ ? 0 : moved;
+        if (reads) {
+          timer_.set(read_by());
+        } else {  // the endpoint's pace: what it takes is not the caller's to answer for
+          timer_.cancel();
+          body_since_ = scheduler_.now() - Span::ms(static_cast<double>(parser_.come()) / body_rate);
+        }
+      }
+      bits = co_await waker_.wait(bits);
+      if (to_write_ != 0) break;
+      if ((bits & (Waker::hung_up | dropped)) != 0) {
         up = false;
-        break;
+      } else if ((bits & due) != 0) {
+        leave_call();
+        refuse_request(408, "request too slow");
+      } else if (reads && (bits & Waker::readable) != 0) {
+        const Socket::Result result = socket_.read(buffer_, std::min(body_->room(), piece_most));
+        up = result == Socket::Result::some || result == Socket::Result::later;
       }
     }
     if (!up) {  // the caller has gone away
       left_call_ = true;
-      end_outstanding();
-      const CallId gone = std::exchange(call_, 0);
       socket_.close();
-      id_.give_back();
-      all_.intake_.caller_left(gone);
+      leave_call();
       break;
     }
     served_ = true;
@@ -194,7 +317,50 @@
       const Waker::Bits bits = co_await waker_.wait(Waker::writable | due | dropped);
       if ((bits & (due | dropped)) != 0) up = false;
     }
+    while (up && answer_ && (!out_.empty() || !tail_)) {  // a large answer, piece by piece
+      if (out_.empty() && !fill()) {
+        if (answer_->broken()) {  // it ends short of its length or its last chunk, or with a reset: never as
+                                  // whole
+          count_end(Result::aborted);
+          socket_.reset();
+          up = false;
+          break;
+        }
+        timer_.cancel();
+        const Waker::Bits bits = co_await waker_.wait(moved | Waker::hung_up | dropped);
+        if ((bits & (Waker::hung_up | dropped)) != 0) up = false;
+        continue;
+      }
+      std::size_t written = 0;
+      const Socket::Result result = socket_.write(out_.bytes(), written);
+      out_.consume(written);
+      if (result == Socket::Result::broken) up = false;
+      if (result != Socket::Result::later) continue;
+      timer_.set(scheduler_.now() + write_most);
+      const Waker::Bits bits = co_await waker_.wait(Waker::writable | due | dropped);
+      if ((bits & (due | dropped)) != 0) up = false;
+    }
+    if (answer_) {
+      if (up) count_end(Result::succeeded);
+      answer_->leave();
+      answer_.reset();
+      out_.consume(out_.size());
+      out_.shrink(0);
+    }
     end_outstanding();
+    // The rest of a request that was answered before it had come whole: a caller that is still sending would
+    // meet a reset instead of its answer.
+    while (up && body_ && !come_whole_ && !last_) {
+      progress = pass_on(true);
+      if (progress != http::Progress::more) up = progress == http::Progress::complete;
+      if (progress != http::Progress::more) break;
+      timer_.set(read_by());
+      const Waker::Bits bits = co_await waker_.wait(Waker::readable | Waker::hung_up | due | dropped);
+      const Socket::Result result = socket_.open() ? socket_.read(buffer_) : Socket::Result::broken;
+      up = (bits & (due | dropped)) == 0 &&
+           (result == Socket::Result::some || result == Socket::Result::later);
+    }
+    if (body_) body_->produced_by(nullptr, 0);
     if (last_ && up) {  // closing on bytes not read yet would take the answer away from its reader
       lingering_ = true;
       socket_.end_writing();
@@ -220,7 +386,7 @@
 }
 
 Callers::Callers(net::Scheduler& scheduler, const config::Config& config, const Front& front, Intake& intake,
-                 Counters& counters, OpenIds& open_ids)
+                 Counters& counters, OpenIds& open_ids, net::Held& held)
     : scheduler_(scheduler),
       front_(front),
       intake_(intake),
@@ -233,6 +399,7 @@
       timer_(scheduler, waker_, retry),
       socket_(scheduler, waker_),
       open_ids_(open_ids),
+      held_(held),
       connections_(scheduler),
       task_(accept()) {}
 
@@ -296,7 +463,7 @@
 // When a connection came to be without anything owed on it, as far as it may be closed: one with a call in
 // hand or an answer on its way may not, and one whose first or whole request may still be coming not yet.
 std::optional<TimePoint> CallerConnection::spare_since() const {
-  if (!socket_.open() || call_ != 0 || (to_write_ > 0 && !lingering_)) return std::nullopt;
+  if (!socket_.open() || call_ != 0 || answer_ || (to_write_ > 0 && !lingering_)) return std::nullopt;
   if (lingering_) return TimePoint();
   if (!parser_.begun() && served_) return idle_since_;
   const TimePoint since = parser_.begun() ? request_since_ : idle_since_;
--- a/src/sidecar/callers.hpp
+++ b/src/sidecar/callers.hpp
@@ -12,6 +12,7 @@
 #include "net/crew.hpp"
 #include "net/socket.hpp"
 #include "sidecar/driver.hpp"
+#include "sidecar/pipe.hpp"
 
 namespace chutevane::sidecar {
 
@@ -64,7 +65,9 @@
 
   const http::Parser& request() const override { return parser_; }
   sockaddr_in peer() const override { return socket_.peer().value_or(sockaddr_in{}); }
+  const std::shared_ptr<Pipe>& body() const override { return body_; }
   void done(const http::Parser& response) override;
+  void began(const http::Parser& response, const std::shared_ptr<Pipe>& body) override;
   void rejected(Span come_back, const pool::Spent& spent) override;
   void broken_off(bool timed_out, const pool::Spent& spent) override;
 
@@ -73,8 +76,18 @@
  private:
   friend class Callers;
   static constexpr net::Waker::Bits due = net::Waker::own, answered = net::Waker::own << 1U,
-                                    dropped = net::Waker::own << 2U;
+                                    dropped = net::Waker::own << 2U, moved = net::Waker::own << 3U;
   net::Task run();
+  // How long the next bytes of the request may take.
+  TimePoint read_by() const;
+  bool wants_pieces() const;  // the request is too large to be held
+  void take_in_pieces();
+  // Passes on what has come of the request's body, or of one that nobody waits for.
+  http::Progress pass_on(bool to_nobody);
+  // The call in hand is over without an answer to it.
+  void leave_call();
+  // Puts more of a large answer behind what is still to be written; false: none has come.
+  bool fill();
   // Puts an answer in the place of the request.
   template <class Write>
   void answer(Write write);
@@ -93,7 +106,16 @@
   net::Timer timer_;
   net::Socket socket_;
   net::Buffer buffer_;  // the request, then its answer in its place
-  http::Parser parser_{http::Side::request};
+  http::Parser parser_{http::Side::request, {.head = 16 * 1024, .body = 32U << 20U, .fields = 100}};
+  // Of a request that comes in pieces: its head, where its body goes, and whether all has come.
+  std::string head_;
+  std::shared_ptr<Pipe> body_;
+  bool come_whole_ = false, withheld_ = false;  // withheld: its caller waits for a word to send it
+  // Of an answer that goes in pieces: where it comes from, what is about to be written, how it is framed.
+  std::shared_ptr<Pipe> answer_;
+  net::Buffer out_;
+  bool chunked_ = false, tail_ = false;
+  TimePoint body_since_;
   OpenId id_;
   std::uint32_t track_ = 0;   // of the request in hand
   bool outstanding_ = false;  // it counts as taken and not ended
@@ -112,7 +134,7 @@
 class Callers {
  public:
   Callers(net::Scheduler& scheduler, const config::Config& config, const Front& front, Intake& intake,
-          Counters& counters, OpenIds& open_ids);
+          Counters& counters, OpenIds& open_ids, net::Held& held);
   void listen(const sockaddr_in& at);  // throws std::system_error
   void listen_on(int fd);              // a listening descriptor that was handed over
   int listener() const { return socket_.descriptor(); }
@@ -155,6 +177,7 @@
   net::Timer timer_;
   net::Socket socket_;
   OpenIds& open_ids_;
+  net::Held& held_;
   net::Crew<CallerConnection> connections_;
   net::Task task_;
 };
--- a/src/sidecar/driver.cpp
+++ b/src/sidecar/driver.cpp
@@ -126,6 +126,37 @@
   calls_.give_back(at);
 }
 
+void Driver::request_moved(const Dispatch& dispatch) {
+  if (call_index_.find(dispatch.call) != IdIndex::none) balancer_.moved(dispatch.call, scheduler_.now());
+}
+
+// The module hears of it as of an answer that is done: from here on nothing is to be decided.
+bool Driver::answer_began(const Dispatch& dispatch, const http::Parser& response,
+                          const std::shared_ptr<Pipe>& body) {
+  const std::uint32_t at = call_index_.find(dispatch.call);
+  Caller* const caller = at == IdIndex::none ? nullptr : release(at);
+  if (caller == nullptr) return false;
+  calls_[at].dispatches[dispatch.number] = nullptr;
+  ++counters_.done;
+  caller->began(response, body);
+  tell_end(dispatch, Outcome::done, true, false);
+  withdraw_unsent(dispatch.call);
+  pump();
+  return true;
+}
+
+void Driver::tell_end(const Dispatch& dispatch, Outcome outcome, bool call_over, bool last) {
+  DispatchEnd over;
+  over.call = dispatch.call;
+  over.endpoint = dispatch.endpoint;
+  over.number = dispatch.number;
+  over.call_over = call_over;
+  over.last = last;
+  over.outcome = outcome;
+  over.elapsed = scheduler_.now() - dispatch.sent;
+  ends_.push_back(over);
+}
+
 void Driver::dispatch_over(const Dispatch& dispatch, Outcome outcome, const http::Parser* response) {
   const std::uint32_t at = call_index_.find(dispatch.call);
   if (at == IdIndex::none) return;
@@ -141,14 +172,9 @@
       caller->done(*response);
     }
   }
-  DispatchEnd over;
-  over.call = dispatch.call;
-  over.endpoint = dispatch.endpoint;
-  over.number = dispatch.number;
-  over.call_over = calls_[at].caller == nullptr;
-  over.outcome = outcome;
-  over.elapsed = scheduler_.now() - dispatch.sent;
-  ends_.push_back(over);
+  const Caller* const caller = calls_[at].caller;
+  tell_end(dispatch, outcome, caller == nullptr,
+           caller != nullptr && caller->body() != nullptr && !caller->body()->whole());
   if (outcome == Outcome::done) withdraw_unsent(dispatch.call);
   pump();
 }
@@ -304,7 +330,7 @@
     return;
   }
   if (answer.fresh) endpoints_.close_idle(answer.endpoint);
-  EndpointConnection* const on = endpoints_.send(d, calls_[at].caller->request());
+  EndpointConnection* const on = endpoints_.send(d, calls_[at].caller->request(), calls_[at].caller->body());
   const std::uint32_t still = call_index_.find(answer.call);
   if (on != nullptr && still != IdIndex::none) calls_[still].dispatches[answer.number] = on;
 }
--- a/src/sidecar/driver.hpp
+++ b/src/sidecar/driver.hpp
@@ -18,13 +18,17 @@
 
 namespace chutevane::sidecar {
 
-// Who waits for the final answer of an API call. Gets exactly one of the three, unless it leaves. `spent`:
+// Who waits for the final answer of an API call. Gets exactly one of the four, unless it leaves. `spent`:
 // what was done for the call until then.
 class Caller {
  public:
   virtual const http::Parser& request() const = 0;
   virtual sockaddr_in peer() const = 0;  // where it is
+  // Its request's body, where that comes in pieces; none: the request holds it.
+  virtual const std::shared_ptr<Pipe>& body() const = 0;
   virtual void done(const http::Parser& response) = 0;
+  // The final answer too: its head now, the body in pieces.
+  virtual void began(const http::Parser& response, const std::shared_ptr<Pipe>& body) = 0;
   virtual void rejected(Span come_back, const pool::Spent& spent) = 0;
   virtual void broken_off(bool timed_out, const pool::Spent& spent) = 0;
 
@@ -54,6 +58,10 @@
   // The process is about to end: every call still in hand gets its final answer now.
   void break_off_all();
 
+  void request_moved(const Dispatch& dispatch) override;
+  bool answer_began(const Dispatch& dispatch, const http::Parser& response,
+                    const std::shared_ptr<Pipe>& body) override;
+  void answer_broke(EndpointId endpoint) override { balancer_.broke(endpoint, scheduler_.now()); }
   void dispatch_over(const Dispatch& dispatch, Outcome outcome, const http::Parser* response) override;
   void list_came(const discovery::List& list) override;
   void list_failed() override;
@@ -76,6 +84,7 @@
   void dispatch(std::uint32_t at, const Answer& answer);
   Caller* release(std::uint32_t at);
   pool::Spent spent_of(std::uint32_t at) const;
+  void tell_end(const Dispatch& dispatch, Outcome outcome, bool call_over, bool last);
   void withdraw_unsent(CallId call);
   void settle(std::uint32_t at);
   net::Task keep_time();
--- a/src/sidecar/endpoints.cpp
+++ b/src/sidecar/endpoints.cpp
@@ -1,15 +1,20 @@
 #include "sidecar/endpoints.hpp"
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 
 #include "base/log.hpp"
 
 namespace chutevane::sidecar {
 namespace {
 
-constexpr double idle_part = 0.7;              // of the time after which endpoints close: well before it
-constexpr double endpoint_part = 0.4;          // of the descriptors
-constexpr std::size_t buffer_kept = 8 * 1024;  // bytes of an idle connection
+constexpr double idle_part = 0.7;               // of the time after which endpoints close: well before it
+constexpr double endpoint_part = 0.4;           // of the descriptors
+constexpr Span moved_every = Span::ms(50);      // between news that a request is still coming
+constexpr Span answer_stall = Span::ms(30000);  // for more of an answer: a hung endpoint comes back sooner
+constexpr std::size_t piece_most = 16 * 1024;   // bytes of a body at a time
+constexpr std::size_t buffer_kept = 8 * 1024;   // bytes of an idle connection
 
 }  // namespace
 
@@ -21,8 +26,56 @@
       waker_(scheduler),
       timer_(scheduler, waker_, due),
       socket_(scheduler, waker_),
+      buffer_(pool.held_),
       task_(run()) {}
 
+EndpointConnection::~EndpointConnection() {
+  let_go_of_body();
+  if (answer_) answer_->produced_by(nullptr, 0);
+}
+
+void EndpointConnection::let_go_of_body() {
+  if (body_) body_->not_consumed_by(&waker_);
+  body_.reset();
+}
+
+bool EndpointConnection::wants_pieces() const {
+  if (!parser_.head_done() || parser_.status() != 200 || !parser_.has_body()) return false;
+  const std::size_t most = whole_most(pool_.held_, parser_.length().has_value());
+  return parser_.length() ? *parser_.length() > most : parser_.body().size() > most;
+}
+
+bool EndpointConnection::fill() {
+  const std::string_view all = body_->ready(), piece = all.substr(0, piece_most);
+  // With the last piece goes the end. Guards rule 2: the endpoint may answer as soon as it has that.
+  const bool last = body_->ended() && piece.size() == all.size();
+  if (piece.empty() && !last) return false;
+  if (chunked_ && !piece.empty()) {
+    std::array<char, 20> room;
+    const auto end = std::to_chars(room.data(), room.data() + room.size(), piece.size(), 16).ptr;
+    buffer_.append({room.data(), static_cast<std::size_t>(end - room.data())});
+    buffer_.append("\r\n");
+  }
+  buffer_.append(piece);
+  if (chunked_ && !piece.empty()) buffer_.append("\r\n");
+  if (chunked_ && last) buffer_.append("0\r\n\r\n");
+  tail_ = last;
+  body_->took(piece.size());
+  return true;
+}
+
+http::Progress EndpointConnection::pass_on() {
+  http::Progress progress = http::Progress::more;
+  std::size_t taken = 0;
+  do {
+    std::string_view piece;
+    progress = parser_.more(buffer_.bytes(), taken, piece);
+    if (!piece.empty()) answer_->put(piece);
+    buffer_.consume(taken);
+  } while (progress == http::Progress::more && taken > 0 && !buffer_.empty());
+  return progress;
+}
+
 void EndpointConnection::report(Outcome outcome, const http::Parser* response) {
   if (!busy_) return;
   busy_ = false;
@@ -48,7 +101,7 @@
     stage_ = Stage::writing;
     written_ = 0;
     timer_.set(std::min(dispatch_.sent + dispatch_.wait, dispatch_.out_by));
-    while (up && !buffer_.empty()) {
+    while (up && (!buffer_.empty() || (body_ && !tail_))) {
       // Guards rule 2: what was decided in time may have waited for its connection past it.
       if (scheduler_.now() >= dispatch_.out_by) {
         report(begun() ? Outcome::not_connected : Outcome::not_sent);
@@ -61,26 +114,45 @@
         up = false;
         break;
       }
+      if (buffer_.empty() && !fill()) {  // the caller's pace: no clock of the dispatch runs
+        if (body_->broken()) break;
+        if (dispatch_.out_by == TimePoint::never()) timer_.cancel();
+        const Waker::Bits bits =
+            co_await waker_.wait(moved | Waker::readable | Waker::hung_up | due | dropped);
+        up = (bits & dropped) == 0;
+        continue;
+      }
       std::size_t written = 0;
       const Socket::Result result = socket_.write(buffer_.bytes(), written);
       buffer_.consume(written);
       written_ += written;
       if (result == Socket::Result::broken) up = false;
+      if (body_ && written > 0) {
+        const TimePoint now = scheduler_.now();
+        timer_.set(std::min(now + dispatch_.wait, dispatch_.out_by));
+        if (now - told_moved_ >= moved_every) pool_.sink_->request_moved(dispatch_), told_moved_ = now;
+      }
       if (result != Socket::Result::later) continue;
       const Waker::Bits bits = co_await waker_.wait(Waker::writable | due | dropped);
       up = (bits & (due | dropped)) == 0;
     }
+    if (up && body_ && (body_->broken() || !tail_)) up = false;
     if (!up) {  // its last byte was not written: it never ran
       report(Outcome::not_connected);
       break;
     }
     stage_ = Stage::reading;
     ++pool_.counters_.forwards;
+    if (body_) {  // time counts from the last byte
+      dispatch_.sent = scheduler_.now();
+      pool_.sink_->request_moved(dispatch_);
+      let_go_of_body();
+    }
     timer_.set(dispatch_.sent + dispatch_.wait);
     parser_.reset(bodiless_);
     http::Progress progress = http::Progress::more;
     Outcome outcome = Outcome::reset;
-    while (up && progress != http::Progress::complete) {
+    while (up && progress != http::Progress::complete && !wants_pieces()) {
       const Waker::Bits bits = co_await waker_.wait(Waker::readable | Waker::hung_up | due | dropped);
       if ((bits & (due | dropped)) != 0) {
         outcome = Outcome::timed_out;
@@ -88,8 +160,10 @@
         break;
       }
       const Socket::Result result = socket_.read(buffer_);
-      if (result == Socket::Result::some) progress = parser_.feed(buffer_.bytes());
-      if (result == Socket::Result::ended) progress = parser_.ended();
+      // Also when nothing came: reading may have moved what is held.
+      if (result == Socket::Result::some || result == Socket::Result::later)
+        progress = parser_.feed(buffer_.bytes());
+      if (result == Socket::Result::ended) progress = parser_.ended(buffer_.bytes());
       if (result == Socket::Result::broken || progress == http::Progress::failed) up = false;
       while (progress == http::Progress::complete && parser_.status() < 200) {  // the answer is still to come
         buffer_.consume(parser_.size());
@@ -102,12 +176,59 @@
       break;
     }
     timer_.cancel();
-    // It rests before the end is told: what the module sends next, on hearing it, may go out on it.
-    const bool again = parser_.keep_alive() && buffer_.size() == parser_.size() && pool_.rest(*this);
-    report(pool_.front_.outcome_of(parser_), &parser_);
-    buffer_.consume(parser_.size());
-    if (!again) break;
+    if (progress != http::Progress::complete) {  // a large answer: from here on it goes through a window
+      answer_ = std::make_shared<Pipe>(pool_.held_, false);
+      answer_->produced_by(&waker_, moved);
+      answer_->put(parser_.body());
+      busy_ = !pool_.sink_->answer_began(dispatch_, parser_, answer_);
+      if (busy_) {
+        report(Outcome::cancelled);
+        break;
+      }
+      ++pool_.counters_.outcomes[static_cast<std::size_t>(Outcome::done)];
+      stage_ = Stage::answering;
+      buffer_.consume(parser_.size());
+      parser_.detach(nullptr);
+      while (up && progress == http::Progress::more) {
+        progress = pass_on();
+        if (progress != http::Progress::more || answer_->left()) break;
+        const std::size_t room = pool_.held_.full() && !answer_->ready().empty() ? 0 : answer_->room();
+        if (room == 0) {  // the caller's pace
+          timer_.set(scheduler_.now() + answer_stall);
+          const Waker::Bits bits = co_await waker_.wait(moved | due | dropped);
+          up = (bits & dropped) == 0;
+          continue;
+        }
+        timer_.set(scheduler_.now() + answer_stall);
+        const Waker::Bits bits =
+            co_await waker_.wait(Waker::readable | Waker::hung_up | moved | due | dropped);
+        if ((bits & (due | dropped)) != 0) up = false;
+        if (!up || (bits & (Waker::readable | Waker::hung_up)) == 0) continue;
+        const Socket::Result result = socket_.read(buffer_, std::min(room, piece_most));
+        if (result == Socket::Result::ended) progress = parser_.ended(buffer_.bytes());
+        if (result == Socket::Result::broken) up = false;
+      }
+      timer_.cancel();
+      if (progress == http::Progress::complete) {
+        answer_->end();
+      } else {
+        answer_->break_off();
+        if (!answer_->left()) pool_.sink_->answer_broke(endpoint_.id);
+        up = false;
+      }
+      answer_->produced_by(nullptr, 0);
+      answer_.reset();
+      if (!up || !parser_.keep_alive() || !buffer_.empty() || !pool_.rest(*this)) break;
+    } else {
+      // It rests before the end is told: what the module sends next, on hearing it, may go out on it.
+      const bool again = parser_.keep_alive() && buffer_.size() == parser_.size() && pool_.rest(*this);
+      report(pool_.front_.outcome_of(parser_), &parser_);
+      buffer_.consume(parser_.size());
+      if (!again) break;
+    }
     buffer_.shrink(buffer_kept);
+    // A read that ended at its bound has said that there may be more.
+    if (socket_.quiet()) waker_.clear(Waker::readable);
     const Waker::Bits bits = co_await waker_.wait(Waker::readable | Waker::hung_up | due | given | dropped);
     if ((bits & given) == 0) {
       if (stage_ == Stage::idle) pool_.unrest(*this);
@@ -120,6 +241,7 @@
     }
   }
   stage_ = Stage::closed;
+  let_go_of_body();
   socket_.close();
   timer_.cancel();
   --endpoint_.connections;
@@ -129,12 +251,13 @@
 }
 
 Endpoints::Endpoints(net::Scheduler& scheduler, const config::Config& config, const Front& front,
-                     Counters& counters, Room* shared)
+                     Counters& counters, Room* shared, net::Held* held)
     : scheduler_(scheduler),
       front_(front),
       counters_(counters),
       connect_timeout_(config.connect_timeout),
       idle_most_(config.idle_close * idle_part),
+      held_(held != nullptr ? *held : own_held_),
       own_{static_cast<std::size_t>(static_cast<double>(config.sockets) * endpoint_part), 0, 0, {}},
       room_(shared != nullptr ? *shared : own_),
       connections_(scheduler) {
@@ -296,7 +419,8 @@
   return true;
 }
 
-EndpointConnection* Endpoints::send(const Dispatch& dispatch, const http::Parser& request) {
+EndpointConnection* Endpoints::send(const Dispatch& dispatch, const http::Parser& request,
+                                    const std::shared_ptr<Pipe>& body) {
   const auto found = endpoints_.find(dispatch.endpoint);
   Endpoint* const e = found == endpoints_.end() ? nullptr : &found->second;
   const auto begin = [&](EndpointConnection& c) {
@@ -304,7 +428,14 @@
     c.busy_ = true;
     c.bodiless_ = request.method() == "HEAD";
     c.written_ = 0;
-    front_.write_dispatch(c.buffer_, request, dispatch.wait);
+    c.body_ = body;
+    c.tail_ = false;
+    c.chunked_ = body && !request.length();
+    if (body) {
+      body->rewind();
+      body->consumed_by(&c.waker_, EndpointConnection::moved);
+    }
+    front_.write_dispatch(c.buffer_, request, dispatch.wait, body != nullptr);
     ++counters_.dispatches;
   };
   while (e != nullptr && !e->idle.empty()) {
--- a/src/sidecar/endpoints.hpp
+++ b/src/sidecar/endpoints.hpp
@@ -16,6 +16,7 @@
 #include "net/socket.hpp"
 #include "sidecar/counters.hpp"
 #include "sidecar/front.hpp"
+#include "sidecar/pipe.hpp"
 
 namespace chutevane::sidecar {
 
@@ -31,6 +32,13 @@
 // Hears how each dispatch ended, once; the response is there until it returns.
 class DispatchSink {
  public:
+  // Of a request that comes in pieces: some of it has gone out, or the last.
+  virtual void request_moved(const Dispatch& dispatch) = 0;
+  // A large answer has begun: the dispatch is over, well so far. False: nobody wants it.
+  virtual bool answer_began(const Dispatch& dispatch, const http::Parser& response,
+                            const std::shared_ptr<Pipe>& body) = 0;
+  // Such an answer has broken.
+  virtual void answer_broke(EndpointId endpoint) = 0;
   virtual void dispatch_over(const Dispatch& dispatch, Outcome outcome, const http::Parser* response) = 0;
 
  protected:
@@ -51,8 +59,11 @@
   std::vector<EndpointConnection*> idle;  // the newest last
 };
 
+constexpr http::Limits answer_limits{.head = 16 * 1024, .body = 32U << 20U, .fields = 100};  // bytes
+
 class EndpointConnection {
  public:
+  ~EndpointConnection();
   EndpointConnection(net::Scheduler& scheduler, Endpoints& pool, Endpoint& endpoint);
 
   std::size_t crew_place = 0;
@@ -60,11 +71,17 @@
  private:
   friend class Endpoints;
   static constexpr net::Waker::Bits due = net::Waker::own, given = net::Waker::own << 1U,
-                                    dropped = net::Waker::own << 2U;
-  enum class Stage : std::uint8_t { connecting, writing, reading, idle, closed };
+                                    dropped = net::Waker::own << 2U, moved = net::Waker::own << 3U;
+  enum class Stage : std::uint8_t { connecting, writing, reading, idle, closed, answering };
   net::Task run();
   void report(Outcome outcome, const http::Parser* response = nullptr);
   bool begun() const { return written_ > 0; }
+  bool wants_pieces() const;  // the answer is too large to be held
+  // Puts more of the request's body behind what is still to be written; false: none has come.
+  bool fill();
+  // Passes on what has come of the answer.
+  http::Progress pass_on();
+  void let_go_of_body();
 
   net::Scheduler& scheduler_;
   Endpoints& pool_;
@@ -73,8 +90,11 @@
   net::Waker waker_;
   net::Timer timer_;
   net::Socket socket_;
-  net::Buffer buffer_;  // the request, then its answer
-  http::Parser parser_{http::Side::response};
+  net::Buffer buffer_;                   // the request, then its answer
+  std::shared_ptr<Pipe> body_, answer_;  // of a request, an answer, that comes in pieces
+  bool tail_ = false, chunked_ = false;  // of the request: its last byte is in the buffer; how it is framed
+  TimePoint told_moved_;
+  http::Parser parser_{http::Side::response, answer_limits};
   Stage stage_ = Stage::connecting;
   bool busy_ = false;      // holds a dispatch whose end has not been told
   bool bodiless_ = false;  // the answer has a length but no body
@@ -94,7 +114,7 @@
  public:
   // Of its own room, or of one shared with other pools, which outlives it.
   Endpoints(net::Scheduler& scheduler, const config::Config& config, const Front& front, Counters& counters,
-            Room* shared = nullptr);
+            Room* shared = nullptr, net::Held* held = nullptr);
   ~Endpoints();
   Endpoints(const Endpoints&) = delete;
   Endpoints& operator=(const Endpoints&) = delete;
@@ -116,7 +136,9 @@
   std::size_t ready() const;                              // those that take calls, by the list
 
   // Sends `request` to the endpoint; how it ends is told to the sink, perhaps before this returns.
-  EndpointConnection* send(const Dispatch& dispatch, const http::Parser& request);
+  // `body`: where it comes in pieces.
+  EndpointConnection* send(const Dispatch& dispatch, const http::Parser& request,
+                           const std::shared_ptr<Pipe>& body = {});
   // Takes a dispatch back whose first byte has not been written; any other goes on.
   void withdraw(EndpointConnection& connection);
   // Gives a dispatch up and closes its connection.
@@ -137,6 +159,8 @@
   Counters& counters_;
   DispatchSink* sink_ = nullptr;
   const Span connect_timeout_, idle_most_;
+  net::Held own_held_;
+  net::Held& held_;
   Room own_;
   Room& room_;
   EndpointId last_id_ = 0;
--- a/src/sidecar/front.cpp
+++ b/src/sidecar/front.cpp
@@ -33,6 +33,18 @@
   return Span::ms(ms);
 }
 
+// How a body is framed that follows: by its length, in chunks, or by the connection's end.
+void write_framing(http::Writer& out, const http::Parser& of, bool chunked) {
+  std::array<char, 24> room;
+  if (chunked) {
+    out.field("Transfer-Encoding", "chunked");
+  } else if (of.length()) {
+    const auto end = std::to_chars(room.data(), room.data() + room.size(), *of.length()).ptr;
+    out.field("Content-Length", {room.data(), static_cast<std::size_t>(end - room.data())});
+  }
+  out.no_body();
+}
+
 }  // namespace
 
 // What is said for one connection and not for the message, or is written anew, stays here.
@@ -54,11 +66,12 @@
   return !http::same_name(name, names_.wait);
 }
 
-void Front::copy_fields(http::Writer& out, const http::Parser& from) const {
+void Front::copy_fields(http::Writer& out, const http::Parser& from, std::string_view but) const {
   const std::string_view dropped = from.find("Connection").value_or("");
   for (std::size_t i = 0; i < from.fields(); ++i) {
     const http::Field f = from.field(i);
-    if (passed_on(f.name) && !http::has_token(dropped, f.name)) out.field(f.name, f.value);
+    if (passed_on(f.name) && !http::same_name(f.name, but) && !http::has_token(dropped, f.name))
+      out.field(f.name, f.value);
   }
 }
 
@@ -104,7 +117,7 @@
   if (call.track == tracks_.size()) return bad("unknown X-Priority-Class");
   const Track& track = tracks_[call.track];
   if (request.method() != (track.read_only ? "GET" : "POST")) return bad("method does not fit the class");
-  if (track.read_only && !request.body().empty()) return bad("a body with GET");
+  if (track.read_only && request.has_body()) return bad("a body with GET");
   const std::string& key = names_.reference;
   if (request.find(key).value_or("").empty() == track.keyed || (!track.keyed && request.count(key) > 0))
     return bad("Idempotency-Key does not fit the class");
@@ -158,16 +171,19 @@
   return request.find(names_.id).value_or("");
 }
 
-void Front::write_dispatch(net::Buffer& out, const http::Parser& request, Span wait) const {
+void Front::write_dispatch(net::Buffer& out, const http::Parser& request, Span wait, bool in_pieces) const {
   std::array<char, 24> room;
   const auto end = std::to_chars(room.data(), room.data() + room.size(), wait.as_us()).ptr;
   *end = 'u';
   http::Writer writer(out);
   writer.request_line(request.method(), request.target());
-  if (!request.find("Host")) writer.field("Host", "");  // from before HTTP/1.1
-  copy_fields(writer, request);
+  const std::string_view authority = request.authority();  // of an absolute form: it overrides the field
+  if (!authority.empty() || !request.find("Host")) writer.field("Host", authority);
+  copy_fields(writer, request, authority.empty() ? std::string_view() : "Host");
   writer.field(names_.wait, {room.data(), static_cast<std::size_t>(end - room.data()) + 1});
-  if (request.body().empty() && request.method() != "POST") {
+  if (in_pieces) {
+    write_framing(writer, request, !request.length());
+  } else if (request.body().empty() && request.method() != "POST") {
     writer.no_body();
   } else {
     writer.body(request.body());
@@ -181,12 +197,24 @@
   return Outcome::error;
 }
 
-void Front::write_done(net::Buffer& out, const http::Parser& response, bool close) const {
+void Front::write_begun(net::Buffer& out, const http::Parser& response, bool chunked, bool close) const {
+  http::Writer writer(out);
+  writer.status_line(response.status());
+  copy_fields(writer, response);
+  if (close) writer.field("Connection", "close");
+  write_framing(writer, response, chunked);
+}
+
+void Front::write_done(net::Buffer& out, const http::Parser& response, bool close, bool to_head) const {
   http::Writer writer(out);
   writer.status_line(response.status());
   copy_fields(writer, response);
   if (close) writer.field("Connection", "close");
-  writer.body(response.body());
+  if (to_head) {
+    write_framing(writer, response, false);
+  } else {
+    writer.body(response.body());
+  }
 }
 
 void Front::write_rejection(net::Buffer& out, Span come_back, bool close) const {
--- a/src/sidecar/front.hpp
+++ b/src/sidecar/front.hpp
@@ -33,10 +33,14 @@
   Kind read_routed(const http::Parser& request, ApiCall& call, std::string_view& why) const;
   // What names a call; no two that are open share it.
   std::string_view id_of(const http::Parser& request) const;
-  void write_dispatch(net::Buffer& out, const http::Parser& request, Span wait) const;
+  // The head alone where the body comes in pieces: with its length, or in chunks.
+  void write_dispatch(net::Buffer& out, const http::Parser& request, Span wait, bool in_pieces) const;
   Outcome outcome_of(const http::Parser& response) const;
 
-  void write_done(net::Buffer& out, const http::Parser& response, bool close) const;
+  // `to_head`: the length is that of a body that does not come.
+  void write_done(net::Buffer& out, const http::Parser& response, bool close, bool to_head) const;
+  // The head of an answer whose body comes in pieces.
+  void write_begun(net::Buffer& out, const http::Parser& response, bool chunked, bool close) const;
   void write_rejection(net::Buffer& out, Span come_back, bool close) const;
   void write_broken_off(net::Buffer& out, bool timed_out, bool close) const;
   // Everything that is no answer to a call.
@@ -45,7 +49,7 @@
  private:
   bool read_rest(const http::Parser& request, ApiCall& call, std::string_view& why) const;
   bool passed_on(std::string_view name) const;
-  void copy_fields(http::Writer& out, const http::Parser& from) const;
+  void copy_fields(http::Writer& out, const http::Parser& from, std::string_view but = {}) const;
   struct Track {
     std::string name;
     Span client_timeout;
--- a/src/sidecar/services.cpp
+++ b/src/sidecar/services.cpp
@@ -20,6 +20,11 @@
 
   const http::Parser& request() const override { return outer->request(); }
   sockaddr_in peer() const override { return outer->peer(); }
+  const std::shared_ptr<Pipe>& body() const override { return outer->body(); }
+  void began(const http::Parser& response, const std::shared_ptr<Pipe>& body) override {
+    all.count(*this, true);
+    all.release(*this)->began(response, body);
+  }
   void done(const http::Parser& response) override {
     all.count(*this, true);
     all.release(*this)->done(response);
@@ -212,7 +217,7 @@
 bool Services::goes_on(Flight& f, const pool::Spent& spent) {
   const opfile::RouteModel& route = model_.routes[f.route];
   Side& side = services_[route.service].sides[f.side];
-  if (ending_ || side.pools.size() < 2) return false;
+  if (ending_ || side.pools.size() < 2 || (f.body() && !f.body()->whole())) return false;
   const TimePoint now = scheduler_.now();
   const opfile::TrackModel& track = model_.tracks[route.track];
   const std::string& from = model_.pools[side.pools[f.nth]].reference_group;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -30,6 +30,9 @@
 constexpr std::size_t desk_least = 8, desk_most = 32;  // connections at the second address, of a 24th of all
 constexpr Span drain_look = Span::ms(10);              // between looks at what is left
 
+// A quarter of the memory: the program, its list and the kernel's part of each connection need the rest.
+std::size_t held_most(std::size_t memory) { return memory / 4; }
+
 }  // namespace
 
 Sidecar::Sidecar(net::Scheduler& scheduler, const config::Config& config)
@@ -38,13 +41,15 @@
       longest_timeout_(config.longest_timeout),
       deployment_(deployment_of(config.settings)),
       front_(config.settings),
+      held_(held_most(config.memory)),
       waker_(scheduler),
       timer_(scheduler, waker_, due),
       keeper_(keep_phase()) {
   counters_.classes = front_.classes();
-  pools_.push_back(std::make_unique<Pool>(scheduler, config, front_, counters_));
+  pools_.push_back(std::make_unique<Pool>(scheduler, config, front_, counters_, nullptr, &held_));
   single_ = std::make_unique<SingleService>(front_, pools_.front()->driver);
-  callers_.push_back(std::make_unique<Callers>(scheduler, config, front_, *single_, counters_, open_ids_));
+  callers_.push_back(
+      std::make_unique<Callers>(scheduler, config, front_, *single_, counters_, open_ids_, held_));
   open_desk(config.admin, config.sockets);
 }
 
@@ -52,19 +57,22 @@
     : scheduler_(scheduler),
       longest_timeout_(pool_config(model, 0).longest_timeout),
       front_(opfile::settings_of(model, model.pools.front()), header_names(model)),
+      held_(held_most(model.memory)),
       waker_(scheduler),
       timer_(scheduler, waker_, due),
       keeper_(keep_phase()) {
   for (const opfile::TrackModel& t : model.tracks) counters_.classes.push_back({t.name, {}});
   open_desk(model.admin, model.sockets);
   for (std::size_t i = 0; i < model.pools.size(); ++i)
-    pools_.push_back(std::make_unique<Pool>(scheduler, pool_config(model, i), front_, counters_, &room_));
+    pools_.push_back(
+        std::make_unique<Pool>(scheduler, pool_config(model, i), front_, counters_, &room_, &held_));
   services_ = std::make_unique<Services>(scheduler, model, front_, pools_, counters_);
   for (const std::string& address : model.listen) {
     listen_at_.push_back(*net::parse_address(address));
     config::Config part = pool_config(model, 0);
     part.sockets /= model.listen.size();  // listeners share the callers' descriptors evenly
-    callers_.push_back(std::make_unique<Callers>(scheduler, part, front_, *services_, counters_, open_ids_));
+    callers_.push_back(
+        std::make_unique<Callers>(scheduler, part, front_, *services_, counters_, open_ids_, held_));
   }
 }
 
@@ -104,6 +112,7 @@
 
 void Sidecar::beside(bool after_serves, bool before_serves, bool lives) {
   const double part = lives ? shared_part : 1.0;
+  held_.share(part);
   for (auto& pool : pools_) pool->driver.share(part);
   other_serves_ = after_serves || (ending_ && before_serves);
   for (auto& one : callers_) {
--- a/src/sidecar/sidecar.hpp
+++ b/src/sidecar/sidecar.hpp
@@ -57,6 +57,7 @@
   // Where each listener listens, in the file's order.
   std::optional<sockaddr_in> address(std::size_t listener) const { return callers_[listener]->address(); }
   const Services* services() const { return services_.get(); }  // none: the platform's
+  const net::Held& held() const { return held_; }
   const Counters& counters() const { return counters_; }
 
  private:
@@ -77,6 +78,7 @@
   const std::string deployment_;
   Counters counters_;
   Front front_;
+  net::Held held_;  // the bytes of all connections; above what counts in it
   Room room_;
   std::vector<std::unique_ptr<Pool>> pools_;
   std::unique_ptr<SingleService> single_;
@@ -109,8 +111,8 @@
   explicit Daemon(net::Scheduler& scheduler, Reading reading, const std::string& folder = "");
   // Of an operator's file; SIGHUP changes nothing yet and says so.
   Daemon(net::Scheduler& scheduler, const opfile::Model& model, const std::string& folder = "");
-  bool listen();  // false, and a line in the log, where it cannot
-  bool step();    // one turn, then what signals ask; false once it has drained
+  bool listen();          // false, and a line in the log, where it cannot
+  bool step();            // one turn, then what signals ask; false once it has drained
   void heed(int signal);  // does what it asks
   const Sidecar& sidecar() const { return sidecar_; }
 
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -72,7 +72,7 @@
   CallId id = 0;
   std::uint32_t track = 0;
   double payoff = 0.0;
-  TimePoint arrived, timeout, wait_until;
+  TimePoint arrived, timeout, wait_until, moved_at;
   std::uint64_t key = 0;
   double popularity = 0.0;  // of the key, as the call came
   TimePoint soft_end;       // the soft limit counts from the client's first try
