A kept connection is not closed by word of bytes that have been read since

Found by the test of large answers, 1 run in 8: readiness gathered before a read was applied after it, and the idle connection took it for bytes of the endpoint's own. EndpointConnection::run() looks whether it is quiet. Ruled out: keep_alive(), the idle timer, rest().

--- a/src/sidecar/endpoints.cpp
+++ b/src/sidecar/endpoints.cpp
@@ -227,9 +227,10 @@
       if (!again) break;
     }
     buffer_.shrink(buffer_kept);
-    // A read that ended at its bound has said that there may be more.
-    if (socket_.quiet()) waker_.clear(Waker::readable);
-    const Waker::Bits bits = co_await waker_.wait(Waker::readable | Waker::hung_up | due | given | dropped);
+    // What was told of bytes that have been read since is no word of the endpoint's.
+    Waker::Bits bits = Waker::readable;
+    while (bits == Waker::readable && socket_.quiet())
+      bits = co_await waker_.wait(Waker::readable | Waker::hung_up | due | given | dropped);
     if ((bits & given) == 0) {
       if (stage_ == Stage::idle) pool_.unrest(*this);
       break;
