Discovery: an answer that stalls or breaks off is asked for again at once

An answer had the whole of its wait plus 2 s (6 s), also for what stood still after its first byte, and the first retry paused 50 to 150 ms (Watch::run).

--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -10,9 +10,12 @@
 
 constexpr Span watch_wait =
     Span::ms(4000);  // a watch without news: a connection gone silent is found this soon
-constexpr Span answer_slack = Span::ms(2000);  // beyond which no answer is to be hoped for
-constexpr Span pause_first = Span::ms(100), pause_most = Span::ms(1000);  // between tries, doubling
-constexpr std::size_t list_most = 4U << 20U;                              // bytes: some ten thousand entries
+constexpr Span answer_slack =
+    Span::ms(500);  // for an answer to begin, past its wait: the agent is on this machine
+constexpr Span answer_most = Span::ms(300);  // from its first byte to its last
+constexpr Span pause_first = Span::ms(100),
+               pause_most = Span::ms(1000);   // between tries after the first, doubling
+constexpr std::size_t list_most = 4U << 20U;  // bytes: some ten thousand entries
 
 }  // namespace
 
@@ -27,7 +30,6 @@
       timer_(scheduler, waker_, due),
       socket_(scheduler, waker_),
       parser_(http::Side::response, {.head = 16 * 1024, .body = list_most, .fields = 100}),
-      pause_(pause_first),
       task_(run()) {
   task_.start();
 }
@@ -60,7 +62,7 @@
     const List list = read_list(parser_.body());
     version_ = list.version;
     have_list_ = true;
-    pause_ = pause_first;
+    pause_ = Span();
     sink_.list_came(list);
     return true;
   } catch (const ListError& e) {
@@ -102,7 +104,9 @@
       while (up && progress == http::Progress::more) {
         const Waker::Bits bits = co_await waker_.wait(Waker::readable | Waker::hung_up | due | moved);
         const bool stop = (bits & (due | moved)) != 0;
+        const bool first = buffer_.empty();
         const Socket::Result result = stop ? Socket::Result::broken : socket_.read(buffer_);
+        if (first && !buffer_.empty()) timer_.set(std::min(timer_.due(), scheduler_.now() + answer_most));
         if (result == Socket::Result::some) progress = parser_.feed(buffer_.bytes());
         if (result == Socket::Result::ended) progress = parser_.ended(buffer_.bytes());
         if (result == Socket::Result::broken) up = false;
@@ -117,15 +121,16 @@
     timer_.cancel();
     if (moved_) {  // no failure
       waker_.clear(Waker::readable | Waker::writable | Waker::hung_up);
-      pause_ = pause_first;
+      pause_ = Span();
       continue;
     }
     if (have_list_ && !up) log_line("watch on the list broke off; asking for the whole list again");
     waker_.clear(Waker::readable | Waker::writable | Waker::hung_up | asked);
     sink_.list_failed();
     if (persistent_) {
+      // The first time at once: one break is most often alone.
       timer_.set(scheduler_.now() + pause_ * (0.5 + chance_.unit()));
-      pause_ = std::min(pause_most, pause_ * 2.0);
+      pause_ = std::clamp(pause_ * 2.0, pause_first, pause_most);
       co_await waker_.wait(due | moved);
     } else {
       co_await waker_.wait(asked | moved);
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -614,6 +614,20 @@
   EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0);
 }
 
+// Guards against news that come late because the answer before stands still; the list stays meanwhile.
+TEST(Watch, AnAnswerThatStallsIsAskedForAgainAtOnce) {
+  SidecarBench b;
+  Peer stalls, again, endpoint;
+  ASSERT_TRUE(b.until([&] { return b.discovery.take(stalls); }));
+  ASSERT_TRUE(b.hears(stalls, "GET /v1/endpoints HTTP/1.1"));
+  const TimePoint from = b.scheduler.now();
+  stalls.say("HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{\"version\":9,\"full\":true,\"servers\":[");
+  EXPECT_TRUE(b.until([&] { return b.discovery.take(again); }));
+  EXPECT_LT(b.scheduler.now() - from, Span::ms(600));
+  EXPECT_TRUE(b.hears(again, "GET /v1/endpoints HTTP/1.1"));
+  b.call(request_text("a", "plan"), endpoint);
+}
+
 // Guards the list: nothing that discovery says wrongly, and no lost watch, empties it.
 TEST(Watch, KeepsTheListThroughBadAnswers) {
   SidecarBench b;
