--- a/include/chutevane/balancer.hpp
+++ b/include/chutevane/balancer.hpp
@@ -29,8 +29,9 @@
   Answer arrived(const ApiCall& call, TimePoint now);
   // A dispatch has ended. Without `call_over` the call is still owed its answer.
   Answers ended(const DispatchEnd& end, TimePoint now);
-  // More of a call's request has come, or the last of it: its time counts from here.
-  void moved(CallId call, TimePoint now);
+  // More of a coming call's request has gone out, or the last of it: its time counts from here, and with the
+  // last its place among the calls in flight.
+  void moved(CallId call, bool last, TimePoint now);
   // An answer that had begun to go on, and whose dispatch was told as done then, has broken.
   void broke(EndpointId endpoint, TimePoint now);
   // The client has left; nothing more is owed.
--- a/include/chutevane/types.hpp
+++ b/include/chutevane/types.hpp
@@ -104,6 +104,7 @@
   bool repeated = false;
   Elsewhere elsewhere{};
   std::uint64_t key = 0;  // what the call is about; 0: not told
+  bool coming = false;    // its request is large and still on its way: told of by moved()
 };
 
 enum class Outcome : std::uint8_t {
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -705,7 +705,7 @@
   if (c.over) return;
   c.over = true;
   c.waiting = false;
-  --calls_out;
+  calls_out -= c.coming ? 0 : 1;
   if (can_cancel && c.sent > 0 && c.dispatches[c.sent - 1U].out) push(Verdict::cancel, c.id, c.sent - 1U);
   settle(at);
 }
@@ -872,8 +872,7 @@
   const std::uint32_t at = s.calls.take();
   Call& c = s.calls[at];
   c.id = call.id;
-  c.track = call.track;
-  c.key = call.key;
+  c.track = call.track, c.key = call.key, c.coming = call.coming;
   if (s.warm_keys && c.key != 0) c.popularity = s.popularity(c.key);
   c.arrived = c.moved_at = now;
   c.timeout = now + call.left;
@@ -886,7 +885,7 @@
   s.payoff_mean += (c.payoff - s.payoff_mean) / s.payoff_seen;
   if (!call.elsewhere.was) s.retry_tokens = std::min(retry_depth, s.retry_tokens + retry_share);
   ++s.step_arrivals;
-  ++s.calls_out;
+  s.calls_out += c.coming ? 0 : 1;
   s.step_peak = std::max(s.step_peak, s.calls_out);
   if (s.first_tier && !call.elsewhere.was) c.soft_end = c.soft_end - s.age_of(call);
   if (!s.admitted(c)) return s.give_up(at, now, true);
@@ -935,10 +934,11 @@
 }
 
 // Guards a large request against its own length: while it comes neither its client nor its endpoint waits.
-void Balancer::moved(CallId call, TimePoint now) {
+void Balancer::moved(CallId call, bool last, TimePoint now) {
   const std::uint32_t at = state_->call_index.find(call);
   if (at == IdIndex::none) return;
   Call& c = state_->calls[at];
+  if (last && std::exchange(c.coming, false)) state_->calls_out += c.over ? 0 : 1;
   const Span later = now - std::exchange(c.moved_at, now);
   c.arrived = c.arrived + later, c.timeout = c.timeout + later, c.soft_end = c.soft_end + later;
   if (c.sent == 0) return;
--- a/src/sidecar/callers.cpp
+++ b/src/sidecar/callers.cpp
@@ -197,6 +197,7 @@
       // One that came whole behind another request has been waited for since.
       if (came_behind_) call.left = call.left - (scheduler_.now() - read_at_);
       track_ = call.track;
+      call.coming = body_ != nullptr;
       outstanding_ = true;
       ++all_.counters_.outstanding;
       const CallId id = all_.intake_.take(call, way, *this);
--- a/src/sidecar/driver.cpp
+++ b/src/sidecar/driver.cpp
@@ -126,8 +126,9 @@
   calls_.give_back(at);
 }
 
-void Driver::request_moved(const Dispatch& dispatch) {
-  if (call_index_.find(dispatch.call) != IdIndex::none) balancer_.moved(dispatch.call, scheduler_.now());
+void Driver::request_moved(const Dispatch& dispatch, bool last) {
+  if (call_index_.find(dispatch.call) != IdIndex::none)
+    balancer_.moved(dispatch.call, last, scheduler_.now());
 }
 
 // The module hears of it as of an answer that is done: from here on nothing is to be decided.
--- a/src/sidecar/driver.hpp
+++ b/src/sidecar/driver.hpp
@@ -58,7 +58,7 @@
   // The process is about to end: every call still in hand gets its final answer now.
   void break_off_all();
 
-  void request_moved(const Dispatch& dispatch) override;
+  void request_moved(const Dispatch& dispatch, bool last) override;
   bool answer_began(const Dispatch& dispatch, const http::Parser& response,
                     const std::shared_ptr<Pipe>& body) override;
   void answer_broke(EndpointId endpoint) override { balancer_.broke(endpoint, scheduler_.now()); }
--- a/src/sidecar/endpoints.cpp
+++ b/src/sidecar/endpoints.cpp
@@ -130,7 +130,7 @@
       if (body_ && written > 0) {
         const TimePoint now = scheduler_.now();
         timer_.set(std::min(now + dispatch_.wait, dispatch_.out_by));
-        if (now - told_moved_ >= moved_every) pool_.sink_->request_moved(dispatch_), told_moved_ = now;
+        if (now - told_moved_ >= moved_every) pool_.sink_->request_moved(dispatch_, false), told_moved_ = now;
       }
       if (result != Socket::Result::later) continue;
       const Waker::Bits bits = co_await waker_.wait(Waker::writable | due | dropped);
@@ -145,7 +145,7 @@
     ++pool_.counters_.forwards;
     if (body_) {  // time counts from the last byte
       dispatch_.sent = scheduler_.now();
-      pool_.sink_->request_moved(dispatch_);
+      pool_.sink_->request_moved(dispatch_, true);
       let_go_of_body();
     }
     timer_.set(dispatch_.sent + dispatch_.wait);
--- a/src/sidecar/endpoints.hpp
+++ b/src/sidecar/endpoints.hpp
@@ -33,7 +33,7 @@
 class DispatchSink {
  public:
   // Of a request that comes in pieces: some of it has gone out, or the last.
-  virtual void request_moved(const Dispatch& dispatch) = 0;
+  virtual void request_moved(const Dispatch& dispatch, bool last) = 0;
   // A large answer has begun: the dispatch is over, well so far. False: nobody wants it.
   virtual bool answer_began(const Dispatch& dispatch, const http::Parser& response,
                             const std::shared_ptr<Pipe>& body) = 0;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -78,7 +78,7 @@
   TimePoint soft_end;       // the soft limit counts from the client's first try
   std::uint8_t sent = 0, out = 0;
   std::uint8_t sent_elsewhere = 0;  // by other pools: one budget counts over all
-  bool over = false, waiting = false, in_use = false;
+  bool over = false, waiting = false, in_use = false, coming = false;
   int bound_to = -1;  // the earliest dispatch that may have run
   TimePoint bound_since;
   std::array<Dispatch, 8> dispatches;
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -680,5 +680,51 @@
   EXPECT_LT(slow, 30);
 }
 
+// --- Large requests --------------------------------------------------------------------------------
+
+// Guards against large requests on their way that hold others back: their place begins with the last byte.
+TEST(Large, ARequestOnItsWayTakesNoPlaceUnderTheLimit) {
+  Bench b(1);
+  const auto taken = [&](CallId first, bool coming) {
+    int out = 0;
+    for (CallId id = first; id < first + 60; ++id) {
+      ApiCall call{id, 0, Span::ms(4000), false};
+      call.coming = coming;
+      out += b.balancer.arrived(call, at(1)).verdict == Verdict::dispatch ? 1 : 0;
+    }
+    return out;
+  };
+  EXPECT_EQ(taken(1, true), 60);
+  const int beside = taken(100, false);
+  EXPECT_GT(beside, 0);
+  EXPECT_LT(beside, 60);
+  b.balancer.moved(1, true, at(2));
+  EXPECT_EQ(b.call(999, 3).verdict, Verdict::reject);
+}
+
+// Guards its client timeout, and an endpoint against being taken for silent, while it comes.
+TEST(Large, TimeCountsFromTheLastByte) {
+  Bench b(1);
+  ApiCall call{1, 0, Span::ms(1000), false};
+  call.coming = true;
+  const Answer sent = b.balancer.arrived(call, at(0));
+  for (int ms = 100; ms <= 5000; ms += 100) b.balancer.moved(1, ms == 5000, at(ms));
+  const std::vector<Answer> again = b.end(sent, Outcome::turned_away, 5100);
+  ASSERT_FALSE(again.empty());
+  EXPECT_NE(again.front().verdict, Verdict::break_off);
+  EXPECT_NE(again.front().verdict, Verdict::reject);
+}
+
+TEST(Large, WhatIsNoLongerHeldDoesNotGoAgain) {
+  Bench b(2);
+  const Answer sent = b.call(1, 0);
+  DispatchEnd e;
+  e.call = sent.call, e.endpoint = sent.endpoint, e.number = sent.number;
+  e.outcome = Outcome::not_connected, e.last = true;
+  const Answers out = b.balancer.ended(e, at(10));
+  ASSERT_FALSE(out.empty());
+  EXPECT_EQ(out.back().verdict, Verdict::reject);
+}
+
 }  // namespace
 }  // namespace chutevane
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -173,7 +173,7 @@
 }
 
 struct Heard final : DispatchSink {
-  void request_moved(const Dispatch&) override {}
+  void request_moved(const Dispatch&, bool) override {}
   bool answer_began(const Dispatch&, const http::Parser&, const std::shared_ptr<Pipe>&) override {
     return true;
   }
