--- a/src/sidecar/callers.cpp
+++ b/src/sidecar/callers.cpp
@@ -3,8 +3,6 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 
 #include "base/log.hpp"
 
@@ -72,20 +70,6 @@
   parser_.detach(head_.data());
 }
 
-http::Progress CallerConnection::pass_on(bool to_nobody) {
-  http::Progress progress = http::Progress::more;
-  std::size_t taken = 0;
-  do {
-    std::string_view piece;
-    progress = parser_.more(buffer_.bytes(), taken, piece);
-    if (!piece.empty() && !to_nobody) body_->put(piece);
-    buffer_.consume(taken);
-  } while (progress == http::Progress::more && taken > 0 && !buffer_.empty());
-  come_whole_ = progress == http::Progress::complete;
-  if (come_whole_ && !to_nobody) body_->end();
-  return progress;
-}
-
 void CallerConnection::leave_call() {
   const CallId gone = std::exchange(call_, 0);
   if (body_) body_->break_off();
@@ -94,25 +78,6 @@
   all_.intake_.caller_left(gone);
 }
 
-bool CallerConnection::fill() {
-  if (tail_) return false;
-  const std::string_view all = answer_->ready(), piece = all.substr(0, piece_most);
-  const bool last = answer_->ended() && piece.size() == all.size();
-  if (piece.empty() && !last) return false;
-  if (chunked_ && !piece.empty()) {
-    std::array<char, 20> room;
-    const auto end = std::to_chars(room.data(), room.data() + room.size(), piece.size(), 16).ptr;
-    out_.append({room.data(), static_cast<std::size_t>(end - room.data())});
-    out_.append("\r\n");
-  }
-  out_.append(piece);
-  if (chunked_ && !piece.empty()) out_.append("\r\n");
-  if (chunked_ && last) out_.append("0\r\n\r\n");
-  tail_ = last;
-  answer_->took(piece.size());
-  return true;
-}
-
 void CallerConnection::end_outstanding() {
   if (std::exchange(outstanding_, false)) --all_.counters_.outstanding;
 }
@@ -271,7 +236,8 @@
       Waker::Bits bits = answered | Waker::hung_up | dropped;
       bool reads = body_ && !come_whole_;
       if (reads) {
-        progress = pass_on(false);
+        progress = body_->take_in(parser_, buffer_);
+        come_whole_ = progress == http::Progress::complete;
         if (progress == http::Progress::failed) {
           leave_call();
           refuse_request(parser_.status_of_error(), parser_.error());
@@ -319,7 +285,7 @@
       if ((bits & (due | dropped)) != 0) up = false;
     }
     while (up && answer_ && (!out_.empty() || !tail_)) {  // a large answer, piece by piece
-      if (out_.empty() && !fill()) {
+      if (out_.empty() && !answer_->give_out(out_, chunked_, tail_)) {
         if (answer_->broken()) {  // it ends short of its length or its last chunk, or with a reset: never as
                                   // whole
           count_end(Result::aborted);
@@ -352,7 +318,7 @@
     // The rest of a request that was answered before it had come whole: a caller that is still sending would
     // meet a reset instead of its answer.
     while (up && body_ && !come_whole_ && !last_) {
-      progress = pass_on(true);
+      progress = read_on(parser_, buffer_, nullptr);
       if (progress != http::Progress::more) up = progress == http::Progress::complete;
       if (progress != http::Progress::more) break;
       timer_.set(read_by());
--- a/src/sidecar/callers.hpp
+++ b/src/sidecar/callers.hpp
@@ -82,12 +82,8 @@
   TimePoint read_by() const;
   bool wants_pieces() const;  // the request is too large to be held
   void take_in_pieces();
-  // Passes on what has come of the request's body, or of one that nobody waits for.
-  http::Progress pass_on(bool to_nobody);
   // The call in hand is over without an answer to it.
   void leave_call();
-  // Puts more of a large answer behind what is still to be written; false: none has come.
-  bool fill();
   // Puts an answer in the place of the request.
   template <class Write>
   void answer(Write write);
--- a/src/sidecar/endpoints.cpp
+++ b/src/sidecar/endpoints.cpp
@@ -1,8 +1,6 @@
 #include "sidecar/endpoints.hpp"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 
 #include "base/log.hpp"
 
@@ -45,37 +43,6 @@
   return parser_.length() ? *parser_.length() > most : parser_.body().size() > most;
 }
 
-bool EndpointConnection::fill() {
-  const std::string_view all = body_->ready(), piece = all.substr(0, piece_most);
-  // With the last piece goes the end. Guards rule 2: the endpoint may answer as soon as it has that.
-  const bool last = body_->ended() && piece.size() == all.size();
-  if (piece.empty() && !last) return false;
-  if (chunked_ && !piece.empty()) {
-    std::array<char, 20> room;
-    const auto end = std::to_chars(room.data(), room.data() + room.size(), piece.size(), 16).ptr;
-    buffer_.append({room.data(), static_cast<std::size_t>(end - room.data())});
-    buffer_.append("\r\n");
-  }
-  buffer_.append(piece);
-  if (chunked_ && !piece.empty()) buffer_.append("\r\n");
-  if (chunked_ && last) buffer_.append("0\r\n\r\n");
-  tail_ = last;
-  body_->took(piece.size());
-  return true;
-}
-
-http::Progress EndpointConnection::pass_on() {
-  http::Progress progress = http::Progress::more;
-  std::size_t taken = 0;
-  do {
-    std::string_view piece;
-    progress = parser_.more(buffer_.bytes(), taken, piece);
-    if (!piece.empty()) answer_->put(piece);
-    buffer_.consume(taken);
-  } while (progress == http::Progress::more && taken > 0 && !buffer_.empty());
-  return progress;
-}
-
 void EndpointConnection::report(Outcome outcome, const http::Parser* response) {
   if (!busy_) return;
   busy_ = false;
@@ -114,7 +81,8 @@
         up = false;
         break;
       }
-      if (buffer_.empty() && !fill()) {  // the caller's pace: no clock of the dispatch runs
+      if (buffer_.empty() &&
+          !body_->give_out(buffer_, chunked_, tail_)) {  // the caller's pace: no clock of the dispatch runs
         if (body_->broken()) break;
         if (dispatch_.out_by == TimePoint::never()) timer_.cancel();
         const Waker::Bits bits =
@@ -190,7 +158,7 @@
       buffer_.consume(parser_.size());
       parser_.detach(nullptr);
       while (up && progress == http::Progress::more) {
-        progress = pass_on();
+        progress = answer_->take_in(parser_, buffer_);
         if (progress != http::Progress::more || answer_->left()) break;
         const std::size_t room = pool_.held_.full() && !answer_->ready().empty() ? 0 : answer_->room();
         if (room == 0) {  // the caller's pace
@@ -206,12 +174,11 @@
         if (!up || (bits & (Waker::readable | Waker::hung_up)) == 0) continue;
         const Socket::Result result = socket_.read(buffer_, std::min(room, piece_most));
         if (result == Socket::Result::ended) progress = parser_.ended(buffer_.bytes());
+        if (progress == http::Progress::complete) answer_->end();
         if (result == Socket::Result::broken) up = false;
       }
       timer_.cancel();
-      if (progress == http::Progress::complete) {
-        answer_->end();
-      } else {
+      if (progress != http::Progress::complete) {
         answer_->break_off();
         if (!answer_->left()) pool_.sink_->answer_broke(endpoint_.id);
         up = false;
--- a/src/sidecar/endpoints.hpp
+++ b/src/sidecar/endpoints.hpp
@@ -77,10 +77,6 @@
   void report(Outcome outcome, const http::Parser* response = nullptr);
   bool begun() const { return written_ > 0; }
   bool wants_pieces() const;  // the answer is too large to be held
-  // Puts more of the request's body behind what is still to be written; false: none has come.
-  bool fill();
-  // Passes on what has come of the answer.
-  http::Progress pass_on();
   void let_go_of_body();
 
   net::Scheduler& scheduler_;
--- a/src/sidecar/pipe.hpp
+++ b/src/sidecar/pipe.hpp
@@ -4,7 +4,9 @@
 
 #include <memory>
 #include <string_view>
+#include <utility>
 
+#include "http/parser.hpp"
 #include "net/buffer.hpp"
 #include "net/scheduler.hpp"
 
@@ -30,6 +32,9 @@
   void produced_by(net::Waker* waker, net::Waker::Bits bit) { producer_ = {waker, bit}; }
   bool left() const { return left_; }
 
+  // Puts what has come of the body behind a head into it, and takes that from `bytes`; its end too.
+  http::Progress take_in(http::Parser& parser, net::Buffer& bytes);
+
   // The end that it goes out on. It is woken by what comes.
   std::string_view ready() { return std::string_view(bytes_.bytes().data(), bytes_.size()).substr(taken_); }
   void took(std::size_t n) {
@@ -37,6 +42,8 @@
     if (!keep_ || bytes_.size() >= window()) discard();
     wake(producer_);
   }
+  // Puts the next piece behind `out`, in a chunk or bare; false: none has come. `last`: its end is in it.
+  bool give_out(net::Buffer& out, bool chunked, bool& last);
   bool ended() const { return ended_; }
   bool broken() const { return broken_; }
   void leave() { left_ = true, consumer_ = {}, wake(producer_); }
@@ -73,6 +80,9 @@
   End producer_, consumer_;
 };
 
+// Takes what `bytes` holds of a body behind its head; to nobody, where nobody wants it any more.
+http::Progress read_on(http::Parser& parser, net::Buffer& bytes, Pipe* into);
+
 // The most that a message's body is held whole for: so large it may go again, and an answer be thought better
 // of.
 inline std::size_t whole_most(const net::Held& held, bool length_stated) {
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -137,9 +137,9 @@
   Pcg chance;
   bool first_tier, can_cancel, can_come_back, must_subscribe, marks_repeats;
   bool can_tell = false, warm_keys = false, one_layer = false, will_tell = false, shared_connections = false;
-  double seat = 0.0;                                       // of this sidecar among all: 0 to under 1
-  int own_zone = -1;                                       // where crossing zones is priced
-  int near_draws = 0;                                      // more draws for an endpoint in it
+  double seat = 0.0;                                            // of this sidecar among all: 0 to under 1
+  int own_zone = -1;                                            // where crossing zones is priced
+  int near_draws = 0;                                           // more draws for an endpoint in it
   double sidecars, cold_share, fall_multiple, cold_part = 1.0;  // cold_part: of the sidecar's cold budgets
   Span warm_after, fall_window, most_come_back;
   std::uint8_t most_dispatches;
