Mended on reading the change whole: a look at the socket per call, repeats, what was unused

Hot path: EndpointConnection::run() looked at the socket (a recv with MSG_PEEK) after every answer, to tell stale readiness; it now looks only when it was woken by readiness alone. The handover's file is sealed, as its name said and it was not.

--- a/src/admin/server.cpp
+++ b/src/admin/server.cpp
@@ -106,11 +106,7 @@
     for (std::size_t unread = 0;
          up && unread < linger_bytes;) {  // closing on unread bytes takes the answer away
       const Waker::Bits bits = co_await waker_.wait(Waker::readable | Waker::hung_up | due | dropped);
-      const Socket::Result result = socket_.open() ? socket_.read(buffer_) : Socket::Result::broken;
-      unread += buffer_.size();
-      buffer_.consume(buffer_.size());
-      up = (bits & (due | dropped)) == 0 &&
-           (result == Socket::Result::some || result == Socket::Result::later);
+      up = socket_.discard(buffer_, unread) && (bits & (due | dropped)) == 0;
     }
   }
   socket_.close();
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -107,8 +107,8 @@
         const bool first = buffer_.empty();
         const Socket::Result result = stop ? Socket::Result::broken : socket_.read(buffer_);
         if (first && !buffer_.empty()) timer_.set(std::min(timer_.due(), scheduler_.now() + answer_most));
-        if (result == Socket::Result::some) progress = parser_.feed(buffer_.bytes());
-        if (result == Socket::Result::ended) progress = parser_.ended(buffer_.bytes());
+        if (result != Socket::Result::broken)
+          progress = parser_.feed(buffer_.bytes(), result == Socket::Result::ended);
         if (result == Socket::Result::broken) up = false;
       }
       up = up && progress == http::Progress::complete && read_answer();
--- a/src/handover/post.cpp
+++ b/src/handover/post.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 #include <cerrno>
 #include <cstdio>
 #include <cstring>
@@ -25,7 +26,6 @@
 constexpr char here_it_is = 'h', too_many = 'b', i_serve = 'S', i_do_not = 'N';
 constexpr std::size_t listeners_most = 32;     // descriptors in one message; the kernel takes 253
 constexpr std::size_t state_most = 4U << 20U;  // bytes: some ten thousand endpoints
-constexpr Waker::Bits gone = Waker::own;
 
 struct Address {
   sockaddr_un un{};
@@ -52,7 +52,7 @@
 
 // A text as a descriptor, or -1: it passes whole, whatever its size.
 int sealed(const std::string& text) {
-  const int fd = ::memfd_create("chutevane-handover", MFD_CLOEXEC);
+  const int fd = ::memfd_create("chutevane-handover", MFD_CLOEXEC | MFD_ALLOW_SEALING);
   if (fd < 0) return -1;
   std::size_t put = 0;
   while (put < text.size()) {
@@ -60,6 +60,7 @@
     if (n <= 0) return ::close(fd), -1;
     put += static_cast<std::size_t>(n);
   }
+  ::fcntl(fd, F_ADD_SEALS, F_SEAL_SHRINK | F_SEAL_GROW | F_SEAL_WRITE | F_SEAL_SEAL);
   return fd;
 }
 
@@ -208,8 +209,7 @@
 
 Post::Post(net::Scheduler& scheduler, std::string place, std::function<Estate()> estate,
            std::function<void()> changed)
-    : scheduler_(scheduler),
-      place_(std::move(place)),
+    : place_(std::move(place)),
       estate_(std::move(estate)),
       changed_(std::move(changed)),
       before_(scheduler, changed_),
--- a/src/handover/post.hpp
+++ b/src/handover/post.hpp
@@ -2,7 +2,6 @@
 // link that tells either whether the other lives and serves. A Unix socket in the folder that both have.
 #pragma once
 
-#include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
@@ -74,7 +73,6 @@
   net::Task accept();
   bool give(int fd);
 
-  net::Scheduler& scheduler_;
   const std::string place_;
   std::function<Estate()> estate_;
   std::function<void()> changed_;
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -195,6 +195,11 @@
   }
 }
 
+Progress Parser::feed(std::span<char> bytes, bool over) {
+  const Progress progress = feed(bytes);
+  return over && progress == Progress::more ? ended(bytes) : progress;
+}
+
 Progress Parser::ended(std::span<char> bytes) {
   if (!detached_) base_ = bytes.data();
   if (stage_ == Stage::until_end) stage_ = Stage::complete;
--- a/src/http/parser.hpp
+++ b/src/http/parser.hpp
@@ -37,6 +37,9 @@
   // For the next message; `bodiless`: the answer to a HEAD, whose length is not its body's.
   void reset(bool bodiless = false);
 
+  // `over`: no more will come. To be told after every read, also one that brought nothing: it may have moved
+  // them.
+  Progress feed(std::span<char> bytes, bool over);
   Progress feed(std::span<char> bytes);
   // No more bytes will come; these are the ones fed last, wherever they are held by now.
   Progress ended(std::span<char> bytes);
--- a/src/lab/client.cpp
+++ b/src/lab/client.cpp
@@ -62,8 +62,8 @@
       }
       if (!up) break;
       const Socket::Result result = socket_.read(in_);
-      if (result == Socket::Result::some) progress = parser_.feed(in_.bytes());
-      if (result == Socket::Result::ended) progress = parser_.ended(in_.bytes());
+      if (result != Socket::Result::broken)
+        progress = parser_.feed(in_.bytes(), result == Socket::Result::ended);
       if (result == Socket::Result::broken || progress == http::Progress::failed) up = false;
     }
     if (!up) break;
--- a/src/lab/front.cpp
+++ b/src/lab/front.cpp
@@ -48,8 +48,8 @@
       stopped = (bits & dropped) != 0;
       if ((bits & (due | dropped)) != 0) break;
       const Socket::Result result = socket_.read(in_);
-      if (result == Socket::Result::some) progress = parser_.feed(in_.bytes());
-      if (result == Socket::Result::ended) progress = parser_.ended(in_.bytes());
+      if (result != Socket::Result::broken)
+        progress = parser_.feed(in_.bytes(), result == Socket::Result::ended);
       if (result == Socket::Result::broken) up = false;
     }
     ready = progress == http::Progress::complete && parser_.status() == 200;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -94,6 +94,14 @@
   return Result::some;
 }
 
+bool Socket::discard(Buffer& room, std::size_t& bytes) {
+  if (!open()) return false;
+  const Result result = read(room);
+  bytes += room.size();
+  room.consume(room.size());
+  return result == Result::some || result == Result::later;
+}
+
 Socket::Result Socket::write(std::span<const char> bytes, std::size_t& written) {
   written = 0;
   while (written < bytes.size()) {
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -36,6 +36,8 @@
   int accept(bool& exhausted);            // a descriptor, or -1; `exhausted`: no descriptors are left
   // What there is; of much a part, at most about so many bytes, and `readable` stays set.
   Result read(Buffer& into, std::size_t most = 16 * 1024);
+  // Reads and throws away; counts what there was. False: no more will come.
+  bool discard(Buffer& room, std::size_t& bytes);
   Result write(std::span<const char> bytes, std::size_t& written);
   bool quiet() const;      // nothing to read, not ended either
   bool has_bytes() const;  // there is something to read
--- a/src/sidecar/endpoints.cpp
+++ b/src/sidecar/endpoints.cpp
@@ -128,10 +128,8 @@
         break;
       }
       const Socket::Result result = socket_.read(buffer_);
-      // Also when nothing came: reading may have moved what is held.
-      if (result == Socket::Result::some || result == Socket::Result::later)
-        progress = parser_.feed(buffer_.bytes());
-      if (result == Socket::Result::ended) progress = parser_.ended(buffer_.bytes());
+      if (result != Socket::Result::broken)
+        progress = parser_.feed(buffer_.bytes(), result == Socket::Result::ended);
       if (result == Socket::Result::broken || progress == http::Progress::failed) up = false;
       while (progress == http::Progress::complete && parser_.status() < 200) {  // the answer is still to come
         buffer_.consume(parser_.size());
@@ -195,9 +193,10 @@
     }
     buffer_.shrink(buffer_kept);
     // What was told of bytes that have been read since is no word of the endpoint's.
-    Waker::Bits bits = Waker::readable;
-    while (bits == Waker::readable && socket_.quiet())
+    Waker::Bits bits = 0;
+    do {
       bits = co_await waker_.wait(Waker::readable | Waker::hung_up | due | given | dropped);
+    } while (bits == Waker::readable && socket_.quiet());
     if ((bits & given) == 0) {
       if (stage_ == Stage::idle) pool_.unrest(*this);
       break;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -1,7 +1,5 @@
 #include "sidecar/sidecar.hpp"
 
-#include <unistd.h>
-
 #include <algorithm>
 #include <csignal>
 #include <fstream>
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -64,6 +64,17 @@
     return p.has("HTTP/1.1 200");
   }
   bool comes_up() { return place_now(), ready(); }  // the place is there once it serves
+  // One process serves, then a second one beside it.
+  bool both() {
+    old_one = start();
+    if (!comes_up()) return false;
+    return second();
+  }
+  bool second() {
+    const auto before = place_now();
+    new_one = start();
+    return took_over(before);
+  }
   // The place where successors ask is the newest one's once it serves.
   bool took_over(ino_t before) {
     const std::string place = folder + "/chutevane-n0.sock";
@@ -85,13 +96,11 @@
   Two t;
   t.old_one = t.start();
   ASSERT_TRUE(t.comes_up());
-  const auto before = t.place_now();
   Peer kept = Peer::to(t.where), served;
   kept.say(request_text("a", "plan"));
   ASSERT_TRUE(t.until([&] { return t.endpoint.take(served); }));
   ASSERT_TRUE(t.until([&] { return served.has("X-Request-ID: a"); }));
-  t.new_one = t.start();
-  ASSERT_TRUE(t.took_over(before));
+  ASSERT_TRUE(t.second());
   ::kill(t.old_one, SIGTERM);
   for (int i = 0; i < 200; ++i) ASSERT_TRUE(t.ready()) << i;
   served.say(answer_text("one"));
@@ -105,16 +114,10 @@
 
 TEST(Handover, ASuccessorThatDiesLeavesTheOldOneServing) {
   Two t;
-  t.old_one = t.start();
-  ASSERT_TRUE(t.comes_up());
-  const auto before = t.place_now();
-  t.new_one = t.start();
-  ASSERT_TRUE(t.took_over(before));
+  ASSERT_TRUE(t.both());
   t.stop(t.new_one);
   ASSERT_TRUE(t.ready());
-  const auto again = t.place_now();
-  t.new_one = t.start();  // and the next one finds it
-  ASSERT_TRUE(t.took_over(again));
+  ASSERT_TRUE(t.second());  // and the next one finds it
   ::kill(t.new_one, SIGTERM);
   EXPECT_EQ(t.status_of(t.new_one), 0);
   t.new_one = -1;
@@ -125,10 +128,8 @@
   Two t;
   t.old_one = t.start();
   ASSERT_TRUE(t.comes_up());
-  const auto before = t.place_now();
   t.stop(t.old_one);
-  t.new_one = t.start();
-  ASSERT_TRUE(t.took_over(before));
+  ASSERT_TRUE(t.second());
   EXPECT_TRUE(t.ready());
 }
 
