Rule of order kept: calls of a key go one at a time, as they were taken

Ruled out: the adapter dropped the key (it carries `affinity` already); the calls simply went out at once.

Change: the calls of such tracks stand in one line a key, over all such tracks. Only a line's first is sent; it gives its place up when it is answered and its last dispatch has ended, and the key rests `rules.settle_after_doubt_ms` after a time-out, reset or cancel. It can't come back, because a call with a line is sent from two places only: as the first of an empty, rested line, or by `take_turn`, which looks at both; a property test holds it over any order of events. One that would be late behind those before it is turned away at once, so a popular key's line is as long as its calls can wait; a line ends with its last call and its rest. Calls that wait count as none in flight. On sockets the key is the attribute `affinity`, or the operator's header.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -10,6 +10,7 @@
 //     where their track permits, and it is tried again after pauses; an idle connection is doubted first
 //  5. retry budget: dispatches again are a bounded share of the API calls
 //  6. short waits: a call that finds no endpoint now is held for a moment, the best paid first
+// A rule that some deployments state besides is kept here too: calls of a key go in turn.
 #include <algorithm>
 #include <cmath>
 #include <cstdarg>
@@ -104,6 +105,7 @@
 constexpr double retry_depth = 20.0;         // dispatches: a sidecar's calls on one endpoint that dies
 constexpr double wait_part = 0.15;           // of the soft limit: leaves most of it for the answer
 constexpr Span look_every = Span::ms(50);    // how often silence and waits are looked at
+constexpr Span clock_grain = Span::ms(1);    // what times lose by being cut to whole microseconds, amply
 constexpr Span answer_guard = Span::ms(25);  // waits end this long before the client timeout
 constexpr Span subscribe_first = Span::ms(500), subscribe_most = Span::ms(8000);  // pause after a failed ask
 
@@ -163,8 +165,11 @@
       t.group = group == "all" ? Group::all : group == "zone" ? Group::zone : Group::cell;
       t.repeat_window = settings.span(at + "repeat_window_ms");
     }
+    t.in_turn = settings.has(at + "in_turn") && settings.flag(at + "in_turn");
     tracks.push_back(t);
   }
+  if (settings.has("rules.settle_after_doubt_ms"))
+    settle_after_doubt = settings.span("rules.settle_after_doubt_ms");
   if (tracks.empty()) throw SettingError("tracks.count", "no track: '" + settings.text("tracks.count") + "'");
   for (const Track& t : tracks) payoff_mean += t.payoff / static_cast<double>(tracks.size());
   waits.resize(tracks.size());
@@ -518,13 +523,13 @@
 
 // For a new endpoint: the place of one that is gone and that no call in hand was sent to, or a new place.
 std::uint32_t Balancer::State::free_place() {
-  std::vector<bool> taken(endpoints.size() + 1, false);
+  std::vector<bool> named(endpoints.size() + 1, false);
   for (std::uint32_t i = 0; i < calls.size(); ++i) {
     for (std::size_t n = 0; calls[i].in_use && n < calls[i].sent; ++n)
-      taken[calls[i].dispatches[n].endpoint] = true;
+      named[calls[i].dispatches[n].endpoint] = true;
   }
   std::uint32_t at = 0;
-  while (at < endpoints.size() && (taken[at] || endpoints[at].availability != Availability::gone)) ++at;
+  while (at < endpoints.size() && (named[at] || endpoints[at].availability != Availability::gone)) ++at;
   if (at == endpoints.size()) return endpoints.emplace_back(), at;
   endpoint_index.erase(endpoints[at].id);
   endpoints[at] = Endpoint();
@@ -632,13 +637,101 @@
   if (c.bound_to >= 0 && t.effect != Effect::replayable) {
     if (t.effect == Effect::single_use || now - c.bound_since >= t.repeat_window) return false;
   }
-  // A retry that cannot end in time is skipped (the design); where late answers pay nothing, in soft time.
+  return worth_sending(c, Span(), now);
+}
+
+// A retry that cannot end in time is skipped (the design); where late answers pay nothing, in soft time.
+bool Balancer::State::worth_sending(const Call& c, Span wait, TimePoint now) {
   Span left = c.timeout - now;
-  if (first_tier && t.late_payoff <= 0.0) left = std::min(left, c.soft_end - now);
-  return left > (measured(now) ? times.quantile(0.5, now) : Span());
+  if (first_tier && tracks[c.track].late_payoff <= 0.0) left = std::min(left, c.soft_end - now);
+  return left - wait > (measured(now) ? times.quantile(0.5, now) : Span());
 }
 
-Answer Balancer::State::give_up(std::uint32_t at, TimePoint, bool crowded) {
+// --- A further rule: calls of a key in turn ---------------------------------------------------------
+
+// Guards the order of calls with one key: all of them stand in a line, and only its first is sent. One that
+// would come too late behind those before it is turned away now, so that a popular key's line stays short.
+Answer Balancer::State::line_up(std::uint32_t at, TimePoint now) {
+  Call& c = calls[at];
+  std::uint32_t l = line_index.find(c.key);
+  if (l == Line::none) {
+    line_index.put(c.key, l = lines.take());
+    lines[l].key = c.key, lines[l].in_use = true;
+  }
+  Line& line = lines[l];
+  c.line = l;
+  (line.last == Line::none ? line.first : calls[line.last].behind) = at;
+  line.last = at;
+  const Span each = measured(now) ? std::max(cap_floor, times.quantile(0.5, now)) : cap_floor;
+  const Span wait = each * line.length++ + std::max(Span(), line.rests_until - now);
+  if (wait == Span()) return place(at, now);
+  c.queued = true;
+  calls_out -= c.coming ? 0 : 1;
+  c.wait_until = c.timeout - answer_guard - look_every;
+  if (c.wait_until <= now || !worth_sending(c, wait, now)) return give_up(at, now, true);
+  Answer a;
+  a.verdict = Verdict::wait, a.call = c.id, a.until = c.wait_until;
+  return a;
+}
+
+// The line ends with its last call, once its rest is over too.
+void Balancer::State::leave_line(std::uint32_t at, TimePoint now) {
+  const std::uint32_t l = std::exchange(calls[at].line, Line::none);
+  Line& line = lines[l];
+  const std::uint32_t after = calls[at].behind;
+  const bool was_first = line.first == at;
+  if (was_first) {
+    line.first = after;
+    if (after == Line::none) line.last = Line::none;
+  } else {
+    std::uint32_t before = line.first;
+    while (calls[before].behind != at) before = calls[before].behind;
+    calls[before].behind = after;
+    if (after == Line::none) line.last = before;
+  }
+  --line.length;
+  if (was_first && now >= line.rests_until) turns.push_back(l);
+}
+
+void Balancer::State::take_turn(std::uint32_t l, TimePoint now) {
+  Line& line = lines[l];
+  if (!line.in_use || now < line.rests_until) return;
+  if (line.first == Line::none) {
+    line_index.erase(line.key);
+    line.in_use = false;
+    return lines.give_back(l);
+  }
+  const std::uint32_t at = line.first;
+  if (!std::exchange(calls[at].queued, false)) return;
+  calls_out += calls[at].coming ? 0 : 1;
+  const Answer a = place(at, now);
+  if (a.verdict != Verdict::wait) answers.push_back(a);
+}
+
+void Balancer::State::serve_lines(TimePoint now) {
+  for (; !rests.empty() && rests.front().first <= now; rests.pop_front())
+    turns.push_back(rests.front().second);
+  while (!turns.empty()) {
+    const std::uint32_t l = turns.back();
+    turns.pop_back();
+    take_turn(l, now);
+  }
+}
+
+// A call that waits for its turn is answered while its client can still use it, wherever it stands.
+void Balancer::State::give_up_queued(TimePoint now) {
+  for (std::uint32_t l = 0; l < lines.size(); ++l) {
+    for (std::uint32_t at = lines[l].in_use ? lines[l].first : Line::none; at != Line::none;) {
+      const Call& c = calls[at];
+      const std::uint32_t next = c.behind;
+      if (c.queued && (now >= c.wait_until || !worth_sending(c, Span(), now)))
+        answers.push_back(give_up(at, now, true));
+      at = next;
+    }
+  }
+}
+
+Answer Balancer::State::give_up(std::uint32_t at, TimePoint now, bool crowded) {
   Call& c = calls[at];
   const Track& t = tracks[c.track];
   Answer a;
@@ -649,7 +742,7 @@
   if (t.effect == Effect::replayable) a.verdict = Verdict::reject;
   if (a.verdict == Verdict::reject && can_come_back)
     a.span = crowded ? most_come_back : most_come_back * 0.25;
-  finish(at);
+  finish(at, now);
   return a;
 }
 
@@ -700,20 +793,22 @@
   return a;
 }
 
-void Balancer::State::finish(std::uint32_t at) {
+void Balancer::State::finish(std::uint32_t at, TimePoint now) {
   Call& c = calls[at];
   if (c.over) return;
   c.over = true;
   c.waiting = false;
-  calls_out -= c.coming ? 0 : 1;
+  calls_out -= c.coming || c.queued ? 0 : 1;
+  c.queued = false;
   if (can_cancel && c.sent > 0 && c.dispatches[c.sent - 1U].out) push(Verdict::cancel, c.id, c.sent - 1U);
-  settle(at);
+  settle(at, now);
 }
 
 // The place is reused once the client has its answer and every dispatch has ended.
-void Balancer::State::settle(std::uint32_t at) {
+void Balancer::State::settle(std::uint32_t at, TimePoint now) {
   Call& c = calls[at];
   if (!c.over || c.out > 0 || !c.in_use) return;
+  if (c.line != Line::none) leave_line(at, now);
   if (std::find(waiting.begin(), waiting.end(), at) != waiting.end()) std::erase(waiting, at);
   call_index.erase(c.id);
   c.in_use = false;
@@ -846,10 +941,12 @@
   }
   if (now >= solve_at) solve(now);
   if (now >= step_at) step_limit(now);
+  serve_lines(now);
   if (now >= look_at) {
     look_at = now + look_every;
     mean_out += (calls_out - mean_out) * mean_out_gain;
     rescue(now);
+    if (lines.size() > 0) give_up_queued(now), serve_lines(now);
     serve_waiting(now);
   }
 }
@@ -861,7 +958,8 @@
 Balancer& Balancer::operator=(Balancer&&) noexcept = default;
 
 TimePoint Balancer::next_wake() const {
-  return std::min({state_->solve_at, state_->look_at, state_->subscribe_at});
+  const TimePoint rested = state_->rests.empty() ? TimePoint::never() : state_->rests.front().first;
+  return std::min({state_->solve_at, state_->look_at, state_->subscribe_at, rested});
 }
 
 Answer Balancer::arrived(const ApiCall& given, TimePoint now) {
@@ -892,7 +990,7 @@
   // Guards the retry budget: one that may have run in another pool is a dispatch again here.
   if (call.elsewhere.may_have_run && s.retry_tokens < 1.0) return s.give_up(at, now, false);
   if (call.elsewhere.may_have_run) s.retry_tokens -= 1.0;
-  return s.place(at, now);
+  return s.tracks[c.track].in_turn && c.key != 0 ? s.line_up(at, now) : s.place(at, now);
 }
 
 Answers Balancer::ended(const DispatchEnd& end, TimePoint now) {
@@ -905,6 +1003,11 @@
   if (!d.out) return s.answers;
   d.out = false;
   --c.out;
+  if (c.line != Line::none && (end.outcome == Outcome::timed_out || end.outcome == Outcome::reset ||
+                               end.outcome == Outcome::cancelled)) {
+    s.lines[c.line].rests_until = now + s.settle_after_doubt + clock_grain;
+    s.rests.emplace_back(s.lines[c.line].rests_until, c.line);
+  }
   s.learn(s.endpoints[d.endpoint], d, end, now);
   const bool ran = end.outcome != Outcome::not_sent && end.outcome != Outcome::not_connected &&
                    end.outcome != Outcome::turned_away;
@@ -914,10 +1017,10 @@
     c.bound_since = d.sent;
   }
   if (c.over) {
-    s.settle(at);
+    s.settle(at, now);
   } else if (end.call_over) {
     s.count_answer(c, end.outcome == Outcome::done, now);
-    s.finish(at);
+    s.finish(at, now);
   } else if (c.out == 0) {
     const bool free = !ran || d.rescued;
     if (!end.last && s.may_go_again(c, now) && (free || s.retry_tokens >= 1.0)) {
@@ -929,6 +1032,7 @@
       s.answers.push_back(s.give_up(at, now, false));
     }
   }
+  s.serve_lines(now);
   s.serve_waiting(now);
   return s.answers;
 }
@@ -938,7 +1042,7 @@
   const std::uint32_t at = state_->call_index.find(call);
   if (at == IdIndex::none) return;
   Call& c = state_->calls[at];
-  if (last && std::exchange(c.coming, false)) state_->calls_out += c.over ? 0 : 1;
+  if (last && std::exchange(c.coming, false)) state_->calls_out += c.over || c.queued ? 0 : 1;
   const Span later = now - std::exchange(c.moved_at, now);
   c.arrived = c.arrived + later, c.timeout = c.timeout + later, c.soft_end = c.soft_end + later;
   if (c.sent == 0) return;
@@ -956,7 +1060,8 @@
   s.answers.clear();
   const std::uint32_t at = s.call_index.find(call);
   if (at == IdIndex::none || s.calls[at].over) return s.answers;
-  s.finish(at);
+  s.finish(at, now);
+  s.serve_lines(now);
   s.serve_waiting(now);
   return s.answers;
 }
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -137,6 +137,14 @@
   one_of("extra.warm_keys", {"true", "false"});
   one_of("client_habits.marks_retry", {"true", "false"});
   one_of("report.how", {"inline", "on_probe", "off"});
+  const auto from_to = [&](const std::string& key, double least, double most) {
+    if (!reader.has(key)) return;
+    const double v = reader.number(key);
+    if (v < least || v > most) throw SettingError(key, "out of range: " + reader.text(key));
+  };
+  from_to("rules.settle_after_doubt_ms", 0, 3.6e6);
+  for (int i = 0; i < reader.number("tracks.count"); ++i)
+    one_of(("tracks." + std::to_string(i) + ".in_turn").c_str(), {"true", "false"});
 }
 
 void check_settings(Config& out) {
--- a/src/sidecar/front.cpp
+++ b/src/sidecar/front.cpp
@@ -76,7 +76,7 @@
 }
 
 Front::Front(const Settings& settings, HeaderNames names)
-    : warm_keys_(settings.contains("extra.warm_keys") && settings.find("extra.warm_keys")->second == "true"),
+    : uses_keys_(settings.contains("extra.warm_keys") && settings.find("extra.warm_keys")->second == "true"),
       names_(std::move(names)) {
   const SettingsReader reader(settings);
   for (int i = 0; i < reader.number("tracks.count"); ++i) {
@@ -84,6 +84,7 @@
     const std::string& effect = reader.text(at + "effect");
     tracks_.push_back({reader.text(at + "name"), reader.span(at + "client_timeout_ms"),
                        effect == "replayable", effect == "referenced"});
+    uses_keys_ = uses_keys_ || (reader.has(at + "in_turn") && reader.flag(at + "in_turn"));
   }
 }
 
@@ -136,7 +137,7 @@
   return read_rest(request, call, why) ? Kind::call : Kind::bad;
 }
 
-// What the call is about, where endpoints that know it do less work: an attribute, hashed alike everywhere.
+// What the call is about, where that counts: an attribute, hashed alike everywhere.
 std::uint64_t Front::key_of(const http::Parser& request) const {
   constexpr std::string_view name = "affinity=";
   if (!names_.key.empty()) {
@@ -163,7 +164,7 @@
     call.left = *left;
   }
   call.repeated = request.find(names_.repeated) == "1";
-  if (warm_keys_) call.key = key_of(request);
+  if (uses_keys_) call.key = key_of(request);
   return true;
 }
 
--- a/src/sidecar/front.hpp
+++ b/src/sidecar/front.hpp
@@ -56,7 +56,7 @@
     bool read_only = false, keyed = false;  // GET, or POST with a key, or POST without
   };
   std::uint64_t key_of(const http::Parser& request) const;
-  const bool warm_keys_;
+  bool uses_keys_;  // endpoints know keys, or some tracks go in the order of theirs
   HeaderNames names_;
   std::vector<Track> tracks_;
 };
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <array>
+#include <deque>
 #include <vector>
 
 #include "base/histogram.hpp"
@@ -20,6 +21,7 @@
   double payoff = 1.0, late_payoff = 0.0;
   Effect effect = Effect::replayable;
   Group group = Group::all;
+  bool in_turn = false;
 };
 
 // What clients of a track commonly say they will wait on a first try.
@@ -55,6 +57,16 @@
   WindowedHistogram times;  // done dispatches
 };
 
+// The calls of one key that go one at a time, as they were taken.
+struct Line {
+  static constexpr std::uint32_t none = IdIndex::none;
+  std::uint64_t key = 0;
+  std::uint32_t first = none, last = none;  // calls; the first is out, or is next
+  int length = 0;
+  bool in_use = false;
+  TimePoint rests_until;  // before it what may still run has ended, as the settings state
+};
+
 // Endpoints that follow one another on the ring, which may run past its end.
 struct Arc {
   std::size_t from = 0, size = 0;
@@ -79,7 +91,9 @@
   std::uint8_t sent = 0, out = 0;
   std::uint8_t sent_elsewhere = 0;  // by other pools: one budget counts over all
   bool over = false, waiting = false, in_use = false, coming = false;
-  int bound_to = -1;  // the earliest dispatch that may have run
+  bool queued = false;                                   // others of its key go first
+  std::uint32_t line = Line::none, behind = Line::none;  // behind: the call that follows in it
+  int bound_to = -1;                                     // the earliest dispatch that may have run
   TimePoint bound_since;
   std::array<Dispatch, 8> dispatches;
 };
@@ -115,13 +129,19 @@
 
   // Calls
   bool may_go_again(const Call& c, TimePoint now);
+  bool worth_sending(const Call& c, Span wait, TimePoint now);
+  Answer line_up(std::uint32_t at, TimePoint now);
+  void leave_line(std::uint32_t at, TimePoint now);
+  void take_turn(std::uint32_t line, TimePoint now);
+  void serve_lines(TimePoint now);
+  void give_up_queued(TimePoint now);
   bool within_repeats(const Call& c, const Endpoint& e, TimePoint now) const;
   Answer place(std::uint32_t at, TimePoint now);
   Answer hold_or_give_up(std::uint32_t at, TimePoint now);
   Answer give_up(std::uint32_t at, TimePoint now, bool crowded);
   Answer send(std::uint32_t at, int endpoint, TimePoint now);
-  void finish(std::uint32_t at);
-  void settle(std::uint32_t at);
+  void finish(std::uint32_t at, TimePoint now);
+  void settle(std::uint32_t at, TimePoint now);
   void serve_waiting(TimePoint now);
   void rescue(TimePoint now);
   Span age_of(const ApiCall& call);
@@ -157,6 +177,11 @@
   Slab<Call> calls;
   IdIndex call_index;
   std::vector<std::uint32_t> waiting;
+  Slab<Line> lines;
+  IdIndex line_index;                                     // by key
+  std::deque<std::pair<TimePoint, std::uint32_t>> rests;  // lines at rest, by when it ends
+  std::vector<std::uint32_t> turns;                       // lines whose first call may be sent now
+  Span settle_after_doubt;
   std::vector<Answer> answers;
 
   WindowedHistogram times, cuts;  // done dispatches, and those the measured cap ended
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -1,3 +1,5 @@
+#include <rapidcheck.h>
+
 #include <deque>
 #include <map>
 #include <set>
@@ -680,6 +682,148 @@
   EXPECT_LT(slow, 30);
 }
 
+// --- Further rules: order by key, a budget of dispatches -------------------------------------------
+
+Settings in_turn(const std::string& effect = "replayable") {
+  Settings s = settings(effect);
+  s["tracks.0.in_turn"] = s["tracks.1.in_turn"] = "true";
+  s["rules.settle_after_doubt_ms"] = "200";
+  return s;
+}
+
+struct Turns : Bench {
+  explicit Turns(unsigned n, const Settings& s = in_turn()) : Bench(n, s) {}
+  Answer ask(CallId id, double when, std::uint64_t key, std::uint32_t track = 0, double left = 4000) {
+    return balancer.arrived({.id = id, .track = track, .left = Span::ms(left), .key = key}, at(when));
+  }
+  std::vector<Answer> wake(double when) {
+    const Answers got = balancer.woken(at(when));
+    return {got.begin(), got.end()};
+  }
+};
+
+// As reported: a payout went out while an earlier one with its key was not over.
+TEST(InTurn, CallsOfAKeyGoOneAtATimeAsTheyWereTakenOverAllSuchTracks) {
+  Turns b(4);
+  const Answer first = b.ask(1, 0, 7);
+  EXPECT_EQ(first.verdict, Verdict::dispatch);
+  EXPECT_EQ(b.ask(2, 1, 7, 1).verdict, Verdict::wait);
+  EXPECT_EQ(b.ask(3, 2, 7).verdict, Verdict::wait);
+  EXPECT_EQ(b.ask(4, 3, 8).verdict, Verdict::dispatch);  // another key
+  EXPECT_EQ(b.ask(5, 3, 0).verdict, Verdict::dispatch);  // no key
+  const auto next = b.end(first, Outcome::done, 50);
+  ASSERT_TRUE(find(next, Verdict::dispatch));
+  EXPECT_EQ(find(next, Verdict::dispatch)->call, 2U);
+  EXPECT_EQ(find(b.end(*find(next, Verdict::dispatch), Outcome::done, 90), Verdict::dispatch)->call, 3U);
+}
+
+TEST(InTurn, TheKeyRestsAfterADispatchThatMayStillRunThoughItsOwnCallDoesNot) {
+  for (const Outcome doubt : {Outcome::timed_out, Outcome::reset}) {
+    Turns b(4);
+    const Answer first = b.ask(1, 0, 7);
+    b.ask(2, 1, 7);
+    const auto again = b.end(first, doubt, 100);
+    ASSERT_TRUE(find(again, Verdict::dispatch));
+    EXPECT_EQ(find(again, Verdict::dispatch)->call, 1U);
+    EXPECT_FALSE(find(b.end(*find(again, Verdict::dispatch), Outcome::done, 150), Verdict::dispatch));
+    EXPECT_EQ(b.ask(3, 160, 7).verdict, Verdict::wait);
+    EXPECT_FALSE(find(b.wake(300), Verdict::dispatch));
+    EXPECT_LE(b.balancer.next_wake(), at(301));
+    const auto rested = b.wake(302);
+    ASSERT_TRUE(find(rested, Verdict::dispatch));
+    EXPECT_EQ(find(rested, Verdict::dispatch)->call, 2U);
+  }
+}
+
+// What is out after its call ended holds the key until it has ended too.
+TEST(InTurn, ACallThatItsClientLeftHoldsItsKeyUntilItsDispatchHasEnded) {
+  Turns b(4);
+  const Answer first = b.ask(1, 0, 7);
+  b.balancer.client_left(1, at(10));
+  EXPECT_EQ(b.ask(2, 20, 7).verdict, Verdict::wait);
+  b.end(first, Outcome::cancelled, 30);
+  EXPECT_FALSE(find(b.wake(200), Verdict::dispatch));
+  EXPECT_EQ(find(b.wake(232), Verdict::dispatch)->call, 2U);
+}
+
+TEST(InTurn, ThoseThatWaitAreAnsweredInTimeAndHoldUpNoOne) {
+  Turns b(4, in_turn("single-use"));
+  const Answer first = b.ask(1, 0, 7);
+  EXPECT_EQ(b.ask(2, 1, 7, 0, 400).verdict, Verdict::wait);
+  EXPECT_EQ(b.ask(3, 2, 7).verdict, Verdict::wait);
+  b.balancer.client_left(3, at(5));
+  EXPECT_EQ(b.ask(4, 6, 7).verdict, Verdict::wait);
+  const auto late = b.wake(390);
+  ASSERT_TRUE(find(late, Verdict::reject));
+  EXPECT_EQ(find(late, Verdict::reject)->call, 2U);
+  EXPECT_EQ(find(b.end(first, Outcome::done, 395), Verdict::dispatch)->call, 4U);
+}
+
+// A key that is asked for more than one at a time can serve: state and waits stay bounded.
+TEST(InTurn, TheLineOfAPopularKeyIsAsLongAsItsCallsCanWait) {
+  Turns b(4);
+  b.history(40, 100, 500);
+  int waits = 0;
+  for (CallId id = 1; id <= 1000; ++id) waits += b.ask(id, 510, 7).verdict == Verdict::wait ? 1 : 0;
+  EXPECT_GE(waits, 5);
+  EXPECT_LE(waits, 10);  // of a soft limit of 1 s, at 100 ms each
+}
+
+// Any order of events: sends of a key one at a time, in order, rested; nobody waits past the client.
+TEST(InTurn, HoldsOverAnyOrderOfEvents) {
+  EXPECT_TRUE(rc::check([](const std::vector<std::uint8_t>& steps) {
+    struct Known {
+      Answer out;
+      std::uint64_t key = 0;
+      bool sent = false, over = false, flying = false;
+      double until = 0;
+    };
+    Turns b(3, in_turn("single-use"));
+    std::map<CallId, Known> calls;
+    std::map<std::uint64_t, double> rests;
+    double now = 0;
+    const auto take = [&](const Answer& a) {
+      if (a.verdict == Verdict::cancel || a.verdict == Verdict::wait || a.verdict == Verdict::log) return;
+      Known& c = calls.at(a.call);
+      RC_ASSERT(!c.over);
+      if (a.verdict != Verdict::dispatch) return void(c.over = true);
+      if (!c.sent) RC_ASSERT(now >= rests[c.key]);
+      for (const auto& [id, other] : calls)
+        RC_ASSERT(id >= a.call || other.key != c.key || (other.over && !other.flying));
+      c.out = a, c.sent = c.flying = true;
+    };
+    for (const std::uint8_t step : steps) {
+      now += step >> 4U;
+      const CallId id = calls.size() + 1;
+      const auto flying = std::find_if(calls.begin(), calls.end(), [&](const auto& c) {
+        return c.second.flying && c.first % 4 == step % 4;
+      });
+      if (step % 16 < 6 || flying == calls.end()) {
+        calls[id].key = 1U + step % 2U, calls[id].until = now + 500;
+        take(b.ask(id, now, calls[id].key, step % 3 == 0, 500));
+      } else if (step % 16 < 8) {
+        flying->second.over = true;
+        for (const Answer& a : b.balancer.client_left(flying->first, at(now))) take(a);
+      } else if (step % 16 < 10) {
+        now += 60;
+        for (const Answer& a : b.wake(now)) take(a);
+      } else {
+        constexpr Outcome ends[] = {Outcome::done,        Outcome::timed_out, Outcome::reset,
+                                    Outcome::turned_away, Outcome::error,     Outcome::not_connected};
+        const Outcome how = ends[step % 16 - 10];
+        flying->second.flying = false;
+        flying->second.over |= how == Outcome::done;
+        if (how == Outcome::timed_out || how == Outcome::reset) rests[flying->second.key] = now + 200;
+        for (const Answer& a : b.end(Answer(flying->second.out), how, now)) take(a);
+      }
+    }
+    for (const double end = now + 600; now < end;) {
+      for (const Answer& a : b.wake(now += 10)) take(a);
+      for (const auto& [id, c] : calls) RC_ASSERT(c.over || c.flying || now <= c.until);
+    }
+  }));
+}
+
 // --- Large requests --------------------------------------------------------------------------------
 
 // Guards against large requests on their way that hold others back: their place begins with the last byte.
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -92,6 +92,10 @@
   EXPECT_EQ(key_of_error(with("\"probes\":false", "\"streams_per_conn\":0")),
             "settings.allowed.streams_per_conn");
   EXPECT_EQ(key_of_error(with("\"probes\":false", "\"may_tell\":7")), "settings.allowed.may_tell");
+  EXPECT_EQ(key_of_error(with("\"fall_ms\"", "\"settle_after_doubt_ms\":-1,\"fall_ms\"")),
+            "settings.rules.settle_after_doubt_ms");
+  EXPECT_EQ(key_of_error(with("\"name\":\"plan\"", "\"name\":\"plan\",\"in_turn\":1")),
+            "settings.classes.0.in_turn");
   EXPECT_EQ(key_of_error(with("\"listen\"", "\"state\":\"\",\"listen\"")), "state");
 }
 
