Rule of a budget kept: dispatches beyond each call's first, counted over the span

Change: before any dispatch beyond a call's first the dispatches of the span are counted exactly, the calls by 64 slices that lie in it whole, so the count is never over what the rule allows; those that did not go out are taken off again, dispatches by other pools count as a call's first. A call for which nothing is left is answered at once. Calls given up as silent hold their place in the budget. It can't come back: `place` is the only way to `send`, and asks. A property test counts every window exactly.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -10,7 +10,8 @@
 //     where their track permits, and it is tried again after pauses; an idle connection is doubted first
 //  5. retry budget: dispatches again are a bounded share of the API calls
 //  6. short waits: a call that finds no endpoint now is held for a moment, the best paid first
-// A rule that some deployments state besides is kept here too: calls of a key go in turn.
+// Two rules that some deployments state besides are kept here too: calls of a key go in turn, and dispatches
+// beyond each call's first keep to a budget.
 #include <algorithm>
 #include <cmath>
 #include <cstdarg>
@@ -170,6 +171,11 @@
   }
   if (settings.has("rules.settle_after_doubt_ms"))
     settle_after_doubt = settings.span("rules.settle_after_doubt_ms");
+  if (settings.has("rules.resend_span_ms")) {
+    resend_span = std::max(clock_grain, settings.span("rules.resend_span_ms"));
+    resend_free = settings.has("rules.budget_free") ? settings.number("rules.budget_free") : 0.0;
+    resend_ratio = settings.has("rules.resend_ratio") ? settings.number("rules.resend_ratio") : 0.0;
+  }
   if (tracks.empty()) throw SettingError("tracks.count", "no track: '" + settings.text("tracks.count") + "'");
   for (const Track& t : tracks) payoff_mean += t.payoff / static_cast<double>(tracks.size());
   waits.resize(tracks.size());
@@ -637,7 +643,7 @@
   if (c.bound_to >= 0 && t.effect != Effect::replayable) {
     if (t.effect == Effect::single_use || now - c.bound_since >= t.repeat_window) return false;
   }
-  return worth_sending(c, Span(), now);
+  return resends_left(now) > rescuing && worth_sending(c, Span(), now);
 }
 
 // A retry that cannot end in time is skipped (the design); where late answers pay nothing, in soft time.
@@ -647,7 +653,7 @@
   return left - wait > (measured(now) ? times.quantile(0.5, now) : Span());
 }
 
-// --- A further rule: calls of a key in turn ---------------------------------------------------------
+// --- Further rules: calls of a key in turn, a budget of dispatches ----------------------------------
 
 // Guards the order of calls with one key: all of them stand in a line, and only its first is sent. One that
 // would come too late behind those before it is turned away now, so that a popular key's line stays short.
@@ -731,6 +737,24 @@
   }
 }
 
+void Balancer::State::count_taken(TimePoint now, std::uint32_t more) {
+  const std::int64_t slice = static_cast<std::int64_t>((now - TimePoint()) / resend_span * resend_slices);
+  if (slice - taken_slice >= static_cast<std::int64_t>(resend_slices)) taken.fill(0), taken_slice = slice;
+  for (; taken_slice < slice; ++taken_slice)
+    taken[static_cast<std::size_t>(taken_slice + 1) % resend_slices] = 0;
+  taken[static_cast<std::size_t>(slice) % resend_slices] += more;
+}
+
+// Dispatches beyond a call's first that the stated budget leaves. Calls count while the whole of their slice
+// lies within the span, so that it is never more than the rule allows.
+int Balancer::State::resends_left(TimePoint now) {
+  if (resend_free < 0.0) return std::numeric_limits<int>::max();
+  count_taken(now, 0);
+  while (!resends.empty() && now - resends.front() > resend_span + clock_grain) resends.pop_front();
+  const double known = std::accumulate(taken.begin(), taken.end(), 0.0);
+  return static_cast<int>(resend_free + resend_ratio * known) - static_cast<int>(resends.size());
+}
+
 Answer Balancer::State::give_up(std::uint32_t at, TimePoint now, bool crowded) {
   Call& c = calls[at];
   const Track& t = tracks[c.track];
@@ -762,6 +786,7 @@
   Dispatch& d = c.dispatches[c.sent++];
   d = {static_cast<std::uint32_t>(endpoint), now, e.zone, e.cell, true, a.span < c.timeout - now, false, {}};
   d.idle = a.fresh ? Span() : idle;
+  if (resend_free >= 0.0 && c.sent + c.sent_elsewhere > 1) resends.push_back(now);
   ++c.out;
   c.waiting = false;
   if (e.in_flight++ == 0) e.quiet_since = now;
@@ -773,6 +798,7 @@
 Answer Balancer::State::place(std::uint32_t at, TimePoint now) {
   Call& c = calls[at];
   if (c.timeout <= now) return give_up(at, now, false);
+  if (c.sent + c.sent_elsewhere > 0 && resends_left(now) < 1) return give_up(at, now, false);
   const int endpoint = pick(c, now);
   if (endpoint >= 0) return send(at, endpoint, now);
   return hold_or_give_up(at, now);
@@ -848,6 +874,7 @@
     const bool old = now - d.sent >= times.quantile(cap_quantile, now);
     if (!silent(e, now) || !old || !may_go_again(c, now)) continue;
     d.rescued = true;
+    ++rescuing;
     push(Verdict::cancel, c.id, c.sent - 1U);
     retry_tokens -= 1.0;
   }
@@ -981,6 +1008,7 @@
   c.payoff = s.tracks[c.track].payoff;
   s.payoff_seen = std::min(1.0 / mean_gain, s.payoff_seen + 1.0);
   s.payoff_mean += (c.payoff - s.payoff_mean) / s.payoff_seen;
+  if (!call.elsewhere.was && s.resend_free >= 0.0) s.count_taken(now, 1);
   if (!call.elsewhere.was) s.retry_tokens = std::min(retry_depth, s.retry_tokens + retry_share);
   ++s.step_arrivals;
   s.calls_out += c.coming ? 0 : 1;
@@ -1003,6 +1031,11 @@
   if (!d.out) return s.answers;
   d.out = false;
   --c.out;
+  s.rescuing -= d.rescued ? 1 : 0;
+  const bool unsent = end.outcome == Outcome::not_sent;
+  if (const auto sent = std::find(s.resends.begin(), s.resends.end(), d.sent);
+      unsent && end.number + c.sent_elsewhere > 0 && sent != s.resends.end())
+    s.resends.erase(sent);
   if (c.line != Line::none && (end.outcome == Outcome::timed_out || end.outcome == Outcome::reset ||
                                end.outcome == Outcome::cancelled)) {
     s.lines[c.line].rests_until = now + s.settle_after_doubt + clock_grain;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -137,12 +137,20 @@
   one_of("extra.warm_keys", {"true", "false"});
   one_of("client_habits.marks_retry", {"true", "false"});
   one_of("report.how", {"inline", "on_probe", "off"});
+  // The further rules: one that is half stated would be half kept.
   const auto from_to = [&](const std::string& key, double least, double most) {
     if (!reader.has(key)) return;
     const double v = reader.number(key);
     if (v < least || v > most) throw SettingError(key, "out of range: " + reader.text(key));
   };
+  from_to("rules.resend_span_ms", 1, 3.6e6);
+  from_to("rules.budget_free", 0, 1e6);
+  from_to("rules.resend_ratio", 0, 1e3);
   from_to("rules.settle_after_doubt_ms", 0, 3.6e6);
+  for (const char* key : {"rules.budget_free", "rules.resend_ratio"}) {
+    if (reader.has(key) && !reader.has("rules.resend_span_ms"))
+      throw SettingError(key, "stated without rules.resend_span_ms");
+  }
   for (int i = 0; i < reader.number("tracks.count"); ++i)
     one_of(("tracks." + std::to_string(i) + ".in_turn").c_str(), {"true", "false"});
 }
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -67,6 +67,8 @@
   TimePoint rests_until;  // before it what may still run has ended, as the settings state
 };
 
+constexpr std::size_t resend_slices = 64;  // of the span that a budget of dispatches is counted over
+
 // Endpoints that follow one another on the ring, which may run past its end.
 struct Arc {
   std::size_t from = 0, size = 0;
@@ -135,6 +137,8 @@
   void take_turn(std::uint32_t line, TimePoint now);
   void serve_lines(TimePoint now);
   void give_up_queued(TimePoint now);
+  void count_taken(TimePoint now, std::uint32_t calls);
+  int resends_left(TimePoint now);
   bool within_repeats(const Call& c, const Endpoint& e, TimePoint now) const;
   Answer place(std::uint32_t at, TimePoint now);
   Answer hold_or_give_up(std::uint32_t at, TimePoint now);
@@ -182,6 +186,12 @@
   std::deque<std::pair<TimePoint, std::uint32_t>> rests;  // lines at rest, by when it ends
   std::vector<std::uint32_t> turns;                       // lines whose first call may be sent now
   Span settle_after_doubt;
+  double resend_free = -1.0, resend_ratio = 0.0;  // negative: no budget of dispatches is stated
+  Span resend_span;
+  std::deque<TimePoint> resends;                     // within the span
+  std::array<std::uint32_t, resend_slices> taken{};  // calls, by slice of the span
+  std::int64_t taken_slice = 0;                      // the number of the latest
+  int rescuing = 0;                                  // dispatches given up whose calls will go again
   std::vector<Answer> answers;
 
   WindowedHistogram times, cuts;  // done dispatches, and those the measured cap ended
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -824,6 +824,58 @@
   }));
 }
 
+Settings budgeted() {
+  Settings s = settings();
+  s["rules.resend_span_ms"] = "2000";
+  s["rules.budget_free"] = "2";
+  s["rules.resend_ratio"] = "0.03";
+  return s;
+}
+
+// As reported: three further dispatches within 2 s, where 14 calls taken allow 2.4.
+TEST(ResendBudget, FurtherDispatchesKeepToWhatIsStatedHoweverTheEarlierOnesEnded) {
+  Bench b(4, budgeted());
+  int again = 0;
+  for (CallId id = 1; id <= 14; ++id) {
+    const Answer a = b.call(id, 10.0 * static_cast<double>(id));
+    const auto got = b.end(a, Outcome::turned_away, 10.0 * static_cast<double>(id) + 5);
+    again += find(got, Verdict::dispatch) ? 1 : 0;
+    EXPECT_TRUE(find(got, Verdict::dispatch) || find(got, Verdict::reject));
+  }
+  EXPECT_EQ(again, 2);
+  const Answer later = b.call(100, 2200);
+  EXPECT_TRUE(find(b.end(later, Outcome::turned_away, 2205), Verdict::dispatch));
+  const Answer much_later = b.call(101, 1.8e12);  // a clock's leap is no work for each span passed over
+  EXPECT_TRUE(find(b.end(much_later, Outcome::turned_away, 1.8e12), Verdict::dispatch));
+}
+
+// Any rhythm of calls and failures: within every span no more than stated, by an exact count.
+TEST(ResendBudget, HoldsInEveryWindow) {
+  EXPECT_TRUE(rc::check([](const std::vector<std::uint8_t>& steps) {
+    Bench b(5, budgeted());
+    std::vector<double> taken, again;
+    double now = 0;
+    CallId id = 0;
+    for (const std::uint8_t step : steps) {
+      now += (step & 15U) * (step & 16U ? 40.0 : 1.0);
+      taken.push_back(now);
+      Answer a = b.call(++id, now);
+      const Outcome how = step & 32U ? Outcome::turned_away : step & 64U ? Outcome::error : Outcome::not_sent;
+      for (int n = 0; a.verdict == Verdict::dispatch && n < 4; ++n) {
+        const auto got = b.end(a, n < 2 ? how : Outcome::done, now, 1);
+        if (a.number > 0 && n < 2 && how == Outcome::not_sent) again.pop_back();
+        if (!find(got, Verdict::dispatch)) break;
+        a = *find(got, Verdict::dispatch);
+        again.push_back(now);
+        const auto within = [&](const std::vector<double>& all) {
+          return std::count_if(all.begin(), all.end(), [&](double t) { return now - t <= 2000; });
+        };
+        RC_ASSERT(static_cast<double>(within(again)) <= 2 + 0.03 * static_cast<double>(within(taken)));
+      }
+    }
+  }));
+}
+
 // --- Large requests --------------------------------------------------------------------------------
 
 // Guards against large requests on their way that hold others back: their place begins with the last byte.
