Where connections are dear a sidecar keeps to its own part and to those that stand

Endpoints with a connection to spare come first; while more than 0.3 of the dispatches get none, an endpoint makes one at a time. A reset within 50 ms after idling is held against the connection, not the endpoint. Guards also against endpoints at their limit of connections.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -42,8 +42,10 @@
 constexpr double near_fair = 0.8;     // of the same: preferred in full; zones differ by chance up to this
 constexpr double arc_least = 3.0;     // endpoints: two may fail and two are left to choose from
 constexpr double arc_answers = 50.0;  // in the window, from each endpoint of the arc: enough to judge it well
-constexpr std::size_t arcs = 3;       // own arcs tried, one after the other, before all of the ring
-constexpr std::size_t key_places = 32;  // endpoints tried for a key: a popular one warms them all
+constexpr double arc_uses = 10.0;     // in the window, of each endpoint, where a connection serves one call
+constexpr double dear_connection = 0.05;  // of a call's worth: under it, crowding in narrow parts costs more
+constexpr std::size_t arcs = 3;           // own arcs tried, one after the other, before all of the ring
+constexpr std::size_t key_places = 32;    // endpoints tried for a key: a popular one warms them all
 constexpr double key_spread = 4.0;  // endpoints per mean endpoint's load that a key brings: warm work is less
 constexpr double model_gain = 0.02;  // per answer: the mean of some 50
 constexpr double key_gain = 0.005;   // per call: popularity over the last 200
@@ -143,6 +145,8 @@
   warm_keys = settings.has("extra.warm_keys") && settings.flag("extra.warm_keys");
   shared_connections =
       settings.has("allowed.streams_per_conn") && settings.number("allowed.streams_per_conn") > 1.0;
+  own_parts = !shared_connections && settings.has("penalties.handshake") &&
+              settings.number("penalties.handshake") > dear_connection;
   cold_share = settings.number("rules.cold_share");
   fall_multiple = settings.number("rules.fall_multiple");
   fall_window = settings.span("rules.fall_ms");
@@ -205,7 +209,7 @@
 void Balancer::State::order() {
   ring.resize(endpoints.size());
   std::iota(ring.begin(), ring.end(), 0U);
-  if (!shared_connections && !warm_keys) return;
+  if (!shared_connections && !warm_keys && !own_parts) return;
   std::sort(ring.begin(), ring.end(),
             [&](std::uint32_t a, std::uint32_t b) { return endpoints[a].mark < endpoints[b].mark; });
 }
@@ -215,11 +219,12 @@
   const auto all = static_cast<std::size_t>(ready_count);
   spread = ready_count;
   own = {0, ring.size()};
-  if (!shared_connections && now >= scarce_until) return;
+  if (!shared_connections && !own_parts && now >= scarce_until) return;
   own.from = static_cast<std::size_t>(seat * static_cast<double>(ring.size()));
   // What has come since the last solve counts at once: a hot sidecar would crowd a narrow part for seconds.
   const double since = std::max((now - rate_since) / limit_every, 1.0) * limit_every.as_ms() / 1000.0;
-  const double known = std::max(rate, step_arrivals / since) * estimate_window.as_ms() / 1000.0 / arc_answers;
+  const double uses = shared_connections || now < scarce_until ? arc_answers : arc_uses;
+  const double known = std::max(rate, step_arrivals / since) * estimate_window.as_ms() / 1000.0 / uses;
   const auto wanted = static_cast<std::size_t>(std::max(arc_least, known));
   for (Endpoint& e : endpoints) e.in_part = false;
   std::size_t have = 0;
@@ -356,6 +361,16 @@
   return draw(c, {own.from, ring.size()}, now);
 }
 
+// Its connection has idled as long as one that was lost: a new one is needed.
+bool Balancer::State::doubted(const Endpoint& e, TimePoint now) const {
+  return now - idle_lost_at < idle_doubt && e.in_flight == 0 && e.last_used > TimePoint() &&
+         now - e.last_used >= idle_safe;
+}
+
+bool Balancer::State::spare_connection(const Endpoint& e, TimePoint now) const {
+  return e.connections > e.in_flight && !doubted(e, now);
+}
+
 bool Balancer::State::tried(const Call& c, std::size_t endpoint) const {
   return std::any_of(c.dispatches.begin(), c.dispatches.begin() + c.sent,
                      [&](const Dispatch& d) { return d.endpoint == endpoint; });
@@ -379,6 +394,8 @@
     Endpoint& e = endpoints[i];
     if (e.in_flight > high || crowded(e, now) || tried(c, i) || !healthy(e, now) || !open_by_rules(c, e, now))
       continue;
+    // Guards against new connections where they are dear or fail: those that have one to spare come first.
+    if (own_parts && !spare_connection(e, now) && (n < draws - 1 || now < scarce_until)) continue;
     if (near_draws == 0 || e.zone == own_zone) return static_cast<int>(i);
     if (far < 0) far = static_cast<int>(i), last = n + near_draws;
   }
@@ -396,7 +413,9 @@
       ready += pass == 0 ? 1 : 0;
       unhealthy += pass == 0 && !well ? 1 : 0;
       if ((pass == 0 && !well) || !open_by_rules(c, e, now)) continue;
-      const double load = (e.in_flight + 1) * std::max(1.0, e.latency_ms) + (tried(c, i) ? 1e9 : 0.0);
+      if (own_parts && now < scarce_until && e.in_flight > e.connections) continue;  // one is being made
+      double load = (e.in_flight + 1) * std::max(1.0, e.latency_ms) + (tried(c, i) ? 1e9 : 0.0);
+      if (own_parts && now < scarce_until && !spare_connection(e, now)) load += 1e6;
       if (best < 0 || load < best_load) best = static_cast<int>(i), best_load = load;
     }
   }
@@ -448,8 +467,9 @@
 }
 
 // Dropped unseen while it idled, for all one can know: not the endpoint's fault, but doubted for a while.
-bool Balancer::State::dropped(const Endpoint& e, const Dispatch& d, TimePoint now) {
-  if (!shared_connections || d.idle < idle_least || e.quiet_since > d.sent) return false;
+// Silence is held against a connection only where many calls share it: else it may be the endpoint's.
+bool Balancer::State::dropped(const Endpoint& e, const Dispatch& d, bool reset, TimePoint now) {
+  if ((!shared_connections && !reset) || d.idle < idle_least || e.quiet_since > d.sent) return false;
   idle_safe =
       now - idle_lost_at < idle_doubt ? std::min(idle_safe, d.idle * idle_margin) : d.idle * idle_margin;
   idle_lost_at = now;
@@ -465,9 +485,13 @@
   --e.in_flight;
   --in_flight;
   double speed_ms = 0.0;
-  if (end.outcome == Outcome::done) e.last_used = now;
+  if (end.outcome == Outcome::done)
+    e.last_used = now, e.connections = std::max(e.connections, e.in_flight + 1);
+  if (end.outcome == Outcome::reset || end.outcome == Outcome::timed_out || end.outcome == Outcome::cancelled)
+    e.connections = std::max(0, e.connections - 1);
+  if (end.outcome == Outcome::not_connected) e.connections = e.in_flight;
   refused += ((end.outcome == Outcome::not_connected ? 1.0 : 0.0) - refused) * refused_gain;
-  if (warm_keys && refused > refused_most) scarce_until = now + idle_doubt;
+  if ((warm_keys || own_parts) && refused > refused_most) scarce_until = now + idle_doubt;
   switch (end.outcome) {
     case Outcome::done:
       times.add(end.elapsed, now);
@@ -509,14 +533,18 @@
     case Outcome::timed_out:
       if (d.cut) cuts.add(end.elapsed, now);
       // A wait shorter than most answers take tells of the caller, not of the endpoint.
-      if (dropped(e, d, now) || (measured(now) && end.elapsed < times.quantile(cap_quantile, now))) break;
+      if (dropped(e, d, false, now) || (measured(now) && end.elapsed < times.quantile(cap_quantile, now)))
+        break;
       if (told) tell_use(used_jammed, now);  // a jam answers nothing, and reports come with answers
       miss(e, now, "dispatches time out");
       break;
     case Outcome::not_connected: miss(e, now, "no connection", misses_allowed); break;  // no chance error
-    case Outcome::reset: miss(e, now, "connections break"); break;
+    case Outcome::reset:
+      // At once, before any work could be done: the connection was gone before the call came.
+      if (!dropped(e, d, end.elapsed < cap_floor, now)) miss(e, now, "connections break");
+      break;
     case Outcome::cancelled:
-      if (d.rescued && !dropped(e, d, now)) miss(e, now, "silent");
+      if (d.rescued && !dropped(e, d, false, now)) miss(e, now, "silent");
       break;
     case Outcome::error:  // three running are the endpoint's own: failing fast, it would draw the most calls
       e.quiet_since = now;
@@ -781,7 +809,7 @@
   if (c.bound_to >= 0 && tracks[c.track].effect == Effect::referenced)
     a.until = c.bound_since + tracks[c.track].repeat_window;
   const Span idle = e.in_flight > 0 || e.last_used == TimePoint() ? Span() : now - e.last_used;
-  a.fresh = shared_connections && idle >= idle_safe && now - idle_lost_at < idle_doubt;
+  a.fresh = doubted(e, now);
   e.last_used = now;
   Dispatch& d = c.dispatches[c.sent++];
   d = {static_cast<std::uint32_t>(endpoint), now, e.zone, e.cell, true, a.span < c.timeout - now, false, {}};
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -48,6 +48,7 @@
   TimePoint came_up, quiet_since, barred_until;
   Span bar;  // the pause before it is tried again; zero: none yet
   int in_flight = 0, misses = 0;
+  int connections = 0;                    // that have served and may still stand
   bool outlier = false, in_part = false;  // in_part: of this sidecar's own part of the ring
   double latency_ms = 0.0;                // smoothed over done dispatches; 0: unheard
   double fresh_cap = -1.0;                // calls in flight; negative: no cap
@@ -125,7 +126,9 @@
   std::uint32_t free_place();
   void fill_cold(Endpoint& e, TimePoint now);
   void miss(Endpoint& e, TimePoint now, const char* what, int weight = 1);
-  bool dropped(const Endpoint& e, const Dispatch& d, TimePoint now);
+  bool dropped(const Endpoint& e, const Dispatch& d, bool reset, TimePoint now);
+  bool doubted(const Endpoint& e, TimePoint now) const;
+  bool spare_connection(const Endpoint& e, TimePoint now) const;
   void tell_use(double part, TimePoint now);
   void learn(Endpoint& e, const Dispatch& d, const DispatchEnd& end, TimePoint now);
 
@@ -161,9 +164,10 @@
   Pcg chance;
   bool first_tier, can_cancel, can_come_back, must_subscribe, marks_repeats;
   bool can_tell = false, warm_keys = false, one_layer = false, will_tell = false, shared_connections = false;
-  double seat = 0.0;                                            // of this sidecar among all: 0 to under 1
-  int own_zone = -1;                                            // where crossing zones is priced
-  int near_draws = 0;                                           // more draws for an endpoint in it
+  bool own_parts = false;  // connections are dear and serve one call at a time: few are kept in use
+  double seat = 0.0;       // of this sidecar among all: 0 to under 1
+  int own_zone = -1;       // where crossing zones is priced
+  int near_draws = 0;      // more draws for an endpoint in it
   double sidecars, cold_share, fall_multiple, cold_part = 1.0;  // cold_part: of the sidecar's cold budgets
   Span warm_after, fall_window, most_come_back;
   std::uint8_t most_dispatches;
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -501,6 +501,38 @@
   EXPECT_GT(used_by(of_many(0, false)).size(), 20U);
 }
 
+Settings dear(const char* price) {
+  Settings s = of_many(0, false);
+  s["penalties.handshake"] = price;
+  return s;
+}
+
+// 40 endpoints, each met every 16 s: at 0.12 of a call's worth a connection, thirty of them were never used
+// twice.
+TEST(Parts, ASidecarKeepsToItsOwnPartWhereConnectionsAreDear) {
+  EXPECT_LE(used_by(dear("0.12")).size(), 8U);
+  EXPECT_GT(used_by(dear("0.03")).size(), 20U);
+}
+
+// New connections failed for 20 s, and calls went on to ask for them beside those that stood.
+TEST(Parts, WhileConnectionsFailThoseThatStandComeFirst) {
+  Bench b(3, dear("0.12"));
+  const Answer stands = b.call(1, 0);
+  b.end(stands, Outcome::done, 50);
+  for (CallId id = 10; id < 40; ++id) {
+    const Answer a = b.call(id, 60);
+    if (a.verdict != Verdict::dispatch) continue;
+    const Outcome how = a.endpoint == stands.endpoint ? Outcome::done : Outcome::not_connected;
+    b.balancer.ended({id, a.endpoint, 0, true, how, Span::ms(1), {}}, at(60));
+  }
+  for (CallId id = 50; id < 60; ++id) {
+    const Answer a = b.call(id, 6000);
+    ASSERT_EQ(a.verdict, Verdict::dispatch);
+    EXPECT_EQ(a.endpoint, stands.endpoint);
+    b.end(a, Outcome::done, 6000, 5);
+  }
+}
+
 TEST(Parts, AHotSidecarSpreadsFurtherBeforeTheNextSolve) {
   Bench b(40, of_many(0, true));
   std::set<EndpointId> used;
@@ -662,6 +694,22 @@
   EXPECT_TRUE(b.call(3, 7000).fresh);
 }
 
+// A reset at once after idling is the connection's; one while work is done is the endpoint's.
+TEST(Idle, AResetAtOnceAfterIdlingIsHeldAgainstTheConnection) {
+  const auto after = [](double elapsed) {
+    Bench b(1);
+    b.history(30, 100, 500);
+    for (CallId id = 1; id <= 3; ++id) {
+      const double when = 2000.0 * static_cast<double>(id);
+      const Answer a = b.call(id, when);
+      b.balancer.ended({id, a.endpoint, 0, true, Outcome::reset, Span::ms(elapsed), {}}, at(when + elapsed));
+    }
+    return std::pair(b.call(9, 8000).fresh, b.balancer.avoided(at(6100)));
+  };
+  EXPECT_EQ(after(1), std::pair(true, std::size_t{0}));
+  EXPECT_EQ(after(90), std::pair(false, std::size_t{1}));
+}
+
 TEST(Learnt, AFollowerDrawsByWhatWasLearntOfTheSameProcess) {
   Bench before(4), after(4);
   for (CallId id = 1; id <= 200; ++id) {
