--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -516,7 +516,7 @@
 
 // New connections failed for 20 s, and calls went on to ask for them beside those that stood.
 TEST(Parts, WhileConnectionsFailThoseThatStandComeFirst) {
-  Bench b(3, dear("0.12"));
+  Bench b(12, dear("0.12"));
   const Answer stands = b.call(1, 0);
   b.end(stands, Outcome::done, 50);
   for (CallId id = 10; id < 40; ++id) {
