Where only draining binds, a list that calls gone what still answers is doubted

That they serve shows in the calls themselves: they answered until the list came, and no connection broke.

Change: `rules.drain_binds_alone` reaches the module and is checked. Where it is true, an endpoint that is called gone or left out, answered before and has no failure against it stays in use until the failures that would have it passed over; then it is gone. One that was ever listed as draining since its start is not kept. It can do harm where the list is right: one call each that finds no connection, and goes again by proof. On sockets the driver keeps its address and connections as long as the module does (`usable`). Guards also against an old list come again.

--- a/include/chutevane/balancer.hpp
+++ b/include/chutevane/balancer.hpp
@@ -49,6 +49,7 @@
   // sidecar.
   void share(double part);
   std::size_t avoided(TimePoint now) const;  // ready endpoints that are passed over now
+  bool usable(EndpointId endpoint) const;    // calls may go to it, though a list may have called it gone
   std::size_t endpoints_kept() const;  // places: as many as were listed or still answered calls at one time
 
  private:
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -136,6 +136,7 @@
   one_of("allowed.may_tell", {"true", "false"});
   one_of("extra.warm_keys", {"true", "false"});
   one_of("client_habits.marks_retry", {"true", "false"});
+  one_of("rules.drain_binds_alone", {"true", "false"});
   one_of("report.how", {"inline", "on_probe", "off"});
   // The further rules: one that is half stated would be half kept.
   const auto from_to = [&](const std::string& key, double least, double most) {
--- a/src/sidecar/driver.cpp
+++ b/src/sidecar/driver.cpp
@@ -59,6 +59,7 @@
   while (true) {
     co_await waker_.wait(due);
     apply(balancer_.woken(scheduler_.now()));
+    part_with_doubted();
   }
 }
 
@@ -249,6 +250,15 @@
   }
   pumping_ = false;
   apply(balancer_.listed(kind, entries, scheduler_.now()));
+  part_with_doubted();
+}
+
+// The module judges by its calls whether what the list calls gone is gone; its connections follow.
+void Driver::part_with_doubted() {
+  for (std::size_t i = endpoints_.doubted().size(); i-- > 0;) {
+    const EndpointId id = endpoints_.doubted()[i];
+    if (!balancer_.usable(id)) endpoints_.part_with(id);
+  }
 }
 
 void Driver::apply(Answers answers) {
--- a/src/sidecar/driver.hpp
+++ b/src/sidecar/driver.hpp
@@ -78,6 +78,7 @@
   };
 
   void take_list(ListKind kind, const discovery::List& list);
+  void part_with_doubted();
   void apply(Answers answers);
   void pump();
   void act(const Answer& answer);
--- a/src/sidecar/endpoints.cpp
+++ b/src/sidecar/endpoints.cpp
@@ -228,6 +228,8 @@
       own_{static_cast<std::size_t>(static_cast<double>(config.sockets) * endpoint_part), 0, 0, {}},
       room_(shared != nullptr ? *shared : own_),
       connections_(scheduler) {
+  const auto alone = config.settings.find("rules.drain_binds_alone");
+  gone_binds_ = alone == config.settings.end() || alone->second != "true";
   room_.most = room_.whole = own_.most;
   room_.pools.push_back(this);
 }
@@ -267,6 +269,9 @@
     e.address_text = entry.address;
     e.address = *net::parse_address(entry.address);
   }
+  std::erase(doubted_, id);
+  if (entry.availability == Availability::gone && e.availability == Availability::ready && !gone_binds_)
+    return doubted_.push_back(id), id;
   e.availability = entry.availability;
   if (e.availability != Availability::ready) now_closed_to_new(e);
   forget(e);
@@ -277,14 +282,21 @@
   std::sort(named.begin(), named.end());
   std::vector<EndpointId> unnamed;
   for (auto& [id, e] : endpoints_) {
-    if (!std::binary_search(named.begin(), named.end(), id)) unnamed.push_back(id);
-  }
-  for (const EndpointId id : unnamed) {
-    Endpoint& e = endpoints_.at(id);
-    e.availability = Availability::gone;
-    now_closed_to_new(e);
-    forget(e);
+    if (std::binary_search(named.begin(), named.end(), id)) continue;
+    const bool kept = !gone_binds_ && e.availability == Availability::ready;
+    if (kept) std::erase(doubted_, id);
+    (kept ? doubted_ : unnamed).push_back(id);
   }
+  for (const EndpointId id : unnamed) part_with(id);
+}
+
+void Endpoints::part_with(EndpointId id) {
+  std::erase(doubted_, id);
+  const auto found = endpoints_.find(id);
+  if (found == endpoints_.end()) return;
+  found->second.availability = Availability::gone;
+  now_closed_to_new(found->second);
+  forget(found->second);
 }
 
 // Guards a long day, on which endpoints come and go under ever new ids.
--- a/src/sidecar/endpoints.hpp
+++ b/src/sidecar/endpoints.hpp
@@ -122,6 +122,9 @@
   EndpointId learn(const discovery::Entry& entry);
   // All but these are gone.
   void forget_unnamed(std::vector<EndpointId> named);
+  // Where only draining binds: those that the list calls gone, and that are kept until part_with().
+  const std::vector<EndpointId>& doubted() const { return doubted_; }
+  void part_with(EndpointId id);
   // Closes what idles at it: the next dispatch there opens a new connection.
   void close_idle(EndpointId id);
   std::string name_of(EndpointId id) const;               // discovery's; empty: not known
@@ -158,6 +161,8 @@
   net::Held own_held_;
   net::Held& held_;
   Room own_;
+  bool gone_binds_ = true;
+  std::vector<EndpointId> doubted_;
   Room& room_;
   EndpointId last_id_ = 0;
   std::unordered_map<EndpointId, Endpoint> endpoints_;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -48,14 +48,14 @@
   TimePoint came_up, quiet_since, barred_until;
   Span bar;  // the pause before it is tried again; zero: none yet
   int in_flight = 0, misses = 0;
-  int connections = 0;                    // that have served and may still stand
-  bool outlier = false, in_part = false;  // in_part: of this sidecar's own part of the ring
-  double latency_ms = 0.0;                // smoothed over done dispatches; 0: unheard
-  double fresh_cap = -1.0;                // calls in flight; negative: no cap
+  int connections = 0;      // that have served and may still stand
+  bool in_part = false;     // of this sidecar's own part of the ring
+  bool unlisted = false;    // called gone, and kept: it answers
+  double latency_ms = 0.0;  // smoothed over done dispatches; 0: unheard
+  double fresh_cap = -1.0;  // calls in flight; negative: no cap
   double cold_tokens = 0.0;
   double held = 0.0;  // calls, as last reported
   TimePoint cold_filled, held_at, told_at, last_used;
-  WindowedHistogram times;  // done dispatches
 };
 
 // The calls of one key that go one at a time, as they were taken.
@@ -123,6 +123,7 @@
   bool healthy(const Endpoint& e, TimePoint now);
   bool silent(const Endpoint& e, TimePoint now);
   double warmth(const Endpoint& e, TimePoint now) const;
+  void called_gone(Endpoint& e, TimePoint now);
   std::uint32_t free_place();
   void fill_cold(Endpoint& e, TimePoint now);
   void miss(Endpoint& e, TimePoint now, const char* what, int weight = 1);
@@ -162,7 +163,7 @@
 
   const SettingsReader settings;
   Pcg chance;
-  bool first_tier, can_cancel, can_come_back, must_subscribe, marks_repeats;
+  bool first_tier, gone_binds, can_cancel, can_come_back, must_subscribe, marks_repeats;
   bool can_tell = false, warm_keys = false, one_layer = false, will_tell = false, shared_connections = false;
   bool own_parts = false;  // connections are dear and serve one call at a time: few are kept in use
   double seat = 0.0;       // of this sidecar among all: 0 to under 1
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -127,6 +127,41 @@
   for (CallId id = 1; id <= 5; ++id) EXPECT_EQ(b.call(id, 20).endpoint, 2U);
 }
 
+// A list called a whole tier gone while it served: nothing was left to send to.
+TEST(WrongList, WhereOnlyDrainingBindsThoseThatAnswerAreKeptUntilTheyFail) {
+  const auto listed_gone = [](const char* alone, Outcome then) {
+    Settings s = settings();
+    s["rules.drain_binds_alone"] = alone;
+    Bench b(4, s);
+    b.history(40, 100, 500);
+    b.balancer.listed(ListKind::full, {}, at(600));
+    int sent = 0;
+    for (CallId id = 1; id <= 40; ++id) {
+      const Answer a = b.call(id, 610);
+      if (a.verdict != Verdict::dispatch) continue;
+      ++sent;
+      b.balancer.ended({id, a.endpoint, 0, true, then, Span::ms(1), {}}, at(610));
+    }
+    return sent;
+  };
+  EXPECT_EQ(listed_gone("false", Outcome::done), 0);
+  EXPECT_EQ(listed_gone("true", Outcome::done), 40);
+  EXPECT_EQ(listed_gone("true", Outcome::not_connected), 4);  // one each: the list was right
+}
+
+TEST(WrongList, ADrainingEndpointIsNotKept) {
+  Settings s = settings();
+  s["rules.drain_binds_alone"] = "true";
+  Bench b(1, s);
+  b.history(40, 100, 500);
+  auto list = endpoints(1);
+  list[0].availability = Availability::draining;
+  b.balancer.listed(ListKind::full, list, at(600));
+  b.balancer.listed(ListKind::full, {}, at(700));
+  EXPECT_EQ(b.call(1, 710).verdict, Verdict::reject);
+  EXPECT_FALSE(b.balancer.usable(1));
+}
+
 TEST(Drains, NoEndpointIsAQuickRejectionWithAComeBackTime) {
   Bench b(0);
   const Answer a = b.call(1, 10);
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -95,6 +95,8 @@
   EXPECT_EQ(key_of_error(with("\"fall_ms\"", "\"resend_span_ms\":0,\"fall_ms\"")),
             "settings.rules.resend_span_ms");
   EXPECT_EQ(key_of_error(with("\"fall_ms\"", "\"budget_free\":2,\"fall_ms\"")), "settings.rules.budget_free");
+  EXPECT_EQ(key_of_error(with("\"fall_ms\"", "\"drain_binds_alone\":1,\"fall_ms\"")),
+            "settings.rules.drain_binds_alone");
   EXPECT_EQ(key_of_error(with("\"fall_ms\"", "\"settle_after_doubt_ms\":-1,\"fall_ms\"")),
             "settings.rules.settle_after_doubt_ms");
   EXPECT_EQ(key_of_error(with("\"name\":\"plan\"", "\"name\":\"plan\",\"in_turn\":1")),
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -539,6 +539,30 @@
   EXPECT_TRUE(b.until([&] { return endpoint.over(); }));
 }
 
+// Where only draining binds, the endpoint serves on though the list calls it gone, until it refuses.
+TEST(Watch, AnEndpointThatAnswersOutlastsAListThatLacksIt) {
+  SidecarBench b(R"("fall_ms":1500)", R"("fall_ms":1500,"drain_binds_alone":true)");
+  Peer discovery, endpoint;
+  Peer caller = b.call(request_text("a", "plan"), endpoint);
+  endpoint.say(answer_text("one"));
+  ASSERT_TRUE(b.hears(caller, "one"));
+  ASSERT_TRUE(b.until([&] { return b.discovery.take(discovery); }));
+  discovery.say(answer_text(R"({"version":2,"full":true,"servers":[]})"));
+  ASSERT_TRUE(b.hears(discovery, "after=2"));
+  caller.say(request_text("b", "plan"));
+  ASSERT_TRUE(b.hears(endpoint, "X-Request-ID: b"));
+  endpoint.say(answer_text("two"));
+  ASSERT_TRUE(b.hears(caller, "two"));
+  endpoint.leave();
+  b.endpoint.close();
+  for (const char* id : {"c", "d"}) {
+    caller.heard.clear();
+    caller.say(request_text(id, "plan"));
+    ASSERT_TRUE(b.hears(caller, "HTTP/1.1"));
+  }
+  EXPECT_TRUE(caller.has("HTTP/1.1 429") || caller.has("HTTP/1.1 503"));
+}
+
 // Guards against a SIGHUP that loses calls, connections or the list: only the watch moves.
 TEST(Reload, MovesDiscoveryAndKeepsTheRest) {
   SidecarBench b;
