Thin traffic keeps to its own part of the endpoints, whatever connections cost

It can do harm where three sidecars of a part have several times the mean traffic: the part grows with their calls. Where only draining binds, endpoints that were not tried yet are kept as well: with parts they are most.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -42,9 +42,8 @@
 constexpr double arc_least = 3.0;     // endpoints: two may fail and two are left to choose from
 constexpr double arc_answers = 50.0;  // in the window, from each endpoint of the arc: enough to judge it well
 constexpr double arc_uses = 10.0;     // in the window, of each endpoint, where a connection serves one call
-constexpr double dear_connection = 0.05;  // of a call's worth: under it, crowding in narrow parts costs more
-constexpr std::size_t arcs = 3;           // own arcs tried, one after the other, before all of the ring
-constexpr std::size_t key_places = 32;    // endpoints tried for a key: a popular one warms them all
+constexpr std::size_t arcs = 3;       // own arcs tried, one after the other, before all of the ring
+constexpr std::size_t key_places = 32;  // endpoints tried for a key: a popular one warms them all
 constexpr double key_spread = 4.0;  // endpoints per mean endpoint's load that a key brings: warm work is less
 constexpr double model_gain = 0.02;  // per answer: the mean of some 50
 constexpr double key_gain = 0.005;   // per call: popularity over the last 200
@@ -142,8 +141,7 @@
   warm_keys = settings.has("extra.warm_keys") && settings.flag("extra.warm_keys");
   shared_connections =
       settings.has("allowed.streams_per_conn") && settings.number("allowed.streams_per_conn") > 1.0;
-  own_parts = !shared_connections && settings.has("penalties.handshake") &&
-              settings.number("penalties.handshake") > dear_connection;
+  own_parts = !shared_connections && !warm_keys && own_zone < 0 && sidecars > arc_least;
   cold_share = settings.number("rules.cold_share");
   fall_multiple = settings.number("rules.fall_multiple");
   fall_window = settings.span("rules.fall_ms");
@@ -211,7 +209,8 @@
             [&](std::uint32_t a, std::uint32_t b) { return endpoints[a].mark < endpoints[b].mark; });
 }
 
-// As many endpoints as this sidecar's calls can tell of: guards against hundreds of connections unused.
+// As many endpoints as this sidecar's calls can tell of, and enough that all sidecars cover each: guards
+// against hundreds of connections unused, and against endpoints that are met once a minute and never known.
 void Balancer::State::widen(TimePoint now) {
   const auto all = static_cast<std::size_t>(ready_count);
   spread = ready_count;
@@ -222,7 +221,8 @@
   const double since = std::max((now - rate_since) / limit_every, 1.0) * limit_every.as_ms() / 1000.0;
   const double uses = shared_connections || now < scarce_until ? arc_answers : arc_uses;
   const double known = std::max(rate, step_arrivals / since) * estimate_window.as_ms() / 1000.0 / uses;
-  const auto wanted = static_cast<std::size_t>(std::max(arc_least, known));
+  const auto wanted =
+      static_cast<std::size_t>(std::max({arc_least, known, arc_least * ready_count / sidecars}));
   for (Endpoint& e : endpoints) e.in_part = false;
   std::size_t have = 0;
   for (own.size = 0; own.size < ring.size() && have < wanted; ++own.size) {
@@ -377,7 +377,7 @@
     Endpoint& e = endpoints[i];
     if (e.in_flight > high || crowded(e, now) || tried(c, i) || !healthy(e, now) || !open_by_rules(c, e, now))
       continue;
-    // Guards against new connections where they are dear or fail: those that have one to spare come first.
+    // Guards against new connections, which cost and may fail: those that have one to spare come first.
     if (own_parts && !spare_connection(e, now) && (n < draws - 1 || now < scarce_until)) continue;
     if (near_draws == 0 || e.zone == own_zone) return static_cast<int>(i);
     if (far < 0) far = static_cast<int>(i), last = n + near_draws;
@@ -538,11 +538,10 @@
   }
 }
 
-// Guards against a list that is wrong, where only draining binds: one that answered of late and has no
-// failure against it is kept until its own calls fail. Harm: one call for each that is gone indeed.
+// Guards against a list that is wrong, where only draining binds: one without a failure against it is kept
+// until its own calls fail. Harm: one call for each that is gone indeed.
 void Balancer::State::called_gone(Endpoint& e, TimePoint now) {
-  e.unlisted =
-      !gone_binds && e.ready() && e.misses == 0 && e.bar == Span() && e.latency_ms > 0.0 && !silent(e, now);
+  e.unlisted = !gone_binds && e.ready() && e.misses == 0 && e.bar == Span() && !silent(e, now);
   if (!e.unlisted) e.availability = Availability::gone;
 }
 
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -165,7 +165,7 @@
   Pcg chance;
   bool first_tier, gone_binds, can_cancel, can_come_back, must_subscribe, marks_repeats;
   bool can_tell = false, warm_keys = false, one_layer = false, will_tell = false, shared_connections = false;
-  bool own_parts = false;  // connections are dear and serve one call at a time: few are kept in use
+  bool own_parts = false;  // a connection serves one call and no crossing is priced: few are kept in use
   double seat = 0.0;       // of this sidecar among all: 0 to under 1
   int own_zone = -1;       // where crossing zones is priced
   int near_draws = 0;      // more draws for an endpoint in it
