--- a/src/lab/auditor.cpp
+++ b/src/lab/auditor.cpp
@@ -44,12 +44,20 @@
   order_.push_back(ask.call);
   dues_.emplace(ask.sent + ask.timeout + rules_.wait_most(), ask.call);
   last_call_ = std::max(last_call_, ask.call);
+  if (ask.key != 0 && tracks_[ask.track].in_turn) turns_[{ask.sidecar, ask.key}].push_back(ask.call);
+  if (rules_.resend_span > Span()) taken_[ask.sidecar].calls.push_back(ask.sent);
 }
 
 void Auditor::moved(CallKey call, std::size_t sidecar) {
   const auto found = calls_.find(call);
   if (found == calls_.end()) return;
-  found->second.ask.sidecar = sidecar;
+  Ask& ask = found->second.ask;
+  if (ask.key != 0 && tracks_[ask.track].in_turn) {
+    std::erase(turns_[{ask.sidecar, ask.key}], call);
+    turns_[{sidecar, ask.key}].push_back(call);
+  }
+  ask.sidecar = sidecar;
+  if (rules_.resend_span > Span()) taken_[sidecar].calls.push_back(ask.sent);
   if (doubts_[sidecar] > 0) found->second.excused = true;
 }
 
@@ -138,11 +146,52 @@
            text("sent to endpoint %u %.1f ms after sidecar %zu was told that it takes nothing new", endpoint,
                 (first_byte - told->second).as_ms(), sidecar));
   judge_cold(e, call, last_byte);
+  if (c.dispatches.size() > 1 && rules_.resend_span > Span()) judge_budget(sidecar, call, last_byte);
+  if (c.dispatches.size() == 1 && c.ask.key != 0 && tracks_[c.ask.track].in_turn)
+    to_judge_.push_back({call, id, last_byte + rules_.slack});
   // Judged a moment later: how earlier dispatches ended may lie in another connection's bytes of this turn.
   if (c.dispatches.size() > 1) to_judge_.push_back({call, id, last_byte + rules_.slack});
   return id;
 }
 
+// Rule 6. The edges of the span are given to the sidecar, and calls that it may not have taken yet.
+void Auditor::judge_budget(std::size_t sidecar, CallKey call, TimePoint at) {
+  Taken& t = taken_[sidecar];
+  if (at < uncounted_until_) return t.again.clear();
+  t.again.push_back(at);
+  while (at - t.again.front() >= rules_.resend_span - rules_.wait_most()) t.again.pop_front();
+  while (!t.calls.empty() && at - t.calls.front() > rules_.resend_span + rules_.wait_most())
+    t.calls.pop_front();
+  const double most = rules_.budget_free + rules_.resend_ratio * static_cast<double>(t.calls.size());
+  if (static_cast<double>(t.again.size()) > most)
+    breach(6, call, at,
+           text("%zu dispatches beyond a first by sidecar %zu in its span, where %zu calls taken allow %.2f",
+                t.again.size(), sidecar, t.calls.size(), most));
+}
+
+// Rule 5: none of a key goes out beside another, nor before one that was taken earlier. What a
+// key's rest hides is not seen from here: an endpoint can't tell a time-out from an answer that was read.
+void Auditor::judge_turn(const Call& c, const Dispatch& d) {
+  for (const CallKey key : turns_[{c.ask.sidecar, c.ask.key}]) {
+    const auto found = calls_.find(key);
+    if (found == calls_.end() || key == c.ask.call || found->second.excused) continue;
+    const Call& other = found->second;
+    const auto beside = [&](const Dispatch& o) {
+      return o.last_byte <= d.last_byte && o.over_at > d.last_byte + rules_.slack;
+    };
+    if (std::any_of(other.dispatches.begin(), other.dispatches.end(), beside))
+      breach(5, c.ask.call, d.last_byte,
+             text("sent while call %llu of its key was out", (unsigned long long)key));
+    // One that has not gone out by now may never do so; one that goes out now was passed by those before.
+    const bool passed = !other.dispatches.empty() && c.dispatches.front().id == d.id &&
+                        other.dispatches.front().last_byte + rules_.slack < d.last_byte;
+    if (passed && d.last_byte >= uncounted_until_ && c.ask.sent + rules_.wait_most() < other.ask.sent)
+      breach(5, c.ask.call, d.last_byte,
+             text("sent after call %llu, taken %.1f ms later with its key", (unsigned long long)key,
+                  (other.ask.sent - c.ask.sent).as_ms()));
+  }
+}
+
 // Rule 4: what a cold endpoint is sent within any window stays under a multiple of what it can do in it.
 void Auditor::judge_cold(Endpoint& e, CallKey call, TimePoint at) {
   const Life& life = e.life;
@@ -213,6 +262,7 @@
   const auto same = [&](const Dispatch& d) { return d.id == sent.id; };
   const auto at = std::find_if(c.dispatches.begin(), c.dispatches.end(), same);
   if (at == c.dispatches.end()) return;
+  if (c.ask.key != 0 && tracks_[c.ask.track].in_turn) judge_turn(c, *at);
   for (auto before = c.dispatches.begin(); before != at; ++before) {
     if (!copies_allowed_ && before->over_at > at->last_byte + rules_.slack)
       breach(
@@ -264,6 +314,10 @@
     const Call& c = calls_.at(order_.front());
     if (now < c.ask.sent + c.ask.timeout + longest_ + kept_after) break;
     for (const Dispatch& d : c.dispatches) dispatch_call_.erase(d.id);
+    if (const auto turn = turns_.find({c.ask.sidecar, c.ask.key}); turn != turns_.end()) {
+      std::erase(turn->second, order_.front());
+      if (turn->second.empty()) turns_.erase(turn);
+    }
     calls_.erase(order_.front());
     order_.pop_front();
   }
--- a/src/lab/auditor.hpp
+++ b/src/lab/auditor.hpp
@@ -1,13 +1,16 @@
-// Judges the four rules from what both ends of every call saw. Without I/O; hears nothing from the sidecars.
+// Judges the four rules, and the further two that an experiment may state (5: calls of a key in turn, 6: a
+// budget of dispatches), from what both ends of every call saw. Without I/O; hears nothing from the sidecars.
 //
 // Hand it each event with the lab's one clock, call settle() now and then, and finish() at the end. A breach
 // names rule, call, times and what was seen. What took place within `slack` of a limit is let pass: a sidecar
 // is not judged by the lab's own way.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <queue>
 #include <string>
 #include <unordered_map>
@@ -43,6 +46,7 @@
     std::size_t track = 0, sidecar = 0;
     TimePoint sent;  // its last byte
     Span timeout;
+    std::uint64_t key = 0;  // what it is about; 0: nothing
   };
   void asked(const Ask& ask);
   // It went out on another sidecar's connection after all.
@@ -58,6 +62,11 @@
     return found != calls_.end() && found->second.excused;
   }
   void sidecar_killed(std::size_t sidecar, TimePoint at);
+  void sidecar_started(std::size_t sidecar) {
+    taken_[sidecar].again.clear();
+  }  // each process counts by itself
+  // Until then dispatches may arrive later than they were sent, by no doing of a sidecar: rule 6 rests.
+  void uncounted(TimePoint until) { uncounted_until_ = std::max(uncounted_until_, until); }
   // While the way from callers to it is in doubt, or it cannot run, none of its calls is owed an answer in
   // time; all other rules stay. Beginnings and ends are counted.
   void doubt(std::size_t sidecar, bool begins);
@@ -120,6 +129,8 @@
   void breach(int rule, CallKey call, TimePoint at, std::string what);
   void judge(const Sent& sent);
   void judge_effects(const Call& call, const Dispatch& d, const Dispatch& before);
+  void judge_turn(const Call& call, const Dispatch& d);
+  void judge_budget(std::size_t sidecar, CallKey call, TimePoint at);
   void judge_cold(Endpoint& endpoint, CallKey call, TimePoint at);
   void expire(Call& call, TimePoint now);
   Dispatch* find(std::uint64_t dispatch, Call** call = nullptr);
@@ -136,6 +147,13 @@
   std::unordered_map<std::uint64_t, CallKey> dispatch_call_;
   std::priority_queue<Due, std::vector<Due>, std::greater<>> dues_;  // when calls have to be answered
   std::unordered_map<EndpointKey, Endpoint> endpoints_;
+  struct Taken {  // by one sidecar, within the span of the budget
+    std::deque<TimePoint> calls, again;
+  };
+  std::unordered_map<std::size_t, Taken> taken_;
+  TimePoint uncounted_until_;
+  std::map<std::pair<std::size_t, std::uint64_t>, std::deque<CallKey>>
+      turns_;  // by sidecar and key, as asked
   std::deque<Sent> to_judge_;
   std::vector<Breach> breaches_;
   std::uint64_t breach_count_ = 0, next_dispatch_ = 0, effects_ = 0;
--- a/src/lab/callers.cpp
+++ b/src/lab/callers.cpp
@@ -55,6 +55,8 @@
   while (w.track + 1 < experiment_.tracks.size() && at >= experiment_.tracks[w.track].share)
     at -= experiment_.tracks[w.track++].share;
   const TrackSpec& t = experiment_.tracks[w.track];
+  if (experiment_.callers.keys > 0)
+    w.key = 1 + static_cast<std::uint64_t>(habits_.unit() * experiment_.callers.keys);
   if (t.effect == TrackEffect::referenced) {
     char text[40];
     std::snprintf(text, sizeof text, "%08x%08x%016llx", habits_(), habits_(),
@@ -121,11 +123,13 @@
   text.repeated = w.tries > 0 && experiment_.callers.marks_repeats;
   text.body = experiment_.callers.request_bytes;
   text.client = t.client;
+  text.key = w.key;
   Auditor::Ask ask;
   ask.call = text.call;
   ask.track = w.track;
   ask.sent = now;
   ask.timeout = left;
+  ask.key = w.key;
   ++w.tries;
   w.call = text.call;
   calls_[text.call] = id;
--- a/src/lab/callers.hpp
+++ b/src/lab/callers.hpp
@@ -43,6 +43,7 @@
     int tries = 0;
     CallKey call = 0;  // its open try; 0: none
     std::string reference;
+    std::uint64_t key = 0;
     Ending last = Ending::unanswered;
   };
   enum class What : std::uint8_t { ask, leave, expire };
--- a/src/lab/client.cpp
+++ b/src/lab/client.cpp
@@ -176,6 +176,7 @@
   out += " /api HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: ";
   out.append(id).append("\r\nX-Priority-Class: ").append(c.track).append("\r\nX-Timeout: ").append(left);
   if (!c.client.empty()) out.append("\r\nX-Client: ").append(c.client);
+  if (c.key != 0) out += "\r\nX-Attrs: affinity=" + std::to_string(c.key);
   if (c.repeated) out += "\r\nX-Retried: 1";
   if (!c.reference.empty()) out.append("\r\nIdempotency-Key: ").append(c.reference);
   if (!c.read_only) out += "\r\nContent-Length: " + std::to_string(c.body);
--- a/src/lab/client.hpp
+++ b/src/lab/client.hpp
@@ -130,6 +130,7 @@
   bool repeated = false;
   std::size_t body = 0;
   std::string_view client;  // who asks; empty: not said
+  std::uint64_t key = 0;    // what it is about; 0: not said
 };
 std::string call_text(const CallText& call);
 // An id's number, or 0 when it is none that the lab makes.
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -59,6 +59,7 @@
 }
 
 void read_callers(Table& t, CallersSpec& out) {
+  out.keys = t.whole("keys", 0, 0, 1000000);
   out.rate = t.number("rate", std::nullopt, 0.1, 1e6);
   out.even = t.word<bool>("arrivals", arrival_words, false);
   out.connections = t.whole("connections", out.connections, 1, 20000);
@@ -79,6 +80,7 @@
   out.payoff = t.number("payoff", 1.0, 0.0, 1e6);
   out.late_payoff = t.number("late_payoff", 0.0, 0.0, 1.0);
   out.client = t.text("client", "");
+  out.in_turn = t.flag("in_turn", false);
   out.soft_limit = t.span("soft_limit_ms", std::nullopt, 1.0);
   out.client_timeout = t.span("client_timeout_ms", std::nullopt, 1.0);
   if (out.soft_limit > out.client_timeout) t.wrong("soft_limit_ms", "longer than client_timeout_ms");
@@ -229,6 +231,10 @@
       out.rules.fall_window = r.span("fall_ms", out.rules.fall_window.as_ms(), 1.0);
       out.rules.warm_after = r.span("warm_after_ms", out.rules.warm_after.as_ms(), 1.0);
       out.rules.slack = r.span("slack_ms", out.rules.slack.as_ms());
+      out.rules.settle_after_doubt = r.span("settle_after_doubt_ms", 0.0);
+      out.rules.budget_free = r.number("budget_free", 0.0, 0.0, 1e6);
+      out.rules.resend_ratio = r.number("resend_ratio", 0.0, 0.0, 1e3);
+      out.rules.resend_span = r.span("resend_span_ms", 0.0);
     }
     if (const toml::table* allowed = t.table("allowed")) {
       Table a(*allowed, "allowed.", errors);
--- a/src/lab/experiment.hpp
+++ b/src/lab/experiment.hpp
@@ -29,7 +29,8 @@
   Span remembered;  // a reference, by its group
   double payoff = 1.0, late_payoff = 0.0;
   Span soft_limit, client_timeout;
-  std::string client;  // who its callers say they are; empty: nobody
+  std::string client;    // who its callers say they are; empty: nobody
+  bool in_turn = false;  // calls with one key go one at a time, as a sidecar took them
 };
 
 struct TierSpec {
@@ -51,6 +52,7 @@
 };
 
 struct CallersSpec {
+  int keys = 0;         // that calls are about, drawn evenly; 0: none
   double rate = 100.0;  // first tries a second, over all tracks
   bool even = false;    // evenly spaced instead of Poisson
   int connections = 200;
@@ -70,6 +72,10 @@
   Span fall_window = Span::ms(1500);
   Span warm_after = Span::ms(10000);
   Span slack = Span::ms(50);  // of each time limit, for the lab's own part of it
+  Span settle_after_doubt;    // a key rests, where tracks go in turn
+  double budget_free = 0.0,
+         resend_ratio = 0.0;  // dispatches beyond each call's first, and for each call taken
+  Span resend_span;           // that they are counted over; zero: no such rule
   Span way_slack;             // beyond it, of an answer's: set where the way itself may take long
   Span wait_most() const { return slack + way_slack; }
 };
--- a/src/lab/fleet.cpp
+++ b/src/lab/fleet.cpp
@@ -126,6 +126,7 @@
 
 void Fleet::start_sidecar(SidecarPlace& s) {
   ++s.starts;
+  auditor_.sidecar_started(s.number);
   s.process->start(config_of(s), experiment_.pools);
   s.doing = Doing::starting;
   s.kill_at = TimePoint::never();
--- a/src/lab/sidecar_config.cpp
+++ b/src/lab/sidecar_config.cpp
@@ -28,6 +28,7 @@
                    {"effect", effect_name(t.effect)},
                    {"key_scope", scope_name(t.scope)},
                    {"memory_span_ms", t.remembered.as_ms()}});
+    if (t.in_turn) out.back()["in_turn"] = true;
   }
   return out;
 }
@@ -56,7 +57,13 @@
   settings["rules"] = {{"cold_share", e.rules.cold_share},
                        {"fall_multiple", e.rules.fall_multiple},
                        {"fall_ms", e.rules.fall_window.as_ms()},
-                       {"warm_after_ms", e.rules.warm_after.as_ms()}};
+                       {"warm_after_ms", e.rules.warm_after.as_ms()},
+                       {"settle_after_doubt_ms", e.rules.settle_after_doubt.as_ms()}};
+  if (e.rules.resend_span > Span()) {
+    settings["rules"]["resend_span_ms"] = e.rules.resend_span.as_ms();
+    settings["rules"]["budget_free"] = e.rules.budget_free;
+    settings["rules"]["resend_ratio"] = e.rules.resend_ratio;
+  }
   settings["classes"] = classes_of(e);
   const json out = {{"name", c.name},
                     {"listen", c.listen},
--- a/src/world/day.cpp
+++ b/src/world/day.cpp
@@ -242,6 +242,7 @@
     trace_.line(world().now(), "trouble n=%zu kind=%s ms=%.0f", number, kind_name(kind).c_str(),
                 t.lasts.as_ms());
     felt(kind, t.lasts);
+    fleet_.auditor().uncounted(world().now() + t.lasts + doubt_after);
     lab::Chance chance(scenario_.experiment.seed, "trouble " + std::to_string(number));
     const std::size_t tier = tier_of(t);
     switch (t.kind) {
--- a/src/world/scenario.cpp
+++ b/src/world/scenario.cpp
@@ -128,7 +128,7 @@
   out.put("repeat_group", std::string(scopes[static_cast<int>(t.scope)]))
       .put("repeat_window_ms", t.remembered);
   out.put("payoff", t.payoff).put("late_payoff", t.late_payoff).put("soft_limit_ms", t.soft_limit);
-  out.put("client_timeout_ms", t.client_timeout).put("client", t.client);
+  out.put("client_timeout_ms", t.client_timeout).put("client", t.client).put("in_turn", t.in_turn);
 }
 
 void write_tier(Text& out, const lab::TierSpec& t) {
@@ -225,10 +225,12 @@
   out.put("spread", e.callers.spread).put("repeats", e.callers.repeats);
   out.put("repeat_after_ms", e.callers.repeat_after).put("marks_repeats", e.callers.marks_repeats);
   out.put("leave_share", e.callers.leave_share).put("request_bytes", e.callers.request_bytes);
-  out.put("idle_ms", e.callers.idle);
+  out.put("idle_ms", e.callers.idle).put("keys", e.callers.keys);
   out.table("\n[rules]").put("drain_grace_ms", e.rules.drain_grace).put("cold_share", e.rules.cold_share);
   out.put("fall_multiple", e.rules.fall_multiple).put("fall_ms", e.rules.fall_window);
   out.put("warm_after_ms", e.rules.warm_after).put("slack_ms", e.rules.slack);
+  out.put("settle_after_doubt_ms", e.rules.settle_after_doubt).put("budget_free", e.rules.budget_free);
+  out.put("resend_ratio", e.rules.resend_ratio).put("resend_span_ms", e.rules.resend_span);
   out.table("\n[allowed]").put("cancel", e.allowed.cancel).put("second_copies", e.allowed.copies);
   out.put("retry_after", e.allowed.retry_after).put("max_retry_after_ms", e.allowed.most_retry_after);
   out.put("max_dispatches", e.allowed.dispatches).put("connect_timeout_ms", e.allowed.connect_timeout);
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -398,6 +398,50 @@
   EXPECT_EQ(a.rule(40), 4);
 }
 
+// With the further rules stated: key 7 in turn, two dispatches beyond a first in a second.
+struct FurtherAudit : Audit {
+  static Experiment stated() {
+    Experiment e = experiment();
+    for (TrackSpec& t : e.tracks) t.in_turn = true;
+    e.rules.budget_free = 2;
+    e.rules.resend_span = Span::ms(1000);
+    return e;
+  }
+  FurtherAudit() { auditor = Auditor(stated().rules, stated().tracks, false); }
+  void ask_for(CallKey call, std::uint64_t key, double when) {
+    Auditor::Ask a;
+    a.call = call, a.track = plan, a.sent = at(when), a.timeout = Span::ms(1000), a.key = key;
+    auditor.asked(a);
+  }
+};
+
+TEST(Auditor, RuleFiveCallsOfAKeyInTurn) {
+  FurtherAudit beside, before, good;
+  for (FurtherAudit* a : {&beside, &before, &good}) a->ask_for(1, 7, 0), a->ask_for(2, 7, 100);
+  beside.send(1, 1, 110);
+  beside.send(2, 2, 120);
+  EXPECT_EQ(beside.rule(900), 5);
+  before.auditor.over(before.send(2, 2, 120), at(130));
+  before.send(1, 1, 300);
+  EXPECT_EQ(before.rule(900), 5);
+  const auto first = good.send(1, 1, 10);
+  good.auditor.over(first, at(150));
+  good.auditor.answered(1, Final::done, true, at(151));
+  good.send(2, 2, 160);
+  EXPECT_EQ(good.rule(900), 0);
+}
+
+TEST(Auditor, RuleSixABudgetOfDispatches) {
+  FurtherAudit a;
+  for (CallKey call = 1; call <= 3; ++call) {
+    a.ask_for(call, 0, 0);
+    a.auditor.turned_away(a.send(call, 1, 10), at(11));
+    EXPECT_EQ(a.rule(15), 0) << call;
+    a.send(call, 2, 20 + static_cast<double>(call));
+  }
+  EXPECT_EQ(a.rule(100), 6);
+}
+
 TEST(Auditor, ForgetsWhatIsOver) {
   Audit a;
   for (CallKey c = 1; c <= 100; ++c) {
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -329,7 +329,7 @@
 });
 
 TEST(Day, ASwarmOfEachExampleBreaksNoRule) {
-  for (const char* name : {"one-tier", "two-tiers", "pools"}) {
+  for (const char* name : {"one-tier", "two-tiers", "pools", "further-rules"}) {
     const SearchReport r = search(example(name), 1, 60, 4, 0, {});
     EXPECT_EQ(r.days, 60U);
     EXPECT_TRUE(r.broken.empty()) << name << " seed " << r.broken.front().seed << ": "
@@ -343,7 +343,7 @@
 // --- Scenarios -------------------------------------------------------------------------------------
 
 TEST(ScenarioFile, WhatIsWrittenReadsTheSame) {
-  for (const char* name : {"one-tier", "two-tiers", "pools"}) {
+  for (const char* name : {"one-tier", "two-tiers", "pools", "further-rules"}) {
     for (std::uint64_t seed = 1; seed <= 40; ++seed) {
       const Scenario drawn = draw_scenario(example(name), seed);
       const std::string text = write_scenario(drawn);
