--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -542,8 +542,8 @@
   return s;
 }
 
-// 40 endpoints, each met every 16 s: none was known, and hardly a connection was used twice. A part of the ring
-// crosses zones as it comes: not where that is priced. A sidecar alone covers all.
+// 40 endpoints, each met every 16 s: none was known, and hardly a connection was used twice. A part of the
+// ring crosses zones as it comes: not where that is priced. A sidecar alone covers all.
 TEST(Parts, ThinTrafficKeepsToItsOwnPartUnlessCrossingIsPricedOrNobodyElseCoversTheRest) {
   EXPECT_LE(used_by(crossing("0")).size(), 8U);
   EXPECT_GE(used_by(crossing("0.01")).size(), 20U);  // all of its zone
