--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -5,10 +5,11 @@
 //  1. admission: the first tier holds the calls in flight to a limit that follows how their answers sit
 //     against their soft limits and what endpoints report; a call's place under it goes by its payoff
 //  2. fresh cap: a fresh or returning endpoint has a cap that grows with its answers, a cold one a budget
-//  3. silence: an endpoint that answers nothing while its fellows do is passed over, its calls go elsewhere
+//  3. outliers: an endpoint whose high quantile is far above its fellows' gets one call at a time
+//  4. silence: an endpoint that answers nothing while its fellows do is passed over, its calls go elsewhere
 //     where their track permits, and it is tried again after pauses; an idle connection is doubted first
-//  4. retry budget: dispatches again are a bounded share of the API calls
-//  5. short waits: a call that finds no endpoint now is held for a moment, the best paid first
+//  5. retry budget: dispatches again are a bounded share of the API calls
+//  6. short waits: a call that finds no endpoint now is held for a moment, the best paid first
 // Two rules that some deployments state besides are kept here too: calls of a key go in turn, and dispatches
 // beyond each call's first keep to a budget.
 #include <algorithm>
@@ -81,17 +82,20 @@
 constexpr double usual_decay = 0.995;  // per call: the usual wait is learnt over some 200 calls
 constexpr double usual_sure = 10.0;    // calls with the usual wait before others count as repeats
 // Endpoints
-constexpr double fresh_start = 1.0;        // call in flight: enough to hear whether it answers
-constexpr double fresh_growth = 0.2;       // per answer: doubles in about 4 round trips
-constexpr double fresh_done = 3.0;         // x mean in flight: then the cap is lifted
-constexpr double cold_depth = 0.3;         // of the window's budget that may go out in one burst
-constexpr double cold_least = 1.0;         // sends/s of all sidecars: lets idle ones hear from it at all
-constexpr int misses_allowed = 3;          // in a row: chance errors are rare and alone
-constexpr Span bar_first = Span::ms(500);  // about the time a passing fault takes to show it passed
-constexpr Span bar_most = Span::ms(4000);  // a returned endpoint is found this soon
-constexpr Span full_pause = Span::ms(50);  // a full queue drains a few calls in this time
-constexpr double silence_factor = 1.5;     // x p95 without any answer with two or more out
-constexpr double silence_alone = 2.5;      // x p95 with a single one out: it may just be a long call
+constexpr double fresh_start = 1.0;            // call in flight: enough to hear whether it answers
+constexpr double fresh_growth = 0.2;           // per answer: doubles in about 4 round trips
+constexpr double fresh_done = 3.0;             // x mean in flight: then the cap is lifted
+constexpr double cold_depth = 0.3;             // of the window's budget that may go out in one burst
+constexpr double cold_least = 1.0;             // sends/s of all sidecars: lets idle ones hear from it at all
+constexpr double outlier_quantile = 0.9;       // high enough for tails, low enough for few answers
+constexpr double outlier_factor = 3.0;         // x fellows' median: machines of one tier differ by 2 to 3
+constexpr std::uint32_t outlier_samples = 15;  // answers in the window before an endpoint is judged
+constexpr int misses_allowed = 3;              // in a row: chance errors are rare and alone
+constexpr Span bar_first = Span::ms(500);      // about the time a passing fault takes to show it passed
+constexpr Span bar_most = Span::ms(4000);      // a returned endpoint is found this soon
+constexpr Span full_pause = Span::ms(50);      // a full queue drains a few calls in this time
+constexpr double silence_factor = 1.5;         // x p95 without any answer with two or more out
+constexpr double silence_alone = 2.5;          // x p95 with a single one out: it may just be a long call
 // Connections refused, or dropped unseen
 constexpr double refused_gain = 0.1;          // per dispatch: the part of the last 10 or so
 constexpr double refused_most = 0.3;          // of the dispatches: single endpoints that are down are fewer
@@ -287,6 +291,7 @@
 void Balancer::State::solve(TimePoint now) {
   double sum = 0.0, near_sum = 0.0;
   int heard = 0, near_heard = 0;
+  std::vector<double> tails;
   const double before = ready_warm;
   ready_count = 0;
   ready_warm = 0.0;
@@ -297,6 +302,8 @@
     ready_warm += warmth(e, now);
     if (e.latency_ms > 0.0) sum += 1.0 / e.latency_ms, ++heard;
     if (e.latency_ms > 0.0 && e.zone == own_zone) near_sum += 1.0 / e.latency_ms, ++near_heard;
+    if (e.times.count(now) >= outlier_samples)
+      tails.push_back(e.times.quantile(outlier_quantile, now).as_ms());
   }
   // The limit is per warm endpoint. Guards those left of a lost zone, and a growing fleet of cold ones.
   if (before > 0.0 && ready_count > 0) limit *= ready_warm / before;
@@ -305,10 +312,21 @@
   const double fair = near_heard > 0 ? near_sum / near_heard / mean : 1.0;
   const double keep = std::clamp((fair - near_slow) / (near_fair - near_slow), 0.0, 1.0);
   near_draws = own_zone < 0 ? 0 : static_cast<int>(near_most * keep);
+  double typical = 0.0;
+  if (tails.size() >= 3) {
+    std::nth_element(tails.begin(), tails.begin() + static_cast<long>(tails.size() / 2), tails.end());
+    typical = tails[tails.size() / 2];
+  }
   double total = 0.0;
   shares.clear();
   for (const std::uint32_t i : ring) {
     Endpoint& e = endpoints[i];
+    const bool was = e.outlier;
+    e.outlier = typical > 0.0 && e.times.count(now) >= outlier_samples &&
+                e.times.quantile(outlier_quantile, now).as_ms() > outlier_factor * typical;
+    if (e.outlier != was)
+      say("endpoint %012llx %s", static_cast<unsigned long long>(e.id),
+          e.outlier ? "answers far slower than its fellows" : "answers like its fellows again");
     const double spare = shared_connections ? 1.0 / (1.0 + e.held) : 1.0;
     if (e.ready()) total += (e.latency_ms > 0.0 ? 1.0 / e.latency_ms : mean) * warmth(e, now) * spare;
     shares.push_back(total);
@@ -429,7 +447,7 @@
 }
 
 bool Balancer::State::healthy(const Endpoint& e, TimePoint now) {
-  if (now < e.barred_until) return false;
+  if (now < e.barred_until || (e.outlier && e.in_flight > 0)) return false;
   return all_silent || !silent(e, now);
 }
 
@@ -479,6 +497,7 @@
   switch (end.outcome) {
     case Outcome::done:
       times.add(end.elapsed, now);
+      e.times.add(end.elapsed, now);
       speed_ms = end.load.service_ms > 0.0 ? end.load.service_ms : end.elapsed.as_ms();
       e.latency_ms += (speed_ms - e.latency_ms) * (e.latency_ms > 0.0 ? latency_gain : 1.0);
       std::replace(models.begin(), models.end(), 0.0, speed_ms);  // unheard ones are taken for like it
@@ -592,6 +611,7 @@
     if (l.availability == Availability::ready && (!e.ready() || l.came_up != e.came_up)) {
       const int out = e.in_flight;
       e = Endpoint();
+      e.times = WindowedHistogram(estimate_window);
       e.in_flight = out;
       e.quiet_since = e.cold_filled = now;
       e.came_up = l.came_up;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -48,14 +48,16 @@
   TimePoint came_up, quiet_since, barred_until;
   Span bar;  // the pause before it is tried again; zero: none yet
   int in_flight = 0, misses = 0;
-  int connections = 0;      // that have served and may still stand
-  bool in_part = false;     // of this sidecar's own part of the ring
+  int connections = 0;   // that have served and may still stand
+  bool in_part = false;  // of this sidecar's own part of the ring
+  bool outlier = false;
   bool unlisted = false;    // called gone, and kept: it answers
   double latency_ms = 0.0;  // smoothed over done dispatches; 0: unheard
   double fresh_cap = -1.0;  // calls in flight; negative: no cap
   double cold_tokens = 0.0;
   double held = 0.0;  // calls, as last reported
   TimePoint cold_filled, held_at, told_at, last_used;
+  WindowedHistogram times;  // done dispatches
 };
 
 // The calls of one key that go one at a time, as they were taken.
