Mended on reading the change whole: the budget's list is looked through only when needed

Cause: at the end of every dispatch the list of dispatches beyond a first was searched, though only one that did not go out is taken off it; on a busy sidecar with a large budget that is work for each call.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -1079,10 +1079,10 @@
   d.out = false;
   --c.out;
   s.rescuing -= d.rescued ? 1 : 0;
-  const bool unsent = end.outcome == Outcome::not_sent;
-  if (const auto sent = std::find(s.resends.begin(), s.resends.end(), d.sent);
-      unsent && end.number + c.sent_elsewhere > 0 && sent != s.resends.end())
-    s.resends.erase(sent);
+  if (end.outcome == Outcome::not_sent && end.number + c.sent_elsewhere > 0) {
+    const auto sent = std::find(s.resends.begin(), s.resends.end(), d.sent);
+    if (sent != s.resends.end()) s.resends.erase(sent);
+  }
   if (c.line != Line::none && (end.outcome == Outcome::timed_out || end.outcome == Outcome::reset ||
                                end.outcome == Outcome::cancelled)) {
     s.lines[c.line].rests_until = now + s.settle_after_doubt + clock_grain;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -51,7 +51,7 @@
   int connections = 0;   // that have served and may still stand
   bool in_part = false;  // of this sidecar's own part of the ring
   bool outlier = false;
-  bool unlisted = false;    // called gone, and kept: it answers
+  bool unlisted = false;    // called gone, and kept until it fails
   double latency_ms = 0.0;  // smoothed over done dispatches; 0: unheard
   double fresh_cap = -1.0;  // calls in flight; negative: no cap
   double cold_tokens = 0.0;
