The lab breaks ways and processes: relays, stops, crash loops, spoilt states, time to full service

Need: the lab could hurt sidecars by SIGKILL and SIGTERM only, break no way between two processes, and had no number for being back in full service.

Relays between sidecars and endpoints, callers or discovery: partition by direction and pair, delay with spread, a cap on bytes, resets, half-open ends, ways on which nothing new comes up. SIGSTOP and SIGCONT, crash loops, stored state wiped, torn, from an hour ago, swapped, refused by its disk; in the world too, where a sidecar's disk outlives it. chutevane-lab recover plays pairs with and without the fault and tells when full service was back, what was lost, the most connections at one endpoint in 100 ms and the lists asked for in a second.

--- a/src/lab/discovery.cpp
+++ b/src/lab/discovery.cpp
@@ -19,8 +19,8 @@
   return a == Availability::ready ? "SERVING" : a == Availability::draining ? "DRAINING" : "DELETED";
 }
 
-json item(const Listed& e) {
-  return {{"id", e.id},     {"addr", e.address},
+json item(const Listed& e, const std::function<std::string(const std::string&)>& seen_as) {
+  return {{"id", e.id},     {"addr", seen_as ? seen_as(e.address) : e.address},
           {"zone", e.zone}, {"kind", "m1"},
           {"cell", e.cell}, {"state", state_of(e.availability)},
           {"weight", 1.0},  {"started_ms", static_cast<std::int64_t>(e.came_up.as_ms())}};
@@ -51,7 +51,7 @@
 
 std::string View::whole() const {
   json out = list_of(seen_, true);
-  for (const auto& [id, e] : entries_) out["servers"].push_back(item(e));
+  for (const auto& [id, e] : entries_) out["servers"].push_back(item(e, seen_as));
   return out.dump();
 }
 
@@ -60,7 +60,7 @@
   std::set<std::string> told;  // the newest state of each, once
   for (std::size_t i = seen_; i > version; --i) {
     const Listed& e = book_.changes()[i - 1].entry;
-    if (told.insert(e.id).second) out["servers"].push_back(item(e));
+    if (told.insert(e.id).second) out["servers"].push_back(item(e, seen_as));
   }
   return out.dump();
 }
@@ -117,6 +117,7 @@
     std::size_t after = 0;
     Span wait;
     const bool watch = read_query(after, wait);
+    if (!watch) owner_.shared_.on_asked(scheduler_.now());
     if (watch && owner_.shared_.told_when_asked_on)
       owner_.tell(std::exchange(told_, after), std::min(after, owner_.view_.version()),
                   scheduler_.now() - socket_.way());
--- a/src/lab/discovery.hpp
+++ b/src/lab/discovery.hpp
@@ -2,6 +2,7 @@
 // tells it, late as the time line says. The form and the watch are the platform's.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -47,6 +48,8 @@
   TimePoint next(Span delay) const;
   std::size_t version() const { return seen_; }
   // The whole list, or what came after that version: discovery's JSON.
+  // Addresses as this agent's sidecar is to see them.
+  std::function<std::string(const std::string&)> seen_as;  // none: as they are
   std::string whole() const;
   std::string after(std::size_t version) const;
   // Those that take nothing new, by the changes after a version up to another.
@@ -92,6 +95,8 @@
   void suffer(const ListIlls& ills);
   void look();                                         // after a change of the book
   std::string known() const { return view_.whole(); }  // as a sidecar that starts has it
+  // Its sidecar reaches endpoints by other addresses: those of relays.
+  void shows(std::function<std::string(const std::string&)> seen_as) { view_.seen_as = std::move(seen_as); }
   void accepted(int fd) override;
 
  private:
--- a/src/lab/endpoint.cpp
+++ b/src/lab/endpoint.cpp
@@ -302,6 +302,7 @@
 void EndpointStandIn::open() { listener_.open(spec_.address); }
 
 void EndpointStandIn::accepted(int fd) {
+  shared_.on_connection(spec_.tier, spec_.place, scheduler_.now());
   ServedConnection& one = served_.add(std::make_unique<ServedConnection>(scheduler_, *this, fd));
   if (ills_.reset_accepted) {
     shared_.struck(FaultKind::reset_before);
--- a/src/lab/endpoint.hpp
+++ b/src/lab/endpoint.hpp
@@ -44,6 +44,10 @@
                                                                              TimePoint) {};
   // What happens to a call, in a word: for a trace.
   std::function<void(const char* what, CallKey)> on_call = [](const char*, CallKey) {};
+  // A connection came to an endpoint; a whole list was asked for.
+  std::function<void(std::size_t tier, std::size_t place, TimePoint)> on_connection =
+      [](std::size_t, std::size_t, TimePoint) {};
+  std::function<void(TimePoint)> on_asked = [](TimePoint) {};
   // A dispatch came on a connection from there.
   std::function<void(std::uint64_t dispatch, const sockaddr_in& from)> on_taken = [](std::uint64_t,
                                                                                      const sockaddr_in&) {};
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -37,7 +37,20 @@
                                            {"discovery-late", FaultKind::discovery_late},
                                            {"discovery-broken", FaultKind::discovery_broken},
                                            {"discovery-truncated", FaultKind::discovery_truncated},
-                                           {"burst", FaultKind::burst}};
+                                           {"burst", FaultKind::burst},
+                                           {"sidecar-stopped", FaultKind::sidecar_stopped},
+                                           {"sidecar-loop", FaultKind::sidecar_loop},
+                                           {"state-lost", FaultKind::state_lost},
+                                           {"state-torn", FaultKind::state_torn},
+                                           {"state-old", FaultKind::state_old},
+                                           {"state-swapped", FaultKind::state_swapped},
+                                           {"state-refused", FaultKind::state_refused},
+                                           {"partition", FaultKind::partition},
+                                           {"slow-link", FaultKind::slow_link},
+                                           {"capped-link", FaultKind::capped_link},
+                                           {"held-link", FaultKind::held_link},
+                                           {"cut", FaultKind::cut},
+                                           {"lost-end", FaultKind::lost_end}};
 static_assert(std::size(fault_words) == fault_kinds);
 constexpr Word<TrackEffect> effect_words[] = {{"replayable", TrackEffect::replayable},
                                               {"referenced", TrackEffect::referenced},
@@ -47,6 +60,10 @@
                                                    {"exponential", Distribution::Kind::exponential},
                                                    {"lognormal", Distribution::Kind::lognormal},
                                                    {"pareto", Distribution::Kind::pareto}};
+constexpr Word<WayTo> link_words[] = {
+    {"endpoints", WayTo::endpoints}, {"callers", WayTo::callers}, {"discovery", WayTo::discovery}};
+constexpr Word<Heading> heading_words[] = {
+    {"both", Heading::both}, {"to-sidecar", Heading::to_sidecar}, {"from-sidecar", Heading::from_sidecar}};
 constexpr Word<bool> arrival_words[] = {{"poisson", false}, {"even", true}};
 
 Distribution read_distribution(Table& of) {
@@ -126,6 +143,8 @@
 }
 
 bool needs_span(FaultKind kind) {
+  if (kind >= FaultKind::state_lost && kind <= FaultKind::state_swapped) return false;
+  if (kind == FaultKind::cut || kind == FaultKind::lost_end) return false;
   return kind != FaultKind::end && kind != FaultKind::restart && kind != FaultKind::release &&
          kind != FaultKind::sidecar_killed && kind != FaultKind::sidecar_drained;
 }
@@ -144,6 +163,13 @@
   out.down = t.span("down_ms", 1000.0);
   out.delay = t.span("delay_ms", 2000.0);
   out.drain = t.span("drain_ms", 1000.0);
+  out.every = t.span("every_ms", 2000.0, 100.0);
+  out.age = t.span("age_ms", 3600000.0);
+  out.spread = t.span("spread_ms", 0.0);
+  out.link = t.word<WayTo>("link", link_words, WayTo::endpoints);
+  out.heading = t.word<Heading>("direction", heading_words, Heading::both);
+  out.far = t.whole("far", 0, 0, endpoints_most);
+  out.bytes_per_s = t.number("bytes_per_s", 100000.0, 100.0, 1e9);
   if (out.kind == FaultKind::zone_lost && out.zone.empty()) t.wrong("zone", "missing");
   return out;
 }
@@ -180,6 +206,10 @@
     const auto& zones = e.tiers[at].zones;
     if (!f.zone.empty() && std::find(zones.begin(), zones.end(), f.zone) == zones.end())
       errors.add(*faults[i], "fault.zone", "tier '" + e.tiers[at].name + "' has no zone '" + f.zone + "'");
+    const bool of_state = f.kind >= FaultKind::state_lost && f.kind <= FaultKind::state_refused;
+    if (of_state && !e.restart.state) errors.add(*faults[i], "fault.kind", "only with restart.state = true");
+    if (e.pools && (of_state || breaks_ways(f.kind)))
+      errors.add(*faults[i], "fault.kind", "not with pools = true");
     // A release is over when the last endpoint's successor is started.
     if (f.kind == FaultKind::release) f.lasts = (f.drain + f.down) * e.tiers[at].endpoints;
     if (f.at + f.lasts > e.lasts)
@@ -191,6 +221,8 @@
 
 }  // namespace
 
+bool breaks_ways(FaultKind kind) { return kind >= FaultKind::partition; }
+
 std::string_view name_of(FaultKind kind) {
   return std::find_if(std::begin(fault_words), std::end(fault_words),
                       [&](const auto& w) { return w.value == kind; })
@@ -245,6 +277,12 @@
       out.allowed.dispatches = a.whole("max_dispatches", out.allowed.dispatches, 1, 8);
       out.allowed.connect_timeout = a.span("connect_timeout_ms", out.allowed.connect_timeout.as_ms(), 1.0);
     }
+    if (const toml::table* restart = t.table("restart")) {
+      Table r(*restart, "restart.", errors);
+      out.restart.state = r.flag("state", false);
+      out.restart.snapshot_every = r.span("snapshot_ms", 1000.0, 100.0);
+      out.restart.ask_over = r.span("ask_over_ms", 0.0);
+    }
     tracks = t.tables("track");
     tiers = t.tables("tier");
     faults = t.tables("fault");
--- a/src/lab/experiment.hpp
+++ b/src/lab/experiment.hpp
@@ -111,9 +111,27 @@
   discovery_broken,     // connections closed without an answer
   discovery_truncated,  // answers cut in the middle
   burst,                // rate times `factor`
+  sidecar_stopped,      // as by SIGSTOP, then on with all that it believed
+  sidecar_loop,         // killed again each `every_ms`, and started after `down_ms`
+  state_lost,           // what sidecars have stored: wiped
+  state_torn,           // the newest snapshot cut off at a byte that the seed draws
+  state_old,            // brought back from `age_ms` ago
+  state_swapped,        // between the first and the second, the third and the fourth
+  state_refused,        // the disk takes nothing
+  partition,            // of the ways between sidecars and `link`: nothing comes through, nothing comes up
+  slow_link,            // later by `delay_ms` and up to `spread_ms`
+  capped_link,          // `bytes_per_s` in each direction
+  held_link,            // what stands goes on, nothing new comes up
+  cut,                  // connections reset at both ends
+  lost_end,             // reset at one end; the other hears nothing any more
 };
-inline constexpr std::size_t fault_kinds = 23;
+inline constexpr std::size_t fault_kinds = 36;
 std::string_view name_of(FaultKind kind);
+// The ways between processes, by who is at the other end from the sidecar.
+enum class WayTo : std::uint8_t { endpoints, callers, discovery };
+enum class Heading : std::uint8_t { both, to_sidecar, from_sidecar };  // what does not come through
+// Whether a kind breaks a way: on this machine a relay does it, in the world its own troubles.
+bool breaks_ways(FaultKind kind);
 
 struct FaultSpec {
   FaultKind kind = FaultKind::silent;
@@ -125,6 +143,18 @@
   double part = 0.5;
   double probability = 1.0;  // of a request, where it is one that is spoilt
   Span down, delay, drain;
+  Span every, age, spread;
+  WayTo link = WayTo::endpoints;
+  Heading heading = Heading::both;
+  int far = 0;  // endpoints at the other end, drawn by the seed; 0: all
+  double bytes_per_s = 0.0;
+};
+
+// What sidecars keep for their next start, and how they start.
+struct RestartSpec {
+  bool state = false;
+  Span snapshot_every = Span::ms(1000);
+  Span ask_over;
 };
 
 struct Experiment {
@@ -136,6 +166,7 @@
   CallersSpec callers;
   RulesSpec rules;
   AllowedSpec allowed;
+  RestartSpec restart;
   // The tiers are pools of one service, by priority, behind the first one's sidecars, instead of a chain.
   bool pools = false;
   std::string service;  // with `pools`: further keys of the service, in the operator's form
--- a/src/lab/fleet.cpp
+++ b/src/lab/fleet.cpp
@@ -9,6 +9,7 @@
 
 #include "lab/sidecar_config.hpp"
 #include "net/socket.hpp"
+#include "snapshot/form.hpp"
 
 namespace chutevane::lab {
 namespace {
@@ -20,7 +21,9 @@
 constexpr Span crossing = Span::ms(300);       // new connections still come after SIGTERM
 constexpr Span death_notice = Span::ms(2000);  // before the front notices that a sidecar has died
 constexpr Span drain_slack = Span::ms(700);    // beyond the longest client timeout, before SIGKILL
-constexpr std::uint16_t service_port = 8000, discovery_port = 8500;
+constexpr std::uint16_t service_port = 8000, discovery_port = 8500, relay_port = 9000;
+constexpr Span doubt_after =
+    Span::ms(1500);  // a way or a process is whole again: until what was held back has come
 
 double own_cpu_ms() {
   rusage used{};
@@ -71,7 +74,12 @@
     ledger_.came_to(tier, at);
     if (tier == 0 || experiment_.pools) callers_.dispatched(call);
   };
+  shared_.on_connection = [this](std::size_t tier, std::size_t place, TimePoint at) {
+    surges_.connected(tier, place, at);
+  };
+  shared_.on_asked = [this](TimePoint at) { surges_.asked(at); };
   make_sidecars();
+  make_ways();
   for (std::size_t t = 0; t < experiment_.tiers.size(); ++t) {
     for (std::size_t i = 0; i < static_cast<std::size_t>(experiment_.tiers[t].endpoints); ++i) {
       endpoints_.push_back(std::make_unique<EndpointPlace>());
@@ -109,6 +117,50 @@
   }
 }
 
+bool Fleet::relayed(WayTo link) const {
+  return std::any_of(experiment_.faults.begin(), experiment_.faults.end(),
+                     [&](const FaultSpec& f) { return breaks_ways(f.kind) && f.link == link; });
+}
+
+Fleet::Way& Fleet::add_way(const SidecarPlace& s, WayTo link, std::size_t far, const sockaddr_in& to) {
+  Way w;
+  w.sidecar = s.number;
+  w.link = link;
+  w.far = far;
+  const bool many = link == WayTo::endpoints;
+  w.at =
+      ground_.at(way_group + static_cast<int>(link) * ways_of_a_kind + static_cast<int>(s.tier),
+                 (many ? far : s.before) + 1, static_cast<std::uint16_t>(relay_port + (many ? s.before : 0)));
+  w.relay = std::make_unique<Relay>(ground_.own(), w.at, to, seed_ * 1009U + ways_.size());
+  ways_.push_back(std::move(w));
+  return ways_.back();
+}
+
+void Fleet::make_ways() {
+  if (relayed(WayTo::discovery)) shared_.told_when_asked_on = true;
+  for (auto& s : sidecars_) {
+    if (relayed(WayTo::callers)) add_way(*s, WayTo::callers, 0, s->listen);
+    if (relayed(WayTo::discovery)) add_way(*s, WayTo::discovery, 0, s->agents.front().at);
+    if (!relayed(WayTo::endpoints)) continue;
+    std::map<std::string, std::string> seen;
+    for (std::size_t i = 0; i < static_cast<std::size_t>(experiment_.tiers[s->tier].endpoints); ++i) {
+      const sockaddr_in to = ground_.at(endpoint_group + static_cast<int>(s->tier), i + 1, service_port);
+      seen[net::text_of(to)] = net::text_of(add_way(*s, WayTo::endpoints, i, to).at);
+    }
+    s->agents.front().agent->shows([seen](const std::string& address) {
+      const auto found = seen.find(address);
+      return found == seen.end() ? address : found->second;
+    });
+  }
+}
+
+sockaddr_in Fleet::heard_at(const SidecarPlace& s) const {
+  for (const Way& w : ways_) {
+    if (w.sidecar == s.number && w.link == WayTo::callers) return w.at;
+  }
+  return s.listen;
+}
+
 std::string Fleet::config_of(SidecarPlace& s) {
   SidecarConfig c;
   c.name = s.name;
@@ -118,6 +170,10 @@
   c.tier = s.tier;
   c.place = s.before;
   c.known = s.agents.front().agent->known();
+  for (const Way& w : ways_) {
+    if (w.sidecar == s.number && w.link == WayTo::discovery) c.discovery = net::text_of(w.at);
+  }
+  if (experiment_.restart.state) c.state = s.process->state_path();
   if (!experiment_.pools) return sidecar_config(experiment_, c);
   std::vector<std::string> discovery;
   for (const SidecarPlace::Agent& a : s.agents) discovery.push_back(net::text_of(a.at));
@@ -173,7 +229,8 @@
   SidecarPlace& s = *sidecars_[number];
   if (s.doing != Doing::starting) return;
   s.doing = Doing::serving;
-  if (s.tier == 0) front_.take_in(number, s.listen);
+  if (begins_ != TimePoint::never() && scheduler_.now() > begins_) last_up_ = scheduler_.now();
+  if (s.tier == 0) front_.take_in(number, heard_at(s));
   for (auto& e : endpoints_) {
     if (e->waits_for_sidecar && sidecar_of(*e) == &s) open_endpoint(*e);
   }
@@ -235,7 +292,7 @@
 
 void Fleet::open_endpoint(EndpointPlace& e) {
   e.waits_for_sidecar = false;
-  if (SidecarPlace* s = sidecar_of(e)) e.now->calls_through(Destination{s->listen, s->number});
+  if (SidecarPlace* s = sidecar_of(e)) e.now->calls_through(Destination{heard_at(*s), s->number});
   e.now->open();
   apply_ills();
   publish(e, Availability::ready);
@@ -307,6 +364,10 @@
   for (auto& s : sidecars_) {
     for (auto& a : s->agents) a.agent->suffer(timeline_.list_ills(a.tier, in_force_));
   }
+  for (Way& w : ways_) {
+    const SidecarPlace& s = *sidecars_[w.sidecar];
+    w.relay->suffer(timeline_.way_ills(s.tier, s.before, w.link, w.far, in_force_), w.link != WayTo::callers);
+  }
   const double factor = timeline_.rate_factor(in_force_);
   if (factor != 1.0) shared_.struck(FaultKind::burst);
   callers_.rate_factor(factor);
@@ -341,6 +402,92 @@
   return true;
 }
 
+// Its callers are owed nothing in time until so much later.
+void Fleet::doubt(const SidecarPlace& s, Span lasts) {
+  const std::size_t number = s.number;
+  auditor_.doubt(number, true);
+  later(lasts + doubt_after, [this, number] { auditor_.doubt(number, false); });
+}
+
+void Fleet::stop_for(SidecarPlace& s, Span lasts) {
+  doubt(s, lasts);
+  auditor_.uncounted(scheduler_.now() + lasts + doubt_after);
+  s.process->pause(lasts);
+  if (s.tier == 0) front_.drop_at(s.number, scheduler_.now() + death_notice);
+  later(lasts, [this, &s] {
+    s.process->resume();
+    if (s.tier == 0 && s.doing == Doing::serving) front_.take_in(s.number, heard_at(s));
+  });
+}
+
+void Fleet::loop(std::size_t fault, SidecarPlace& s) {
+  if (!in_force_[fault]) return;
+  const FaultSpec& spec = experiment_.faults[fault];
+  shared_.struck(spec.kind);
+  if (s.doing != Doing::down) restart_sidecar(s.number, spec.down);
+  later(spec.every, [this, fault, &s] { loop(fault, s); });
+}
+
+void Fleet::spoil_state(const FaultSpec& fault, SidecarPlace& s, Chance& chance) {
+  std::vector<std::string> stored = s.process->stored();
+  if (stored.empty()) return;
+  switch (fault.kind) {
+    case FaultKind::state_lost: stored.clear(); break;
+    case FaultKind::state_torn: stored.front().resize(chance.below(stored.front().size())); break;
+    case FaultKind::state_old:
+      for (std::string& text : stored) {
+        snapshot::Content c = snapshot::read(text);
+        if (c.written.up < fault.age) c.written.boot = "an earlier start";
+        c.written.up = std::max(Span(), c.written.up - fault.age);
+        c.written.unix_time = c.written.unix_time - fault.age;
+        text = snapshot::write(c);
+      }
+      break;
+    default: return;
+  }
+  shared_.struck(fault.kind);
+  s.process->store(stored);
+}
+
+void Fleet::strike_sidecar(std::size_t fault, SidecarPlace& s) {
+  const FaultSpec& spec = experiment_.faults[fault];
+  switch (spec.kind) {
+    case FaultKind::state_lost:
+    case FaultKind::state_torn:
+    case FaultKind::state_old: {
+      Chance chance(seed_, "state " + std::to_string(fault) + "/" + std::to_string(s.number));
+      return spoil_state(spec, s, chance);
+    }
+    case FaultKind::state_refused: return shared_.struck(spec.kind);
+    case FaultKind::sidecar_loop: return loop(fault, s);
+    case FaultKind::sidecar_stopped:
+      if (s.doing != Doing::serving) return;
+      shared_.struck(spec.kind);
+      return stop_for(s, spec.lasts);
+    case FaultKind::sidecar_killed:
+      if (s.doing == Doing::serving) restart_sidecar(s.number, spec.down);
+      return;
+    case FaultKind::sidecar_drained:
+      if (s.doing == Doing::serving) drain_sidecar(s.number);
+      return;
+    default: return;
+  }
+}
+
+void Fleet::break_ways(std::size_t fault) {
+  const FaultSpec& spec = experiment_.faults[fault];
+  auditor_.uncounted(scheduler_.now() + spec.lasts + doubt_after);
+  for (Way& w : ways_) {
+    const SidecarPlace& s = *sidecars_[w.sidecar];
+    if (!timeline_.hits_way(fault, s.tier, s.before, w.link, w.far)) continue;
+    if (spec.lasts > Span()) shared_.struck(spec.kind);
+    if (w.link == WayTo::callers) doubt(s, spec.lasts);
+    if (spec.kind == FaultKind::cut) w.relay->cut();
+    if (spec.kind == FaultKind::lost_end)
+      w.relay->lose((w.link == WayTo::callers) == (spec.heading == Heading::from_sidecar));
+  }
+}
+
 void Fleet::step(const Step& step) {
   const FaultSpec& spec = experiment_.faults[step.fault];
   in_force_[step.fault] = step.begins && spec.lasts > Span();
@@ -363,16 +510,27 @@
     SidecarPlace& s = **std::find_if(sidecars_.begin(), sidecars_.end(), [&](const auto& one) {
       return one->tier == tier && one->before == place;
     });
-    if (s.doing != Doing::serving) continue;
-    if (spec.kind == FaultKind::sidecar_killed) {
-      kill_sidecar(s);
-      later(spec.down, [this, &s] {
-        if (s.doing == Doing::down) start_sidecar(s);
-      });
-    } else {
-      drain_sidecar(s.number);
+    strike_sidecar(step.fault, s);
+  }
+  if (spec.kind == FaultKind::state_swapped && step.begins) {
+    for (std::size_t i = 0; i + 1 < targets.size(); i += 2) {
+      std::array<SidecarPlace*, 2> two{};
+      for (auto& s : sidecars_) {
+        if (s->tier == tier && s->before == targets[i]) two[0] = s.get();
+        if (s->tier == tier && s->before == targets[i + 1]) two[1] = s.get();
+      }
+      const std::vector<std::string> first = two[0]->process->stored();
+      two[0]->process->store(two[1]->process->stored());
+      two[1]->process->store(first);
+    }
+  }
+  if (spec.kind == FaultKind::state_refused) {
+    for (auto& s : sidecars_) {
+      if (s->tier == tier && std::binary_search(targets.begin(), targets.end(), s->before))
+        s->process->refuse_state(step.begins);
     }
   }
+  if (breaks_ways(spec.kind) && step.begins) break_ways(step.fault);
   apply_ills();
 }
 
@@ -448,6 +606,7 @@
   const TimePoint starts = scheduler_.now();
   begins_ = starts + experiment_.settle;
   ledger_.set_begin(begins_);
+  surges_.set_begin(begins_);
   callers_.begin(starts);
   on_begin(begins_);
   const TimePoint ends = begins_ + experiment_.lasts;
@@ -503,6 +662,8 @@
   out.is_void = out.lateness.p99_ms > experiment_.lateness_bound.as_ms();
   out.lab_cpu_ms = own_cpu_ms() - cpu_before;
   out.caller_connections = callers_.connections_opened();
+  out.surges = surges_;
+  if (last_up_ > begins_) out.last_up = last_up_ - begins_;
   for (auto& s : sidecars_) s->process->kill();
   return out;
 }
--- a/src/lab/fleet.hpp
+++ b/src/lab/fleet.hpp
@@ -17,6 +17,8 @@
 #include "lab/ground.hpp"
 #include "lab/ledger.hpp"
 #include "lab/loopback.hpp"
+#include "lab/recovery.hpp"
+#include "lab/relay.hpp"
 #include "lab/timeline.hpp"
 
 namespace chutevane::lab {
@@ -46,12 +48,16 @@
   bool is_void = false;  // the lab itself was too late
   double lab_cpu_ms = 0.0;
   std::uint64_t caller_connections = 0;
+  Surges surges;
+  Span last_up;  // when the last sidecar that had to start again was ready; zero: none had
   bool crashed() const;
   bool broken() const { return breach_count > 0 || crashed(); }
 };
 
 // Third byte of addresses, by what is there; one more for each tier.
 inline constexpr int endpoint_group = 1, sidecar_group = 101, discovery_group = 151;
+// Of relays, by the end that is not the sidecar's.
+inline constexpr int way_group = 201, ways_of_a_kind = 16;
 
 class Fleet {
  public:
@@ -115,12 +121,30 @@
     bool left = false;  // moved elsewhere: nothing comes up here any more
     std::string id;     // of the next life, where it comes from elsewhere
   };
+  // A way between a sidecar and someone that faults can break.
+  struct Way {
+    std::size_t sidecar = 0;  // its number
+    WayTo link = WayTo::endpoints;
+    std::size_t far = 0;  // the endpoint's place
+    sockaddr_in at{};     // the relay's
+    std::unique_ptr<Relay> relay;
+  };
   struct Later {
     TimePoint at;
     std::function<void()> what;
   };
 
   void make_sidecars();
+  void make_ways();
+  bool relayed(WayTo link) const;
+  Way& add_way(const SidecarPlace& s, WayTo link, std::size_t far, const sockaddr_in& to);
+  sockaddr_in heard_at(const SidecarPlace& s) const;  // by those that call through it
+  void strike_sidecar(std::size_t fault, SidecarPlace& s);
+  void spoil_state(const FaultSpec& fault, SidecarPlace& s, Chance& chance);
+  void break_ways(std::size_t fault);
+  void stop_for(SidecarPlace& s, Span lasts);
+  void loop(std::size_t fault, SidecarPlace& s);
+  void doubt(const SidecarPlace& s, Span lasts);
   Fleet(const Experiment& experiment, std::uint64_t seed, std::unique_ptr<Ground> own, Ground* ground);
   std::string config_of(SidecarPlace& s);
   void start_sidecar(SidecarPlace& s);
@@ -156,6 +180,9 @@
   std::vector<Book> books_;  // by tier
   std::vector<std::unique_ptr<SidecarPlace>> sidecars_;
   std::vector<std::unique_ptr<EndpointPlace>> endpoints_;
+  std::vector<Way> ways_;
+  Surges surges_;
+  TimePoint last_up_;
   std::vector<std::unique_ptr<EndpointStandIn>> graves_;  // ended, until their connections are gone
   ReadyChecks ready_checks_;
   Front front_;
--- a/src/lab/ground.hpp
+++ b/src/lab/ground.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "lab/process.hpp"
 #include "net/scheduler.hpp"
@@ -26,6 +27,14 @@
   virtual std::optional<Usage> usage() = 0;  // nothing where it is not known
   virtual std::string last_log() = 0;
   virtual pid_t pid() const { return 0; }
+  // Stopped for so long, then on.
+  virtual void pause(Span lasts) = 0;
+  virtual void resume() {}  // where the pause does not end by itself
+  // What it has stored, the newest first; what it will find instead; and whether its disk takes anything.
+  virtual std::string state_path() const { return {}; }  // for its configuration
+  virtual std::vector<std::string> stored() = 0;
+  virtual void store(const std::vector<std::string>& generations) = 0;
+  virtual void refuse_state(bool on) = 0;
 };
 
 class Ground {
--- a/src/lab/loopback.cpp
+++ b/src/lab/loopback.cpp
@@ -6,7 +6,9 @@
 
 #include <algorithm>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <stdexcept>
 
 namespace chutevane::lab {
@@ -22,6 +24,8 @@
   RealSidecar(const Places& places, const std::string& name)
       : program_(places.sidecar), stem_(places.folder + "/" + name) {
     std::ofstream(log(), std::ios::trunc);
+    store({});
+    refuse_state(false);
   }
   void start(const std::string& config, bool operators_file) override {
     const std::string file = stem_ + (operators_file ? ".toml" : ".json");
@@ -40,6 +44,31 @@
   std::optional<Usage> usage() override { return usage_of(process_.pid()); }
   std::string last_log() override { return last_lines(log(), log_lines); }
   pid_t pid() const override { return process_.pid(); }
+  void pause(Span) override { process_.signal(SIGSTOP); }
+  void resume() override { process_.signal(SIGCONT); }
+  std::string state_path() const override { return stem_ + ".state"; }
+  std::vector<std::string> stored() override {
+    std::vector<std::string> out;
+    for (const std::string& one : {state_path(), state_path() + ".1"}) {
+      std::ifstream in(one, std::ios::binary);
+      if (in) out.emplace_back(std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>());
+    }
+    return out;
+  }
+  void store(const std::vector<std::string>& generations) override {
+    const std::string files[] = {state_path(), state_path() + ".1"};
+    for (std::size_t i = 0; i < std::size(files); ++i) {
+      std::filesystem::remove(files[i]);
+      if (i < generations.size()) std::ofstream(files[i], std::ios::binary) << generations[i];
+    }
+  }
+  // A folder where the temporary file would be: also a user that may write anywhere cannot write there.
+  void refuse_state(bool on) override {
+    std::error_code ignored;
+    const std::string beside = state_path() + ".new";
+    std::filesystem::remove(beside, ignored);
+    if (on) std::filesystem::create_directory(beside, ignored);
+  }
 
  private:
   std::string log() const { return stem_ + ".log"; }
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -2,6 +2,7 @@
 #include <sys/prctl.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <cxxopts.hpp>
@@ -11,6 +12,7 @@
 
 #include "lab/fleet.hpp"
 #include "lab/load.hpp"
+#include "lab/recovery.hpp"
 #include "lab/report.hpp"
 #include "lab/sidecar_config.hpp"
 #include "net/socket.hpp"
@@ -145,6 +147,80 @@
   return status;
 }
 
+// Each seed with the faults and without; what the difference is, and how soon it is gone.
+int recover_command(const cxxopts::ParseResult& given) {
+  const Experiment e = load_experiment(given["file"].as<std::vector<std::string>>().at(0));
+  if (e.faults.empty()) throw ExperimentError(e.name + ": no fault to come back from");
+  Experiment calm = e;
+  calm.faults.clear();
+  Span fault = e.lasts;
+  for (const FaultSpec& f : e.faults) fault = std::min(fault, f.at);
+  const fs::path out = given["out"].as<std::string>();
+  fs::create_directories(out / "sidecars");
+  const Places places{sidecar_program(given), (out / "sidecars").string()};
+  std::vector<double> took, after_up, lost, worst, at_one, at_one_calm, asked;
+  const std::uint64_t seed = given.count("seed") > 0 ? given["seed"].as<std::uint64_t>() : e.seed;
+  int status = all_well, left_out = 0, not_back = 0;
+  std::string rows;
+  for (int i = 0; i < given["pairs"].as<int>() && told_to_stop == 0; ++i) {
+    const std::uint64_t s = seed + static_cast<std::uint64_t>(i);
+    const Result without = play(calm, s, places, "calm"), with = play(e, s, places, "fault");
+    if (with.stopped || without.stopped) break;
+    if (with.broken() || without.broken()) {
+      status = rule_broken;
+      std::printf("%s\n", table_of(e, with.broken() ? with : without).c_str());
+    }
+    if (with.is_void || without.is_void) {
+      ++left_out;
+      continue;
+    }
+    const Recovery r = recover(with.ledger, without.ledger, fault);
+    if (r.took) {
+      took.push_back(r.took->as_ms());
+      if (with.last_up > Span()) after_up.push_back(std::max(0.0, (fault + *r.took - with.last_up).as_ms()));
+    } else {
+      ++not_back;
+    }
+    lost.push_back(r.payoff_lost);
+    worst.push_back(r.worst);
+    at_one.push_back(with.surges.most_at_one(fault, e.lasts));
+    at_one_calm.push_back(without.surges.most_at_one(fault, e.lasts));
+    asked.push_back(with.surges.most_asked_in_1s(fault, e.lasts));
+    char row[240];
+    std::snprintf(
+        row, sizeof row,
+        "seed %llu: back after %s ms, last one up at %.0f ms, payoff lost %.4f, worst second %.3f, "
+        "%.0f connections at one endpoint in 100 ms (calm %.0f), %.0f lists asked in 1 s\n",
+        static_cast<unsigned long long>(s),
+        r.took ? std::to_string(static_cast<long>(r.took->as_ms())).c_str() : "(not before the end)",
+        std::max(0.0, (with.last_up - fault).as_ms()), r.payoff_lost, r.worst, at_one.back(),
+        at_one_calm.back(), asked.back());
+    std::printf("%s", row);
+    write_file(out / "report.json", json_of(e, with));
+    write_file(out / "report.html", html_of(e, with));
+  }
+  if (lost.empty()) {
+    std::printf("no pair was played to its end%s\n", left_out > 0 ? " without the lab running late" : "");
+    return run_void;
+  }
+  const auto show = [&](const char* name, std::span<const double> values) {
+    if (values.empty()) return;
+    const Interval v = bootstrap(values, seed);
+    std::printf("%-44s %10.4g  (95%%: %.4g to %.4g; most %.4g)\n", name, v.mean, v.low, v.high,
+                *std::max_element(values.begin(), values.end()));
+  };
+  show("full service again, ms after the fault", took);
+  show("the same, ms after the last one was up", after_up);
+  show("payoff lost, of all from the fault on", lost);
+  show("worst second, served against calm", worst);
+  show("connections at one endpoint in 100 ms", at_one);
+  show("the same without the fault", at_one_calm);
+  show("whole lists asked for in 1 s", asked);
+  if (not_back > 0) std::printf("%d of %zu not back before the end\n", not_back, lost.size());
+  if (left_out > 0) std::printf("%d pairs left out: the lab ran late\n", left_out);
+  return status == all_well && not_back > 0 ? failed : status;
+}
+
 // Without --to it brings what it loads: a stand-in endpoint in a process of its own, and a sidecar unless
 // --direct.
 int load_command(const cxxopts::ParseResult& given) {
@@ -231,7 +307,7 @@
 int main_command(int argc, char** argv) {
   cxxopts::Options options("chutevane-lab",
                            "Experiments with a whole fleet on one machine, real sidecars in it");
-  options.positional_help("run FILE | compare A B | check FILE... | load | stand-in");
+  options.positional_help("run FILE | compare A B | recover FILE | check FILE... | load | stand-in");
   auto add = options.add_options();
   add("command", "", cxxopts::value<std::string>());
   add("file", "", cxxopts::value<std::vector<std::string>>());
@@ -241,7 +317,7 @@
       cxxopts::value<std::string>()->default_value("lab-out"));
   add("sidecar", "the program `chutevane`; else the one beside this", cxxopts::value<std::string>());
   add("sidecar-b", "compare: another build for B", cxxopts::value<std::string>());
-  add("pairs", "compare: how many seeds", cxxopts::value<int>()->default_value("5"));
+  add("pairs", "compare, recover: how many seeds", cxxopts::value<int>()->default_value("5"));
   add("to", "load: an address in 127.0.0.0/8; else it brings its own", cxxopts::value<std::string>());
   add("pid", "load: whose CPU and memory to show, with --to; else who listens there", cxxopts::value<int>());
   add("rate", "load: calls/s; 0: each caller asks again at once",
@@ -262,8 +338,10 @@
     if (command == "stand-in") return stand_in_command(given);
     take_signals();
     if (command == "load") return load_command(given);
-    if ((command == "run" || command == "compare" || command == "check") && given.count("file") > 0) {
+    if ((command == "run" || command == "compare" || command == "recover" || command == "check") &&
+        given.count("file") > 0) {
       if (command == "run") return run_command(given);
+      if (command == "recover") return recover_command(given);
       return command == "check" ? check_command(given) : compare_command(given);
     }
     std::fprintf(stderr, "%s", options.help().c_str());
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -184,6 +184,10 @@
   put(out, "audit: %llu dispatches, %llu effects, a cold endpoint used up to %.0f%% of what it may be sent\n",
       static_cast<unsigned long long>(r.dispatches), static_cast<unsigned long long>(r.effects),
       100.0 * r.most_cold_part);
+  put(out, "surges: at most %u connections at one endpoint in 100 ms, %u whole lists asked for in 1 s%s",
+      r.surges.most_at_one(Span(), e.lasts), r.surges.most_asked_in_1s(Span(), e.lasts),
+      r.last_up > Span() ? "" : "\n");
+  if (r.last_up > Span()) put(out, "; the last sidecar was up again at %.2f s\n", r.last_up.as_ms() / 1000.0);
   std::string shown;
   for (std::size_t k = 0; k < fault_kinds; ++k) {
     if (r.strikes[k] > 0)
@@ -229,6 +233,12 @@
   out["slices"] = json::array();
   for (const Tally& t : r.ledger.slices()) out["slices"].push_back(as_json(t));
   for (std::size_t t = 0; t < e.tiers.size(); ++t) out["came"][e.tiers[t].name] = r.ledger.came()[t];
+  out["last_up_ms"] = r.last_up.as_ms();
+  out["surges"] = {{"grain_ms", Surges::grain.as_ms()},
+                   {"connections", r.surges.all_connections()},
+                   {"lists_asked", r.surges.all_asked()},
+                   {"most_at_one_endpoint", r.surges.most_at_one(Span(), e.lasts)},
+                   {"most_lists_asked_in_1s", r.surges.most_asked_in_1s(Span(), e.lasts)}};
   out["breach_texts"] = json::array();
   for (const Breach& b : r.breaches) out["breach_texts"].push_back(breach_text(b, r.ledger.begins()));
   out["sidecars"] = json::array();
@@ -279,6 +289,21 @@
     }
   }
   out += chart(e, "Asked, and come to each tier", flows, top_rate, "/s");
+  Line opened{"connections/s", "#1b6e3c", {}}, asked{"lists asked/s", "#b3261e", {}};
+  const std::size_t per_slice = 5;  // two slices of the ledger hold five grains
+  double top_surge = 1.0;
+  for (std::size_t i = 0; i < r.ledger.slices().size(); ++i) {
+    double in = 0.0, of = 0.0;
+    for (std::size_t n = i / 2 * per_slice; n < (i / 2 + 1) * per_slice; ++n) {
+      if (n < r.surges.all_connections().size()) in += r.surges.all_connections()[n];
+      if (n < r.surges.all_asked().size()) of += r.surges.all_asked()[n];
+    }
+    opened.values.push_back(2.0 * in);
+    asked.values.push_back(2.0 * of);
+    top_surge = std::max({top_surge, 2.0 * in, 2.0 * of});
+  }
+  out += chart(e, "Connections opened at endpoints, and whole lists asked for", {opened, asked}, top_surge,
+               "/s");
   out += "<h2>Figures</h2><pre>" + escaped(table_of(e, r)) + "</pre></body></html>\n";
   return out;
 }
--- a/src/lab/sidecar_config.cpp
+++ b/src/lab/sidecar_config.cpp
@@ -65,13 +65,17 @@
     settings["rules"]["resend_ratio"] = e.rules.resend_ratio;
   }
   settings["classes"] = classes_of(e);
-  const json out = {{"name", c.name},
-                    {"listen", c.listen},
-                    {"discovery", c.discovery},
-                    {"seed", seed},
-                    {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 4096}}},
-                    {"known", json::parse(c.known)},
-                    {"settings", settings}};
+  json out = {{"name", c.name},
+              {"listen", c.listen},
+              {"discovery", c.discovery},
+              {"seed", seed},
+              {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 4096}}},
+              {"known", json::parse(c.known)},
+              {"settings", settings}};
+  if (!c.state.empty()) out["state"] = c.state;
+  if (!c.state.empty() || e.restart.ask_over > Span())
+    out["restart"] = {{"snapshot_ms", e.restart.snapshot_every.as_ms()},
+                      {"ask_over_ms", e.restart.ask_over.as_ms()}};
   return out.dump(1) + "\n";
 }
 
--- a/src/lab/sidecar_config.hpp
+++ b/src/lab/sidecar_config.hpp
@@ -13,6 +13,7 @@
   std::uint64_t seed = 0;
   std::size_t tier = 0, place = 0;  // which of its tier's sidecars
   std::string known;                // discovery's JSON
+  std::string state;                // where it keeps what it learns; empty: nowhere
 };
 
 std::string sidecar_config(const Experiment& experiment, const SidecarConfig& config);
--- a/src/lab/timeline.cpp
+++ b/src/lab/timeline.cpp
@@ -7,7 +7,8 @@
 std::size_t zone_of(const TierSpec& tier, std::size_t place) { return place % tier.zones.size(); }
 
 bool hits_sidecars(FaultKind kind) {
-  return kind == FaultKind::sidecar_killed || kind == FaultKind::sidecar_drained;
+  return kind == FaultKind::sidecar_killed || kind == FaultKind::sidecar_drained ||
+         kind >= FaultKind::sidecar_stopped;
 }
 
 std::size_t sidecars_of(const Experiment& e, std::size_t tier) {
@@ -38,6 +39,13 @@
     all.resize(wanted);
     std::sort(all.begin(), all.end());
     targets_.push_back(all);
+    std::vector<std::size_t> far;
+    for (std::size_t i = 0; fault.far > 0 && i < static_cast<std::size_t>(spec.endpoints); ++i)
+      far.push_back(i);
+    for (std::size_t i = 0; i < far.size(); ++i) std::swap(far[i], far[i + chance.below(far.size() - i)]);
+    far.resize(std::min(far.size(), static_cast<std::size_t>(fault.far)));
+    std::sort(far.begin(), far.end());
+    far_.push_back(far);
     steps_.push_back({fault.at, f, true});
     if (fault.lasts > Span()) steps_.push_back({fault.at + fault.lasts, f, false});
   }
@@ -90,6 +98,35 @@
   return out;
 }
 
+bool Timeline::hits_way(std::size_t fault, std::size_t tier, std::size_t sidecar, WayTo link,
+                        std::size_t far) const {
+  const FaultSpec& spec = experiment_.faults[fault];
+  if (!breaks_ways(spec.kind) || spec.link != link || !hits(fault, tier, sidecar)) return false;
+  return link != WayTo::endpoints || far_[fault].empty() ||
+         std::binary_search(far_[fault].begin(), far_[fault].end(), far);
+}
+
+WayIlls Timeline::way_ills(std::size_t tier, std::size_t sidecar, WayTo link, std::size_t far,
+                           const std::vector<bool>& in_force) const {
+  WayIlls out;
+  for (std::size_t f = 0; f < in_force.size(); ++f) {
+    if (!in_force[f] || !hits_way(f, tier, sidecar, link, far)) continue;
+    const FaultSpec& spec = experiment_.faults[f];
+    const bool parted = spec.kind == FaultKind::partition;
+    out.to_sidecar = out.to_sidecar || (parted && spec.heading != Heading::from_sidecar);
+    out.from_sidecar = out.from_sidecar || (parted && spec.heading != Heading::to_sidecar);
+    out.held = out.held || spec.kind == FaultKind::held_link;
+    if (spec.kind == FaultKind::slow_link) {
+      out.delay = std::max(out.delay, spec.delay);
+      out.spread = std::max(out.spread, spec.spread);
+    }
+    if (spec.kind == FaultKind::capped_link)
+      out.bytes_per_s =
+          out.bytes_per_s > 0.0 ? std::min(out.bytes_per_s, spec.bytes_per_s) : spec.bytes_per_s;
+  }
+  return out;
+}
+
 double Timeline::rate_factor(const std::vector<bool>& in_force) const {
   double out = 1.0;
   for (std::size_t f = 0; f < in_force.size(); ++f) {
--- a/src/lab/timeline.hpp
+++ b/src/lab/timeline.hpp
@@ -26,6 +26,15 @@
   bool operator==(const ListIlls&) const = default;
 };
 
+// What the way between a sidecar and someone suffers.
+struct WayIlls {
+  bool to_sidecar = false, from_sidecar = false;  // nothing comes through
+  bool held = false;                              // nothing new comes up
+  Span delay, spread;
+  double bytes_per_s = 0.0;  // 0: as fast as it goes
+  bool operator==(const WayIlls&) const = default;
+};
+
 struct Step {
   Span at;
   std::size_t fault = 0;
@@ -45,6 +54,10 @@
   // With these faults in force.
   Ills ills(std::size_t tier, std::size_t place, const std::vector<bool>& in_force) const;
   ListIlls list_ills(std::size_t tier, const std::vector<bool>& in_force) const;
+  WayIlls way_ills(std::size_t tier, std::size_t sidecar, WayTo link, std::size_t far,
+                   const std::vector<bool>& in_force) const;
+  // Whether a fault is of this way.
+  bool hits_way(std::size_t fault, std::size_t tier, std::size_t sidecar, WayTo link, std::size_t far) const;
   double rate_factor(const std::vector<bool>& in_force) const;
 
  private:
@@ -52,6 +65,7 @@
   const Experiment& experiment_;
   std::vector<Step> steps_;
   std::vector<std::vector<std::size_t>> targets_;
+  std::vector<std::vector<std::size_t>> far_;  // endpoints at the other end of broken ways; none: all
   std::vector<std::size_t> tiers_;
 };
 
--- a/src/world/coverage.cpp
+++ b/src/world/coverage.cpp
@@ -88,6 +88,7 @@
   for (std::size_t v = 0; v < verdicts; ++v) row(verdict_names[v], verdicts_[v], v != 6 && v != 7 && v != 8);
   out << "verdicts by fault in force (dispatch, wait, reject, break-off, cancel):\n";
   for (std::size_t k = 0; k < kinds; ++k) {
+    if (k < lab::fault_kinds && lab::breaks_ways(static_cast<lab::FaultKind>(k))) continue;  // not here
     const auto& of = verdicts_by_kind_[k];
     out << "  " << kind_name(k) << " shown " << strikes_[k] << ":";
     for (const std::size_t v : {1U, 2U, 3U, 4U, 5U}) {
--- a/src/world/ground.cpp
+++ b/src/world/ground.cpp
@@ -1,5 +1,6 @@
 #include "world/ground.hpp"
 
+#include <algorithm>
 #include <stdexcept>
 
 #include "base/log.hpp"
@@ -25,6 +26,34 @@
   std::unique_ptr<sidecar::Daemon> daemon;
 };
 
+// What a sidecar stores, in the world: at once, as its turn ends with all it did.
+class PlayedStore final : public snapshot::Store {
+ public:
+  PlayedStore(World& world, std::shared_ptr<PlayedSidecar::Disk> disk)
+      : world_(world), disk_(std::move(disk)) {}
+  snapshot::Stamp now() const override { return {"world", world_.now() - TimePoint(), world_.now()}; }
+  std::vector<std::string> generations() override { return disk_->generations; }
+  void set_aside_newest() override {
+    if (!disk_->generations.empty()) disk_->generations.erase(disk_->generations.begin());
+  }
+  void put(snapshot::Content content) override {
+    ++(disk_->refuses ? counters_.failed : counters_.written);
+    if (disk_->refuses) {
+      counters_.trouble = "the played disk takes nothing";
+      return;
+    }
+    disk_->generations.insert(disk_->generations.begin(), snapshot::write(content));
+    disk_->generations.resize(std::min<std::size_t>(disk_->generations.size(), 2));
+  }
+  void settle() override {}
+  snapshot::StoreCounters counters() const override { return counters_; }
+
+ private:
+  World& world_;
+  std::shared_ptr<PlayedSidecar::Disk> disk_;
+  snapshot::StoreCounters counters_;
+};
+
 PlayedSidecar::PlayedSidecar(World& world, Process& process, std::size_t descriptors)
     : world_(world), process_(process), descriptors_(descriptors) {}
 
@@ -48,7 +77,10 @@
       life_->daemon = std::make_unique<sidecar::Daemon>(life_->scheduler, life_->model);
     } else {
       const auto reading = [this] { return config::read(reading_, no_environment); };
-      life_->daemon = std::make_unique<sidecar::Daemon>(life_->scheduler, reading);
+      std::unique_ptr<snapshot::Store> store;
+      if (!config::read(config, no_environment).state.empty())
+        store = std::make_unique<PlayedStore>(world_, disk_);
+      life_->daemon = std::make_unique<sidecar::Daemon>(life_->scheduler, reading, "", std::move(store));
     }
     if (!life_->daemon->listen()) ended_ = "exit status 1";
   } catch (const std::exception& e) {
--- a/src/world/ground.hpp
+++ b/src/world/ground.hpp
@@ -23,6 +23,11 @@
   std::optional<std::string> ended() override;
   std::optional<lab::Usage> usage() override { return std::nullopt; }
   std::string last_log() override { return last_log_; }
+  void pause(Span lasts) override { process_.pause(lasts); }
+  std::string state_path() const override { return "played"; }
+  std::vector<std::string> stored() override { return disk_->generations; }
+  void store(const std::vector<std::string>& generations) override { disk_->generations = generations; }
+  void refuse_state(bool on) override { disk_->refuses = on; }
 
   Process& process() { return process_; }
   // What SIGHUP finds from now on.
@@ -36,11 +41,17 @@
 
  private:
   struct Life;
+  friend class PlayedStore;
+  struct Disk {
+    std::vector<std::string> generations;
+    bool refuses = false;
+  };
   bool turn();
   World& world_;
   Process& process_;
   std::size_t descriptors_;
   std::string config_, reading_, last_log_, ended_;
+  std::shared_ptr<Disk> disk_ = std::make_shared<Disk>();  // outlives processes
   std::unique_ptr<Life> life_;
 };
 
--- a/src/world/scenario.cpp
+++ b/src/world/scenario.cpp
@@ -159,6 +159,7 @@
       .put("down_ms", f.down)
       .put("delay_ms", f.delay)
       .put("drain_ms", f.drain);
+  out.put("every_ms", f.every).put("age_ms", f.age);
 }
 
 void write_trouble(Text& out, const Trouble& t) {
@@ -202,6 +203,10 @@
       out.troubles.push_back(read_trouble(w, out.experiment));
     }
   }
+  for (const lab::FaultSpec& f : out.experiment.faults) {
+    if (lab::breaks_ways(f.kind))
+      errors.add(root, "fault.kind", std::string(lab::name_of(f.kind)) + " is a [[trouble]] in the world");
+  }
   if (!errors.lines.empty()) throw lab::ExperimentError(errors.lines);
   return out;
 }
@@ -234,6 +239,10 @@
   out.table("\n[allowed]").put("cancel", e.allowed.cancel).put("second_copies", e.allowed.copies);
   out.put("retry_after", e.allowed.retry_after).put("max_retry_after_ms", e.allowed.most_retry_after);
   out.put("max_dispatches", e.allowed.dispatches).put("connect_timeout_ms", e.allowed.connect_timeout);
+  if (e.restart.state || e.restart.ask_over > Span()) {
+    out.table("\n[restart]").put("state", e.restart.state).put("snapshot_ms", e.restart.snapshot_every);
+    out.put("ask_over_ms", e.restart.ask_over);
+  }
   out.table("\n[world]").put("delay_least_ms", c.delay_least).put("delay_mean_ms", c.delay_mean);
   out.put("split", c.split).put("resent", c.resent).put("lost_connect", c.lost_connect);
   out.put("dropped_unread", c.dropped_unread).put("late_turn", c.late_turn).put("late_most_ms", c.late_most);
--- a/src/world/swarm.cpp
+++ b/src/world/swarm.cpp
@@ -57,6 +57,7 @@
   void faults() {
     std::vector<std::size_t> kinds;
     for (std::size_t k = 0; k < lab::fault_kinds + trouble_kinds; ++k) {
+      if (k < lab::fault_kinds && lab::breaks_ways(static_cast<lab::FaultKind>(k))) continue;  // by troubles
       if (may(possible)) kinds.push_back(k);
     }
     if (kinds.empty() || out_.faults_most == 0) return;
@@ -101,7 +102,13 @@
     f.drain = Span::ms(static_cast<double>(static_cast<int>(in(50.0, 2500.0))));
     f.delay = Span::ms(static_cast<double>(static_cast<int>(in(100.0, 3000.0))));
     const bool once = kind == FaultKind::end || kind == FaultKind::restart || kind == FaultKind::release ||
-                      kind == FaultKind::sidecar_killed || kind == FaultKind::sidecar_drained;
+                      kind == FaultKind::sidecar_killed || kind == FaultKind::sidecar_drained ||
+                      (kind >= FaultKind::state_lost && kind <= FaultKind::state_swapped);
+    const bool of_state = kind >= FaultKind::state_lost && kind <= FaultKind::state_refused;
+    if (of_state && e_.pools) return;
+    if (of_state) e_.restart.state = true;
+    f.every = Span::ms(static_cast<double>(static_cast<int>(in(200.0, 2500.0))));
+    f.age = Span::ms(static_cast<double>(static_cast<int>(in(100.0, 2e6))));
     if (!once) f.lasts = lasting(f.at);
     if (kind == FaultKind::zone_lost) f.zone = tier.zones[chance_.below(tier.zones.size())];
     if (kind == FaultKind::release) {
