Tests of what is carried over a restart; states in the world outlive processes

Found on the way: a fault's default of every_ms read back as out of range, so that no shrunk scenario could be read (Search.FindsABrokenDayAndMakesItSmall failed); the default is a valid one now.

--- a/src/lab/experiment.hpp
+++ b/src/lab/experiment.hpp
@@ -143,7 +143,7 @@
   double part = 0.5;
   double probability = 1.0;  // of a request, where it is one that is spoilt
   Span down, delay, drain;
-  Span every, age, spread;
+  Span every = Span::ms(2000), age = Span::ms(3600000), spread;
   WayTo link = WayTo::endpoints;
   Heading heading = Heading::both;
   int far = 0;  // endpoints at the other end, drawn by the seed; 0: all
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -746,6 +746,59 @@
   EXPECT_EQ(after(90), std::pair(false, std::size_t{1}));
 }
 
+// What is carried over a restart: the times count at once, the limit until first answers speak against it.
+TEST(CarriedOver, TimesAreMeasuredFromTheFirstCall) {
+  Bench before(3), after(3);
+  before.history(40, 100, 500);
+  const Carried c = before.balancer.carried(at(510));
+  EXPECT_GT(c.times_ms.back(), 0.0);
+  after.balancer.carry(c, at(10));
+  const double cap = after.call(1, 20).span.as_ms();
+  EXPECT_GT(cap, 240);
+  EXPECT_LT(cap, 400);
+}
+
+TEST(CarriedOver, ALimitOnTrialFallsToTheFloorWithLateAnswers) {
+  const auto let_in = [](double took, bool on_trial) {
+    Bench b(3);
+    Carried c;
+    c.limit = 200.0;
+    c.on_trial = on_trial;
+    b.balancer.carry(c, at(10));
+    std::vector<Answer> out;
+    for (CallId id = 1; id <= 8; ++id) out.push_back(b.call(id, 10));
+    for (const Answer& a : out) b.end(a, Outcome::done, 10 + took, took);
+    return b.balancer.carried(at(10 + took)).limit;
+  };
+  EXPECT_EQ(let_in(50, true), 200.0);
+  EXPECT_EQ(let_in(1900, true), 0.0);     // more than a fifth of the answers of the trial are late
+  EXPECT_EQ(let_in(1900, false), 200.0);  // until the next step
+}
+
+// Guards rule 4 against processes that die often: a cold endpoint's budget is not had anew with each life.
+TEST(CarriedOver, SpentBudgetsStaySpent) {
+  const auto sent = [](bool spent) {
+    int out = 0;
+    for (std::uint64_t life = 0; life < 20; ++life) {
+      Settings s = settings();
+      s["sidecars"] = "2";  // half a send a second each, until their rates are known
+      Balancer b(s, life, at(0));
+      std::vector<ListedEndpoint> cold = endpoints(3);
+      for (ListedEndpoint& l : cold) l.came_up = at(9);
+      b.listed(ListKind::full, cold, at(10));
+      Carried c;
+      c.budgets_spent = spent;
+      b.carry(c, at(10));
+      for (CallId id = 1; id <= 40; ++id)
+        out += b.arrived({id, 0, Span::ms(4000), false}, at(10 + 37 * static_cast<double>(id))).verdict ==
+               Verdict::dispatch;
+    }
+    return out;
+  };
+  EXPECT_EQ(sent(true), 0);
+  EXPECT_GT(sent(false), 10);
+}
+
 TEST(Learnt, AFollowerDrawsByWhatWasLearntOfTheSameProcess) {
   Bench before(4), after(4);
   for (CallId id = 1; id <= 200; ++id) {
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -373,6 +373,37 @@
   EXPECT_EQ(error_of(""), "no error");
 }
 
+// What a sidecar has stored outlives its process, in the world as on disks; a state of an hour ago, or torn,
+// breaks no rule.
+TEST(Restart, StatesOutliveProcessesAndSpoiltOnesBreakNoRule) {
+  Scenario s = example("one-tier");
+  s.swarm = false;
+  s.experiment.restart.state = true;
+  const auto fault = [&](lab::FaultKind kind, double at_ms, double age_ms) {
+    lab::FaultSpec f;
+    f.kind = kind;
+    f.tier = "shop";
+    f.endpoints = 20;
+    f.at = Span::ms(at_ms);
+    f.age = Span::ms(age_ms);
+    f.down = Span::ms(300);
+    s.experiment.faults.push_back(f);
+  };
+  fault(lab::FaultKind::sidecar_killed, 1500, 0);
+  fault(lab::FaultKind::state_old, 1600, 30000);
+  fault(lab::FaultKind::sidecar_killed, 3000, 0);
+  fault(lab::FaultKind::state_torn, 3100, 0);
+  std::size_t with_limit = 0, set_aside = 0;
+  Trace trace([&](std::string_view line) {
+    with_limit += line.find("its limit") != std::string_view::npos ? 1 : 0;
+    set_aside += line.find("state: set aside") != std::string_view::npos ? 1 : 0;
+  });
+  const DayReport r = play(read_scenario(write_scenario(s), "restart"), trace);
+  EXPECT_FALSE(r.broken()) << r.breaches.front();
+  EXPECT_GT(with_limit, 0U);
+  EXPECT_GT(set_aside, 0U);
+}
+
 // A second answer that comes later than the next request was sent is taken for that one's: HTTP/1.1 has
 // nothing to tell them apart. A day that is broken for good, then, to search for and to shrink.
 Scenario broken_for_good() {
