--- a/tests/admin_test.cpp
+++ b/tests/admin_test.cpp
@@ -51,6 +51,18 @@
   EXPECT_TRUE(d.ready());
 }
 
+// Staff ask how far a process is on its way to full service, and what it started from.
+TEST(Admin, TellsHowFarItHasComeBack) {
+  Desk d;
+  const auto told = [&] {
+    const std::string answer = d.ask("GET", "coming-back");
+    return json::parse(answer.substr(answer.find("\r\n\r\n") + 4));
+  };
+  EXPECT_EQ(told().find("state")->text, "learning");
+  EXPECT_EQ(told().find("from")->text, "nothing");
+  EXPECT_GE(told().find("up_ms")->number, 0.0);
+}
+
 // Guards staff against connections that are held with no whole call, more of them than there are places.
 TEST(Admin, AnswersBesideThoseThatHoldTheirConnection) {
   Desk d;
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -102,6 +102,11 @@
   EXPECT_EQ(key_of_error(with("\"name\":\"plan\"", "\"name\":\"plan\",\"in_turn\":1")),
             "settings.classes.0.in_turn");
   EXPECT_EQ(key_of_error(with("\"listen\"", "\"state\":\"\",\"listen\"")), "state");
+  EXPECT_EQ(key_of_error(with("\"listen\"", "\"restart\":7,\"listen\"")), "restart");
+  EXPECT_EQ(key_of_error(with("\"listen\"", "\"restart\":{\"snapshot_ms\":5},\"listen\"")),
+            "restart.snapshot_ms");
+  EXPECT_EQ(key_of_error(with("\"listen\"", "\"restart\":{\"ask_over_ms\":-1},\"listen\"")),
+            "restart.ask_over_ms");
 }
 
 }  // namespace
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -653,6 +653,29 @@
   b.call(request_text("a", "plan"), endpoint);
 }
 
+// Guards discovery against a fleet that comes again at once: what it says of when is obeyed.
+TEST(Watch, ComesBackNoSoonerThanARefusalSays) {
+  SidecarBench b;
+  Peer refused, early, later;
+  ASSERT_TRUE(b.until([&] { return b.discovery.take(refused); }));
+  ASSERT_TRUE(b.hears(refused, "GET /v1/endpoints HTTP/1.1"));
+  const TimePoint from = b.scheduler.now();
+  refused.say("HTTP/1.1 503 Busy\r\nRetry-After: 0.4\r\nContent-Length: 0\r\n\r\n");
+  ASSERT_TRUE(b.until([&] { return b.discovery.take(later); }));
+  EXPECT_GE(b.scheduler.now() - from, Span::ms(395));
+  EXPECT_LE(b.scheduler.now() - from, Span::ms(1200));
+}
+
+// Sidecars that start together do not ask together: each draws its moment by its own seed.
+TEST(Watch, AFirstQuestionMayBeDrawnOverATime) {
+  SidecarBench b("\"seed\"", "\"restart\":{\"ask_over_ms\":600},\"seed\"");
+  const TimePoint from = b.scheduler.now();
+  Peer asks;
+  ASSERT_TRUE(b.until([&] { return b.discovery.take(asks); }));
+  EXPECT_GE(b.scheduler.now() - from, Span::ms(10));
+  EXPECT_LE(b.scheduler.now() - from, Span::ms(800));
+}
+
 // Guards the list: nothing that discovery says wrongly, and no lost watch, empties it.
 TEST(Watch, KeepsTheListThroughBadAnswers) {
   SidecarBench b;
