--- a/src/world/day.cpp
+++ b/src/world/day.cpp
@@ -313,8 +313,12 @@
         doubt(i, t.lasts);
         s.process().dark(true);
         s.process().vanish();
+        s.new_start_of_machine();
         fleet_.restart_sidecar(i, t.lasts);
         break;
+      case TroubleKind::clock_stepped:
+        s.step_clock(Span::ms(t.factor * (chance.one_in(0.5) ? 1000.0 : -1000.0)));
+        break;
       case TroubleKind::reload:
       case TroubleKind::reload_wrong:
       case TroubleKind::reload_and_end:
--- a/src/world/ground.cpp
+++ b/src/world/ground.cpp
@@ -31,7 +31,10 @@
  public:
   PlayedStore(World& world, std::shared_ptr<PlayedSidecar::Disk> disk)
       : world_(world), disk_(std::move(disk)) {}
-  snapshot::Stamp now() const override { return {"world", world_.now() - TimePoint(), world_.now()}; }
+  snapshot::Stamp now() const override {
+    return {"start " + std::to_string(disk_->starts), world_.now() - disk_->started,
+            world_.now() + disk_->clock_ahead};
+  }
   std::vector<std::string> generations() override { return disk_->generations; }
   void set_aside_newest() override {
     if (!disk_->generations.empty()) disk_->generations.erase(disk_->generations.begin());
@@ -57,6 +60,11 @@
 PlayedSidecar::PlayedSidecar(World& world, Process& process, std::size_t descriptors)
     : world_(world), process_(process), descriptors_(descriptors) {}
 
+void PlayedSidecar::new_start_of_machine() {
+  ++disk_->starts;
+  disk_->started = world_.now();
+}
+
 PlayedSidecar::~PlayedSidecar() { kill(); }
 
 const sidecar::Counters* PlayedSidecar::counters() const {
--- a/src/world/ground.hpp
+++ b/src/world/ground.hpp
@@ -28,6 +28,8 @@
   std::vector<std::string> stored() override { return disk_->generations; }
   void store(const std::vector<std::string>& generations) override { disk_->generations = generations; }
   void refuse_state(bool on) override { disk_->refuses = on; }
+  void step_clock(Span by) { disk_->clock_ahead = disk_->clock_ahead + by; }
+  void new_start_of_machine();
 
   Process& process() { return process_; }
   // What SIGHUP finds from now on.
@@ -45,6 +47,9 @@
   struct Disk {
     std::vector<std::string> generations;
     bool refuses = false;
+    int starts = 0;  // of its machine
+    TimePoint started;
+    Span clock_ahead;  // of Unix time as its machine believes it
   };
   bool turn();
   World& world_;
--- a/src/world/scenario.cpp
+++ b/src/world/scenario.cpp
@@ -25,7 +25,8 @@
                                             {"reload-wrong", TroubleKind::reload_wrong},
                                             {"reload-and-end", TroubleKind::reload_and_end},
                                             {"endpoint-drained", TroubleKind::endpoint_drained},
-                                            {"moved", TroubleKind::moved}};
+                                            {"moved", TroubleKind::moved},
+                                            {"clock-stepped", TroubleKind::clock_stepped}};
 static_assert(std::size(kind_words) == trouble_kinds);
 constexpr Word<Link> link_words[] = {
     {"callers", Link::callers}, {"endpoints", Link::endpoints}, {"discovery", Link::discovery}};
@@ -42,7 +43,8 @@
 
 bool lasts_needed(TroubleKind k) {
   return k != TroubleKind::cut && k != TroubleKind::lost_end && k != TroubleKind::reload &&
-         k != TroubleKind::reload_wrong && k != TroubleKind::reload_and_end && k != TroubleKind::moved;
+         k != TroubleKind::reload_wrong && k != TroubleKind::reload_and_end && k != TroubleKind::moved &&
+         k != TroubleKind::clock_stepped;
 }
 
 Trouble read_trouble(Table& t, const lab::Experiment& e) {
--- a/src/world/scenario.hpp
+++ b/src/world/scenario.hpp
@@ -29,8 +29,10 @@
   reload_and_end,    // SIGHUP and SIGTERM in one moment
   endpoint_drained,  // takes nothing new, gone after `for_ms`, back cold
   moved,             // an endpoint's id comes back at another's address
+  clock_stepped,     // a sidecar's Unix time, forward or back by `factor` seconds: what it stores is stamped
+                     // with it
 };
-inline constexpr std::size_t trouble_kinds = 14;
+inline constexpr std::size_t trouble_kinds = 15;
 enum class Link : std::uint8_t { callers, endpoints, discovery };        // between those and sidecars
 enum class Direction : std::uint8_t { both, to_sidecar, from_sidecar };  // what does not come through
 
--- a/tests/restart_fleet_test.cpp
+++ b/tests/restart_fleet_test.cpp
@@ -129,6 +129,15 @@
   EXPECT_EQ(p.logged("its limit"), 0U);
 }
 
+// Half of them start from a state of an hour ago, in which a third of the addresses belong to others by now.
+TEST(ComingBack, OldStatesOfAddressesThatMovedOnAreNothing) {
+  const Played p(all_killed +
+                 "[[fault]]\nkind = \"state-old\"\nendpoints = 4\nat_ms = 1150\n"
+                 "[[fault]]\nkind = \"restart\"\nendpoints = 2\nat_ms = 1050\ndown_ms = 60\n");
+  expect_sound(p, FaultKind::state_old);
+  EXPECT_EQ(p.logged("its limit"), 4U) << p.table();
+}
+
 // A folder that was copied to the wrong place: nothing of another sidecar's is taken.
 TEST(ComingBack, AStateOfAnotherSidecarIsNothing) {
   const Played p(all_killed + state_fault("state-swapped"));
