A rejection may end its caller's connection, so that callers leave those that survived

Ruled out: the limit's growth. Change: restart.part_with_per_s, off by default: of the connections held so many a second at most end with a rejection.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -217,6 +217,7 @@
   if (const json::Value* restart = root.find("restart")) {
     if (!restart->is(Kind::object)) throw ConfigError("restart", "no object");
     out.snapshot_every = Span::ms(figure_of(*restart, "restart.", "snapshot_ms", 5000, 100, 600000));
+    out.part_with = figure_of(*restart, "restart.", "part_with_per_s", 0, 0, 1);
     out.ask_over = Span::ms(figure_of(*restart, "restart.", "ask_over_ms", 0, 0, 60000));
   }
   const json::Value* known = root.find("known");
@@ -259,7 +260,8 @@
   note(in_force.listen == read_again.listen, "listen");
   note(in_force.admin == read_again.admin, "admin_addr");
   note(in_force.state == read_again.state, "state");
-  note(in_force.snapshot_every == read_again.snapshot_every && in_force.ask_over == read_again.ask_over,
+  note(in_force.snapshot_every == read_again.snapshot_every && in_force.ask_over == read_again.ask_over &&
+           in_force.part_with == read_again.part_with,
        "restart");
   note(in_force.memory == read_again.memory, "limits.memory_mb");
   note(in_force.sockets == read_again.sockets, "limits.sockets");
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -23,9 +23,10 @@
   Span idle_most = Span::ms(75000);    // of a connection without a request that has been served one
   std::string state;                   // a file for what is learnt; empty: none is kept
   Span snapshot_every = Span::ms(5000);
-  Span ask_over;          // a start's first question to discovery is drawn over so long; zero: at once
-  discovery::List known;  // the list as this sidecar last had it
-  Settings settings;      // under this project's names
+  double part_with = 0.0;  // of the callers' connections: so many a second at most end with a rejection
+  Span ask_over;           // a start's first question to discovery is drawn over so long; zero: at once
+  discovery::List known;   // the list as this sidecar last had it
+  Settings settings;       // under this project's names
   Span connect_timeout, idle_close, longest_timeout;
 };
 
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -281,6 +281,7 @@
       Table r(*restart, "restart.", errors);
       out.restart.state = r.flag("state", false);
       out.restart.snapshot_every = r.span("snapshot_ms", 1000.0, 100.0);
+      out.restart.part_with = r.number("part_with_per_s", 0.0, 0.0, 1.0);
       out.restart.ask_over = r.span("ask_over_ms", 0.0);
     }
     tracks = t.tables("track");
--- a/src/lab/experiment.hpp
+++ b/src/lab/experiment.hpp
@@ -155,6 +155,7 @@
   bool state = false;
   Span snapshot_every = Span::ms(1000);
   Span ask_over;
+  double part_with = 0.0;  // a second
 };
 
 struct Experiment {
--- a/src/lab/sidecar_config.cpp
+++ b/src/lab/sidecar_config.cpp
@@ -73,8 +73,9 @@
               {"known", json::parse(c.known)},
               {"settings", settings}};
   if (!c.state.empty()) out["state"] = c.state;
-  if (!c.state.empty() || e.restart.ask_over > Span())
+  if (!c.state.empty() || e.restart.ask_over > Span() || e.restart.part_with > 0.0)
     out["restart"] = {{"snapshot_ms", e.restart.snapshot_every.as_ms()},
+                      {"part_with_per_s", e.restart.part_with},
                       {"ask_over_ms", e.restart.ask_over.as_ms()}};
   return out.dump(1) + "\n";
 }
--- a/src/sidecar/callers.cpp
+++ b/src/sidecar/callers.cpp
@@ -110,8 +110,13 @@
   last_ = last_ || (!response.length() && !chunked_);  // its end is the connection's
   answer([&](net::Buffer& out) { all_.front_.write_begun(out, response, chunked_, last_); });
 }
-void CallerConnection::rejected(Span come_back, const pool::Spent&) {
+void CallerConnection::rejected(Span come_back, const pool::Spent& spent) {
   count_end(Result::declined);
+  // Turned away at the door: elsewhere there may be room.
+  if (spent.dispatches == 0 && all_.parting_.may_go(all_.size(), scheduler_.now())) {
+    last_ = true;
+    ++all_.counters_.parted;
+  }
   answer([&](net::Buffer& out) { all_.front_.write_rejection(out, come_back, last_); });
 }
 void CallerConnection::broken_off(bool timed_out, const pool::Spent&) {
@@ -363,6 +368,7 @@
       socket_(scheduler, waker_),
       open_ids_(open_ids),
       held_(held),
+      parting_(config.part_with),
       connections_(scheduler),
       task_(accept()) {}
 
--- a/src/sidecar/callers.hpp
+++ b/src/sidecar/callers.hpp
@@ -12,6 +12,7 @@
 #include "net/crew.hpp"
 #include "net/socket.hpp"
 #include "sidecar/driver.hpp"
+#include "sidecar/parting.hpp"
 #include "sidecar/pipe.hpp"
 
 namespace chutevane::sidecar {
@@ -174,6 +175,7 @@
   net::Socket socket_;
   OpenIds& open_ids_;
   net::Held& held_;
+  Parting parting_;
   net::Crew<CallerConnection> connections_;
   net::Task task_;
 };
--- a/src/sidecar/counters.cpp
+++ b/src/sidecar/counters.cpp
@@ -21,7 +21,7 @@
   out.close('}');
   out.key("connections").open('{');
   put("opened", connections_opened), put("reused", connections_reused);
-  put("accepted", callers_accepted), put("shed", callers_shed);
+  put("accepted", callers_accepted), put("shed", callers_shed), put("parted", parted);
   out.close('}');
   out.key("lists").open('{');
   put("taken", lists), put("failed", list_failures);
--- a/src/sidecar/counters.hpp
+++ b/src/sidecar/counters.hpp
@@ -44,6 +44,7 @@
   std::array<std::uint64_t, 6> caller_ends{};  // connections, by CallerEnd
   std::uint64_t connections_opened = 0, connections_reused = 0;
   std::uint64_t callers_accepted = 0, callers_shed = 0;  // connections; shed: closed for want of room
+  std::uint64_t parted = 0;  // connections ended with a rejection, to be opened anew elsewhere
   std::uint64_t lists = 0, list_failures = 0;
 
   void ended(std::uint32_t track, Result result) {
--- a/src/world/scenario.cpp
+++ b/src/world/scenario.cpp
@@ -241,9 +241,9 @@
   out.table("\n[allowed]").put("cancel", e.allowed.cancel).put("second_copies", e.allowed.copies);
   out.put("retry_after", e.allowed.retry_after).put("max_retry_after_ms", e.allowed.most_retry_after);
   out.put("max_dispatches", e.allowed.dispatches).put("connect_timeout_ms", e.allowed.connect_timeout);
-  if (e.restart.state || e.restart.ask_over > Span()) {
+  if (e.restart.state || e.restart.ask_over > Span() || e.restart.part_with > 0.0) {
     out.table("\n[restart]").put("state", e.restart.state).put("snapshot_ms", e.restart.snapshot_every);
-    out.put("ask_over_ms", e.restart.ask_over);
+    out.put("ask_over_ms", e.restart.ask_over).put("part_with_per_s", e.restart.part_with);
   }
   out.table("\n[world]").put("delay_least_ms", c.delay_least).put("delay_mean_ms", c.delay_mean);
   out.put("split", c.split).put("resent", c.resent).put("lost_connect", c.lost_connect);
