--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -107,6 +107,8 @@
             "restart.snapshot_ms");
   EXPECT_EQ(key_of_error(with("\"listen\"", "\"restart\":{\"ask_over_ms\":-1},\"listen\"")),
             "restart.ask_over_ms");
+  EXPECT_EQ(key_of_error(with("\"listen\"", "\"restart\":{\"part_with_per_s\":2},\"listen\"")),
+            "restart.part_with_per_s");
 }
 
 }  // namespace
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -653,6 +653,39 @@
   b.call(request_text("a", "plan"), endpoint);
 }
 
+// Callers that sit at a crowded sidecar are sent where there may be room, some at a time; never where that is
+// off.
+TEST(Parting, IsBoundedByThoseThatAreHeld) {
+  const auto gone = [](double part, int rejections_a_second) {
+    Parting p(part);
+    int out = 0;
+    for (int i = 0; i < rejections_a_second * 10; ++i)
+      out += p.may_go(100, TimePoint::at_ms(1e6 + i * 1000.0 / rejections_a_second)) ? 1 : 0;
+    return out;
+  };
+  EXPECT_EQ(gone(0.0, 1000), 0);
+  EXPECT_GE(gone(0.2, 1000), 190);
+  EXPECT_LE(gone(0.2, 1000), 205);  // 20 a second of 100 held, however many are rejected
+  EXPECT_LE(gone(0.2, 1), 10);
+}
+
+TEST(Parting, ARejectionAtTheDoorEndsItsConnectionWhereThatIsOn) {
+  for (const bool on : {false, true}) {
+    SidecarBench b("\"seed\"", on ? "\"restart\":{\"part_with_per_s\":1},\"seed\"" : "\"seed\"");
+    std::string gone = R"({"version":9,"full":true,"servers":[]})";
+    Peer discovery;
+    ASSERT_TRUE(b.until([&] { return b.discovery.take(discovery); }));
+    ASSERT_TRUE(b.hears(discovery, "GET /v1/endpoints HTTP/1.1"));
+    discovery.say(answer_text(gone));  // no endpoint is left: all is turned away
+    ASSERT_TRUE(b.until([&] { return b.sidecar->counters().lists > 0; }));
+    Peer caller = b.caller();
+    caller.say(request_text("a", "plan"));
+    ASSERT_TRUE(b.hears(caller, "HTTP/1.1 503"));
+    EXPECT_EQ(caller.has("Connection: close"), on);
+    EXPECT_EQ(b.sidecar->counters().parted, on ? 1U : 0U);
+  }
+}
+
 // Guards discovery against a fleet that comes again at once: what it says of when is obeyed.
 TEST(Watch, ComesBackNoSoonerThanARefusalSays) {
   SidecarBench b;
