An older list takes no drain back: what was told to close stays so for a minute

Need: discovery that is brought back from a copy tells a list under a version that it has passed; endpoints that drain or are gone were taken as serving again (rule 3). Acts only where the version falls at one address; SIGHUP to another counts from anew.

--- a/src/discovery/list.hpp
+++ b/src/discovery/list.hpp
@@ -27,6 +27,7 @@
 struct List {
   std::uint64_t version = 0;
   bool full = false;
+  bool older = false;  // than one that the same discovery has told before: it has come back with less
   std::vector<Entry> entries;
 };
 
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -45,6 +45,7 @@
   log_line("discovery moves from %s to %s", address_.c_str(), address.c_str());
   address_ = address;
   moved_ = true;
+  newest_ = 0;  // another's versions count from anew
   waker_.set(moved);
 }
 
@@ -67,8 +68,12 @@
     return false;
   }
   try {
-    const List list = read_list(parser_.body());
+    List list = read_list(parser_.body());
     version_ = list.version;
+    list.older = list.full && version_ < newest_;
+    newest_ = std::max(newest_, version_);
+    if (list.older)
+      log_line("discovery is back with an older list: what drained or is gone stays so for now");
     have_list_ = true;
     pause_ = Span();
     sink_.list_came(list);
--- a/src/sidecar/driver.cpp
+++ b/src/sidecar/driver.cpp
@@ -34,6 +34,10 @@
 }
 
 constexpr net::Waker::Bits due = net::Waker::own;
+// So long news of an endpoint's end outlive an older list: drains and rollbacks of discovery are over by
+// then.
+constexpr Span closed_for = Span::ms(60000);
+constexpr std::size_t closed_most = 4096;  // endpoints: a release of some tiers; more are not remembered
 
 }  // namespace
 
@@ -215,6 +219,26 @@
   balancer_.carry(known.carried, scheduler_.now());
 }
 
+void Driver::note_closed(const discovery::Entry& e) {
+  const TimePoint now = scheduler_.now();
+  if (e.availability == Availability::ready) {
+    closed_.erase(e.id);
+    return;
+  }
+  if (closed_.size() >= closed_most)
+    std::erase_if(closed_, [&](const auto& one) { return now - one.second.told > closed_for; });
+  if (closed_.size() < closed_most) closed_[e.id] = {e.availability, e.came_up, now};
+}
+
+Availability Driver::still_closed(const discovery::Entry& e) const {
+  const auto known = closed_.find(e.id);
+  if (known == closed_.end() || scheduler_.now() - known->second.told > closed_for) return e.availability;
+  // A new start of it is another process; where it is gone its start is not told.
+  if (known->second.availability == Availability::draining && known->second.came_up != e.came_up)
+    return e.availability;
+  return known->second.availability;
+}
+
 void Driver::take_list(ListKind kind, const discovery::List& list) {
   // What the list takes back is told to the module after the list itself. Guards against its sending such a
   // call to the same endpoint again, which it would still take for ready.
@@ -223,7 +247,12 @@
   version_ = list.version;
   std::vector<ListedEndpoint> entries;
   entries.reserve(list.entries.size());
-  for (const discovery::Entry& e : list.entries) {
+  for (discovery::Entry e : list.entries) {
+    if (list.older) {
+      e.availability = still_closed(e);
+    } else {
+      note_closed(e);
+    }
     if (e.availability == Availability::gone) {
       listed_.erase(e.id);
     } else {
--- a/src/sidecar/driver.hpp
+++ b/src/sidecar/driver.hpp
@@ -77,6 +77,9 @@
   };
 
   void take_list(ListKind kind, const discovery::List& list);
+  void note_closed(const discovery::Entry& entry);
+  // As an older list's entry is to be taken.
+  Availability still_closed(const discovery::Entry& entry) const;
   void part_with_doubted();
   void apply(Answers answers);
   void pump();
@@ -97,6 +100,12 @@
   std::vector<std::string> zones_, models_;
   std::map<std::string, discovery::Entry> listed_;  // as discovery last told, by id
   std::uint64_t version_ = 0;                       // of it
+  // What was told to drain or be gone of late, by id: an older list does not take that back.
+  struct Closed {
+    Availability availability = Availability::gone;
+    TimePoint came_up, told;
+  };
+  std::map<std::string, Closed> closed_;
   CallId last_id_ = 0;
   Slab<Call> calls_;
   IdIndex call_index_;
--- a/src/snapshot/form.cpp
+++ b/src/snapshot/form.cpp
@@ -55,7 +55,8 @@
     out.key("started_ms").real(r.came_up.as_ms()).key("latency_ms").real(r.latency_ms).close('}');
   }
   out.close(']').key("list");
-  discovery::List list{c.list.version, c.list.full, {}};
+  discovery::List list;
+  list.version = c.list.version;
   list.entries.assign(c.list.entries.begin(), c.list.entries.begin() + static_cast<long>(entries));
   list.full = entries == c.list.entries.size() && c.list.full;  // what was cut is no list to start from
   discovery::write_list(out, list);
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -653,6 +653,41 @@
   b.call(request_text("a", "plan"), endpoint);
 }
 
+// Guards rule 3 against a discovery that was brought back from a copy: what drained, or is gone, stays so.
+TEST(Watch, AnOlderListTakesNoDrainBack) {
+  SidecarBench b;
+  const auto list = [&](int version, const std::string& first, const std::string& second) {
+    const auto item = [&](const char* id, const std::string& state) {
+      return std::string(R"({"id":")") + id + R"(","addr":")" + b.endpoint.text() + R"(","state":")" + state +
+             "\"}";
+    };
+    return answer_text(R"({"version":)" + std::to_string(version) + R"(,"full":true,"servers":[)" +
+                       item("s-1", first) + "," + item("s-2", second) + "," + item("s-3", "SERVING") + "]}");
+  };
+  const auto say = [&](const std::string& answer) {
+    Peer discovery;
+    ASSERT_TRUE(b.until([&] { return b.discovery.take(discovery); }));
+    ASSERT_TRUE(b.hears(discovery, "GET /v1/endpoints HTTP/1.1"));
+    const std::uint64_t before = b.sidecar->counters().lists;
+    discovery.say(answer);
+    ASSERT_TRUE(b.until([&] { return b.sidecar->counters().lists > before; }));
+  };
+  const auto listed = [&] {
+    std::string out;
+    for (const discovery::Entry& e : b.sidecar->learnt().list.entries)
+      out += e.id + (e.availability == Availability::ready ? "+ " : "- ");
+    return out;
+  };
+  say(list(5, "SERVING", "SERVING"));
+  EXPECT_EQ(listed(), "s-1+ s-2+ s-3+ ");
+  say(list(7, "DRAINING", "DELETED"));
+  EXPECT_EQ(listed(), "s-1- s-3+ ");
+  say(list(6, "SERVING", "SERVING"));
+  EXPECT_EQ(listed(), "s-1- s-3+ ");
+  say(list(8, "SERVING", "SERVING"));  // newer than all: it is believed
+  EXPECT_EQ(listed(), "s-1+ s-2+ s-3+ ");
+}
+
 // Callers that sit at a crowded sidecar are sent where there may be room, some at a time; never where that is
 // off.
 TEST(Parting, IsBoundedByThoseThatAreHeld) {
--- a/tests/snapshot_test.cpp
+++ b/tests/snapshot_test.cpp
@@ -35,7 +35,8 @@
   c.carried.retry_tokens = 11.0;
   for (std::size_t i = 0; i < c.carried.times_ms.size(); ++i)
     c.carried.times_ms[i] = 1.0 + static_cast<double>(i);
-  c.list = {7, true, {}};
+  c.list.version = 7;
+  c.list.full = true;
   for (const Remembered& r : c.endpoints) {
     discovery::Entry e;
     e.id = r.name, e.address = r.address, e.came_up = r.came_up;
