--- a/src/discovery/watch.hpp
+++ b/src/discovery/watch.hpp
@@ -51,8 +51,8 @@
   net::Socket socket_;
   net::Buffer buffer_;
   http::Parser parser_;
-  bool moved_ = false;      // since this connection was begun
-  bool have_list_ = false;  // on this connection: the next request is for what has changed
+  bool moved_ = false;                      // since this connection was begun
+  bool have_list_ = false;                  // on this connection: the next request is for what has changed
   std::uint64_t version_ = 0, newest_ = 0;  // newest_: that this discovery has ever told
   Span pause_;
   Span first_over_;
