Sidecars that are not numbered begin at different places of the ring

Cause: without 'me' every sidecar's own part of the ring began at 0, three endpoints wide until the first step at 250 ms or the first list. A first list that came at once widened the parts sooner, which is why spread questions seemed to cost; the module alone, one sidecar, showed nothing. At fault: src/balance.cpp:137 (seat stayed 0).

--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -746,6 +746,24 @@
   EXPECT_EQ(after(90), std::pair(false, std::size_t{1}));
 }
 
+// Guards endpoints against a fleet that starts together and is not told who is who: all would begin with the
+// same few of the ring.
+TEST(Parts, SidecarsThatAreNotNumberedBeginAtDifferentPlaces) {
+  std::map<EndpointId, int> sent;
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    Settings s = settings();
+    s.insert_or_assign("sidecars", std::to_string(40));
+    Balancer b(s, seed, at(0));
+    b.listed(ListKind::full, endpoints(12), at(0));
+    for (CallId id = 1; id <= 3; ++id) {
+      const Answer a = b.arrived({id, 0, Span::ms(4000), false}, at(1));
+      if (a.verdict == Verdict::dispatch) ++sent[a.endpoint];
+    }
+  }
+  EXPECT_GE(sent.size(), 11U);
+  for (const auto& [endpoint, calls] : sent) EXPECT_LE(calls, 25) << endpoint;  // of 120; 10 were even
+}
+
 // What is carried over a restart: the times count at once, the limit until first answers speak against it.
 TEST(CarriedOver, TimesAreMeasuredFromTheFirstCall) {
   Bench before(3), after(3);
