The watch on the list keeps to the drain grace, and waits its turn at a service

A probe with asks left open for 30 s showed that what is open when discovery returns is answered at once (list at 10.29 s, return at 10.3 s); the requests went out from sidecars that were in a pause of up to 1.5 s between two tries (watch.cpp: answer_slack 0.5 s, then pause_most 1 s x 0.5 to 1.5). rules.drain_grace_ms was read nowhere. A trace of asks: n0 asks at 0.445, gives up at 0.948, asks at 2.059, gives up at 2.560, and so on to 15.7 s, while its neighbours' asks are answered after 0.3 to 2.9 s: each ask was given up before its turn (answer_slack) and cost the service all the same; then the module paused up to 12 s (subscribe_most 8 s x 1.5) where news are due in 6 s. Each start made two calls (whole list, then the watch), so that the watch of every second sidecar was turned away with 503.

Change: the grace is read.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -144,6 +144,7 @@
     const double v = reader.number(key);
     if (v < least || v > most) throw SettingError(key, "out of range: " + reader.text(key));
   };
+  from_to("rules.drain_grace_ms", 0, 3.6e6);
   from_to("rules.resend_span_ms", 1, 3.6e6);
   from_to("rules.budget_free", 0, 1e6);
   from_to("rules.resend_ratio", 0, 1e3);
@@ -172,6 +173,7 @@
   };
   out.connect_timeout = positive("allowed.connect_timeout_ms");
   out.idle_close = positive("allowed.idle_close_ms");
+  if (settings.has("rules.drain_grace_ms")) out.drain_grace = settings.span("rules.drain_grace_ms");
   for (int i = 0; i < settings.number("tracks.count"); ++i) {
     const std::string at = "tracks." + std::to_string(i) + ".";
     out.longest_timeout = std::max(out.longest_timeout, positive(at + "client_timeout_ms"));
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -28,6 +28,8 @@
   discovery::List known;   // the list as this sidecar last had it
   Settings settings;       // under this project's names
   Span connect_timeout, idle_close, longest_timeout;
+  Span drain_grace =
+      Span::ms(500);  // after news of a drain; where none is told, half a second is short enough
 };
 
 using Environment = std::function<const char*(const char*)>;
--- a/src/sidecar/driver.cpp
+++ b/src/sidecar/driver.cpp
@@ -47,14 +47,17 @@
       endpoints_(endpoints),
       counters_(counters),
       balancer_(config.settings, config.seed, scheduler.now()),
-      module_asks_(text_or_none(config.settings, "discovery") == "subscribe"),
       zones_(split(text_or_none(config.settings, "zones"))),
       waker_(scheduler),
       timer_(scheduler, waker_, due),
       timekeeper_(keep_time()) {
   endpoints.tell(*this);
   if (!config.discovery.empty())
-    watch_.emplace(scheduler, config.discovery, !module_asks_, config.seed, *this, config.ask_over);
+    watch_.emplace(scheduler, config.discovery,
+                   text_or_none(config.settings, "discovery") == "subscribe" ? discovery::Teller::service
+                                                                             : discovery::Teller::agent,
+                   config.seed, *this, config.drain_grace, config.ask_over,
+                   config.known.full ? std::optional(config.known.version) : std::nullopt);
   take_list(ListKind::cached, config.known);
   timekeeper_.start();
 }
@@ -190,10 +193,7 @@
   take_list(list.full ? ListKind::full : ListKind::changes, list);
 }
 
-void Driver::list_failed() {
-  ++counters_.list_failures;
-  if (module_asks_) apply(balancer_.listed(ListKind::failed, {}, scheduler_.now()));
-}
+void Driver::list_failed() { ++counters_.list_failures; }
 
 snapshot::Content Driver::learnt() const {
   snapshot::Content out;
@@ -322,7 +322,8 @@
   switch (answer.verdict) {
     case Verdict::nothing:
     case Verdict::wait:
-    case Verdict::tell: break;  // none here: the configuration says so to the module
+    case Verdict::tell:              // none here: the configuration says so to the module
+    case Verdict::subscribe: break;  // the watch on the list looks after itself
     case Verdict::dispatch:
       if (known) dispatch(at, answer);
       break;
@@ -345,9 +346,6 @@
       if (known && answer.number < dispatches_most && calls_[at].dispatches[answer.number] != nullptr)
         endpoints_.give_up(*calls_[at].dispatches[answer.number]);
       break;
-    case Verdict::subscribe:
-      if (watch_) watch_->start();
-      break;
     case Verdict::log: log_line("%s", answer.text.data()); break;
   }
 }
--- a/src/sidecar/driver.hpp
+++ b/src/sidecar/driver.hpp
@@ -96,7 +96,6 @@
   Endpoints& endpoints_;
   Counters& counters_;
   Balancer balancer_;
-  const bool module_asks_;  // for the list; otherwise the watch looks after itself
   std::vector<std::string> zones_, models_;
   std::map<std::string, discovery::Entry> listed_;  // as discovery last told, by id
   std::uint64_t version_ = 0;                       // of it
