A request whose caller has left while it waited is not sent on

And a turn that comes late ran what was due, such as a retry, before the hang-ups that the same turn had been told of (scheduler.cpp, turn). Shown by tests on real sockets.

Change: a call is not taken where its connection has ended; ends go before what is due, what is due before what has come in, as before.

Run both ways: Callers.ARequestWhoseCallerHasLeftIsNotSentOn (by a close and by a reset; before: "gone" reaches the endpoint, 2 dispatches in place of 1) and Scheduler.APeersEndGoesBeforeWhatIsDue fail with the sources before and pass with these; 30 runs in a row without a failure.

--- a/src/net/scheduler.cpp
+++ b/src/net/scheduler.cpp
@@ -135,16 +135,22 @@
   }
   std::array<System::Event, batch> events;
   const std::size_t n = system_.wait(events, wait);
+  const auto tell = [&](bool of_ends) {
+    for (std::size_t i = 0; i < n; ++i) {
+      const System::Event& e = events[i];
+      if (((e.bits & System::hung_up) != 0) != of_ends) continue;
+      const Source& source = sources_[e.tag & 0xffffffffU];
+      if (source.waker == nullptr || source.use != e.tag >> 32U) continue;  // closed since
+      source.waker->set(e.bits);
+    }
+    run_ready();
+  };
+  // Ends go first: guards against a turn that comes late and still sends what its caller has left meanwhile.
+  tell(true);
   // What is due goes before what has come in: guards against a long batch of reads holding up deadlines.
   fire_due();
   run_ready();
-  for (std::size_t i = 0; i < n; ++i) {
-    const System::Event& e = events[i];
-    const Source& source = sources_[e.tag & 0xffffffffU];
-    if (source.waker == nullptr || source.use != e.tag >> 32U) continue;  // closed since
-    source.waker->set(e.bits);
-  }
-  run_ready();
+  tell(false);
 }
 
 }  // namespace chutevane::net
--- a/src/sidecar/callers.cpp
+++ b/src/sidecar/callers.cpp
@@ -157,6 +157,9 @@
       answer_plain(400, std::string(why) + "\n");
       break;
     case Front::Kind::call: {
+      // Its caller closed behind it, perhaps long ago: it waited to be accepted, or behind an answer. Guards
+      // endpoints against work that nobody waits for; run() finds the hang-up.
+      if (waker_.has(Waker::hung_up)) break;
       // Guards rule 1 for the call that has this id: its endpoint would take both for one.
       const std::string_view name = all_.front_.id_of(parser_);
       if (!name.empty() && !id_.take(name)) {
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -178,6 +178,11 @@
   }
   bool has(std::string_view text) { return hear().heard.find(text) != std::string::npos; }
   bool over() { return hear().ended; }
+  void reset() {
+    const linger at_once{.l_onoff = 1, .l_linger = 0};
+    ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    leave();
+  }
   void leave() {
     if (fd_ >= 0) ::close(fd_);
     fd_ = -1;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -14,6 +14,10 @@
   }
 }
 
+Task note_once(Waker& waker, Waker::Bits mask, std::vector<Waker::Bits>& seen) {  // a hang-up stays set
+  seen.push_back(co_await waker.wait(mask));
+}
+
 // A socket of ours and the other end of its connection.
 struct Connected : Loop {
   Connected() {
@@ -57,6 +61,28 @@
   EXPECT_EQ(seen, (std::vector<Waker::Bits>{one, Waker::readable}));
 }
 
+// Guards against a turn that comes late and acts for a peer that has left meanwhile: its end goes before what
+// is due, and before what others have said.
+TEST(Scheduler, APeersEndGoesBeforeWhatIsDue) {
+  Connected stays;
+  std::vector<Waker::Bits> seen;
+  Waker gone(stays.scheduler);
+  Socket to_gone(stays.scheduler, gone);
+  Peer leaver;
+  ASSERT_TRUE(to_gone.connect(stays.port.at));
+  ASSERT_TRUE(stays.until([&] { return stays.port.take(leaver); }));
+  Timer timer(stays.scheduler, stays.waker, one);
+  Task acts = note(stays.waker, one | Waker::readable, seen), hears = note_once(gone, Waker::hung_up, seen);
+  acts.start();
+  hears.start();
+  stays.peer.say("x");
+  leaver.leave();
+  timer.set(stays.scheduler.now());
+  stays.scheduler.turn();
+  ASSERT_GE(seen.size(), 2U);
+  EXPECT_EQ(seen.front(), Waker::hung_up);
+}
+
 // Guards against resuming a coroutine whose owner went away after it was woken.
 TEST(Scheduler, WhatIsGoneIsNotResumed) {
   Loop loop;
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -478,6 +478,31 @@
   caller.say("x");  // a reset would have made this an error
 }
 
+// Guards endpoints against work that nobody waits for: a caller that left while its request waited to be
+// accepted, by a close or a reset, and one behind whose request another waits.
+TEST(Callers, ARequestWhoseCallerHasLeftIsNotSentOn) {
+  for (const bool reset : {false, true}) {
+    SidecarBench b;
+    Peer endpoint;
+    {
+      Peer gone = b.caller();
+      gone.say(request_text("gone", "sale") + request_text("behind", "plan"));
+      if (reset) gone.reset();
+    }
+    Peer caller = b.call(request_text("stays", "plan"), endpoint);
+    EXPECT_EQ(endpoint.heard.find("gone"), std::string::npos);
+    EXPECT_TRUE(endpoint.has("X-Request-ID: stays"));
+    EXPECT_EQ(b.sidecar->counters().dispatches, 1U);
+    EXPECT_EQ(b.sidecar->counters().outstanding, 1U);
+    endpoint.say(answer_text("served"));
+    EXPECT_TRUE(b.hears(caller, "served"));
+    Peer again;  // the id is free, though its first call was never taken
+    Peer same = b.caller();
+    same.say(request_text("gone", "plan"));
+    ASSERT_TRUE(b.hears(endpoint, "X-Request-ID: gone"));
+  }
+}
+
 // Guards against a watch gone silent on an open connection: the wait it states, and 2 s, is how long that is
 // taken for no news. With 20 s a release of endpoints went by unheard.
 TEST(Watch, TakesTheListAndGoesOnWatching) {
