Ballots for a duty are not asked in step; a term that others know is never begun anew

Terms began at 1 again, under which sidecars that had lived on would have taken no list. Change: each looks again at a time that it draws for itself; a term that a session tells of makes the duty vacant.

--- a/src/clerk/control_plane.cpp
+++ b/src/clerk/control_plane.cpp
@@ -357,6 +357,7 @@
   session.heard = later_.now();
   session.list_term = hello.list_term;
   session.list_number = hello.list_number;
+  list_duty_.learn_term(hello.list_term);
   if (fresh) {
     session.pushed = hello.member.number;
     market::Beat word;
@@ -457,6 +458,7 @@
     } else if (count->answered == count->asked) {
       count->over = true;
       duty.lost(later_.now());
+      stand(duty);
     }
   };
   const std::vector<market::Acceptor> voters = register_.initial().acceptors;
@@ -473,13 +475,24 @@
   }
 }
 
+void ControlPlane::stand(Duty& duty) {
+  const TimePoint now = later_.now();
+  std::int64_t term = 0;
+  if (leaving_ || register_.initial().epoch == 0) return;
+  if (duty.stand(now, term)) return ballot(duty, term);
+  const TimePoint again = duty.look_again();
+  // Not with the loop's step: those who began together would go on together.
+  if (again > now) later_.at(again, [this, &duty, again] {
+    if (duty.look_again() == again) stand(duty);
+  });
+}
+
 void ControlPlane::work_duties() {
   if (leaving_) return;
   const TimePoint now = later_.now();
   for (Duty* duty : {&list_duty_, &roster_duty_}) {
     if (duty->mine() && !majority_heard(duty_vacant_after)) duty->give_up(now);
-    std::int64_t term = 0;
-    if (register_.initial().epoch > 0 && duty->stand(now, term)) ballot(*duty, term);
+    stand(*duty);
   }
   if (roster_duty_.mine()) {
     if (!had_roster_) roster_.restart();
--- a/src/clerk/control_plane.hpp
+++ b/src/clerk/control_plane.hpp
@@ -72,6 +72,7 @@
   void acknowledged();
 
   void work_duties();
+  void stand(Duty& duty);
   void ballot(Duty& duty, std::int64_t term);
   void read_list();
   void take_list(market::EndpointList list, bool pass_on);
--- a/src/clerk/duty.cpp
+++ b/src/clerk/duty.cpp
@@ -30,6 +30,14 @@
   }
 }
 
+void Duty::learn_term(std::int64_t term) {
+  if (term <= term_) return;
+  term_ = term;
+  mine_ = false;
+  holder_.clear();
+  heard_ = TimePoint();
+}
+
 bool Duty::vote(std::int64_t term, TimePoint now) {
   if (term <= voted_ || term <= term_ || !vacant(now)) return false;
   voted_ = term;
