Mended on reading: take-over of a lost disk, union of reservations, sessions while leaving

Cause (review of the sources): a cellar whose disk was new could call itself whole without one of the others, and the 404 of an edge counted the same loss again; one that a map had given up came back as though it had missed nothing; a reservation known to one of a group and another known to the next were counted as one; a leaving stall heard of no drain; a request sent ahead was never read; the build in service asked for the tier's packages. Change: each of them; hosts know no case, parts are a model's own, other seeds are taken from the settings at once.

--- a/src/cellar/storage_plane.cpp
+++ b/src/cellar/storage_plane.cpp
@@ -211,7 +211,10 @@
     });
   };
   // Who was here for the map before, and lost nobody by this one, has what is its own already.
-  const bool went_on = map_before > 0 && ready_ && whole_;
+  // One that a map in between may have given up has missed what was kept since.
+  const auto me = [&](const market::Cellar& c) { return c.node == settings_.node && c.disk == record_.disk; };
+  const bool was_in = std::any_of(before.begin(), before.end(), me);
+  const bool went_on = map_before > 0 && ready_ && whole_ && was_in && map_ == map_before + 1;
   const bool lost_some = std::any_of(before.begin(), before.end(), [&](const market::Cellar& c) {
     return !c.leaving && !in(cellars_, c) &&
            std::none_of(cellars_.begin(), cellars_.end(),
@@ -221,6 +224,10 @@
     sessions_->tell_whole(map_);
     return;
   }
+  // A disk that is new, or one that the map has given up, is a loss already: then every other has to be
+  // heard.
+  const bool lost_already = lost_some || !record_.held || (map_before > 0 && !went_on);
+  may_miss_ = lost_already ? 0 : settings_.machine_losses;
   take_over(before);
 }
 
@@ -315,8 +322,7 @@
     pending_accounts += !t.accounts_done && !t.given_up ? 1 : 0;
     pending_turns += !t.done && !t.given_up ? 1 : 0;
   }
-  const std::size_t needed =
-      taking_.size() > settings_.machine_losses ? taking_.size() - settings_.machine_losses : 0;
+  const std::size_t needed = taking_.size() - std::min(taking_.size(), may_miss_);
   if (!ready_ && pending_accounts == 0 && accounts >= needed) {
     ready_ = true;
     market::log_info("storage.ready", "map " + std::to_string(map_) + " after ms " +
@@ -324,6 +330,10 @@
   }
   if (ready_ && !whole_ && pending_turns == 0 && turns >= needed) {
     whole_ = true;
+    if (!record_.held) {
+      record_.held = true;
+      if (absl::Status s = record_slots_.write(market::encoded(record_)); !s.ok()) die(s);
+    }
     sessions_->tell_whole(map_);
     market::log_info("storage.whole", "map " + std::to_string(map_) + ", turns " +
                                           std::to_string(store_.turns()) + " after ms " +
--- a/src/cellar/storage_plane.hpp
+++ b/src/cellar/storage_plane.hpp
@@ -25,6 +25,7 @@
   absl::Status open() override;
   void leave() override;
   bool finished() const override { return finished_; }
+  void reread(const market::ProcessSettings& settings) override { sessions_->reread(settings); }
 
  private:
   using Guest = market::Desk::Guest;
@@ -66,6 +67,8 @@
   std::vector<market::Cellar> cellars_;
   std::int64_t map_ = 0;
   bool ready_ = false, whole_ = false, leaving_ = false, finished_ = false;
+  // How many of the others may be left out of the take-over under way: none, where a copy was lost already.
+  std::size_t may_miss_ = 0;
   TimePoint takeover_since_;
   std::map<std::string, Taking> taking_;  // by node
   std::uint64_t turn_ = 0;
--- a/src/cellar/store.cpp
+++ b/src/cellar/store.cpp
@@ -81,17 +81,15 @@
 
 void Store::write_account(const Account& account) { put(account); }
 
-std::int64_t Store::reserve(const std::string& program, const std::string& attempt, std::int64_t most,
-                            TimePoint now) {
+std::vector<Reservation> Store::reserve(const std::string& program, const std::string& attempt,
+                                        std::int64_t most, TimePoint now) {
   Reservation& mine = entry(program, attempt, now);
   if (mine.tokens < 0) {
     mine.tokens = most;
     write_account({program, {mine}});
   }
-  std::int64_t others = 0;
-  for (const Reservation& r : accounts_[program].account.entries) {
-    if (r.attempt != attempt) others += r.tokens;
-  }
+  std::vector<Reservation> others = accounts_[program].account.entries;
+  std::erase_if(others, [&](const Reservation& r) { return r.attempt == attempt; });
   return others;
 }
 
--- a/src/cellar/store.hpp
+++ b/src/cellar/store.hpp
@@ -26,9 +26,9 @@
   absl::Status open(TimePoint now);
 
   // Each of these lasts once commit() has returned OK.
-  // The tokens that the program's other attempts have set aside or spent.
-  std::int64_t reserve(const std::string& program, const std::string& attempt, std::int64_t most,
-                       TimePoint now);
+  // What the program's other attempts have set aside or spent.
+  std::vector<market::Reservation> reserve(const std::string& program, const std::string& attempt,
+                                           std::int64_t most, TimePoint now);
   void settle(const std::string& program, const std::string& attempt, std::int64_t used, TimePoint now);
   // False: there is no room.
   bool keep(const market::Turn& turn, TimePoint now);
--- a/src/clerk/control_plane.cpp
+++ b/src/clerk/control_plane.cpp
@@ -22,6 +22,7 @@
 constexpr Span session_heard = Span::ms(1300);    // four beats of a sidecar
 constexpr Span behind_most = Span::ms(150);       // news of a change comes within some ms, or is asked for
 constexpr Span list_every = Span::ms(600);        // a fifth of the time to drain; each reading has its price
+constexpr Span answer_most = Span::ms(350);       // of an acceptor: two ways and a sync take some ms
 constexpr Span vote_most = Span::ms(300);
 constexpr std::size_t body_most = 8U << 20U;  // bytes of a configuration
 
@@ -155,8 +156,9 @@
     if (!got.ok()) die(got.status());
     return answered(std::move(got));
   }
-  know(address);
-  peers_[address].link->call<market::Promise>(ask, Span::ms(350), std::move(answered));
+  if (market::Link* const to = link(address))
+    return to->call<market::Promise>(ask, answer_most, std::move(answered));
+  answered(absl::InvalidArgumentError(address));
 }
 
 void ControlPlane::accept(const std::string& address, const market::Accept& ask,
@@ -166,12 +168,19 @@
     if (!got.ok()) die(got.status());
     return answered(std::move(got));
   }
-  know(address);
-  peers_[address].link->call<market::Accepted>(ask, Span::ms(350), std::move(answered));
+  if (market::Link* const to = link(address))
+    return to->call<market::Accepted>(ask, answer_most, std::move(answered));
+  answered(absl::InvalidArgumentError(address));
 }
 
 // ---- the other control sidecars
 
+market::Link* ControlPlane::link(const std::string& address) {
+  know(address);
+  const auto found = peers_.find(address);
+  return found == peers_.end() ? nullptr : found->second.link.get();
+}
+
 void ControlPlane::know(const std::string& address) {
   if (address == address_ || address.empty() || peers_.contains(address)) return;
   const auto to = net::parse_address(address);
@@ -355,8 +364,11 @@
   Session& session = sessions_[guest.id()];
   session.member = hello.member;
   session.heard = later_.now();
-  session.list_term = hello.list_term;
-  session.list_number = hello.list_number;
+  // What was sent since this word was written stays sent.
+  if (std::pair(hello.list_term, hello.list_number) > std::pair(session.list_term, session.list_number)) {
+    session.list_term = hello.list_term;
+    session.list_number = hello.list_number;
+  }
   list_duty_.learn_term(hello.list_term);
   if (fresh) {
     session.pushed = hello.member.number;
@@ -468,10 +480,13 @@
       hear(duty.vote(term, later_.now()));
       continue;
     }
-    know(a.address);
-    peers_[a.address].link->call<market::Voted>(
-        market::Vote{duty.name(), term, settings_.node}, vote_most,
-        [hear](absl::StatusOr<market::Voted> got) { hear(got.ok() && got->granted); });
+    market::Link* const to = link(a.address);
+    if (to == nullptr) {
+      hear(false);
+      continue;
+    }
+    to->call<market::Voted>(market::Vote{duty.name(), term, settings_.node}, vote_most,
+                            [hear](absl::StatusOr<market::Voted> got) { hear(got.ok() && got->granted); });
   }
 }
 
@@ -482,9 +497,10 @@
   if (duty.stand(now, term)) return ballot(duty, term);
   const TimePoint again = duty.look_again();
   // Not with the loop's step: those who began together would go on together.
-  if (again > now) later_.at(again, [this, &duty, again] {
-    if (duty.look_again() == again) stand(duty);
-  });
+  if (again > now)
+    later_.at(again, [this, &duty, again] {
+      if (duty.look_again() == again) stand(duty);
+    });
 }
 
 void ControlPlane::work_duties() {
--- a/src/clerk/control_plane.hpp
+++ b/src/clerk/control_plane.hpp
@@ -58,6 +58,7 @@
   market::Gossip word_of_mine();
   void on_gossip(const market::Gossip& word);
   void know(const std::string& address);
+  market::Link* link(const std::string& address);  // none: that is no address
   void forget_lost();
   void catch_up();
   bool majority_heard(Span within) const;
--- a/src/clerk/duty.hpp
+++ b/src/clerk/duty.hpp
@@ -25,13 +25,13 @@
 
   // A peer has told what duties it has: this one, of that term, or not this one.
   void heard(const std::string& node, bool holds, std::int64_t term, TimePoint now);
-  // Somebody has heard of that term: those who kept it in mind may all have started anew since. What is told under
-  // an older one would count for nothing, so the duty is vacant.
+  // Somebody has heard of that term: those who kept it in mind may all have started anew since. What is told
+  // under an older one would count for nothing, so the duty is vacant.
   void learn_term(std::int64_t term);
   // Whether the vote for this term is given. Each term is given once.
   bool vote(std::int64_t term, TimePoint now);
-  // Whether to ask for ballots now, and for which term. Where it is vacant and not yet time, when to look again:
-  // drawn by each for itself, so that all who saw it fall vacant at once do not stand at once.
+  // Whether to ask for ballots now, and for which term. Where it is vacant and not yet time, when to look
+  // again: drawn by each for itself, so that all who saw it fall vacant at once do not stand at once.
   bool stand(TimePoint now, std::int64_t& term);
   TimePoint look_again() const { return standing_ ? TimePoint() : wait_until_; }
   void won(std::int64_t term, TimePoint now);
--- a/src/clerk/roster.cpp
+++ b/src/clerk/roster.cpp
@@ -90,7 +90,10 @@
   for (std::size_t i = 0; i < next.cellars.size();) {
     const Cellar& c = next.cellars[i];
     const bool gone = lost("cellar " + c.node + " " + c.disk, present(c), cellar_lost_after, now);
-    if (gone && next.cellars.size() - 1 >= copies_for(losses_)) {
+    const auto staying = std::count_if(next.cellars.begin(), next.cellars.end(), [&](const Cellar& other) {
+      return !other.leaving && other.node != c.node;
+    });
+    if (gone && static_cast<std::size_t>(staying) >= copies_for(losses_)) {
       next.cellars.erase(next.cellars.begin() + static_cast<std::ptrdiff_t>(i));
       changed = true;
     } else {
--- a/src/market/configuration.cpp
+++ b/src/market/configuration.cpp
@@ -109,6 +109,8 @@
   Route r;
   in.text("name", r.name, false);
   in.text("host", r.host);
+  for (char& c : r.host)
+    c = c >= 'A' && c <= 'Z' ? static_cast<char>(c + ('a' - 'A')) : c;  // hosts know no case
   if (in.text("pathPrefix", r.prefix) && (r.prefix.front() != '/' || r.prefix.back() != '/'))
     in.wrong("pathPrefix", "does not begin and end with a slash");
   std::string type;
--- a/src/market/messages.hpp
+++ b/src/market/messages.hpp
@@ -428,12 +428,28 @@
   }
 };
 
+struct Reservation {
+  static constexpr const char* record = "Reservation";
+  static constexpr std::uint8_t kind = 32;  // on the wire
+  std::string attempt;
+  std::int64_t tokens = 0;
+  bool settled = false;
+  template <class Visitor>
+  void each(Visitor& v) {
+    v("attempt", attempt);
+    v("tokens", tokens);
+    v("settled", settled);
+  }
+  bool operator==(const Reservation&) const = default;
+};
+
+// With all that this one knows of the program's other attempts.
 struct Reserved {
   static constexpr const char* record = "Reserved";
   static constexpr std::uint8_t kind = 25;  // on the wire
   std::int64_t verdict = 0;
   std::int64_t map = 0;
-  std::int64_t others = 0;
+  std::vector<Reservation> others;
   template <class Visitor>
   void each(Visitor& v) {
     v("verdict", verdict);
@@ -532,21 +548,6 @@
   }
 };
 
-struct Reservation {
-  static constexpr const char* record = "Reservation";
-  static constexpr std::uint8_t kind = 32;  // on the wire
-  std::string attempt;
-  std::int64_t tokens = 0;
-  bool settled = false;
-  template <class Visitor>
-  void each(Visitor& v) {
-    v("attempt", attempt);
-    v("tokens", tokens);
-    v("settled", settled);
-  }
-  bool operator==(const Reservation&) const = default;
-};
-
 // What a program has set aside and spent.
 struct Account {
   static constexpr const char* record = "Account";
@@ -605,13 +606,11 @@
   static constexpr const char* record = "Cellar_record";
   static constexpr std::uint8_t kind = 36;  // on the wire
   std::string disk;
-  std::int64_t map = 0;
-  std::int64_t whole = 0;
+  bool held = false;
   template <class Visitor>
   void each(Visitor& v) {
     v("disk", disk);
-    v("map", map);
-    v("whole", whole);
+    v("held", held);
   }
 };
 
--- a/src/market/session.cpp
+++ b/src/market/session.cpp
@@ -27,13 +27,19 @@
 }
 
 Sessions::Sessions(net::Scheduler& scheduler, net::Later& later, const ProcessSettings& settings, Member self)
-    : scheduler_(scheduler), later_(later), settings_(settings), self_(std::move(self)) {
-  for (const sockaddr_in& seed : settings.seeds)
-    seeds_.push_back(
-        inner_address(seed, static_cast<std::uint16_t>(settings.first_port + control_plane_port)));
+    : scheduler_(scheduler),
+      later_(later),
+      port_(static_cast<std::uint16_t>(settings.first_port + control_plane_port)),
+      self_(std::move(self)) {
+  reread(settings);
   later_.after(Span::ms(1), [this] { tick(); });
 }
 
+void Sessions::reread(const ProcessSettings& settings) {
+  seeds_.clear();
+  for (const sockaddr_in& seed : settings.seeds) seeds_.push_back(inner_address(seed, port_));
+}
+
 std::size_t Sessions::standing() const {
   return static_cast<std::size_t>(std::count_if(ways_.begin(), ways_.end(), [&](const auto& one) {
     return one.second.link->up() && later_.now() - one.second.heard < silent_most;
--- a/src/market/session.hpp
+++ b/src/market/session.hpp
@@ -27,6 +27,8 @@
     self_.whole = map;
     tell_all();
   }
+  // The settings name other seeds now.
+  void reread(const ProcessSettings& settings);
   // The last word: the sidecar leaves.
   void end() {
     ending_ = true;
@@ -45,11 +47,10 @@
   void tell(Way& way);
   void choose();
   void word(const std::string& address, std::uint8_t kind, std::string_view record);
-  std::string inner(const sockaddr_in& control) const;
 
   net::Scheduler& scheduler_;
   net::Later& later_;
-  const ProcessSettings& settings_;
+  const std::uint16_t port_;  // of control's plane, on all machines
   Member self_;
   bool ending_ = false;
   std::vector<std::string> seeds_, clerks_;
--- a/src/market/settings.hpp
+++ b/src/market/settings.hpp
@@ -24,7 +24,7 @@
   bool initial_start = false, loss_counted = false;
   std::string data_dir;  // empty: no disk
   double memory_mb = 0, disk_mb = 0;
-  std::size_t descriptors = 0;
+  std::size_t descriptors = 1024;
   std::size_t machine_losses = 1;
   sockaddr_in platform{};    // of the list of endpoints
   double platform_rate = 0;  // calls a second of all sidecars together
--- a/src/stall/client.cpp
+++ b/src/stall/client.cpp
@@ -391,7 +391,15 @@
     return;
   }
   set_request_timer();
-  channel_.hold(false);  // what was sent ahead comes in the next turn
+  channel_.hold(false);
+  // What was sent ahead comes in the next turn.
+  if (channel_.in_size() > 0) {
+    plane_.later_.cancel(timer_);
+    timer_ = plane_.later_.after(Span(), [this] {
+      set_request_timer();
+      look();
+    });
+  }
 }
 
 // Passes whole events on as they come.
--- a/src/stall/data_plane.cpp
+++ b/src/stall/data_plane.cpp
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <cstdio>
 
 #include "json/value.hpp"
@@ -118,7 +119,11 @@
 }
 
 bool DataPlane::ready() const {
-  return !leaving_ && configuration_ && endpoints_.size() > 0 && ledger_.usable();
+  if (leaving_ || !configuration_ || endpoints_.size() == 0) return false;
+  // Turns need storage; where no route keeps any it is not waited for.
+  const auto& routes = configuration_->routes;
+  return ledger_.usable() ||
+         std::none_of(routes.begin(), routes.end(), [](const market::Route& r) { return r.retained; });
 }
 
 void DataPlane::readiness(const http::Parser& request, market::HttpPort::Reply reply) {
@@ -155,7 +160,7 @@
   if (leaving_) return;
   leaving_ = true;
   leaving_since_ = later_.now();
-  sessions_->end();
+  // Its sessions stand until it ends: it serves on, and has to hear of drains and changes.
   later_.after(new_stop_after, [this] {
     closing_ = true;
     front_.close();
--- a/src/stall/data_plane.hpp
+++ b/src/stall/data_plane.hpp
@@ -29,6 +29,7 @@
   absl::Status open() override;
   void leave() override;
   bool finished() const override { return finished_; }
+  void reread(const market::ProcessSettings& settings) override { sessions_->reread(settings); }
 
  private:
   friend class Client;
--- a/src/stall/ledger.cpp
+++ b/src/stall/ledger.cpp
@@ -27,8 +27,13 @@
   std::function<void(Granted)> done;
   std::uint64_t turn = 0;
   std::size_t yes = 0, no = 0, all = 0;
-  std::int64_t others = 0;
+  std::map<std::string, market::Reservation> others;  // by attempt: no one of the group need know of all
   bool over = false;
+  std::int64_t sum() const {
+    std::int64_t out = 0;
+    for (const auto& [id, r] : others) out += r.tokens;
+    return out;
+  }
 };
 
 struct Ledger::Keeping {
@@ -107,13 +112,14 @@
 }
 
 // Every other reservation that was granted is at a majority of the group: one of those that answer tells it.
+// No two need tell the same, so what they tell is joined by attempt.
 void Ledger::ask_reserve(const std::shared_ptr<Asked>& asked) {
   if (asked->over) return;
   const std::vector<std::size_t> places = group(asked->program);
   const std::uint64_t turn = ++asked->turn;
   asked->yes = asked->no = 0;
   asked->all = places.size();
-  asked->others = 0;
+  asked->others.clear();
   const auto again = [this, asked, turn] {
     if (asked->over || asked->turn != turn) return;
     ++asked->turn;
@@ -135,13 +141,16 @@
               const bool yes = got.ok() && static_cast<Verdict>(got->verdict) == Verdict::yes;
               if (yes) {
                 ++asked->yes;
-                asked->others = std::max(asked->others, got->others);
+                for (market::Reservation& r : got->others) {
+                  const auto [at, fresh] = asked->others.emplace(r.attempt, r);
+                  if (!fresh && r.settled && !at->second.settled) at->second = r;
+                }
               } else {
                 ++asked->no;
               }
               if (asked->yes == needed) {
                 asked->over = true;
-                asked->done(asked->others + asked->most <= asked->budget ? Granted::yes : Granted::spent);
+                asked->done(asked->sum() + asked->most <= asked->budget ? Granted::yes : Granted::spent);
               } else if (asked->all - asked->no < needed) {
                 again();
               }
--- a/src/stall/request.cpp
+++ b/src/stall/request.cpp
@@ -25,7 +25,7 @@
 }
 
 // ID:TOKENS by commas. What is no such list is left alone: it only helps to choose.
-std::vector<Part> read_parts(std::string_view text) {
+std::vector<Part> read_parts(std::string_view text, std::uint64_t model) {
   std::vector<Part> out;
   while (!text.empty() && out.size() < parts_most) {
     const std::size_t comma = std::min(text.find(','), text.size());
@@ -33,7 +33,7 @@
     const std::size_t colon = one.find(':');
     std::int64_t tokens = 0;
     if (colon == std::string_view::npos || !whole_number(one.substr(colon + 1), tokens)) return {};
-    out.push_back({XXH3_64bits(one.data(), colon), static_cast<double>(tokens)});
+    out.push_back({XXH3_64bits_withSeed(one.data(), colon, model), static_cast<double>(tokens)});
     text.remove_prefix(std::min(comma + 1, text.size()));
   }
   return out;
@@ -85,7 +85,8 @@
       if (comma != std::string_view::npos && whole_number(f.value.substr(comma + 1), number))
         into.most_out = number;
     } else if (same_name(f.name, "X-Chutevane-Prompt-Prefix")) {
-      into.parts = read_parts(f.value);
+      const std::string_view model = from.find("X-Chutevane-Model").value_or("");
+      into.parts = read_parts(f.value, XXH3_64bits(model.data(), model.size()));  // kept for one model each
     } else if (same_name(f.name, "X-Chutevane-Target-Instance") || same_name(f.name, "Priority")) {
       continue;  // ours to say
     }
--- a/src/stall/tier.cpp
+++ b/src/stall/tier.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace chutevane::stall {
 namespace {
@@ -156,19 +157,21 @@
   return places_[chosen].id;
 }
 
-void Tier::sent(const std::string& id, const Placing& placing, TimePoint) {
+void Tier::sent(const std::string& id, Placing& placing, TimePoint) {
   Place* const p = find(id);
   if (p == nullptr) return;
   p->in_flight += 1;
+  placing.unread = 0;
   bool whole = true;
   for (const Part& part : placing.parts) {
     whole = whole && p->held.has(part.id);
-    if (!whole) p->unread += part.tokens;
+    if (!whole) placing.unread += part.tokens;
   }
+  p->unread += placing.unread;
   for (const Part& part : placing.parts) p->held.use(part.id, part.tokens, kv_tokens_ * kv_part);
 }
 
-void Tier::answered(const std::string& id, const Placing& placing, Span latency, TimePoint now) {
+void Tier::answered(const std::string& id, Placing& placing, Span latency, TimePoint now) {
   served_.add(latency, now);
   Place* const p = find(id);
   if (p == nullptr) return;
@@ -176,21 +179,17 @@
   p->smoothed_ms = p->smoothed_ms > 0 ? p->smoothed_ms + smoothing * (ms - p->smoothed_ms) : ms;
   p->failures = 0;
   p->shunned_until = TimePoint();
-  double tokens = 0;
-  for (const Part& part : placing.parts) tokens += part.tokens;
-  p->unread = std::max(0.0, p->unread - tokens);
+  p->unread = std::max(0.0, p->unread - std::exchange(placing.unread, 0.0));
 }
 
-void Tier::ended(const std::string& id, const Placing& placing, Ended how, TimePoint now) {
+void Tier::ended(const std::string& id, Placing& placing, Ended how, TimePoint now) {
   if (how == Ended::cut) cuts_.add(Span::ms(1), now);
   Place* const p = find(id);
   if (p == nullptr) return;
   p->in_flight = std::max(0.0, p->in_flight - 1);
   if (p->in_flight < 0.5) p->unread = 0;
   if (how == Ended::served) return;
-  double tokens = 0;
-  for (const Part& part : placing.parts) tokens += part.tokens;
-  p->unread = std::max(0.0, p->unread - tokens);
+  p->unread = std::max(0.0, p->unread - std::exchange(placing.unread, 0.0));
   if (how == Ended::failed) {
     p->failures += 1;
     const double times = std::exp2(std::min(p->failures - 1, 5.0));
--- a/src/stall/tier.hpp
+++ b/src/stall/tier.hpp
@@ -30,6 +30,7 @@
   bool affinity = false;           // it goes where parts of its prompt are held
   std::vector<Part> parts;         // of its prompt, in order
   double bytes = 0;                // of its body
+  double unread = 0;               // of the attempt under way: tokens that its endpoint has still to read
   std::vector<std::string> avoid;  // endpoints that have turned it away or failed it
 };
 
@@ -59,10 +60,10 @@
 
   // The endpoint for an attempt; none where all are avoided.
   std::optional<std::string> place(const Placing& placing, TimePoint now);
-  void sent(const std::string& id, const Placing& placing, TimePoint now);
+  void sent(const std::string& id, Placing& placing, TimePoint now);
   // `latency`: to the first event of a stream, to the whole answer else.
-  void answered(const std::string& id, const Placing& placing, Span latency, TimePoint now);
-  void ended(const std::string& id, const Placing& placing, Ended how, TimePoint now);
+  void answered(const std::string& id, Placing& placing, Span latency, TimePoint now);
+  void ended(const std::string& id, Placing& placing, Ended how, TimePoint now);
   // What an endpoint tells of its load: requests running and waiting, and slots.
   void load(const std::string& id, double running, double waiting, double slots, TimePoint now);
   // Whether over half of the places of all endpoints are taken, as far as it is known.
