Control sidecars tell each other at length only what has changed

Change: short words between full ones; a full one on a change and every 2 s; beats name the clerks likewise.

--- a/src/clerk/control_plane.cpp
+++ b/src/clerk/control_plane.cpp
@@ -22,6 +22,7 @@
 constexpr Span session_heard = Span::ms(1300);    // four beats of a sidecar
 constexpr Span behind_most = Span::ms(150);       // news of a change comes within some ms, or is asked for
 constexpr Span list_every = Span::ms(600);        // a fifth of the time to drain; each reading has its price
+constexpr Span full_every = Span::ms(2000);     // of the words that say all
 constexpr Span answer_most = Span::ms(350);       // of an acceptor: two ways and a sync take some ms
 constexpr Span vote_most = Span::ms(300);
 constexpr std::size_t body_most = 8U << 20U;  // bytes of a configuration
@@ -31,6 +32,16 @@
   return XXH3_64bits_withSeed(text.data(), text.size(), at);
 }
 
+// Of what a full word holds beyond a short one.
+std::uint64_t stamp_of(const Gossip& word) {
+  Gossip part;
+  part.initial = word.initial;
+  part.clerks = word.clerks;
+  part.members = word.members;
+  const std::string bytes = market::encoded(part);
+  return XXH3_64bits(bytes.data(), bytes.size());
+}
+
 std::string new_disk_id() {
   std::ifstream random("/dev/urandom", std::ios::binary);
   std::uint64_t bits[2] = {};
@@ -189,7 +200,7 @@
   peer.known_since = later_.now();
   peer.link =
       std::make_unique<market::Link>(scheduler_, later_, *to, seed_of(address_ + address, later_.now()));
-  peer.link->on_up([this, address] { peers_[address].link->tell(word_of_mine()); });
+  peer.link->on_up([this, address] { peers_[address].link->tell(full_word()); });
 }
 
 void ControlPlane::forget_lost() {
@@ -232,21 +243,36 @@
   out.accepted = acceptor_->voting() && acceptor_->epoch() == out.epoch ? acceptor_->accepted_number() : 0;
   out.voting = acceptor_->voting();
   out.first = record_.first;
-  // The set of acceptors and its number; what else it holds is learnt from them.
-  out.initial.epoch = register_.initial().epoch;
-  out.initial.acceptors = register_.initial().acceptors;
   out.list_term = list_ ? list_->term : 0;
   out.list_number = list_ ? list_->number : 0;
-  out.clerks = clerk_addresses();
   for (const Duty* duty : {&list_duty_, &roster_duty_}) {
     if (duty->mine() && !leaving_) out.duties.push_back({duty->name(), duty->term()});
   }
+  return out;
+}
+
+// The set of acceptors and its number; what else the register holds is learnt from them.
+Gossip ControlPlane::full_word() {
+  Gossip out = word_of_mine();
+  out.full = true;
+  out.initial.epoch = register_.initial().epoch;
+  out.initial.acceptors = register_.initial().acceptors;
+  out.clerks = clerk_addresses();
   for (const auto& [id, session] : sessions_) out.members.push_back(session.member);
   return out;
 }
 
 void ControlPlane::gossip() {
-  const Gossip word = word_of_mine();
+  // Most words say only that this one is there: what is long and seldom changes goes when it does, and now and
+  // then for those who missed it.
+  Gossip word = full_word();
+  const std::uint64_t stamp = stamp_of(word);
+  if (stamp == full_stamp_ && later_.now() - full_since_ < full_every) {
+    word = word_of_mine();
+  } else {
+    full_stamp_ = stamp;
+    full_since_ = later_.now();
+  }
   for (auto& [address, peer] : peers_) {
     if (peer.link->up() && peer.link->silent() > Span::ms(3000) &&
         later_.now() - peer.heard > Span::ms(1500)) {
@@ -263,7 +289,13 @@
   Peer& peer = peers_[word.address];
   const TimePoint now = later_.now();
   peer.heard = now;
-  peer.last = word;
+  Gossip last = word;
+  if (!word.full && peer.last) {
+    last.initial = std::move(peer.last->initial);
+    last.clerks = std::move(peer.last->clerks);
+    last.members = std::move(peer.last->members);
+  }
+  peer.last = std::move(last);
   for (const std::string& one : word.clerks) know(one);
   for (Duty* duty : {&list_duty_, &roster_duty_}) {
     const auto held = std::find_if(word.duties.begin(), word.duties.end(),
@@ -400,8 +432,12 @@
   market::Beat word;
   word.fresh_ms = static_cast<std::int64_t>(fresh_age().as_ms());
   word.number = register_.known() ? register_.known()->number : 0;
-  word.clerks = clerk_addresses();
   const TimePoint now = later_.now();
+  const std::vector<std::string> clerks = clerk_addresses();
+  if (clerks != told_clerks_ || now - told_since_ > full_every) {
+    word.clerks = told_clerks_ = clerks;
+    told_since_ = now;
+  }
   std::vector<std::uint64_t> silent;
   for (auto& [id, session] : sessions_) {
     market::Desk::Guest* const guest = desk_.find(id);
--- a/src/clerk/control_plane.hpp
+++ b/src/clerk/control_plane.hpp
@@ -56,6 +56,7 @@
   void tick();
   void gossip();
   market::Gossip word_of_mine();
+  market::Gossip full_word();
   void on_gossip(const market::Gossip& word);
   void know(const std::string& address);
   market::Link* link(const std::string& address);  // none: that is no address
@@ -101,7 +102,9 @@
   std::map<std::string, Peer> peers_;
   std::vector<std::unique_ptr<market::Link>> parted_;
   std::map<std::uint64_t, Session> sessions_;
-  TimePoint fresh_at_;
+  TimePoint fresh_at_, full_since_, told_since_;
+  std::vector<std::string> told_clerks_;
+  std::uint64_t full_stamp_ = 0;
   bool catching_up_ = false, leaving_ = false, finished_ = false;
   std::optional<TimePoint> behind_since_;
   Duty list_duty_, roster_duty_;
--- a/src/market/messages.hpp
+++ b/src/market/messages.hpp
@@ -271,6 +271,7 @@
   std::string disk;
   std::string zone;
   bool leaving = false;
+  bool full = false;
   std::int64_t epoch = 0;
   std::int64_t known = 0;
   std::int64_t accepted = 0;
@@ -290,6 +291,7 @@
     v("disk", disk);
     v("zone", zone);
     v("leaving", leaving);
+    v("full", full);
     v("epoch", epoch);
     v("known", known);
     v("accepted", accepted);
