Connections to an endpoint within its bound; a tool's own 500 keeps nobody away

Cause: maxConnections was read and not kept to, and what is sent on a connection that is reset may have run; each 500 of a tool (one in a hundred) set its endpoint aside for 300 ms. Change: control tells how many sidecars of the traffic there are, each keeps to its part; only failures beyond 500 count.

--- a/src/clerk/control_plane.cpp
+++ b/src/clerk/control_plane.cpp
@@ -433,6 +433,8 @@
   word.fresh_ms = static_cast<std::int64_t>(fresh_age().as_ms());
   word.number = register_.known() ? register_.known()->number : 0;
   const TimePoint now = later_.now();
+  const std::vector<Member> all = members();
+  word.stalls = std::count_if(all.begin(), all.end(), [](const Member& m) { return m.plane == "stall"; });
   const std::vector<std::string> clerks = clerk_addresses();
   if (clerks != told_clerks_ || now - told_since_ > full_every) {
     word.clerks = told_clerks_ = clerks;
--- a/src/market/messages.hpp
+++ b/src/market/messages.hpp
@@ -404,11 +404,13 @@
   static constexpr std::uint8_t kind = 23;  // on the wire
   std::int64_t fresh_ms = 0;
   std::int64_t number = 0;
+  std::int64_t stalls = 0;
   std::vector<std::string> clerks;
   template <class Visitor>
   void each(Visitor& v) {
     v("fresh_ms", fresh_ms);
     v("number", number);
+    v("stalls", stalls);
     v("clerks", clerks);
   }
 };
--- a/src/market/session.cpp
+++ b/src/market/session.cpp
@@ -119,6 +119,7 @@
     if (!decode(record, beat)) return;
     if (Span::ms(static_cast<double>(beat.fresh_ms)) < silent_most) way->second.heard = later_.now();
     if (!beat.clerks.empty()) clerks_ = beat.clerks;
+    if (beat.stalls > 0) stalls_ = static_cast<std::size_t>(beat.stalls);
   } else if (kind == Push::kind) {
     Push push;
     if (!decode(record, push)) return;
--- a/src/market/session.hpp
+++ b/src/market/session.hpp
@@ -35,6 +35,8 @@
     tell_all();
   }
   std::size_t standing() const;
+  // Sidecars of the traffic that are members, as control last told; 1 at least.
+  std::size_t stalls() const { return stalls_; }
 
  private:
   struct Way {
@@ -53,6 +55,7 @@
   const std::uint16_t port_;  // of control's plane, on all machines
   Member self_;
   bool ending_ = false;
+  std::size_t stalls_ = 1;
   std::vector<std::string> seeds_, clerks_;
   std::map<std::string, Way> ways_;
   std::vector<std::unique_ptr<Link>> leaving_;  // destroyed by a later tick
--- a/src/stall/client.cpp
+++ b/src/stall/client.cpp
@@ -206,8 +206,15 @@
   if (tries_ > 0 && !tier.worth_retry(time, now)) return give_up(may_have_run_);
   if (attempts_ >= std::max<std::size_t>(route_->max_attempts, 1) || tries_ > turned_away_most + attempts_)
     return give_up(may_have_run_);
-  const auto chosen = tier.place(placing_, now);
-  const std::shared_ptr<Endpoint> to = chosen ? plane_.endpoints_.find(*chosen) : nullptr;
+  std::shared_ptr<Endpoint> to;
+  const std::size_t avoided = placing_.avoid.size();
+  while (const auto chosen = tier.place(placing_, now)) {
+    to = plane_.endpoints_.find(*chosen);
+    if (to && plane_.room_at(*to)) break;
+    to = nullptr;
+    placing_.avoid.push_back(*chosen);
+  }
+  placing_.avoid.resize(avoided);
   if (!to) return give_up(may_have_run_);
   endpoint_ = to->id;
   ++tries_;
@@ -332,7 +339,8 @@
     return deliver();
   }
   // It has run, or a promise that only an endpoint could give is missing.
-  attempt_over(status_ >= 500 ? Ended::failed : Ended::served);
+  // A 500 is the request's own, and its endpoint works.
+  attempt_over(status_ > 500 ? Ended::failed : Ended::served);
   may_have_run_ = true;
   if (status_ >= 500 && route_->repeatable() && attempts_ < route_->max_attempts) {
     placing_.avoid.push_back(endpoint_);
--- a/src/stall/data_plane.cpp
+++ b/src/stall/data_plane.cpp
@@ -13,6 +13,8 @@
 
 constexpr double cache_part = 0.2;               // of the memory, for turns that went through here
 constexpr double endpoint_part = 0.45;           // of the descriptors
+constexpr double connections_part = 0.9;  // of an endpoint's bound on connections: some are just ending
+constexpr double connections_least = 2;   // of each sidecar, however many there are
 constexpr Span new_stop_after = Span::ms(2600);  // the platform misses two questions, a second apart, by then
 constexpr Span grace_spare = Span::ms(600);      // before the platform ends it by force
 
@@ -106,6 +108,15 @@
   return *at;
 }
 
+bool DataPlane::room_at(const Endpoint& endpoint) const {
+  if (!endpoint.idle.empty()) return true;
+  const market::Service* const service = configuration_ ? configuration_->service(endpoint.service) : nullptr;
+  if (service == nullptr || service->max_connections == 0) return true;
+  const double part = connections_part * static_cast<double>(service->max_connections) /
+                      static_cast<double>(sessions_->stalls());
+  return static_cast<double>(endpoint.connections) < std::max(part, connections_least);
+}
+
 void DataPlane::settle_tiers() {
   if (!configuration_) return;
   for (const market::Service& s : configuration_->services) {
