--- a/src/clerk/control_plane.cpp
+++ b/src/clerk/control_plane.cpp
@@ -22,7 +22,7 @@
 constexpr Span session_heard = Span::ms(1300);    // four beats of a sidecar
 constexpr Span behind_most = Span::ms(150);       // news of a change comes within some ms, or is asked for
 constexpr Span list_every = Span::ms(600);        // a fifth of the time to drain; each reading has its price
-constexpr Span full_every = Span::ms(2000);     // of the words that say all
+constexpr Span full_every = Span::ms(2000);       // of the words that say all
 constexpr Span answer_most = Span::ms(350);       // of an acceptor: two ways and a sync take some ms
 constexpr Span vote_most = Span::ms(300);
 constexpr std::size_t body_most = 8U << 20U;  // bytes of a configuration
@@ -200,7 +200,10 @@
   peer.known_since = later_.now();
   peer.link =
       std::make_unique<market::Link>(scheduler_, later_, *to, seed_of(address_ + address, later_.now()));
-  peer.link->on_up([this, address] { peers_[address].link->tell(full_word()); });
+  peer.link->on_up([this, address] {
+    const auto at = peers_.find(address);  // it may have been parted with
+    if (at != peers_.end()) at->second.link->tell(full_word());
+  });
 }
 
 void ControlPlane::forget_lost() {
@@ -263,8 +266,8 @@
 }
 
 void ControlPlane::gossip() {
-  // Most words say only that this one is there: what is long and seldom changes goes when it does, and now and
-  // then for those who missed it.
+  // Most words say only that this one is there: what is long and seldom changes goes when it does, and now
+  // and then for those who missed it.
   Gossip word = full_word();
   const std::uint64_t stamp = stamp_of(word);
   if (stamp == full_stamp_ && later_.now() - full_since_ < full_every) {
--- a/src/market/session.cpp
+++ b/src/market/session.cpp
@@ -68,7 +68,11 @@
       Way& way = ways_[address];
       way.heard = now;  // it has its chance
       way.link = std::make_unique<Link>(scheduler_, later_, *to, mixed(address, self_.node));
-      way.link->on_up([this, address] { tell(ways_[address]); });
+      way.link->on_up([this, address] {
+        // One that was parted with may come up all the same before it is destroyed.
+        const auto at = ways_.find(address);
+        if (at != ways_.end()) tell(at->second);
+      });
       way.link->on_word(
           [this, address](std::uint8_t kind, std::string_view record) { word(address, kind, record); });
       ++good;
--- a/src/stall/data_plane.cpp
+++ b/src/stall/data_plane.cpp
@@ -11,8 +11,8 @@
 namespace chutevane::stall {
 namespace {
 
-constexpr double cache_part = 0.2;               // of the memory, for turns that went through here
-constexpr double endpoint_part = 0.45;           // of the descriptors
+constexpr double cache_part = 0.2;        // of the memory, for turns that went through here
+constexpr double endpoint_part = 0.45;    // of the descriptors
 constexpr double connections_part = 0.9;  // of an endpoint's bound on connections: some are just ending
 constexpr double connections_least = 2;   // of each sidecar, however many there are
 constexpr Span new_stop_after = Span::ms(2600);  // the platform misses two questions, a second apart, by then
--- a/src/stall/tier.cpp
+++ b/src/stall/tier.cpp
@@ -17,7 +17,7 @@
 constexpr double smoothing = 0.2;                   // weight of the newest latency
 constexpr double over_mean = 1.2, over_more = 0.5;  // in flight: well above the mean (docs/design.md)
 constexpr int draws_most = 4;                       // then the least loaded is taken
-constexpr double zone_tokens_per_byte = 0.2;       // what a byte to another zone counts as, in prompt tokens
+constexpr double zone_tokens_per_byte = 0.2;        // what a byte to another zone counts as, in prompt tokens
 constexpr double running_tokens = 24;               // what a running request costs the next one, in tokens
 constexpr Span report_fresh = Span::ms(2000);       // of an endpoint's load
 constexpr Span shun_first = Span::ms(300), shun_most = Span::ms(5000);  // after failures in a row, doubling
