A replaced storage machine is not waited for twice; roster changes are told at once

And a change of the map reached control sidecars that had not made it only with their next question, up to 0.5 s. Change: the map says which disk took the place of a lost one: only that is a loss to a take-over; with one to spare a silent one is dropped after 1.5 s; who makes a change tells the others.

--- a/src/cellar/storage_plane.cpp
+++ b/src/cellar/storage_plane.cpp
@@ -224,10 +224,19 @@
     sessions_->tell_whole(map_);
     return;
   }
-  // A disk that is new, or one that the map has given up, is a loss already: then every other has to be
-  // heard.
-  const bool lost_already = lost_some || !record_.held || (map_before > 0 && !went_on);
-  may_miss_ = lost_already ? 0 : settings_.machine_losses;
+  const auto mine = std::find_if(cellars_.begin(), cellars_.end(), me);
+  if (mine == cellars_.end()) {  // nothing is its own by this map
+    ready_ = whole_ = false;
+    taking_.clear();
+    ++turn_;
+    return;
+  }
+  // A disk that took the place of a lost one, one that the map gave up in between, or another that it gives
+  // up now, is a loss already: so many fewer of the others may be left out. One that is new here is none.
+  const bool came_back = map_before > 0 && !went_on && !lost_some;
+  const bool lost_already = lost_some || came_back || (mine->lost && !record_.held);
+  may_miss_ =
+      settings_.machine_losses - std::min<std::size_t>(settings_.machine_losses, lost_already ? 1 : 0);
   take_over(before);
 }
 
--- a/src/clerk/control_plane.cpp
+++ b/src/clerk/control_plane.cpp
@@ -345,7 +345,10 @@
     if (majority_heard(peer_heard)) fresh_at_ = now;
     return;
   }
-  if (!behind_since_) behind_since_ = now;
+  if (!behind_since_) {
+    behind_since_ = now;
+    later_.after(behind_most + Span::ms(1), [this] { catch_up(); });  // sooner than the loop's next step
+  }
   if (catching_up_ || (known >= 0 && now - *behind_since_ < behind_most)) return;
   // The set alone is told by word: an epoch's first value is had from one of its acceptors.
   for (const auto& [address, peer] : peers_) {
@@ -381,6 +384,11 @@
   if (record_.initial.epoch < register_.initial().epoch) store_known();
 }
 
+// The others hear of a change from who made it, not only by asking.
+void ControlPlane::tell_chosen(const market::Value& value) {
+  for (auto& [address, peer] : peers_) peer.link->tell(market::Chosen{value, register_.initial()});
+}
+
 // So that it finds the others again, whatever the seeds of its settings are by then.
 void ControlPlane::store_known() {
   record_.initial = register_.initial();
@@ -610,6 +618,7 @@
       [this, changed = next.has_value()](absl::StatusOr<market::Value> got) {
         changing_roster_ = false;
         if (!got.ok()) return;
+        tell_chosen(*got);
         market::log_info(changed ? "roster.acceptors" : "roster.cellars",
                          "number " + std::to_string(got->number) + ", epoch " + std::to_string(got->epoch) +
                              ", map " + std::to_string(got->map) + " of " +
--- a/src/clerk/control_plane.hpp
+++ b/src/clerk/control_plane.hpp
@@ -67,6 +67,7 @@
   std::vector<std::string> clerk_addresses() const;
 
   void chosen(const market::Value& value);
+  void tell_chosen(const market::Value& value);
   void store_known();
   void on_hello(market::Desk::Guest& guest, const market::Hello& hello);
   void push(std::uint64_t guest, Session& session);
--- a/src/clerk/operator_api.cpp
+++ b/src/clerk/operator_api.cpp
@@ -97,7 +97,7 @@
         }
         market::log_info("config.taken",
                          "version " + std::to_string(version) + ", number " + std::to_string(got->number));
-        for (auto& [address, peer] : peers_) peer.link->tell(market::Chosen{*got, register_.initial()});
+        tell_chosen(*got);
         json::Writer out;
         out.open('{').key("version").number(static_cast<std::uint64_t>(version)).close('}');
         waiting_.push_back({got->number, later_.now() + acks_most, [reply, text = out.result()] {
@@ -130,6 +130,7 @@
         if (!got.ok()) return reply(unclear());
         const bool listed = std::any_of(got->retired.begin(), got->retired.end(),
                                         [&](const market::Retired& r) { return r.node == node; });
+        if (*verdict == RetireVerdict::taken) tell_chosen(*got);
         if (listed) return reply({200, "{\"state\":\"active\"}", {}});
         if (*verdict == RetireVerdict::too_few) return reply(problem(409, "too few would be left"));
         const auto all = members();
--- a/src/clerk/roster.cpp
+++ b/src/clerk/roster.cpp
@@ -76,10 +76,11 @@
     const auto same = std::find_if(next.cellars.begin(), next.cellars.end(),
                                    [&](const Cellar& c) { return c.node == m.node; });
     if (same == next.cellars.end()) {
-      next.cellars.push_back({m.node, m.disk, m.address, m.zone, false});
+      next.cellars.push_back({m.node, m.disk, m.address, m.zone, false, false});
       changed = true;
     } else if (same->disk != m.disk || same->address != m.address) {
-      *same = {m.node, m.disk, m.address, m.zone, same->leaving};
+      // Its copies went with the disk of before: whoever takes over has to know of that loss.
+      *same = {m.node, m.disk, m.address, m.zone, same->leaving, same->lost || same->disk != m.disk};
       changed = true;
     }
   }
@@ -89,10 +90,13 @@
   };
   for (std::size_t i = 0; i < next.cellars.size();) {
     const Cellar& c = next.cellars[i];
-    const bool gone = lost("cellar " + c.node + " " + c.disk, present(c), cellar_lost_after, now);
     const auto staying = std::count_if(next.cellars.begin(), next.cellars.end(), [&](const Cellar& other) {
       return !other.leaving && other.node != c.node;
     });
+    // With one to spare it is not waited for: groups that it stands in have one answer less meanwhile.
+    const bool spare = static_cast<std::size_t>(staying) > copies_for(losses_);
+    const bool gone = lost("cellar " + c.node + " " + c.disk, present(c),
+                           spare ? cellar_spared_after : cellar_lost_after, now);
     if (gone && static_cast<std::size_t>(staying) >= copies_for(losses_)) {
       next.cellars.erase(next.cellars.begin() + static_cast<std::ptrdiff_t>(i));
       changed = true;
--- a/src/clerk/roster.hpp
+++ b/src/clerk/roster.hpp
@@ -20,6 +20,7 @@
 };
 
 constexpr Span acceptor_lost_after = Span::ms(2500);  // another takes its place: well within `catchUpS`
+constexpr Span cellar_spared_after = Span::ms(1500);  // where enough are left without it and one more
 constexpr Span cellar_lost_after = Span::ms(4000);    // as long: shorter ends come back with their disk
 
 class Roster {
--- a/src/market/link.cpp
+++ b/src/market/link.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr Span connect_most = Span::ms(500);  // a machine that is there answers within some ms
-constexpr Span pause_first = Span::ms(40), pause_most = Span::ms(400);  // between tries to connect
+constexpr Span pause_first = Span::ms(20), pause_most = Span::ms(200);  // between tries to connect
 
 }  // namespace
 
--- a/src/market/messages.hpp
+++ b/src/market/messages.hpp
@@ -28,6 +28,7 @@
   std::string address;
   std::string zone;
   bool leaving = false;
+  bool lost = false;
   template <class Visitor>
   void each(Visitor& v) {
     v("node", node);
@@ -35,6 +36,7 @@
     v("address", address);
     v("zone", zone);
     v("leaving", leaving);
+    v("lost", lost);
   }
   bool operator==(const Cellar&) const = default;
 };
--- a/src/stall/data_plane.hpp
+++ b/src/stall/data_plane.hpp
@@ -37,8 +37,8 @@
   void list_came(const market::EndpointList& list);
   void settle_tiers();
   Tier& tier(const std::string& service);
-  // Whether this sidecar may open one more connection to it: an endpoint resets those over its bound, which all
-  // sidecars share, and what was sent on one that is reset may have run.
+  // Whether this sidecar may open one more connection to it: an endpoint resets those over its bound, which
+  // all sidecars share, and what was sent on one that is reset may have run.
   bool room_at(const Endpoint& endpoint) const;
   bool ready() const;
   void readiness(const http::Parser& request, market::HttpPort::Reply reply);
