--- a/src/cellar/placement.hpp
+++ b/src/cellar/placement.hpp
@@ -28,9 +28,17 @@
         XXH3_64bits_withSeed(program.data(), program.size(), XXH3_64bits(node.data(), node.size())), i);
   }
   std::sort(ranked.begin(), ranked.end());
-  if (ranked.size() > group_size(losses)) ranked.resize(group_size(losses));
+  // One of each zone before a second of any: a zone that goes takes no more of a group than it must.
   std::vector<std::size_t> out;
-  for (const auto& [rank, i] : ranked) out.push_back(i);
+  const auto used = [&](const std::string& zone) {
+    return std::count_if(out.begin(), out.end(), [&](std::size_t i) { return cellars[i].zone == zone; });
+  };
+  for (std::ptrdiff_t round = 0; out.size() < std::min(group_size(losses), ranked.size()); ++round) {
+    for (const auto& [rank, i] : ranked) {
+      if (out.size() == group_size(losses)) break;
+      if (std::find(out.begin(), out.end(), i) == out.end() && used(cellars[i].zone) <= round) out.push_back(i);
+    }
+  }
   return out;
 }
 
--- a/src/market/settings.cpp
+++ b/src/market/settings.cpp
@@ -155,6 +155,9 @@
   in.number("limits.diskMb", out.disk_mb, 0, 1e9);
   in.number("limits.maxFds", out.descriptors, 64, 1e8);
   in.number("faultTolerance.machineLosses", out.machine_losses, 0, 1000);
+  std::size_t zone_losses = 0;
+  in.number("faultTolerance.zones", zone_losses, 0, 1000);
+  out.machine_losses = std::max(out.machine_losses, zone_losses);
   if (const auto platform = in.address("cloudApi.address")) out.platform = *platform;
   in.number("cloudApi.ratePerS", out.platform_rate, 0, 1e6);
   in.span("cloudApi.lagMs", out.platform_lag, 1);
--- a/src/market/settings.hpp
+++ b/src/market/settings.hpp
@@ -25,6 +25,7 @@
   std::string data_dir;  // empty: no disk
   double memory_mb = 0, disk_mb = 0;
   std::size_t descriptors = 1024;
+  // Machines with a disk, or zones, that may be lost at once: copies lie in as many zones as there are.
   std::size_t machine_losses = 1;
   sockaddr_in platform{};    // of the list of endpoints
   double platform_rate = 0;  // calls a second of all sidecars together
