The policy split by concern into src/policy/

Change: balance.cpp composes; src/policy/ has admission, calls, draw, health, listing, retries, settings and turns, and two classes that stand by themselves, Estimate (the ceiling) and Shares (shares, draw, passing over). No change of behaviour is meant.

--- a/include/chutevane/types.hpp
+++ b/include/chutevane/types.hpp
@@ -160,8 +160,8 @@
   CallId call = 0;
   EndpointId endpoint = 0;
   std::uint32_t number = 0;
-  Span span;
-  TimePoint until;
+  Span span{};
+  TimePoint until{};
   bool fresh = false;  // dispatch: not on a connection that has idled; such ones are to be closed
   std::array<char, 96> text{};
 };
--- /dev/null
+++ b/src/base/mixed.hpp
@@ -0,0 +1,14 @@
+// Spreads ids over all bits; the same everywhere (the finalizer of splitmix64).
+#pragma once
+
+#include <cstdint>
+
+namespace chutevane {
+
+inline std::uint64_t mixed(std::uint64_t v) {
+  v = (v ^ (v >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+  v = (v ^ (v >> 27U)) * 0x94d049bb133111ebULL;
+  return v ^ (v >> 31U);
+}
+
+}  // namespace chutevane
--- /dev/null
+++ b/src/base/remembered.hpp
@@ -0,0 +1,21 @@
+// A few things that are remembered by weights that decay with each look-up: the lightest makes room.
+#pragma once
+
+#include <array>
+
+namespace chutevane {
+
+// The place of the first that is `same`, or of `fresh`, which takes the lightest one's.
+template <class T, std::size_t n, class Same>
+std::size_t remember(std::array<T, n>& kept, double decay, const T& fresh, Same same) {
+  std::size_t at = n, least = 0;
+  for (std::size_t i = 0; i < n; ++i) {
+    kept[i].weight *= decay;
+    if (at == n && same(kept[i])) at = i;
+    if (kept[i].weight < kept[least].weight) least = i;
+  }
+  if (at == n) kept[at = least] = fresh;
+  return at;
+}
+
+}  // namespace chutevane
--- a/src/base/settings_reader.hpp
+++ b/src/base/settings_reader.hpp
@@ -29,6 +29,11 @@
   }
   Span span(const std::string& key) const { return Span::ms(number(key)); }
   bool flag(std::string_view key) const { return text(key) == "true"; }
+  // Where a setting may be missing; a malformed one is still named.
+  double number_or(const std::string& key, double otherwise) const {
+    return has(key) ? number(key) : otherwise;
+  }
+  bool flag_or_not(std::string_view key) const { return has(key) && flag(key); }
 
  private:
   Settings settings_;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -1,15 +1,20 @@
-// What a balancer remembers: plain state. All that decides on it is in balance.cpp.
+// What a balancer remembers: plain state. All that decides on it is in src/policy/ and balance.cpp.
 #pragma once
 
 #include <array>
 #include <deque>
 #include <vector>
 
+#include "base/answer_list.hpp"
 #include "base/histogram.hpp"
 #include "base/pcg.hpp"
+#include "base/row.hpp"
 #include "base/settings_reader.hpp"
 #include "base/slab.hpp"
+#include "base/windowed_count.hpp"
 #include "chutevane/balancer.hpp"
+#include "policy/estimate.hpp"
+#include "policy/shares.hpp"
 
 namespace chutevane {
 
@@ -61,22 +66,13 @@
 };
 
 // The calls of one key that go one at a time, as they were taken.
-struct Line {
-  static constexpr std::uint32_t none = IdIndex::none;
+struct Line : Row {  // of calls; the first is out, or is next
   std::uint64_t key = 0;
-  std::uint32_t first = none, last = none;  // calls; the first is out, or is next
   int length = 0;
   bool in_use = false;
   TimePoint rests_until;  // before it what may still run has ended, as the settings state
 };
 
-constexpr std::size_t resend_slices = 64;  // of the span that a budget of dispatches is counted over
-
-// Endpoints that follow one another on the ring, which may run past its end.
-struct Arc {
-  std::size_t from = 0, size = 0;
-};
-
 struct Dispatch {
   std::uint32_t endpoint = 0;
   TimePoint sent;
@@ -107,8 +103,6 @@
   State(const Settings& s, std::uint64_t seed, TimePoint now);
 
   // The design
-  bool measured(TimePoint now);
-  Span cap(const Call& c, TimePoint now);
   void solve(TimePoint now);
   void order();
   void widen(TimePoint now);
@@ -127,6 +121,11 @@
   double warmth(const Endpoint& e, TimePoint now) const;
   void called_gone(Endpoint& e, TimePoint now);
   std::uint32_t free_place();
+  Answers listed(ListKind kind, std::span<const ListedEndpoint> entries, TimePoint now);
+  Endpoint* known(EndpointId id) {
+    const std::uint32_t at = endpoint_index.find(id);
+    return at == IdIndex::none ? nullptr : &endpoints[at];
+  }
   void fill_cold(Endpoint& e, TimePoint now);
   void miss(Endpoint& e, TimePoint now, const char* what, int weight = 1);
   bool dropped(const Endpoint& e, const Dispatch& d, bool reset, TimePoint now);
@@ -143,13 +142,16 @@
   void take_turn(std::uint32_t line, TimePoint now);
   void serve_lines(TimePoint now);
   void give_up_queued(TimePoint now);
-  void count_taken(TimePoint now, std::uint32_t calls);
+  auto behind() {  // of a call in its line
+    return [this](std::uint32_t at) -> std::uint32_t& { return calls[at].behind; };
+  }
   int resends_left(TimePoint now);
+  bool repeats_over(const Call& c, TimePoint now) const;
   bool within_repeats(const Call& c, const Endpoint& e, TimePoint now) const;
   Answer place(std::uint32_t at, TimePoint now);
   Answer hold_or_give_up(std::uint32_t at, TimePoint now);
   Answer give_up(std::uint32_t at, TimePoint now, bool crowded);
-  Answer send(std::uint32_t at, int endpoint, TimePoint now);
+  Answer send(std::uint32_t at, std::uint32_t endpoint, TimePoint now);
   void finish(std::uint32_t at, TimePoint now);
   void settle(std::uint32_t at, TimePoint now);
   void serve_waiting(TimePoint now);
@@ -160,8 +162,11 @@
   void step_limit(TimePoint now);
   double least_limit() const;
   void tick(TimePoint now);
-  void push(Verdict verdict, CallId call = 0, std::uint32_t number = 0, EndpointId endpoint = 0);
-  void say(const char* format, ...) __attribute__((format(printf, 2, 3)));
+  State& begin_event() {  // the answers to the one before have been read
+    answers.clear();
+    return *this;
+  }
+  Answers serve(TimePoint now);
 
   const SettingsReader settings;
   Pcg chance;
@@ -182,7 +187,7 @@
   IdIndex endpoint_index;
   std::vector<double> models;       // smoothed latency, ms; 0: unheard
   std::vector<std::uint32_t> ring;  // places of endpoints, in an order that all sidecars share
-  std::vector<double> shares;       // cumulative along the ring
+  Shares shares;                    // along the ring
   Arc own;                          // the part of the ring that calls without a warm key are drawn from
   int spread = 0;                   // ready endpoints that the calls of this sidecar spread over
   Slab<Call> calls;
@@ -195,14 +200,13 @@
   Span settle_after_doubt;
   double resend_free = -1.0, resend_ratio = 0.0;  // negative: no budget of dispatches is stated
   Span resend_span;
-  std::deque<TimePoint> resends;                     // within the span
-  std::array<std::uint32_t, resend_slices> taken{};  // calls, by slice of the span
-  std::int64_t taken_slice = 0;                      // the number of the latest
-  int rescuing = 0;                                  // dispatches given up whose calls will go again
-  std::vector<Answer> answers;
-
-  WindowedHistogram times, cuts;  // done dispatches, and those the measured cap ended
-  bool starved = false, all_silent = false;
+  std::deque<TimePoint> resends;  // within the span
+  WindowedCount taken;            // calls, over the span
+  int rescuing = 0;               // dispatches given up whose calls will go again
+  AnswerList answers;
+
+  Estimate estimate;
+  bool all_silent = false;
   double ready_warm = 0.0;             // such endpoints, a cold one counted for what it can do
   int in_flight = 0, ready_count = 0;  // dispatches out at ready endpoints; such endpoints
   int calls_out = 0;                   // calls with a dispatch out, or waiting
@@ -214,7 +218,7 @@
   int step_ends = 0, step_peak = 0, step_arrivals = 0;
   int on_trial = 0, trial_late = 0;    // answers that still try a remembered limit; late ones among them
   bool limited = false, told = false;  // told: answers report how busy the cores are
-  TimePoint solve_at, look_at, step_at, subscribe_at = TimePoint::never(), rate_since, told_at;
+  TimePoint look_at, step_at, subscribe_at = TimePoint::never(), rate_since, told_at;
   double refused = 0.0;    // part of the dispatches that got no connection
   TimePoint scarce_until;  // connections are: sidecars keep to parts of the endpoints
   Span idle_safe;          // a connection that idled less is trusted
