The tier decides by the module's own estimate and shares

Change: stall/tier.cpp uses Estimate and Shares of src/policy; only attempts ended by the measured ceiling starve the estimate, not clients that left.

--- a/src/stall/client.cpp
+++ b/src/stall/client.cpp
@@ -231,6 +231,7 @@
   sent_ = now;
   attempt_open_ = true;
   const Span ceiling = tier.ceiling(route_->timeout, time, route_->repeatable(), now);
+  measured_ceiling_ = ceiling < std::min(route_->timeout, time);
   tier.sent(endpoint_, placing_, now);
   plane_.later_.cancel(timer_);
   timer_ = plane_.later_.after(ceiling, guarded([this] { attempt_due(); }));
@@ -250,7 +251,7 @@
   if (stage_ == Stage::keeping) return;
   ++plane_.counters_.cut;
   if (connection_ != nullptr) plane_.endpoints_.give_up(*std::exchange(connection_, nullptr));
-  attempt_over(Ended::cut);
+  attempt_over(measured_ceiling_ ? Ended::cut : Ended::failed);
   may_have_run_ = true;
   if (stage_ == Stage::relaying) {
     channel_.reset();
@@ -501,7 +502,7 @@
   plane_.later_.cancel(timer_);
   if (connection_ != nullptr) plane_.endpoints_.give_up(*std::exchange(connection_, nullptr));
   if (std::exchange(attempt_open_, false))
-    plane_.tier(service_).ended(endpoint_, placing_, Ended::cut, plane_.later_.now());
+    plane_.tier(service_).ended(endpoint_, placing_, Ended::left, plane_.later_.now());
   else if (stage_ == Stage::preparing || (stage_ == Stage::asking && !may_have_run_))
     unreserve();
   stage_ = Stage::over;
--- a/src/stall/client.hpp
+++ b/src/stall/client.hpp
@@ -88,6 +88,8 @@
   std::string endpoint_;
   Placing placing_;
   TimePoint sent_;
+  bool measured_ceiling_ =
+      false;  // the estimate holds the attempt, not the class deadline or the client's time
   bool attempt_open_ = false, turned_away_ = false, bad_answer_ = false, streaming_ = false,
        head_out_ = false;
   int status_ = 0;
--- a/src/stall/tier.cpp
+++ b/src/stall/tier.cpp
@@ -9,17 +9,10 @@
 namespace chutevane::stall {
 namespace {
 
-constexpr std::uint32_t samples_least = 20;   // served attempts: below, nothing is measured
-constexpr double p95_multiple = 3.0;          // of the ceiling, as in the source
-constexpr Span ceiling_least = Span::ms(50);  // a scheduling pause is no failure
-constexpr double starved_part = 0.2;          // cuts over served attempts: the estimate feeds on itself
-constexpr Span solve_every = Span::ms(2000);
-constexpr double smoothing = 0.2;                   // weight of the newest latency
-constexpr double over_mean = 1.2, over_more = 0.5;  // in flight: well above the mean (docs/design.md)
-constexpr int draws_most = 4;                       // then the least loaded is taken
-constexpr double zone_tokens_per_byte = 0.2;        // what a byte to another zone counts as, in prompt tokens
-constexpr double running_tokens = 24;               // what a running request costs the next one, in tokens
-constexpr Span report_fresh = Span::ms(2000);       // of an endpoint's load
+constexpr double other_zone = 0.6;             // of its share, for an endpoint of another zone
+constexpr double zone_tokens_per_byte = 0.2;   // what a byte to another zone counts as, in prompt tokens
+constexpr double running_tokens = 24;          // what a running request costs the next one, in tokens
+constexpr Span report_fresh = Span::ms(2000);  // of an endpoint's load
 constexpr Span shun_first = Span::ms(300), shun_most = Span::ms(5000);  // after failures in a row, doubling
 constexpr double kv_part = 0.8;  // of an endpoint's memory: running requests have the rest
 
@@ -50,39 +43,25 @@
     next.push_back(std::move(p));
   }
   places_ = std::move(next);
-  solved_ = TimePoint();
+  shares_.begin(now);  // of none: solved anew
   solve(now);
 }
 
-bool Tier::measured(TimePoint now) {
-  const std::uint32_t served = served_.count(now);
-  return served >= samples_least && cuts_.count(now) <= served * starved_part;
-}
-
 Span Tier::ceiling(Span deadline, Span left, bool repeatable, TimePoint now) {
   const Span most = std::min(deadline, left);
-  if (!repeatable || !measured(now)) return most;
-  return std::min(most, std::max(ceiling_least, served_.quantile(0.95, now) * p95_multiple));
+  if (!repeatable) return most;
+  estimate_.starve(now);
+  return estimate_.ceiling(most, now);
 }
 
-bool Tier::worth_retry(Span left, TimePoint now) {
-  if (spent(left)) return false;
-  return served_.count(now) < samples_least || left >= served_.quantile(0.5, now);
-}
+bool Tier::worth_retry(Span left, TimePoint now) { return !spent(left) && left >= estimate_.median(now); }
 
-// Shares by the inverse of smoothed served latency; the unheard at the mean.
 void Tier::solve(TimePoint now) {
-  if (solved_ != TimePoint() && now - solved_ < solve_every) return;
-  solved_ = now;
-  double sum = 0;
-  std::size_t heard = 0;
-  for (const Place& p : places_) {
-    if (p.smoothed_ms <= 0) continue;
-    sum += 1.0 / p.smoothed_ms;
-    ++heard;
-  }
-  const double mean = heard > 0 ? sum / static_cast<double>(heard) : 1.0;
-  for (Place& p : places_) p.share = p.smoothed_ms > 0 ? 1.0 / p.smoothed_ms : mean;
+  if (now < shares_.solve_at() && shares_.size() == places_.size()) return;
+  shares_.begin(now);
+  for (const Place& p : places_) shares_.hear(p.smoothed_ms);
+  for (const Place& p : places_)
+    shares_.add(shares_.speed(p.smoothed_ms) * (p.zone == zone_ ? 1.0 : other_zone));
 }
 
 std::optional<std::string> Tier::place(const Placing& placing, TimePoint now) {
@@ -100,33 +79,24 @@
 }
 
 // Draws by shares; an endpoint well above the mean in flight is passed over.
-std::optional<std::string> Tier::draw(const std::vector<std::size_t>& open, TimePoint now) {
-  double shares = 0, in_flight = 0;
+std::string Tier::draw(const std::vector<std::size_t>& open, TimePoint now) {
   const auto load = [&](const Place& p) {
     return p.in_flight + (now - p.told < report_fresh ? p.others : 0);
   };
-  const auto share = [&](const Place& p) { return p.share * (p.zone == zone_ ? 1.0 : 0.6); };
-  for (const std::size_t i : open) {
-    shares += share(places_[i]);
-    in_flight += load(places_[i]);
-  }
-  const double bound = over_mean * in_flight / static_cast<double>(open.size()) + over_more;
-  for (int n = 0; n < draws_most; ++n) {
-    double at = luck_.unit() * shares;
-    std::size_t drawn = open.back();
-    for (const std::size_t i : open) {
-      at -= share(places_[i]);
-      if (at <= 0) {
-        drawn = i;
-        break;
-      }
-    }
-    if (load(places_[drawn]) <= bound) return places_[drawn].id;
-  }
-  const auto least = std::min_element(open.begin(), open.end(), [&](std::size_t a, std::size_t b) {
-    return (load(places_[a]) + 1) / places_[a].share < (load(places_[b]) + 1) / places_[b].share;
+  double in_flight = 0;
+  for (const std::size_t i : open) in_flight += load(places_[i]);
+  const double bound = shares_.pass_over(in_flight, static_cast<int>(open.size()));
+  const int drawn = shares_.draw(Arc{0, shares_.size()}, luck_, 0, [&](std::size_t i, int) {
+    const bool may = std::find(open.begin(), open.end(), i) != open.end() && load(places_[i]) <= bound;
+    return may ? Shares::Fit::yes : Shares::Fit::no;
   });
-  return places_[*least].id;
+  if (drawn >= 0) return places_[static_cast<std::size_t>(drawn)].id;
+  const auto cost = [&](std::size_t i) {
+    return (load(places_[i]) + 1) / shares_.speed(places_[i].smoothed_ms);
+  };
+  return places_[*std::min_element(open.begin(), open.end(),
+                                   [&](std::size_t a, std::size_t b) { return cost(a) < cost(b); })]
+      .id;
 }
 
 // Where the least is to be read before it runs: what is not held of the prompt, what is being read there, and
@@ -172,18 +142,18 @@
 }
 
 void Tier::answered(const std::string& id, Placing& placing, Span latency, TimePoint now) {
-  served_.add(latency, now);
+  estimate_.served(latency, now);
   Place* const p = find(id);
   if (p == nullptr) return;
   const double ms = std::max(latency.as_ms(), 0.1);
-  p->smoothed_ms = p->smoothed_ms > 0 ? p->smoothed_ms + smoothing * (ms - p->smoothed_ms) : ms;
+  shares_.smooth(p->smoothed_ms, ms);
   p->failures = 0;
   p->shunned_until = TimePoint();
   p->unread = std::max(0.0, p->unread - std::exchange(placing.unread, 0.0));
 }
 
 void Tier::ended(const std::string& id, Placing& placing, Ended how, TimePoint now) {
-  if (how == Ended::cut) cuts_.add(Span::ms(1), now);
+  if (how == Ended::cut) estimate_.cut(Span::ms(1), now);
   Place* const p = find(id);
   if (p == nullptr) return;
   p->in_flight = std::max(0.0, p->in_flight - 1);
--- a/src/stall/tier.hpp
+++ b/src/stall/tier.hpp
@@ -13,9 +13,10 @@
 #include <string_view>
 #include <vector>
 
-#include "base/histogram.hpp"
 #include "base/pcg.hpp"
 #include "chutevane/types.hpp"
+#include "policy/estimate.hpp"
+#include "policy/shares.hpp"
 #include "stall/held_parts.hpp"
 
 namespace chutevane::stall {
@@ -34,7 +35,13 @@
   std::vector<std::string> avoid;  // endpoints that have turned it away or failed it
 };
 
-enum class Ended : std::uint8_t { served, failed, turned_away, cut };
+enum class Ended : std::uint8_t {
+  served,
+  failed,       // broken, or no answer within the class deadline
+  turned_away,  // it has not run
+  cut,          // ended by the measured ceiling
+  left,         // its client is gone
+};
 
 class Tier {
  public:
@@ -77,8 +84,7 @@
     double in_flight = 0;    // attempts of this sidecar
     double unread = 0;       // tokens of prompts of this sidecar's that are still being read
     double smoothed_ms = 0;  // 0: unheard
-    double share = 1;
-    double others = 0;  // requests of other sidecars, by its last report
+    double others = 0;       // requests of other sidecars, by its last report
     TimePoint told;
     TimePoint shunned_until;  // it has failed of late
     double failures = 0;      // in a row
@@ -86,17 +92,15 @@
   };
   Place* find(const std::string& id);
   void solve(TimePoint now);
-  std::optional<std::string> draw(const std::vector<std::size_t>& open, TimePoint now);
+  std::string draw(const std::vector<std::size_t>& open, TimePoint now);
   std::string by_parts(const std::vector<std::size_t>& open, const Placing& placing, TimePoint now);
-  bool measured(TimePoint now);
 
   const std::string zone_;
   Pcg luck_;
   double kv_tokens_ = 0;
   std::vector<Place> places_;
-  WindowedHistogram served_{Span::ms(10000)};
-  WindowedHistogram cuts_{Span::ms(10000)};
-  TimePoint solved_;
+  Estimate estimate_;
+  Shares shares_{TimePoint()};
 };
 
 }  // namespace chutevane::stall
