The list of endpoints goes out as numbered changes, down one session first

Change: changes by number, whole only where they are not kept any more; down the session that a sidecar names first, down the others with the next beat where still needed; a value is written once for all sessions; endpoints by index in a tier.

--- a/src/cellar/placement.hpp
+++ b/src/cellar/placement.hpp
@@ -36,7 +36,8 @@
   for (std::ptrdiff_t round = 0; out.size() < std::min(group_size(losses), ranked.size()); ++round) {
     for (const auto& [rank, i] : ranked) {
       if (out.size() == group_size(losses)) break;
-      if (std::find(out.begin(), out.end(), i) == out.end() && used(cellars[i].zone) <= round) out.push_back(i);
+      if (std::find(out.begin(), out.end(), i) == out.end() && used(cellars[i].zone) <= round)
+        out.push_back(i);
     }
   }
   return out;
--- a/src/clerk/control_plane.cpp
+++ b/src/clerk/control_plane.cpp
@@ -145,9 +145,8 @@
     out.term = duty.term();
     guest.answer(number, out);
   });
-  desk_.on<market::EndpointList>([this](market::Desk::Guest&, std::uint64_t, market::EndpointList& list) {
-    take_list(std::move(list), false);
-  });
+  desk_.on<market::EndpointList>(
+      [this](market::Desk::Guest&, std::uint64_t, market::EndpointList& list) { take_list(list); });
   desk_.on<market::Hello>(
       [this](market::Desk::Guest& guest, std::uint64_t, market::Hello& hello) { on_hello(guest, hello); });
   desk_.on_gone([this](market::Desk::Guest& guest) {
@@ -246,8 +245,8 @@
   out.accepted = acceptor_->voting() && acceptor_->epoch() == out.epoch ? acceptor_->accepted_number() : 0;
   out.voting = acceptor_->voting();
   out.first = record_.first;
-  out.list_term = list_ ? list_->term : 0;
-  out.list_number = list_ ? list_->number : 0;
+  out.list_term = list_.term();
+  out.list_number = list_.number();
   for (const Duty* duty : {&list_duty_, &roster_duty_}) {
     if (duty->mine() && !leaving_) out.duties.push_back({duty->name(), duty->term()});
   }
@@ -305,9 +304,10 @@
                                    [&](const market::HeldDuty& d) { return d.name == duty->name(); });
     duty->heard(word.node, held != word.duties.end(), held != word.duties.end() ? held->term : 0, now);
   }
-  if (list_duty_.mine() && list_ &&
-      (word.list_term < list_->term || (word.list_term == list_->term && word.list_number < list_->number)))
-    peer.link->tell(*list_);
+  if (list_duty_.mine()) {
+    for (const market::EndpointList& change : list_.since(word.list_term, word.list_number))
+      peer.link->tell(change);
+  }
   catch_up();
 }
 
@@ -380,7 +380,9 @@
 
 void ControlPlane::chosen(const market::Value&) {
   fresh_at_ = later_.now();
-  for (auto& [id, session] : sessions_) push(id, session);
+  for (auto& [id, session] : sessions_) {
+    if (session.first) push(id, session);
+  }
   if (record_.initial.epoch < register_.initial().epoch) store_known();
 }
 
@@ -407,6 +409,8 @@
   Session& session = sessions_[guest.id()];
   session.member = hello.member;
   session.heard = later_.now();
+  session.first = hello.first;
+  session.pushed = std::max(session.pushed, hello.member.number);
   // What was sent since this word was written stays sent.
   if (std::pair(hello.list_term, hello.list_number) > std::pair(session.list_term, session.list_number)) {
     session.list_term = hello.list_term;
@@ -420,7 +424,7 @@
     word.clerks = clerk_addresses();
     guest.tell(word);
   }
-  push(guest.id(), session);
+  if (fresh || session.first) push(guest.id(), session);
   acknowledged();
 }
 
@@ -429,14 +433,21 @@
   if (guest == nullptr) return;
   if (register_.known() && session.pushed < register_.known()->number) {
     session.pushed = register_.known()->number;
-    guest->tell(market::Push{*register_.known()});
+    guest->tell_record(market::Push::kind, pushed_value());
   }
-  if (list_ && (session.list_term < list_->term ||
-                (session.list_term == list_->term && session.list_number < list_->number))) {
-    session.list_term = list_->term;
-    session.list_number = list_->number;
-    guest->tell(*list_);
+  if (!list_.newer_than(session.list_term, session.list_number)) return;
+  for (const market::EndpointList& change : list_.since(session.list_term, session.list_number))
+    guest->tell(change);
+  session.list_term = list_.term();
+  session.list_number = list_.number();
+}
+
+const std::string& ControlPlane::pushed_value() {
+  if (push_number_ != register_.known()->number) {
+    push_record_ = market::encoded(market::Push{*register_.known()});
+    push_number_ = register_.known()->number;
   }
+  return push_record_;
 }
 
 void ControlPlane::beat() {
@@ -572,24 +583,25 @@
       if (!entries || !list_duty_.mine()) return;
       for (market::Listed& e : *entries)
         e.cold_ms = e.cold_ms > 0 ? 1 : 0;  // falls with time: no news by itself
-      if (list_ && list_->term == list_duty_.term() && list_->entries == *entries) return;
-      market::EndpointList next;
-      next.term = list_duty_.term();
-      next.number = list_ && list_->term == next.term ? list_->number + 1 : 1;
-      next.entries = std::move(*entries);
-      take_list(std::move(next), true);
+      const std::int64_t term = list_.term(), number = list_.number();
+      if (!list_.update(list_duty_.term(), *entries)) return;
+      for (auto& [address, peer] : peers_) {
+        for (const market::EndpointList& change : list_.since(term, number)) peer.link->tell(change);
+      }
+      list_changed();
     });
   }
   later_.after(list_every, [this] { read_list(); });
 }
 
-void ControlPlane::take_list(market::EndpointList list, bool pass_on) {
-  if (!market::newer(list, list_)) return;
-  list_ = std::move(list);
-  if (pass_on) {
-    for (auto& [address, peer] : peers_) peer.link->tell(*list_);
+void ControlPlane::take_list(const market::EndpointList& told) {
+  if (list_.apply(told)) list_changed();
+}
+
+void ControlPlane::list_changed() {
+  for (auto& [id, session] : sessions_) {
+    if (session.first) push(id, session);
   }
-  for (auto& [id, session] : sessions_) push(id, session);
 }
 
 void ControlPlane::keep_roster() {
--- a/src/clerk/control_plane.hpp
+++ b/src/clerk/control_plane.hpp
@@ -44,6 +44,7 @@
     TimePoint heard;
     std::int64_t list_term = 0, list_number = 0;
     std::int64_t pushed = 0;  // of the values, the newest that was sent down
+    bool first = false;       // changes go down it at once; down others with the next beat, if still needed
   };
 
   void prepare(const std::string& address, const market::Prepare& ask,
@@ -71,6 +72,7 @@
   void store_known();
   void on_hello(market::Desk::Guest& guest, const market::Hello& hello);
   void push(std::uint64_t guest, Session& session);
+  const std::string& pushed_value();
   void beat();
   void acknowledged();
 
@@ -78,7 +80,8 @@
   void stand(Duty& duty);
   void ballot(Duty& duty, std::int64_t term);
   void read_list();
-  void take_list(market::EndpointList list, bool pass_on);
+  void take_list(const market::EndpointList& told);
+  void list_changed();
   void keep_roster();
   std::vector<market::Member> members() const;
 
@@ -103,6 +106,9 @@
   std::map<std::string, Peer> peers_;
   std::vector<std::unique_ptr<market::Link>> parted_;
   std::map<std::uint64_t, Session> sessions_;
+  // The newest value as it is pushed: written once for all sessions.
+  std::string push_record_;
+  std::int64_t push_number_ = -1;
   TimePoint fresh_at_, full_since_, told_since_;
   std::vector<std::string> told_clerks_;
   std::uint64_t full_stamp_ = 0;
@@ -110,7 +116,7 @@
   std::optional<TimePoint> behind_since_;
   Duty list_duty_, roster_duty_;
   Platform platform_;
-  std::optional<market::EndpointList> list_;
+  market::EndpointBook list_;
   bool changing_roster_ = false;
   bool had_roster_ = false;
   Roster roster_;
--- a/src/clerk/operator_api.cpp
+++ b/src/clerk/operator_api.cpp
@@ -191,7 +191,7 @@
         .key("whole")
         .number(count(m.whole))
         .close('}');
-  out.close(']').key("endpoints").number(list_ ? list_->entries.size() : 0).close('}');
+  out.close(']').key("endpoints").number(list_.entries().size()).close('}');
   reply({200, out.result(), {}});
 }
 
--- /dev/null
+++ b/src/market/endpoint_book.cpp
@@ -0,0 +1,75 @@
+#include "market/endpoint_book.hpp"
+
+namespace chutevane::market {
+
+void EndpointBook::note(EndpointList change) {
+  changes_.push_back(std::move(change));
+  if (changes_.size() > changes_most) changes_.pop_front();
+}
+
+bool EndpointBook::update(std::int64_t term, const std::vector<Listed>& all) {
+  std::map<std::string, Listed> next;
+  for (const Listed& e : all) next[e.id] = e;
+  if (term != term_) {
+    if (term < term_) return false;
+    term_ = term;
+    number_ = 1;
+    entries_ = std::move(next);
+    changes_.clear();
+    return true;
+  }
+  EndpointList change;
+  for (const auto& [id, e] : next) {
+    const auto had = entries_.find(id);
+    if (had == entries_.end() || !(had->second == e)) change.entries.push_back(e);
+  }
+  for (const auto& [id, e] : entries_) {
+    if (!next.contains(id)) change.gone.push_back(id);
+  }
+  if (change.entries.empty() && change.gone.empty()) return false;
+  change.term = term_;
+  change.base = number_;
+  change.number = ++number_;
+  entries_ = std::move(next);
+  note(std::move(change));
+  return true;
+}
+
+bool EndpointBook::apply(const EndpointList& told) {
+  if (told.term < term_ || (told.term == term_ && told.number <= number_)) return false;
+  if (told.base == 0) {
+    term_ = told.term;
+    number_ = told.number;
+    entries_.clear();
+    for (const Listed& e : told.entries) entries_[e.id] = e;
+    changes_.clear();
+    return true;
+  }
+  if (told.term != term_ || told.base != number_) return false;
+  for (const Listed& e : told.entries) entries_[e.id] = e;
+  for (const std::string& id : told.gone) entries_.erase(id);
+  number_ = told.number;
+  note(told);
+  return true;
+}
+
+EndpointList EndpointBook::whole() const {
+  EndpointList out;
+  out.term = term_;
+  out.number = number_;
+  for (const auto& [id, e] : entries_) out.entries.push_back(e);
+  return out;
+}
+
+std::vector<EndpointList> EndpointBook::since(std::int64_t term, std::int64_t number) const {
+  if (!newer_than(term, number)) return {};
+  const bool kept = term == term_ && !changes_.empty() && changes_.front().base <= number;
+  if (!kept) return {whole()};
+  std::vector<EndpointList> out;
+  for (const EndpointList& change : changes_) {
+    if (change.base >= number) out.push_back(change);
+  }
+  return out;
+}
+
+}  // namespace chutevane::market
--- a/src/market/link.hpp
+++ b/src/market/link.hpp
@@ -113,6 +113,8 @@
     void tell(const M& message) {
       put(M::kind, frame::Sort::word, 0, encoded(message));
     }
+    // One that was written before, for many.
+    void tell_record(std::uint8_t kind, std::string_view record) { put(kind, frame::Sort::word, 0, record); }
     void close();
     std::uint64_t id() const { return id_; }
     std::size_t unsent() const { return channel_.unsent(); }
--- a/src/market/messages.hpp
+++ b/src/market/messages.hpp
@@ -358,17 +358,22 @@
   bool operator==(const Listed&) const = default;
 };
 
+// The change from number base to number, or the whole list where base is 0.
 struct EndpointList {
   static constexpr const char* record = "Endpoint_list";
   static constexpr std::uint8_t kind = 20;  // on the wire
   std::int64_t term = 0;
   std::int64_t number = 0;
+  std::int64_t base = 0;
   std::vector<Listed> entries;
+  std::vector<std::string> gone;
   template <class Visitor>
   void each(Visitor& v) {
     v("term", term);
     v("number", number);
+    v("base", base);
     v("entries", entries);
+    v("gone", gone);
   }
 };
 
@@ -379,12 +384,14 @@
   Member member;
   std::int64_t list_term = 0;
   std::int64_t list_number = 0;
+  bool first = false;
   bool ending = false;
   template <class Visitor>
   void each(Visitor& v) {
     v("member", member);
     v("list_term", list_term);
     v("list_number", list_number);
+    v("first", first);
     v("ending", ending);
   }
 };
--- a/src/market/session.cpp
+++ b/src/market/session.cpp
@@ -59,6 +59,7 @@
   });
   const TimePoint now = later_.now();
   std::size_t good = 0;
+  first_.clear();
   for (const std::string& address : known) {
     if (good >= ways_most) break;
     const auto found = ways_.find(address);
@@ -77,6 +78,7 @@
           [this, address](std::uint8_t kind, std::string_view record) { word(address, kind, record); });
       ++good;
     } else if (now - found->second.heard < silent_most) {
+      if (first_.empty() && found->second.link->up()) first_ = address;
       ++good;
     }
   }
@@ -109,8 +111,9 @@
   Hello hello;
   hello.member = self_;
   hello.member.number = value_ ? value_->number : 0;
-  hello.list_term = list_ ? list_->term : 0;
-  hello.list_number = list_ ? list_->number : 0;
+  hello.list_term = list_.term();
+  hello.list_number = list_.number();
+  hello.first = first_ == net::text_of(way.link->to());
   hello.ending = ending_;
   way.link->tell(hello);
 }
@@ -131,12 +134,11 @@
       value_ = std::move(push.value);
       if (told_value_) told_value_(*value_);
     }
-    tell(way->second);  // the acknowledgement
+    tell_all();  // the acknowledgement; who has not sent it yet need not
   } else if (kind == EndpointList::kind) {
     EndpointList list;
-    if (!decode(record, list) || !newer(list, list_)) return;
-    list_ = std::move(list);
-    if (told_list_) told_list_(*list_);
+    if (!decode(record, list) || !list_.apply(list)) return;
+    if (told_list_) told_list_(list_);
   }
 }
 
--- a/src/market/session.hpp
+++ b/src/market/session.hpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "market/endpoint_book.hpp"
 #include "market/link.hpp"
 #include "market/messages.hpp"
 #include "market/settings.hpp"
@@ -20,9 +21,9 @@
   Sessions(net::Scheduler& scheduler, net::Later& later, const ProcessSettings& settings, Member self);
   // Told of each newer value and list, numbers rising.
   void on_value(std::function<void(const Value&)> told) { told_value_ = std::move(told); }
-  void on_list(std::function<void(const EndpointList&)> told) { told_list_ = std::move(told); }
+  void on_list(std::function<void(const EndpointBook&)> told) { told_list_ = std::move(told); }
   const std::optional<Value>& value() const { return value_; }
-  const std::optional<EndpointList>& list() const { return list_; }
+  const EndpointBook& list() const { return list_; }
   void tell_whole(std::int64_t map) {
     self_.whole = map;
     tell_all();
@@ -60,15 +61,12 @@
   std::map<std::string, Way> ways_;
   std::vector<std::unique_ptr<Link>> leaving_;  // destroyed by a later tick
   std::optional<Value> value_;
-  std::optional<EndpointList> list_;
+  EndpointBook list_;
+  std::string first_;  // the way that changes come down at once; the others wait whether they are needed
   std::function<void(const Value&)> told_value_;
-  std::function<void(const EndpointList&)> told_list_;
+  std::function<void(const EndpointBook&)> told_list_;
 };
 
-// A new list by its term and number.
-inline bool newer(const EndpointList& a, const std::optional<EndpointList>& b) {
-  return !b || a.term > b->term || (a.term == b->term && a.number > b->number);
-}
 // An address of control's that clients call, as the one where its peers do.
 std::string inner_address(const sockaddr_in& control, std::uint16_t port);
 
--- a/src/stall/data_plane.cpp
+++ b/src/stall/data_plane.cpp
@@ -61,7 +61,7 @@
   self.counted = settings_.loss_counted;
   sessions_ = std::make_unique<market::Sessions>(scheduler_, later_, settings_, self);
   sessions_->on_value([this](const market::Value& value) { value_came(value); });
-  sessions_->on_list([this](const market::EndpointList& list) { list_came(list); });
+  sessions_->on_list([this](const market::EndpointBook& list) { list_came(list); });
   market::log_info("data.open", "front " + net::text_of(*settings_.front));
   return absl::OkStatus();
 }
@@ -81,9 +81,9 @@
   market::log_info("config.in_force", "version " + std::to_string(configuration_->version));
 }
 
-void DataPlane::list_came(const market::EndpointList& list) {
+void DataPlane::list_came(const market::EndpointBook& list) {
   std::vector<Endpoint> all;
-  for (const market::Listed& l : list.entries) {
+  for (const auto& [id, l] : list.entries()) {
     const auto address = net::parse_address(l.address);
     if (!address) continue;
     Endpoint e;
--- a/src/stall/data_plane.hpp
+++ b/src/stall/data_plane.hpp
@@ -34,7 +34,7 @@
  private:
   friend class Client;
   void value_came(const market::Value& value);
-  void list_came(const market::EndpointList& list);
+  void list_came(const market::EndpointBook& list);
   void settle_tiers();
   Tier& tier(const std::string& service);
   // Whether this sidecar may open one more connection to it: an endpoint resets those over its bound, which
--- a/src/stall/tier.cpp
+++ b/src/stall/tier.cpp
@@ -25,10 +25,8 @@
 Tier::Tier(std::string zone, std::uint64_t seed) : zone_(std::move(zone)), luck_(seed) {}
 
 Tier::Place* Tier::find(const std::string& id) {
-  for (Place& p : places_) {
-    if (p.id == id) return &p;
-  }
-  return nullptr;
+  const auto found = index_.find(id);
+  return found == index_.end() ? nullptr : &places_[found->second];
 }
 
 void Tier::listed(const std::vector<Known>& endpoints, TimePoint now) {
@@ -43,6 +41,8 @@
     next.push_back(std::move(p));
   }
   places_ = std::move(next);
+  index_.clear();
+  for (std::size_t i = 0; i < places_.size(); ++i) index_[places_[i].id] = i;
   shares_.begin(now);  // of none: solved anew
   solve(now);
 }
@@ -84,11 +84,14 @@
     return p.in_flight + (now - p.told < report_fresh ? p.others : 0);
   };
   double in_flight = 0;
-  for (const std::size_t i : open) in_flight += load(places_[i]);
+  std::vector<bool> may(places_.size());
+  for (const std::size_t i : open) {
+    in_flight += load(places_[i]);
+    may[i] = true;
+  }
   const double bound = shares_.pass_over(in_flight, static_cast<int>(open.size()));
   const int drawn = shares_.draw(Arc{0, shares_.size()}, luck_, 0, [&](std::size_t i, int) {
-    const bool may = std::find(open.begin(), open.end(), i) != open.end() && load(places_[i]) <= bound;
-    return may ? Shares::Fit::yes : Shares::Fit::no;
+    return may[i] && load(places_[i]) <= bound ? Shares::Fit::yes : Shares::Fit::no;
   });
   if (drawn >= 0) return places_[static_cast<std::size_t>(drawn)].id;
   const auto cost = [&](std::size_t i) {
--- a/src/stall/tier.hpp
+++ b/src/stall/tier.hpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "base/pcg.hpp"
@@ -99,6 +100,7 @@
   Pcg luck_;
   double kv_tokens_ = 0;
   std::vector<Place> places_;
+  std::unordered_map<std::string, std::size_t> index_;  // by id
   Estimate estimate_;
   Shares shares_{TimePoint()};
 };
