Operators may read the history of configurations; segments of turns may be looked at

Cause: an operator could not tell which files were taken; a tool that only looks had no way to read a segment. Change: GET /v1/Configuration.History from the register's list of what was taken, hashes as texts; hash_of and hash_text beside the configuration; Store::records and segment_of, which Store::open uses itself. Names such as turns.7.old are no segments: one whose turns.7 was gone kept a cellar from starting.

--- a/src/cellar/store.cpp
+++ b/src/cellar/store.cpp
@@ -31,18 +31,27 @@
   pending_ += market::framed(text, segment_salt ^ current_);
 }
 
+std::optional<std::uint64_t> Store::segment_of(const std::string& name) {
+  if (!name.starts_with("turns.")) return std::nullopt;
+  std::uint64_t number = 0;
+  const auto got = std::from_chars(name.data() + 6, name.data() + name.size(), number);
+  if (got.ec != std::errc() || name != segment_name(number)) return std::nullopt;
+  return number;
+}
+
+std::vector<std::string> Store::records(std::string_view file, std::uint64_t segment,
+                                        std::size_t* good_size) {
+  return market::unframed(file, segment_salt ^ segment, good_size);
+}
+
 absl::Status Store::open(TimePoint now) {
   for (const std::string& name : disk_.names()) {
-    if (!name.starts_with("turns.")) continue;
-    std::uint64_t number = 0;
-    const auto got = std::from_chars(name.data() + 6, name.data() + name.size(), number);
-    if (got.ec == std::errc()) segments_[number].since = now;
+    if (const auto number = segment_of(name)) segments_[*number].since = now;
   }
   for (const auto& [number, segment] : segments_) {
     const auto text = disk_.read(segment_name(number));
     if (!text.ok()) return text.status();
-    for (const std::string& record : market::unframed(*text, segment_salt ^ number))
-      load(record, number, now);
+    for (const std::string& record : records(*text, number)) load(record, number, now);
   }
   // What was torn at the end of the last one stays there: nothing is appended behind it.
   current_ = segments_.empty() ? 1 : segments_.rbegin()->first + 1;
--- a/src/cellar/store.hpp
+++ b/src/cellar/store.hpp
@@ -8,7 +8,9 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -24,6 +26,10 @@
   // Bytes of turns in memory and on disk: what is beyond is refused, not begun.
   Store(market::Disk& disk, std::size_t bytes_most) : disk_(disk), bytes_most_(bytes_most) {}
   absl::Status open(TimePoint now);
+  // The whole records of a segment's file, for those who only look; `good_size`: what is behind is torn.
+  static std::optional<std::uint64_t> segment_of(const std::string& name);  // none: no segment's name
+  static std::vector<std::string> records(std::string_view file, std::uint64_t segment,
+                                          std::size_t* good_size = nullptr);
 
   // Each of these lasts once commit() has returned OK.
   // What the program's other attempts have set aside or spent.
--- a/src/clerk/control_plane.hpp
+++ b/src/clerk/control_plane.hpp
@@ -83,6 +83,7 @@
   void operate(const http::Parser& request, market::HttpPort::Reply reply);
   void replace(const http::Parser& request, market::HttpPort::Reply reply);
   void retrieve(market::HttpPort::Reply reply);
+  void history(market::HttpPort::Reply reply);
   void retire_start(const std::string& node, market::HttpPort::Reply reply);
   void retire_state(const std::string& node, market::HttpPort::Reply reply);
   void status(market::HttpPort::Reply reply);
--- a/src/clerk/operator_api.cpp
+++ b/src/clerk/operator_api.cpp
@@ -1,6 +1,4 @@
 // The operator's API of a control sidecar, by api/operators.yaml.
-#include <xxhash.h>
-
 #include <algorithm>
 #include <charconv>
 
@@ -48,6 +46,7 @@
   const bool get = request.method() == "GET", post = request.method() == "POST";
   if (post && path == "/v1/Configuration.Replace") return replace(request, std::move(reply));
   if (get && path == "/v1/Configuration.Retrieve") return retrieve(std::move(reply));
+  if (get && path == "/v1/Configuration.History") return history(std::move(reply));
   if (post && path.starts_with(start)) return retire_start(node_of(start), std::move(reply));
   if (get && path.starts_with(state)) return retire_state(node_of(state), std::move(reply));
   if (get && path == "/v1/Status.Retrieve") return status(std::move(reply));
@@ -69,7 +68,7 @@
   const auto read = market::read_configuration(body, findings);
   if (!findings.none() || !read) return reply(invalid(findings));
   const std::int64_t version = read->version;
-  const auto hash = static_cast<std::int64_t>(XXH3_64bits(body.data(), body.size()));
+  const auto hash = static_cast<std::int64_t>(market::hash_of(body));
   const auto had = [version, hash](const market::Value& v) {
     return std::any_of(v.taken.begin(), v.taken.end(),
                        [&](const market::Taken& t) { return t.version == version && t.hash == hash; });
@@ -116,6 +115,28 @@
   });
 }
 
+// What was taken, the oldest first; hashes as texts, since a number in JSON may lose their last digits.
+void ControlPlane::history(market::HttpPort::Reply reply) {
+  register_.read(order_most, [reply](absl::StatusOr<market::Value> got) {
+    if (!got.ok()) return reply(unclear());
+    json::Writer out;
+    out.open('{')
+        .key("version")
+        .number(static_cast<std::uint64_t>(got->config_version))
+        .key("taken")
+        .open('[');
+    for (const market::Taken& t : got->taken)
+      out.open('{')
+          .key("version")
+          .number(static_cast<std::uint64_t>(t.version))
+          .key("hash")
+          .text(market::hash_text(static_cast<std::uint64_t>(t.hash)))
+          .close('}');
+    out.close(']').close('}');
+    reply({200, out.result(), {}});
+  });
+}
+
 void ControlPlane::retire_start(const std::string& node, market::HttpPort::Reply reply) {
   auto verdict = std::make_shared<RetireVerdict>(RetireVerdict::unknown);
   register_.change(
--- a/src/market/configuration.cpp
+++ b/src/market/configuration.cpp
@@ -1,8 +1,11 @@
 #include "market/configuration.hpp"
 
 #include <simdjson.h>
+#include <xxhash.h>
 
+#include <array>
 #include <cmath>
+#include <cstdio>
 #include <map>
 #include <set>
 
@@ -246,4 +249,12 @@
   return out;
 }
 
+std::uint64_t hash_of(std::string_view text) { return XXH3_64bits(text.data(), text.size()); }
+
+std::string hash_text(std::uint64_t hash) {
+  std::array<char, 17> room{};
+  std::snprintf(room.data(), room.size(), "%016llx", static_cast<unsigned long long>(hash));
+  return room.data();
+}
+
 }  // namespace chutevane::market
--- a/src/market/configuration.hpp
+++ b/src/market/configuration.hpp
@@ -63,4 +63,8 @@
 // All that is wrong is found in one reading, each with its path, such as `routes[3].timeoutMs`.
 std::optional<Configuration> read_configuration(std::string_view text, Findings& findings);
 
+// Names the bytes of a configuration, alike at control, which knows repeats by it, and at operators.
+std::uint64_t hash_of(std::string_view text);
+std::string hash_text(std::uint64_t hash);  // 16 hexadecimal digits
+
 }  // namespace chutevane::market
