chutevane-crier: the operators' client of the serving tier

Cause: operators had curl alone: retries, bases and what an answer means were left to them, and nothing could read a data folder or check a configuration before it is sent.

--- /dev/null
+++ b/src/crier/folder.cpp
@@ -0,0 +1,185 @@
+#include "crier/folder.hpp"
+
+#include <dirent.h>
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <memory>
+
+#include "cellar/store.hpp"
+
+namespace chutevane::crier {
+namespace {
+
+constexpr int readings_most = 5;  // of a folder that changes meanwhile: a process writes some times a second
+
+struct Stamp {
+  off_t size = 0;
+  timespec time{};
+  ino_t inode = 0;
+  bool operator==(const Stamp& o) const {
+    return size == o.size && time.tv_sec == o.time.tv_sec && time.tv_nsec == o.time.tv_nsec &&
+           inode == o.inode;
+  }
+};
+using Stamps = std::map<std::string, Stamp>;
+
+absl::StatusOr<Stamps> stamps_of(const std::string& folder) {
+  const std::unique_ptr<DIR, int (*)(DIR*)> dir(::opendir(folder.c_str()), &::closedir);
+  if (!dir) return absl::ErrnoToStatus(errno, folder);
+  Stamps out;
+  while (const dirent* entry = ::readdir(dir.get())) {
+    struct stat info {};
+    if (entry->d_name[0] == '.' || ::fstatat(::dirfd(dir.get()), entry->d_name, &info, 0) != 0) continue;
+    if (S_ISREG(info.st_mode)) out[entry->d_name] = {info.st_size, info.st_mtim, info.st_ino};
+  }
+  return out;
+}
+
+absl::StatusOr<std::string> contents_of(const std::string& path) {
+  const int fd = ::open(path.c_str(), O_RDONLY | O_CLOEXEC);
+  if (fd < 0) return absl::ErrnoToStatus(errno, path);
+  struct stat info {};
+  absl::Status error = ::fstat(fd, &info) == 0 ? absl::OkStatus() : absl::ErrnoToStatus(errno, path);
+  // As long as it was then: one that grows meanwhile is not run after.
+  std::string out(error.ok() ? static_cast<std::size_t>(info.st_size) : 0, '\0');
+  std::size_t at = 0;
+  while (error.ok() && at < out.size()) {
+    const ssize_t got = ::pread(fd, out.data() + at, out.size() - at, static_cast<off_t>(at));
+    if (got < 0 && errno == EINTR) continue;
+    if (got < 0) error = absl::ErrnoToStatus(errno, path);
+    if (got <= 0) break;
+    at += static_cast<std::size_t>(got);
+  }
+  ::close(fd);
+  if (!error.ok()) return error;
+  out.resize(at);
+  return out;
+}
+
+// Which of a state's files this is; empty: none.
+std::string state_of(const std::string& name) {
+  for (const std::string state : {"acceptor", "clerk", "cellar"}) {
+    for (const std::string kind : {".slot0", ".slot1", ".log0", ".log1"}) {
+      if (name == state + kind) return state;
+    }
+  }
+  return "";
+}
+
+template <class Record>
+Presence read_state(market::Disk& disk, const std::string& name, Record& into) {
+  market::Slots slots(disk, name);
+  const auto got = slots.open();
+  if (absl::IsNotFound(got.status())) return Presence::none;
+  if (!got.ok() || !market::decode(got->state, into)) return Presence::lost;
+  for (const std::string& change : got->changes) {
+    if (!market::decode(change, into)) return Presence::lost;
+  }
+  return Presence::whole;
+}
+
+}  // namespace
+
+absl::StatusOr<Snapshot> Snapshot::of(market::Disk& disk) {
+  Snapshot out;
+  for (const std::string& name : disk.names()) {
+    absl::StatusOr<std::string> text = disk.read(name);
+    if (!text.ok()) return text.status();
+    out.files_[name] = *std::move(text);
+  }
+  return out;
+}
+
+absl::StatusOr<Snapshot> Snapshot::of_folder(const std::string& path) {
+  for (int reading = 1;; ++reading) {
+    const absl::StatusOr<Stamps> before = stamps_of(path);
+    if (!before.ok()) return before.status();
+    Snapshot out;
+    for (const auto& [name, stamp] : *before) {
+      absl::StatusOr<std::string> text = contents_of(path + "/" + name);
+      if (absl::IsNotFound(text.status())) continue;  // the process has removed it: the stamps differ
+      if (!text.ok()) return text.status();
+      out.files_[name] = *std::move(text);
+    }
+    const absl::StatusOr<Stamps> after = stamps_of(path);
+    if (!after.ok()) return after.status();
+    out.moving_ = *before != *after;
+    if (!out.moving_ || reading == readings_most) return out;
+  }
+}
+
+std::vector<std::string> Snapshot::names() {
+  std::vector<std::string> out;
+  for (const auto& [name, text] : files_) out.push_back(name);
+  return out;
+}
+
+absl::StatusOr<std::string> Snapshot::read(const std::string& name) {
+  const auto found = files_.find(name);
+  if (found == files_.end()) return absl::NotFoundError(name);
+  return found->second;
+}
+
+absl::Status Snapshot::append(const std::string& name, std::string_view) {
+  return absl::FailedPreconditionError(name + ": only looked at");
+}
+
+absl::Status Snapshot::cut(const std::string& name, std::size_t size) {
+  const auto found = files_.find(name);
+  if (found == files_.end() || found->second.size() < size) return absl::FailedPreconditionError(name);
+  torn_.push_back({name, size, found->second.size() - size});
+  found->second.resize(size);
+  return absl::OkStatus();
+}
+
+absl::Status Snapshot::sync(const std::string&) { return absl::OkStatus(); }
+
+absl::Status Snapshot::remove(const std::string& name) {
+  return absl::FailedPreconditionError(name + ": only looked at");
+}
+
+absl::StatusOr<Holdings> holdings_of(Snapshot snapshot) {
+  Holdings out;
+  out.moving = snapshot.moving();
+  for (const auto& [name, text] : snapshot.files()) {
+    out.file_bytes += text.size();
+    const auto segment = cellar::Store::segment_of(name);
+    if (segment) {
+      std::size_t good = 0;
+      const std::size_t records = cellar::Store::records(text, *segment, &good).size();
+      out.segments.push_back({*segment, text.size(), records});
+      if (good < text.size()) out.torn.push_back({name, good, text.size() - good});
+    } else if (state_of(name).empty()) {
+      out.unknown.push_back(name);
+    } else if (name.find(".slot") != std::string::npos) {
+      // The older slot may be one whose writing was cut short.
+      std::size_t good = 0;
+      market::unframed(text, 0, &good);
+      if (good < text.size()) out.torn.push_back({name, good, text.size() - good});
+    }
+  }
+  std::sort(out.segments.begin(), out.segments.end(),
+            [](const Segment& a, const Segment& b) { return a.number < b.number; });
+  out.has_acceptor = read_state(snapshot, "acceptor", out.acceptor);
+  out.has_clerk = read_state(snapshot, "clerk", out.clerk);
+  out.has_cellar = read_state(snapshot, "cellar", out.cellar);
+  out.torn.insert(out.torn.end(), snapshot.torn().begin(), snapshot.torn().end());
+  cellar::Store store(snapshot, static_cast<std::size_t>(-1));
+  if (absl::Status s = store.open(TimePoint()); !s.ok()) return s;
+  store.each_turn("", [&](const market::Turn& turn) {
+    out.turns.push_back(turn);
+    return true;
+  });
+  store.each_account("", [&](const market::Account& account) {
+    out.accounts.push_back(account);
+    return true;
+  });
+  out.turn_bytes = store.bytes();
+  return out;
+}
+
+}  // namespace chutevane::crier
--- a/src/json/value.cpp
+++ b/src/json/value.cpp
@@ -292,4 +292,10 @@
   return *this;
 }
 
+Writer& Writer::null() {
+  separate();
+  out_ += "null";
+  return *this;
+}
+
 }  // namespace chutevane::json
--- a/src/json/value.hpp
+++ b/src/json/value.hpp
@@ -57,6 +57,7 @@
   Writer& number(std::uint64_t value);
   Writer& real(double value);  // to the last digit; what is no number as 0
   Writer& truth(bool value);
+  Writer& null();
   const std::string& result() const { return out_; }
 
  private:
