Mended: internalPorts was taken with letters behind its digits

Cause: src/market/settings.cpp read each port with from_chars and did not look where it had ended, so that 7380x,7399 was good. Change: the whole text must be digits. Run: chutevane_crier_tests, whose new test failed before.

--- a/src/market/settings.cpp
+++ b/src/market/settings.cpp
@@ -133,7 +133,7 @@
   int first = 0, last = 0;
   const auto port = [](const std::string& digits, int& into) {
     const auto got = std::from_chars(digits.data(), digits.data() + digits.size(), into);
-    return got.ec == std::errc() && into > 0 && into < 65536;
+    return got.ec == std::errc() && got.ptr == digits.data() + digits.size() && into > 0 && into < 65536;
   };
   if (!ports.empty() && (pair.size() != 2 || !port(pair[0], first) || !port(pair[1], last) ||
                          last - first < storage_plane_port))
--- a/tests/crier/run_test.cpp
+++ b/tests/crier/run_test.cpp
@@ -271,6 +271,17 @@
   LONGS_EQUAL(2, played.run({"settings", "check", "/nowhere/x"}, ""));
 }
 
+// Digits were read and what came behind them was not looked at.
+TEST(run, internal_ports_are_whole_numbers) {
+  const std::string rest =
+      "nodeName=n\nmachineClass=m\nipAddress=10.0.0.1\nzone=z\nseedNodes=10.0.0.2:8144\n";
+  for (const std::string ports : {"7380x,7399", "7380,7399 x", "7380,73.99"}) {
+    const Scratch file(rest + "internalPorts=" + ports + "\n");
+    LONGS_EQUAL(1, played.run({"settings", "check", file.path()}, ""));
+    CHECK(has(played.err.str(), "line 6, internalPorts"));
+  }
+}
+
 TEST(run, an_output_that_takes_nothing_is_told) {
   std::ostream closed(nullptr);
   Surroundings around{closed, played.err, played.transport, played.clock, "", "0"};
