--- a/src/crier/wire.cpp
+++ b/src/crier/wire.cpp
@@ -148,7 +148,9 @@
         return broken(in.empty() ? "silent" : "silent within its answer");
       continue;
     }
-    over = got <= 0;
+    // A body without a length would pass for whole.
+    if (got < 0) return broken(in.empty() ? "broken off" : "broken off within its answer");
+    over = got == 0;
     if (got > 0) in.append(room.data(), static_cast<std::size_t>(got));
     if (over && in.empty()) return broken("closed without an answer");
     http::Progress progress = parser.feed(std::span<char>(in), over);
--- a/tests/crier/wire_test.cpp
+++ b/tests/crier/wire_test.cpp
@@ -3,6 +3,8 @@
 
 #include <CppUTest/TestHarness.h>
 #include <arpa/inet.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -48,8 +50,8 @@
 // Takes one connection, reads the head of a request, writes these pieces, and ends.
 class Peer {
  public:
-  explicit Peer(std::vector<std::string> pieces, bool stays_silent = false)
-      : thread_([this, pieces = std::move(pieces), stays_silent] {
+  explicit Peer(std::vector<std::string> pieces, bool stays_silent = false, bool resets = false)
+      : thread_([this, pieces = std::move(pieces), stays_silent, resets] {
           const int fd = listening.accept();
           char c = 0;
           while (heard.find("\r\n\r\n") == std::string::npos && ::read(fd, &c, 1) == 1) heard += c;
@@ -59,6 +61,13 @@
             while (::read(fd, &c, 1) > 0) {
             }
           }
+          if (resets) {
+            // Once what was written is there.
+            const linger at_once{1, 0};
+            int unsent = 1;
+            while (::ioctl(fd, SIOCOUTQ, &unsent) == 0 && unsent > 0) std::this_thread::yield();
+            ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+          }
           ::close(fd);
         }) {}
   ~Peer() { join(); }
@@ -126,6 +135,12 @@
   }
 }
 
+// Without a length only an orderly end says that a body is whole.
+TEST(wire, a_reset_within_a_body_is_no_end) {
+  Peer peer({"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "half"}, false, true);
+  CHECK(absl::IsUnavailable(ask(peer).status()));
+}
+
 TEST(wire, silence_ends_it) {
   Peer peer({"HTTP/1.1 200 OK\r\n"}, true);
   const auto got = ask(peer, {"GET", "/x"}, Span::ms(30));
