--- a/src/stall/client.cpp
+++ b/src/stall/client.cpp
@@ -206,8 +206,15 @@
   if (tries_ > 0 && !tier.worth_retry(time, now)) return give_up(may_have_run_);
   if (attempts_ >= std::max<std::size_t>(route_->max_attempts, 1) || tries_ > turned_away_most + attempts_)
     return give_up(may_have_run_);
-  const auto chosen = tier.place(placing_, now);
-  const std::shared_ptr<Endpoint> to = chosen ? plane_.endpoints_.find(*chosen) : nullptr;
+  std::shared_ptr<Endpoint> to;
+  const std::size_t avoided = placing_.avoid.size();
+  while (const auto chosen = tier.place(placing_, now)) {
+    to = plane_.endpoints_.find(*chosen);
+    if (to && plane_.room_at(*to)) break;
+    to = nullptr;
+    placing_.avoid.push_back(*chosen);
+  }
+  placing_.avoid.resize(avoided);
   if (!to) return give_up(may_have_run_);
   endpoint_ = to->id;
   ++tries_;
@@ -224,6 +231,7 @@
   sent_ = now;
   attempt_open_ = true;
   const Span ceiling = tier.ceiling(route_->timeout, time, route_->repeatable(), now);
+  measured_ceiling_ = ceiling < std::min(route_->timeout, time);
   tier.sent(endpoint_, placing_, now);
   plane_.later_.cancel(timer_);
   timer_ = plane_.later_.after(ceiling, guarded([this] { attempt_due(); }));
@@ -243,7 +251,7 @@
   if (stage_ == Stage::keeping) return;
   ++plane_.counters_.cut;
   if (connection_ != nullptr) plane_.endpoints_.give_up(*std::exchange(connection_, nullptr));
-  attempt_over(Ended::cut);
+  attempt_over(measured_ceiling_ ? Ended::cut : Ended::failed);
   may_have_run_ = true;
   if (stage_ == Stage::relaying) {
     channel_.reset();
@@ -332,7 +340,8 @@
     return deliver();
   }
   // It has run, or a promise that only an endpoint could give is missing.
-  attempt_over(status_ >= 500 ? Ended::failed : Ended::served);
+  // A 500 is the request's own, and its endpoint works.
+  attempt_over(status_ > 500 ? Ended::failed : Ended::served);
   may_have_run_ = true;
   if (status_ >= 500 && route_->repeatable() && attempts_ < route_->max_attempts) {
     placing_.avoid.push_back(endpoint_);
@@ -493,7 +502,7 @@
   plane_.later_.cancel(timer_);
   if (connection_ != nullptr) plane_.endpoints_.give_up(*std::exchange(connection_, nullptr));
   if (std::exchange(attempt_open_, false))
-    plane_.tier(service_).ended(endpoint_, placing_, Ended::cut, plane_.later_.now());
+    plane_.tier(service_).ended(endpoint_, placing_, Ended::left, plane_.later_.now());
   else if (stage_ == Stage::preparing || (stage_ == Stage::asking && !may_have_run_))
     unreserve();
   stage_ = Stage::over;
