A sidecar that has just started waits a moment for what it does not know yet

Change: such a request is looked at again every 20 ms, for 700 ms at most; storage that takes over is waited for 1.5 s at most, then the refusal says when to come back.

--- a/src/stall/client.cpp
+++ b/src/stall/client.cpp
@@ -16,7 +16,11 @@
 constexpr std::size_t event_most = 4U << 20U;       // bytes of one event
 constexpr Span answer_spare = Span::ms(2);          // of the client's time, for the way back
 constexpr std::size_t turned_away_most = 3;         // endpoints that were full, on top of maxAttempts' first
-constexpr Span unlimited = Span::ms(600000);        // where neither client nor route states a time
+constexpr Span start_most = Span::ms(700);  // for what a sidecar that has just started does not know yet
+constexpr Span start_look = Span::ms(20);   // between looks whether it does
+constexpr Span storage_most =
+    Span::ms(1500);  // for storage that takes over: longer is told, with when to come back
+constexpr Span unlimited = Span::ms(600000);  // where neither client nor route states a time
 
 }  // namespace
 
@@ -107,6 +111,15 @@
   placing_ = {};
   route_ = nullptr;
   if (!wrong.empty()) return answer_plain(400, wrong);
+  route();
+}
+
+void Client::route() {
+  // A sidecar that has just started knows within a moment where to send it: that is sooner than another try.
+  if (!plane_.knows_enough() && plane_.later_.now() - began_ < start_most) {
+    timer_ = plane_.later_.after(start_look, guarded([this] { route(); }));
+    return;
+  }
   configuration_ = plane_.configuration_;
   if (!configuration_) return answer_plain(503, "no configuration yet", true);
   route_ = configuration_->route_of(request_.host,
@@ -149,7 +162,7 @@
     body_ = request_.body;
     return reserve();
   }
-  plane_.ledger_.find(request_.previous, request_.program, deadline_ - answer_spare,
+  plane_.ledger_.find(request_.previous, request_.program, storage_until(),
                       guarded([this](Ledger::Chain chain) {
                         if (chain.verdict == Ledger::Sought::unknown) {
                           ++plane_.counters_.not_found;
@@ -169,12 +182,16 @@
                       }));
 }
 
+TimePoint Client::storage_until() const {
+  return std::min(deadline_ - answer_spare, plane_.later_.now() + storage_most);
+}
+
 void Client::reserve() {
   placing_.bytes = static_cast<double>(body_.size());
   if (!request_.budget) return attempt();
   if (request_.program.empty()) return answer_plain(400, "Program: missing");
   plane_.ledger_.reserve(request_.program, request_.attempt_id, request_.most_out.value_or(0),
-                         *request_.budget, deadline_ - answer_spare, guarded([this](Ledger::Granted granted) {
+                         *request_.budget, storage_until(), guarded([this](Ledger::Granted granted) {
                            reserved_ = true;
                            if (granted == Ledger::Granted::spent) {
                              ++plane_.counters_.spent;
--- a/src/stall/client.hpp
+++ b/src/stall/client.hpp
@@ -40,6 +40,8 @@
 
   void look();
   void begin();
+  void route();
+  TimePoint storage_until() const;
   void set_request_timer();
   // A turn: its chain, then its budget.
   void prepare();
--- a/src/stall/data_plane.cpp
+++ b/src/stall/data_plane.cpp
@@ -129,8 +129,10 @@
   }
 }
 
-bool DataPlane::ready() const {
-  if (leaving_ || !configuration_ || endpoints_.size() == 0) return false;
+bool DataPlane::ready() const { return !leaving_ && knows_enough(); }
+
+bool DataPlane::knows_enough() const {
+  if (!configuration_ || endpoints_.size() == 0) return false;
   // Turns need storage; where no route keeps any it is not waited for.
   const auto& routes = configuration_->routes;
   return ledger_.usable() ||
--- a/src/stall/data_plane.hpp
+++ b/src/stall/data_plane.hpp
@@ -41,6 +41,7 @@
   // all sidecars share, and what was sent on one that is reset may have run.
   bool room_at(const Endpoint& endpoint) const;
   bool ready() const;
+  bool knows_enough() const;  // to send any request on
   void readiness(const http::Parser& request, market::HttpPort::Reply reply);
   void look_finished();
   std::string come_back();  // seconds, spread so that those refused together do not return together
--- a/src/stall/endpoints.cpp
+++ b/src/stall/endpoints.cpp
@@ -11,7 +11,7 @@
 constexpr http::Limits answer_limits{.head = 16 * 1024, .body = 64U << 20U, .fields = 100};  // bytes
 constexpr Span connect_most = Span::ms(600);    // an endpoint that is there answers within some ms
 constexpr Span idle_unstated = Span::ms(3000);  // where an endpoint does not tell how long it keeps them
-constexpr double idle_part = 0.6;               // of the time that it tells: well before it closes
+constexpr double idle_part = 0.8;               // of the time that it tells: well before it closes
 constexpr std::size_t passes_most = 4;          // surplus answers that are skipped before the one that is due
 
 }  // namespace
--- a/src/stall/tier.cpp
+++ b/src/stall/tier.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr double other_zone = 0.6;             // of its share, for an endpoint of another zone
+constexpr double part_attempts = 10;           // of this sidecar's in 10 s, for each endpoint of its part
+constexpr std::size_t part_least = 3;          // endpoints: one may fail and one be loaded
 constexpr double zone_tokens_per_byte = 0.2;   // what a byte to another zone counts as, in prompt tokens
 constexpr double running_tokens = 24;          // what a running request costs the next one, in tokens
 constexpr Span report_fresh = Span::ms(2000);  // of an endpoint's load
@@ -22,7 +24,7 @@
 
 }  // namespace
 
-Tier::Tier(std::string zone, std::uint64_t seed) : zone_(std::move(zone)), luck_(seed) {}
+Tier::Tier(std::string zone, std::uint64_t seed) : zone_(std::move(zone)), seed_(seed), luck_(seed) {}
 
 Tier::Place* Tier::find(const std::string& id) {
   const auto found = index_.find(id);
@@ -40,6 +42,12 @@
     p.cold = e.cold;
     next.push_back(std::move(p));
   }
+  // In an order of its own, its zone first: draws are made from the first of them while these have room.
+  // Guards endpoints, and what connections cost, against one connection of every sidecar to each.
+  const auto far = [&](const Place& p) { return p.zone != zone_; };
+  std::sort(next.begin(), next.end(), [&](const Place& a, const Place& b) {
+    return std::pair(far(a), rank(a.id, seed_)) < std::pair(far(b), rank(b.id, seed_));
+  });
   places_ = std::move(next);
   index_.clear();
   for (std::size_t i = 0; i < places_.size(); ++i) index_[places_[i].id] = i;
@@ -90,9 +98,13 @@
     may[i] = true;
   }
   const double bound = shares_.pass_over(in_flight, static_cast<int>(open.size()));
-  const int drawn = shares_.draw(Arc{0, shares_.size()}, luck_, 0, [&](std::size_t i, int) {
+  const auto fit = [&](std::size_t i, int) {
     return may[i] && load(places_[i]) <= bound ? Shares::Fit::yes : Shares::Fit::no;
-  });
+  };
+  const auto busy = static_cast<std::size_t>(recent_.sum(now) / part_attempts);
+  const std::size_t part = std::min(shares_.size(), std::max(part_least, busy));
+  int drawn = shares_.draw(Arc{0, part}, luck_, 0, fit);
+  if (drawn < 0 && part < shares_.size()) drawn = shares_.draw(Arc{0, shares_.size()}, luck_, 0, fit);
   if (drawn >= 0) return places_[static_cast<std::size_t>(drawn)].id;
   const auto cost = [&](std::size_t i) {
     return (load(places_[i]) + 1) / shares_.speed(places_[i].smoothed_ms);
@@ -130,10 +142,11 @@
   return places_[chosen].id;
 }
 
-void Tier::sent(const std::string& id, Placing& placing, TimePoint) {
+void Tier::sent(const std::string& id, Placing& placing, TimePoint now) {
   Place* const p = find(id);
   if (p == nullptr) return;
   p->in_flight += 1;
+  recent_.add(1, now);
   placing.unread = 0;
   bool whole = true;
   for (const Part& part : placing.parts) {
--- a/src/stall/tier.hpp
+++ b/src/stall/tier.hpp
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "base/pcg.hpp"
+#include "base/windowed_count.hpp"
 #include "chutevane/types.hpp"
 #include "policy/estimate.hpp"
 #include "policy/shares.hpp"
@@ -97,11 +98,13 @@
   std::string by_parts(const std::vector<std::size_t>& open, const Placing& placing, TimePoint now);
 
   const std::string zone_;
+  const std::uint64_t seed_;
   Pcg luck_;
   double kv_tokens_ = 0;
   std::vector<Place> places_;
   std::unordered_map<std::string, std::size_t> index_;  // by id
   Estimate estimate_;
+  WindowedCount recent_{Span::ms(10000)};  // attempts
   Shares shares_{TimePoint()};
 };
 
