--- a/src/stall/ledger.cpp
+++ b/src/stall/ledger.cpp
@@ -302,13 +302,15 @@
 void Ledger::seek_at(const std::shared_ptr<Seeking>& seeking, std::size_t which) {
   if (seeking->over || which != seeking->asked || which >= seeking->order.size()) return;
   ++seeking->asked;
+  // It is told by its time, also where nobody answers.
+  const Span most = std::clamp(seeking->until - later_.now(), Span::ms(1), ask_most);
   const std::uint64_t turn = seeking->turn;
   later_.cancel(seeking->hedge);
   seeking->hedge = later_.after(find_hedge, [this, seeking, turn, which] {
     if (seeking->turn == turn) seek_at(seeking, which + 1);
   });
   link(cellars_[seeking->order[which]].address)
-      .call<market::Found>(market::Find{seeking->map, seeking->want}, ask_most,
+      .call<market::Found>(market::Find{seeking->map, seeking->want}, most,
                            [this, seeking, turn](absl::StatusOr<market::Found> got) {
                              sought(seeking, turn, std::move(got));
                            });
@@ -334,7 +336,8 @@
   }
   if (seeking->answered == seeking->order.size()) {  // not certain yet
     ++seeking->turn;
-    later_.after(ask_again * 3, [this, seeking] { seek(seeking); });
+    const Span rest = std::max(seeking->until - later_.now(), Span());
+    later_.after(std::min(ask_again * 3, rest), [this, seeking] { seek(seeking); });
     return;
   }
   seek_at(seeking, seeking->asked);
--- a/src/stall/request.cpp
+++ b/src/stall/request.cpp
@@ -10,6 +10,8 @@
 
 using http::same_name;
 
+constexpr std::int64_t left_most_ms =
+    1000LL * 3600 * 24;                   // a day: a client that waits for ever waits no longer
 constexpr std::size_t parts_most = 4096;  // of one prompt
 
 bool whole_number(std::string_view text, std::int64_t& out) {
@@ -71,7 +73,7 @@
       into.attempt_id = f.value;
     } else if (same_name(f.name, "X-Chutevane-Time-Remaining")) {
       if (!whole_number(f.value, number)) return "X-Chutevane-Time-Remaining: not a number of milliseconds";
-      into.left = Span::ms(static_cast<double>(number));
+      into.left = Span::ms(static_cast<double>(std::min(number, left_most_ms)));
       continue;  // what is left by then goes on in its place
     } else if (same_name(f.name, "Program")) {
       into.program = f.value;
