Tests of the tier begin: the slots on disk, at every step

Provoked: loss of power at each step of writing with forty lucks each, a second loss after a first and while opening, a kill at each step, spoilt records and slots, logs that a lost cut left. Why: what is reported as lasting is what the register and the sidecars' names rest on.

--- /dev/null
+++ b/tests/market/disk_test.cpp
@@ -0,0 +1,346 @@
+// Slots on a disk that loses power, or whose process is killed, at every step in turn: what was reported as
+// lasting is there, or the state that was being written; never a mix.
+#include "market/disk.hpp"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "played_system.hpp"
+#include "unit.hpp"
+
+using chutevane::market::Disk;
+using chutevane::market::framed;
+using chutevane::market::MemoryDisk;
+using chutevane::market::Slots;
+using chutevane::market::unframed;
+
+namespace {
+
+constexpr std::uint64_t lucks = 40;  // losses of power that are tried at each point
+
+// What lies in the slots: a state and the changes behind it.
+struct Held {
+  bool there = false;
+  std::string state;
+  std::vector<std::string> changes;
+  bool operator==(const Held&) const = default;
+  std::string text() const {
+    std::string out = there ? state.substr(0, 12) + "/" + std::to_string(state.size()) : "nothing";
+    for (const std::string& c : changes) out += " + " + c.substr(0, 12);
+    return out;
+  }
+};
+
+Held held(const Slots::Opened& from) { return {true, from.state, from.changes}; }
+
+// One order to the slots.
+struct Order {
+  bool whole = false;
+  std::string text;
+  Held after(Held before) const {
+    if (whole) return {true, text, {}};
+    before.changes.push_back(text);
+    return before;
+  }
+  absl::Status give(Slots& slots) const { return whole ? slots.write(text) : slots.append(text); }
+};
+
+// Long states, shorter ones over them, and logs of several records beside each.
+const std::vector<Order>& orders() {
+  static const std::vector<Order> all = {
+      {true, "one " + std::string(300, 'a')},
+      {false, "c1"},
+      {false, "c2 " + std::string(90, 'x')},
+      {true, "two"},
+      {false, "d1 " + std::string(200, 'y')},
+      {false, "d2"},
+      {true, "three " + std::string(50, 'b')},
+      {true, "four " + std::string(900, 'c')},
+      {false, "e1"},
+      {true, ""},
+      {false, ""},
+      {false, "f2 " + std::string(30, 'z')},
+  };
+  return all;
+}
+
+// What is there after the orders up to the first that fails: what was reported, and what was tried last.
+struct Run {
+  Held sure, tried;
+};
+
+Run give_all(Slots& slots, Held from, const std::vector<Order>& all) {
+  Run out{from, from};
+  for (const Order& order : all) {
+    out.tried = order.after(out.sure);
+    if (!order.give(slots).ok()) break;
+    out.sure = out.tried;
+  }
+  return out;
+}
+
+std::size_t steps_of_all() {
+  MemoryDisk disk;
+  Slots slots(disk, "s");
+  give_all(slots, {}, orders());
+  return disk.steps();
+}
+
+// Opens, and says what is there; a first write that was torn counts as nothing, it had told nobody.
+Held open_again(Slots& slots, const Run& before, const std::string& where) {
+  const auto got = slots.open();
+  if (got.ok()) return held(*got);
+  CHECK_TEXT(!before.sure.there, (where + ": lost, though reported: " + got.status().ToString()).c_str());
+  return {};
+}
+
+void check_held(const Held& got, const Run& before, const std::string& where) {
+  if (got == before.sure || got == before.tried) return;
+  const std::string text =
+      where + ": " + got.text() + "; reported " + before.sure.text() + "; tried " + before.tried.text();
+  FAIL(text.c_str());
+}
+
+std::string place(std::size_t point, std::uint64_t luck) {
+  return "point " + std::to_string(point) + ", luck " + std::to_string(luck);
+}
+
+}  // namespace
+
+TEST_GROUP(DiskSlots){};
+
+TEST(DiskSlots, NothingIsThereAtFirst) {
+  MemoryDisk disk;
+  Slots slots(disk, "s");
+  CHECK_TRUE(absl::IsNotFound(slots.open().status()));
+}
+
+TEST(DiskSlots, WhatIsWrittenIsRead) {
+  MemoryDisk disk;
+  Slots slots(disk, "s");
+  const Run done = give_all(slots, {}, orders());
+  CHECK_TRUE(done.sure == done.tried);
+  Slots again(disk, "s");
+  const auto got = again.open();
+  CHECK_TRUE(got.ok());
+  CHECK_TRUE(held(*got) == done.sure);
+}
+
+// Guards what was reported against a loss of power at each step of writing, whatever becomes of what was not
+// synced.
+TEST(DiskSlots, LossOfPowerAtEveryStep) {
+  const std::size_t points = steps_of_all();
+  CHECK_TRUE(points > 30);
+  for (std::size_t point = 0; point <= points; ++point) {
+    for (std::uint64_t luck = 0; luck < lucks; ++luck) {
+      MemoryDisk disk;
+      Slots slots(disk, "s");
+      disk.fail_from(point);
+      const Run before = give_all(slots, {}, orders());
+      disk.power_cycle(luck);
+      Slots again(disk, "s");
+      check_held(open_again(again, before, place(point, luck)), before, place(point, luck));
+    }
+  }
+}
+
+// The same disk goes on after a loss and loses power again: what the first loss left is no worse ground.
+TEST(DiskSlots, SecondLossAtEveryStepAfterAFirst) {
+  const std::vector<Order> more = {
+      {false, "g1"}, {true, "five " + std::string(40, 'd')}, {false, "g2"}, {true, "six"}};
+  const std::size_t points = steps_of_all();
+  for (std::size_t first = 0; first <= points; ++first) {
+    for (std::size_t second = 0; second <= 14; ++second) {
+      for (std::uint64_t luck = 0; luck < 6; ++luck) {
+        const std::string where = place(first, luck) + ", second " + std::to_string(second);
+        MemoryDisk disk;
+        Slots slots(disk, "s");
+        disk.fail_from(first);
+        const Run before = give_all(slots, {}, orders());
+        disk.power_cycle(luck * 77 + first);
+        Slots again(disk, "s");
+        const Held there = open_again(again, before, where);
+        if (!there.there) continue;  // it would begin as a new disk does
+        disk.fail_from(disk.steps() + second);
+        const Run then = give_all(again, there, more);
+        disk.power_cycle(luck * 131 + second);
+        Slots last(disk, "s");
+        check_held(open_again(last, then, where), then, where);
+      }
+    }
+  }
+}
+
+// A killed process leaves its files as they are: the next one reads what was reported, or what was tried.
+TEST(DiskSlots, KilledAtEveryStep) {
+  const std::size_t points = steps_of_all();
+  for (std::size_t point = 0; point <= points; ++point) {
+    MemoryDisk disk;
+    Slots slots(disk, "s");
+    disk.fail_from(point);
+    const Run before = give_all(slots, {}, orders());
+    disk.fail_from(static_cast<std::size_t>(-1));
+    Slots again(disk, "s");
+    check_held(open_again(again, before, place(point, 0)), before, place(point, 0));
+  }
+}
+
+// A fault while it is opened: cutting the spoilt end of a log takes steps too.
+TEST(DiskSlots, LossOfPowerWhileItOpens) {
+  const std::size_t points = steps_of_all();
+  for (std::size_t point = 0; point <= points; ++point) {
+    for (std::uint64_t luck = 0; luck < lucks; ++luck) {
+      for (std::size_t step = 0; step < 3; ++step) {
+        MemoryDisk disk;
+        Slots slots(disk, "s");
+        disk.fail_from(point);
+        const Run before = give_all(slots, {}, orders());
+        disk.power_cycle(luck);
+        disk.fail_from(disk.steps() + step);
+        Slots torn(disk, "s");
+        (void)torn.open();
+        disk.power_cycle(luck + 7);
+        Slots again(disk, "s");
+        check_held(open_again(again, before, place(point, luck)), before, place(point, luck));
+      }
+    }
+  }
+}
+
+TEST(DiskSlots, SpoiltRecordEndsTheLog) {
+  for (std::size_t at = 0; at < 120; ++at) {
+    MemoryDisk disk;
+    Slots slots(disk, "s");
+    CHECK_TRUE(slots.write("state").ok());
+    for (const char* change : {"first", "second", "third"}) CHECK_TRUE(slots.append(change).ok());
+    std::string log = *disk.read("s.log0");
+    if (at >= log.size()) break;
+    log[at] = static_cast<char>(log[at] ^ 0x10);
+    CHECK_TRUE(disk.cut("s.log0", 0).ok());
+    CHECK_TRUE(disk.append("s.log0", log).ok());
+    CHECK_TRUE(disk.sync("s.log0").ok());
+    const std::size_t good = at / 22;  // of records: 16 bytes and the text; "first" has 21
+    Slots again(disk, "s");
+    const auto got = again.open();
+    CHECK_TRUE(got.ok());
+    CHECK_TRUE(got->changes.size() <= good + (at >= 21 ? 1 : 0));
+    const std::vector<std::string> all = {"first", "second", "third"};
+    for (std::size_t i = 0; i < got->changes.size(); ++i) CHECK_TRUE(got->changes[i] == all[i]);
+    CHECK_TRUE(got->changes.size() < 3);
+    // What is appended then is not hidden behind the spoilt bytes.
+    CHECK_TRUE(again.append("behind").ok());
+    Slots last(disk, "s");
+    const auto then = last.open();
+    CHECK_TRUE(then.ok());
+    CHECK_EQUAL(got->changes.size() + 1, then->changes.size());
+    CHECK_TRUE(then->changes.back() == "behind");
+  }
+}
+
+TEST(DiskSlots, OlderSlotDoesNotWin) {
+  MemoryDisk disk;
+  Slots slots(disk, "s");
+  CHECK_TRUE(slots.write("first").ok());
+  CHECK_TRUE(slots.append("old change").ok());
+  CHECK_TRUE(slots.write("second").ok());
+  Slots again(disk, "s");
+  const auto got = again.open();
+  CHECK_TRUE(got.ok() && got->state == "second" && got->changes.empty());
+  // And the other way round, where the newer one lies in the first slot.
+  CHECK_TRUE(again.write("third").ok());
+  Slots last(disk, "s");
+  const auto then = last.open();
+  CHECK_TRUE(then.ok() && then->state == "third" && then->changes.empty());
+}
+
+// The newer slot is spoilt on the disk: the older, good one is read with its own log.
+TEST(DiskSlots, SpoiltSlotGivesWayToTheOlder) {
+  for (std::size_t at = 0; at < 16 + 8 + 6; ++at) {
+    MemoryDisk disk;
+    Slots slots(disk, "s");
+    CHECK_TRUE(slots.write("first").ok());
+    CHECK_TRUE(slots.append("change").ok());
+    CHECK_TRUE(slots.write("second").ok());
+    std::string slot = *disk.read("s.slot1");
+    CHECK_EQUAL(static_cast<std::size_t>(30), slot.size());
+    slot[at] = static_cast<char>(slot[at] ^ 1);
+    CHECK_TRUE(disk.cut("s.slot1", 0).ok() && disk.append("s.slot1", slot).ok());
+    Slots again(disk, "s");
+    const auto got = again.open();
+    CHECK_TRUE(got.ok() && got->state == "first");
+    CHECK_TRUE(got->changes == std::vector<std::string>{"change"});
+  }
+}
+
+// Both spoilt: that is told, and is not taken for a new disk.
+TEST(DiskSlots, BothSpoiltIsALoss) {
+  MemoryDisk disk;
+  Slots slots(disk, "s");
+  CHECK_TRUE(slots.write("first").ok() && slots.write("second").ok());
+  for (const char* name : {"s.slot0", "s.slot1"}) CHECK_TRUE(disk.cut(name, 20).ok());
+  Slots again(disk, "s");
+  CHECK_TRUE(absl::IsDataLoss(again.open().status()));
+}
+
+// A log that a lost cut has left beside a newer slot: its records are of an older state.
+TEST(DiskSlots, RecordsOfAnOlderLogAreNotTaken) {
+  MemoryDisk disk;
+  Slots slots(disk, "s");
+  CHECK_TRUE(slots.write("first").ok());
+  CHECK_TRUE(slots.append("of the first").ok());
+  const std::string old_log = *disk.read("s.log0");
+  CHECK_TRUE(slots.write("second").ok());
+  CHECK_TRUE(slots.write("third").ok());  // into the slot beside that log
+  CHECK_TRUE(disk.cut("s.log0", 0).ok() && disk.append("s.log0", old_log).ok());
+  Slots again(disk, "s");
+  const auto got = again.open();
+  CHECK_TRUE(got.ok() && got->state == "third");
+  CHECK_TRUE(got->changes.empty());
+  CHECK_TRUE(again.append("of the third").ok());
+  Slots last(disk, "s");
+  const auto then = last.open();
+  CHECK_TRUE(then.ok() && then->changes == std::vector<std::string>{"of the third"});
+}
+
+TEST(DiskSlots, NamesDoNotMix) {
+  MemoryDisk disk;
+  Slots a(disk, "a"), b(disk, "b");
+  CHECK_TRUE(a.write("of a").ok() && b.write("of b").ok() && a.append("to a").ok());
+  Slots again(disk, "b");
+  const auto got = again.open();
+  CHECK_TRUE(got.ok() && got->state == "of b" && got->changes.empty());
+}
+
+TEST_GROUP(DiskFrames){};
+
+// However a file of frames is cut, what is read is a beginning of what was written.
+TEST(DiskFrames, CutAtEveryByte) {
+  const std::vector<std::string> all = {"", "a", std::string(40, 'b'), "cc"};
+  std::string file;
+  std::vector<std::size_t> ends;
+  for (const std::string& one : all) {
+    file += framed(one, 5);
+    ends.push_back(file.size());
+  }
+  for (std::size_t cut = 0; cut <= file.size(); ++cut) {
+    std::size_t whole = 0, size = 0;
+    while (whole < ends.size() && ends[whole] <= cut) ++whole;
+    const auto got = unframed(std::string_view(file).substr(0, cut), 5, &size);
+    CHECK_EQUAL(whole, got.size());
+    for (std::size_t i = 0; i < got.size(); ++i) CHECK_TRUE(got[i] == all[i]);
+    CHECK_EQUAL(whole > 0 ? ends[whole - 1] : 0, size);
+  }
+}
+
+TEST(DiskFrames, AnotherSaltReadsNothing) { CHECK_TRUE(unframed(framed("record", 5), 6).empty()); }
+
+TEST(DiskFrames, ZerosAndNoiseAreNoRecords) {
+  CHECK_TRUE(unframed(std::string(4096, '\0'), 7).empty());
+  chutevane::played::Luck luck(3);
+  for (int n = 0; n < 2000; ++n) {
+    std::string noise(luck.below(200), '\0');
+    for (char& c : noise) c = static_cast<char>(luck.next());
+    CHECK_TRUE(unframed(noise, 7).empty());
+  }
+}
--- /dev/null
+++ b/tests/market/main.cpp
@@ -0,0 +1,11 @@
+// The serving tier's unit tests: state machines fed with played time, disks and votes in memory.
+//
+// Leak detection by overloaded new is off: the libraries below keep statics until the process ends. The
+// sanitizer's own looks for leaks.
+#include <CppUTest/CommandLineTestRunner.h>
+#include <CppUTest/MemoryLeakWarningPlugin.h>
+
+int main(int argc, char** argv) {
+  MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
+  return CommandLineTestRunner::RunAllTests(argc, argv);
+}
--- /dev/null
+++ b/tests/market/unit.hpp
@@ -0,0 +1,9 @@
+// CppUTest, included last by every test file here: its macros are plain words such as CHECK and FAIL.
+#pragma once
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+// A check that says in words what was not so, and where in a run of many.
+#define CHECK_WHERE(condition, where) CHECK_TEXT(condition, std::string(where).c_str())
