Tests of the tier: the register, with faults in its ways and disks by seeds

Provoked: messages lost, late, repeated and out of order, acceptors that lose power at numbered points of what they write, disks wiped, sets of acceptors changed meanwhile, proposers cut off, two orders on one version. Why: one value for each number, reads that never go back, one winner, and nothing in force that was refused are what CONFIG rests on.

--- /dev/null
+++ b/tests/market/register_test.cpp
@@ -0,0 +1,827 @@
+// The register of control state, with its acceptors on disks in memory and its messages lost, late, repeated
+// and out of order, by seeds. Guards: one value for each number, reads that never go back, one winner of two
+// changes on the same version, and nothing in force that was answered as refused.
+#include "clerk/register.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "played_system.hpp"
+#include "unit.hpp"
+
+namespace clerk = chutevane::clerk;
+namespace market = chutevane::market;
+namespace played = chutevane::played;
+using chutevane::Span;
+using chutevane::TimePoint;
+using clerk::AcceptorState;
+using clerk::first_value;
+using clerk::Register;
+using clerk::Verdict;
+using market::Accept;
+using market::Accepted;
+using market::Acceptor;
+using market::Ballot;
+using market::Prepare;
+using market::Promise;
+using market::Value;
+using played::Clockwork;
+using played::Luck;
+
+namespace {
+
+Verdict verdict(std::int64_t v) { return static_cast<Verdict>(v); }
+
+// A machine with a disk that may vote.
+struct Machine {
+  std::string address, disk_id;
+  bool first = true;
+  std::unique_ptr<market::MemoryDisk> disk = std::make_unique<market::MemoryDisk>();
+  std::unique_ptr<AcceptorState> acceptor;
+  bool up = false;
+
+  void start() {
+    acceptor = std::make_unique<AcceptorState>(*disk, address, disk_id, first);
+    const absl::Status s = acceptor->open();
+    if (absl::IsDataLoss(s)) {  // as the control plane does: it is another disk from here on
+      wipe();
+      return start();
+    }
+    up = s.ok();
+  }
+  void wipe() {
+    disk = std::make_unique<market::MemoryDisk>();
+    disk_id += "'";
+    first = false;
+  }
+  void lose_power(std::uint64_t luck) {
+    up = false;
+    acceptor.reset();
+    disk->power_cycle(luck);
+  }
+};
+
+struct Weather {
+  double lost = 0, repeated = 0, slow = 0;  // parts of the messages
+  Span most = Span::ms(20);                 // of a way
+};
+
+// The machines and the ways to them.
+struct Field {
+  explicit Field(std::size_t machines, std::uint64_t seed) : luck(seed), all(machines) {
+    for (std::size_t i = 0; i < machines; ++i) {
+      all[i].address = "m" + std::to_string(i);
+      all[i].disk_id = "d" + std::to_string(i);
+      all[i].start();
+    }
+  }
+  Machine* find(const std::string& address) {
+    for (Machine& m : all) {
+      if (m.address == address) return &m;
+    }
+    return nullptr;
+  }
+  Value first_set(std::size_t n) const {
+    std::vector<Acceptor> set;
+    for (std::size_t i = 0; i < n; ++i) set.push_back({all[i].address, ""});
+    return first_value(set);
+  }
+  Span way() { return luck.chance(weather.slow) ? Span::ms(900 * luck.unit()) : weather.most * luck.unit(); }
+  // A disk that fails ends its machine: nothing is answered.
+  template <class Ask>
+  auto ask(Machine& m, const Ask& what) {
+    if constexpr (std::is_same_v<Ask, Prepare>) {
+      auto got = m.acceptor->prepare(what);
+      if (!got.ok()) died(m);
+      return got;
+    } else {
+      auto got = m.acceptor->accept(what);
+      if (!got.ok()) died(m);
+      return got;
+    }
+  }
+  void died(Machine& m) {
+    m.up = false;
+    if (on_death) on_death(m);
+  }
+
+  Clockwork clock;
+  Luck luck;
+  Weather weather;
+  std::vector<Machine> all;
+  std::function<void(Machine&)> on_death;
+};
+
+// One proposer's ways: exactly one answer to each message, as a held connection gives it.
+class PlayedVoters final : public clerk::Voters {
+ public:
+  explicit PlayedVoters(Field& field) : field_(field) {}
+  void prepare(const std::string& address, const Prepare& ask,
+               std::function<void(absl::StatusOr<Promise>)> answered) override {
+    send(address, ask, std::move(answered));
+  }
+  void accept(const std::string& address, const Accept& ask,
+              std::function<void(absl::StatusOr<Accepted>)> answered) override {
+    send(address, ask, std::move(answered));
+  }
+  bool cut_off = false;
+
+ private:
+  template <class Ask, class Reply>
+  void send(const std::string& address, const Ask& ask, std::function<void(absl::StatusOr<Reply>)> answered) {
+    struct State {
+      bool told = false;
+    };
+    auto state = std::make_shared<State>();
+    auto once = [state, answered = std::move(answered)](absl::StatusOr<Reply> got) {
+      if (std::exchange(state->told, true)) return;
+      answered(std::move(got));
+    };
+    field_.clock.later.after(Span::ms(350), [once] { once(absl::DeadlineExceededError("no answer")); });
+    const int copies = field_.luck.chance(field_.weather.repeated) ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy) {
+      if (field_.luck.chance(field_.weather.lost)) continue;
+      field_.clock.later.after(field_.way(), [this, address, ask, once] {
+        Machine* const m = field_.find(address);
+        if (m == nullptr || !m->up || cut_off) return;
+        auto got = field_.ask(*m, ask);
+        if (!got.ok() || field_.luck.chance(field_.weather.lost)) return;
+        field_.clock.later.after(field_.way(), [once, got] { once(got); });
+      });
+    }
+  }
+  Field& field_;
+};
+
+struct Proposer {
+  Proposer(Field& field, std::uint64_t number) : voters(field), reg(field.clock.later, voters, number) {}
+  PlayedVoters voters;
+  Register reg;
+};
+
+// What must hold whatever happens, told of every chosen value and of every order's start and end.
+class Watcher {
+ public:
+  explicit Watcher(std::string where) : where_(std::move(where)) {}
+  std::int64_t floor() const { return floor_; }
+  void saw(const Value& v) {
+    const auto [at, fresh] = values_.emplace(v.number, v);
+    check(fresh || at->second == v, "two values of number " + std::to_string(v.number));
+    check(v.next.empty(), "a sealed value is told of");
+    for (const market::Taken& t : v.taken) {
+      check(!refused_.contains(t.hash), "refused, and in force: " + std::to_string(t.hash));
+      in_force_.insert(t.hash);
+    }
+  }
+  void ended(const Value& v, std::int64_t floor_at_start) {
+    saw(v);
+    check(v.number >= floor_at_start,
+          "went back from " + std::to_string(floor_at_start) + " to " + std::to_string(v.number));
+    floor_ = std::max(floor_, v.number);
+  }
+  void taken(std::int64_t base, std::int64_t hash) {
+    const auto [at, fresh] = winners_.emplace(base, hash);
+    check(fresh || at->second == hash, "two changes won on version " + std::to_string(base));
+    acknowledged_.insert(hash);
+  }
+  void refused(std::int64_t hash) {
+    refused_.insert(hash);
+    check(!in_force_.contains(hash), "in force, and refused: " + std::to_string(hash));
+  }
+  // The last word: all that was acknowledged is there, versions rise, nothing refused is.
+  void close(const Value& last) {
+    for (const std::int64_t hash : acknowledged_)
+      check(std::any_of(last.taken.begin(), last.taken.end(),
+                        [&](const market::Taken& t) { return t.hash == hash; }),
+            "acknowledged, and gone: " + std::to_string(hash));
+    const Value* before = nullptr;
+    for (const auto& [number, v] : values_) {
+      if (before != nullptr) {
+        check(before->config_version <= v.config_version, "the version fell");
+        check(before->epoch <= v.epoch, "the epoch fell");
+        check(v.taken.size() >= before->taken.size() &&
+                  std::equal(before->taken.begin(), before->taken.end(), v.taken.begin()),
+              "what was taken is not what was taken before and more");
+      }
+      before = &v;
+    }
+  }
+  void check(bool good, const std::string& what) {
+    if (!good) broken = broken.empty() ? where_ + ": " + what : broken;
+  }
+  std::size_t taken_count() const { return acknowledged_.size(); }
+  std::size_t refused_count() const { return refused_.size(); }
+  std::string broken;  // the first thing; not failed at once: callbacks stand above
+
+ private:
+  const std::string where_;
+  std::int64_t floor_ = 0;
+  std::map<std::int64_t, Value> values_;
+  std::map<std::int64_t, std::int64_t> winners_;
+  std::set<std::int64_t> refused_, in_force_, acknowledged_;
+};
+
+bool had(const Value& v, std::int64_t hash) {
+  return std::any_of(v.taken.begin(), v.taken.end(), [&](const market::Taken& t) { return t.hash == hash; });
+}
+
+// As the operator's order does it.
+Register::Change replacing(std::int64_t base, std::int64_t version, std::int64_t hash) {
+  return [=](const Value& current) -> std::optional<Value> {
+    if (had(current, hash) || base != current.config_version || version <= current.config_version)
+      return std::nullopt;
+    Value out = current;
+    out.config_version = version;
+    out.config.data = "config " + std::to_string(hash);
+    out.taken.push_back({version, hash});
+    return out;
+  };
+}
+
+enum class Came : std::uint8_t { nothing, taken, refused, unclear };
+
+// Days of a register: what may go wrong goes wrong, by a seed.
+struct Day {
+  struct Plan {
+    Weather weather;
+    bool losses_of_power = false, wipes = false, other_sets = false, words = false;
+  };
+  Day(std::uint64_t seed, const Plan& wanted)
+      : plan(wanted),
+        field(5, seed),
+        watcher("seed " + std::to_string(seed)),
+        value_of_first(field.first_set(3)) {
+    field.weather = plan.weather;
+    field.on_death = [this](Machine& m) { back_later(m); };
+    for (std::uint64_t i = 0; i < 3; ++i) {
+      proposers.push_back(std::make_unique<Proposer>(field, 100 + i));
+      Proposer& p = *proposers.back();
+      p.reg.learn_epoch(value_of_first);
+      p.reg.on_chosen([this, last = std::int64_t{-1}](const Value& v) mutable {
+        watcher.check(v.number > last, "numbers told do not rise");
+        last = v.number;
+        watcher.saw(v);
+      });
+    }
+  }
+
+  void back_later(Machine& m) {
+    field.clock.later.after(Span::ms(100 + 900 * field.luck.unit()), [this, &m] {
+      if (m.up) return;
+      m.lose_power(field.luck.next());
+      m.start();
+    });
+  }
+
+  void order(Proposer& p) {
+    ++asked;
+    const std::int64_t floor = watcher.floor();
+    const double kind = field.luck.unit();
+    const auto done = [this, floor](absl::StatusOr<Value> got) {
+      ++answered;
+      if (got.ok()) watcher.ended(*got, floor);
+    };
+    if (kind < 0.35) return p.reg.read(Span::ms(1500), done);
+    if (plan.other_sets && kind < 0.45) return change_set(p, done);
+    const std::int64_t base = p.reg.known() ? p.reg.known()->config_version : 0;
+    const std::int64_t hash = ++hashes, version = base + 1 + static_cast<std::int64_t>(field.luck.below(3));
+    p.reg.change(replacing(base, version, hash), Span::ms(1500),
+                 [this, floor, base, hash, done](absl::StatusOr<Value> got) {
+                   done(got);
+                   if (!got.ok()) return;
+                   if (had(*got, hash)) {
+                     watcher.taken(base, hash);
+                   } else {
+                     watcher.refused(hash);
+                   }
+                 });
+  }
+
+  // As the roster does it: decided on one value, and not taken on another.
+  void change_set(Proposer& p, const Register::Done& done) {
+    const std::int64_t number = p.reg.known() ? p.reg.known()->number : 0;
+    const std::vector<Acceptor> next = some_set();
+    p.reg.change(
+        [number, next](const Value& current) -> std::optional<Value> {
+          if (current.number != number || current.acceptors == next) return std::nullopt;
+          Value out = current;
+          out.next = next;
+          return out;
+        },
+        Span::ms(1500), done);
+  }
+
+  std::vector<Acceptor> some_set() {
+    std::vector<Acceptor> out;
+    std::vector<std::size_t> order = {0, 1, 2, 3, 4};
+    for (std::size_t i = order.size(); i-- > 1;) std::swap(order[i], order[field.luck.below(i + 1)]);
+    for (const std::size_t i : order) {
+      if (field.all[i].up && out.size() < 3) out.push_back({field.all[i].address, field.all[i].disk_id});
+    }
+    return out;
+  }
+
+  // Of the newest set, so many disks are lost at most as leave a majority.
+  void wipe_one() {
+    const Value* newest = nullptr;
+    for (const auto& p : proposers) {
+      if (newest == nullptr || newest->epoch < p->reg.initial().epoch) newest = &p->reg.initial();
+    }
+    if (newest->epoch == wiped_in) return;
+    for (const Machine& m : field.all) {
+      if (!m.up) return;
+    }
+    wiped_in = newest->epoch;
+    Machine& m = field.all[field.luck.below(field.all.size())];
+    m.up = false;
+    m.acceptor.reset();
+    m.wipe();
+    field.clock.later.after(Span::ms(50), [&m] { m.start(); });
+    for (const double ms : {200.0, 500.0, 900.0})  // somebody names another set soon
+      field.clock.later.after(Span::ms(ms), [this] {
+        change_set(*proposers[field.luck.below(proposers.size())], [](const absl::StatusOr<Value>&) {});
+      });
+  }
+
+  void trouble() {
+    const double kind = field.luck.unit();
+    Machine& m = field.all[field.luck.below(field.all.size())];
+    if (plan.losses_of_power && kind < 0.3 && m.up) {
+      m.disk->fail_from(m.disk->steps() + field.luck.below(9));  // at a numbered point of what it does next
+    } else if (plan.losses_of_power && kind < 0.4 && m.up) {
+      m.up = false;
+      back_later(m);
+    } else if (plan.losses_of_power && kind < 0.43) {  // all at once
+      for (Machine& one : field.all) {
+        if (!one.up) continue;
+        one.up = false;
+        back_later(one);
+      }
+    } else if (plan.wipes && kind < 0.5) {
+      wipe_one();
+    } else if (kind < 0.6) {
+      Proposer& p = *proposers[field.luck.below(proposers.size())];
+      p.voters.cut_off = true;
+      field.clock.later.after(Span::ms(400 * field.luck.unit()), [&p] { p.voters.cut_off = false; });
+    }
+    if (plan.words) {  // what is chosen goes round by word too, late or never
+      Proposer& from = *proposers[field.luck.below(proposers.size())];
+      Proposer& to = *proposers[field.luck.below(proposers.size())];
+      if (from.reg.known()) {
+        const Value value = *from.reg.known(), initial = from.reg.initial();
+        field.clock.later.after(field.way(), [&to, value, initial] { to.reg.learn_chosen(value, initial); });
+      }
+    }
+  }
+
+  // An epoch begins with one value, whoever opened it, and wherever.
+  void look_at_epochs() {
+    for (const Machine& m : field.all) {
+      if (!m.up || !m.acceptor->voting()) continue;
+      const auto [at, fresh] = opened_with.emplace(m.acceptor->epoch(), m.acceptor->initial());
+      watcher.check(fresh || at->second == m.acceptor->initial(),
+                    "epoch " + std::to_string(m.acceptor->epoch()) + " was opened with two values");
+    }
+  }
+
+  void run(std::size_t orders) {
+    for (int i = 0; i < 700; ++i) field.clock.later.after(Span::ms(i * 10.0), [this] { look_at_epochs(); });
+    for (std::size_t i = 0; i < orders; ++i) {
+      field.clock.later.after(Span::ms(4000 * field.luck.unit()),
+                              [this] { order(*proposers[field.luck.below(proposers.size())]); });
+    }
+    for (int i = 0; i < 60; ++i)
+      field.clock.later.after(Span::ms(4000 * field.luck.unit()), [this] { trouble(); });
+    field.clock.play(Span::ms(7000));
+    watcher.check(answered == asked, "an order was not answered, or twice");
+    // Calm again: a read comes to its end within the time that an order has.
+    field.weather = {};
+    for (Machine& m : field.all) {
+      m.disk->fail_from(static_cast<std::size_t>(-1));
+      if (!m.up) {
+        m.lose_power(field.luck.next());
+        m.start();
+      }
+    }
+    // The newest set goes round by gossip.
+    const Value* newest = &proposers[0]->reg.initial();
+    for (const auto& p : proposers) {
+      if (newest->epoch < p->reg.initial().epoch) newest = &p->reg.initial();
+    }
+    const Value initial = *newest;
+    std::size_t ends = 0;
+    for (const auto& p : proposers) {
+      p->voters.cut_off = false;
+      p->reg.learn_epoch(initial);
+      const std::int64_t floor = watcher.floor();
+      p->reg.read(Span::ms(3000), [&, floor](absl::StatusOr<Value> got) {
+        ++ends;
+        watcher.check(got.ok(), "no read once it is calm");
+        if (!got.ok()) return;
+        watcher.ended(*got, floor);
+        last = *got;
+      });
+    }
+    field.clock.play(Span::ms(4000), [&] { return ends == proposers.size(); });
+    watcher.check(ends == proposers.size(), "a last read was not answered");
+    // And a change is taken at once.
+    const std::int64_t hash = ++hashes, base = last.config_version, floor = watcher.floor();
+    proposers[1]->reg.change(replacing(base, base + 1, hash), Span::ms(3000), [&](absl::StatusOr<Value> got) {
+      watcher.check(got.ok() && had(*got, hash), "no change once it is calm");
+      if (!got.ok()) return;
+      watcher.ended(*got, floor);
+      watcher.taken(base, hash);
+      last = *got;
+    });
+    field.clock.play(Span::ms(4000), [&] { return last.config_version != base; });
+    watcher.close(last);
+  }
+
+  const Plan plan;
+  Field field;
+  Watcher watcher;
+  const Value value_of_first;
+  std::vector<std::unique_ptr<Proposer>> proposers;
+  std::size_t asked = 0, answered = 0;
+  std::map<std::int64_t, Value> opened_with;  // by epoch
+  std::int64_t hashes = 0, wiped_in = 0;
+  Value last;
+};
+
+// Days of one plan; what they came to is looked at too: a search that never refuses proves nothing of
+// refusals.
+void search(std::uint64_t first, std::uint64_t seeds, const Day::Plan& plan) {
+  std::size_t taken = 0, refused = 0;
+  std::int64_t epochs = 0;
+  for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
+    Day day(seed, plan);
+    day.run(36);
+    CHECK_WHERE(day.watcher.broken.empty(), day.watcher.broken);
+    taken += day.watcher.taken_count();
+    refused += day.watcher.refused_count();
+    epochs += day.last.epoch - 1;
+  }
+  const std::string came = std::to_string(taken) + " taken, " + std::to_string(refused) + " refused, " +
+                           std::to_string(epochs) + " epochs";
+  CHECK_WHERE(taken > seeds * 2, came);
+  CHECK_WHERE(refused > seeds, came);
+  if (plan.other_sets) CHECK_WHERE(epochs > static_cast<std::int64_t>(seeds / 4), came);
+}
+
+}  // namespace
+
+TEST_GROUP(RegisterDays){};
+
+TEST(RegisterDays, CalmWays) { search(1, 60, {}); }
+
+TEST(RegisterDays, LossDelayRepeatsReordering) {
+  search(1000, 120, {.weather = {.lost = 0.15, .repeated = 0.2, .slow = 0.1}, .words = true});
+}
+
+// Acceptors lose power at numbered points of what they write, one, several or all at once.
+TEST(RegisterDays, LossesOfPower) {
+  search(2000, 120,
+         {.weather = {.lost = 0.05, .repeated = 0.1, .slow = 0.05}, .losses_of_power = true, .words = true});
+}
+
+TEST(RegisterDays, OtherSetsOfAcceptors) {
+  search(3000, 120,
+         {.weather = {.lost = 0.05, .repeated = 0.1, .slow = 0.05}, .other_sets = true, .words = true});
+}
+
+TEST(RegisterDays, AllAtOnce) {
+  search(4000, 160,
+         {.weather = {.lost = 0.08, .repeated = 0.15, .slow = 0.08},
+          .losses_of_power = true,
+          .wipes = true,
+          .other_sets = true,
+          .words = true});
+}
+
+TEST_GROUP(RegisterRaces){// Two orders on the same version; what each came to.
+                          static std::pair<Came, Came> race(std::uint64_t seed, const Weather& weather,
+                                                            Span apart, Value* last){Field field(3, seed);
+field.weather = weather;
+Proposer a(field, 1), b(field, 2);
+const Value first = field.first_set(3);
+a.reg.learn_epoch(first);
+b.reg.learn_epoch(first);
+Came came[2] = {Came::nothing, Came::nothing};
+const auto order = [&](Proposer& p, int which) {
+  p.reg.change(replacing(0, 5, 10 + which), Span::ms(3000), [&came, which](absl::StatusOr<Value> got) {
+    came[which] = !got.ok() ? Came::unclear : had(*got, 10 + which) ? Came::taken : Came::refused;
+  });
+};
+order(a, 0);
+field.clock.later.after(apart, [&] { order(b, 1); });
+field.clock.play(Span::ms(8000), [&] { return came[0] != Came::nothing && came[1] != Came::nothing; });
+field.weather = {};
+bool read = false;
+a.reg.read(Span::ms(3000), [&](absl::StatusOr<Value> got) {
+  read = true;
+  if (got.ok()) *last = *got;
+});
+field.clock.play(Span::ms(4000), [&] { return read; });
+return {came[0], came[1]};
+}
+}
+;
+
+// Two orders at the same moment, or up to 60 ms apart: exactly one wins, the other is refused.
+TEST(RegisterRaces, ExactlyOneWins) {
+  std::size_t first_won = 0;
+  for (std::uint64_t seed = 0; seed < 400; ++seed) {
+    Value last;
+    const auto [a, b] = race(seed, {}, Span::ms(static_cast<double>(seed % 61)), &last);
+    const std::string where = "seed " + std::to_string(seed);
+    CHECK_WHERE((a == Came::taken && b == Came::refused) || (a == Came::refused && b == Came::taken), where);
+    CHECK_WHERE(last.taken.size() == 1, where);
+    CHECK_WHERE(had(last, a == Came::taken ? 10 : 11), where);
+    first_won += a == Came::taken ? 1 : 0;
+  }
+  CHECK_TRUE(first_won > 100 && first_won < 400);
+}
+
+// Where messages are lost an order may end unclear, but never are both taken, and who is refused never is in
+// force.
+TEST(RegisterRaces, NeverBoth) {
+  for (std::uint64_t seed = 0; seed < 300; ++seed) {
+    Value last;
+    const auto [a, b] = race(seed, {.lost = 0.3, .repeated = 0.2, .slow = 0.2},
+                             Span::ms(static_cast<double>(seed % 31)), &last);
+    const std::string where = "seed " + std::to_string(seed);
+    CHECK_WHERE(a != Came::nothing && b != Came::nothing, where);
+    CHECK_WHERE(!(a == Came::taken && b == Came::taken), where);
+    CHECK_WHERE(last.taken.size() <= 1, where);
+    if (a == Came::taken) CHECK_WHERE(had(last, 10), where);
+    if (b == Came::taken) CHECK_WHERE(had(last, 11), where);
+    if (a == Came::refused) CHECK_WHERE(!had(last, 10), where);
+    if (b == Came::refused) CHECK_WHERE(!had(last, 11), where);
+  }
+}
+
+TEST_GROUP(RegisterOrders) {
+  Field field{3, 7};
+  Proposer p{field, 1};
+};
+
+TEST(RegisterOrders, NothingKnownIsToldAtOnce) {
+  bool told = false;
+  p.reg.read(Span::ms(1000), [&](absl::StatusOr<Value> got) { told = absl::IsUnavailable(got.status()); });
+  CHECK_TRUE(told);
+}
+
+// A repeat of an order that is in force changes nothing.
+TEST(RegisterOrders, RepeatIsKnown) {
+  p.reg.learn_epoch(field.first_set(3));
+  std::vector<std::int64_t> numbers;
+  for (int n = 0; n < 3; ++n) {
+    p.reg.change(replacing(0, 4, 9), Span::ms(1000), [&](absl::StatusOr<Value> got) {
+      CHECK_TRUE(got.ok() && had(*got, 9));
+      numbers.push_back(got->number);
+    });
+    field.clock.play(Span::ms(1000));
+  }
+  CHECK_EQUAL(static_cast<std::size_t>(3), numbers.size());
+  CHECK_TRUE(numbers[0] == 1 && numbers[1] == 1 && numbers[2] == 1);
+}
+
+TEST(RegisterOrders, OneOfThreeIsGone) {
+  field.all[1].up = false;
+  p.reg.learn_epoch(field.first_set(3));
+  bool taken = false;
+  p.reg.change(replacing(0, 4, 9), Span::ms(2000),
+               [&](absl::StatusOr<Value> got) { taken = got.ok() && had(*got, 9); });
+  field.clock.play(Span::ms(2100));
+  CHECK_TRUE(taken);
+}
+
+// Without a majority an order ends by its time, once.
+TEST(RegisterOrders, NoMajorityEndsInTime) {
+  field.all[0].up = field.all[1].up = false;
+  p.reg.learn_epoch(field.first_set(3));
+  int told = 0;
+  const TimePoint start = field.clock.system.now();
+  TimePoint end;
+  p.reg.change(replacing(0, 4, 9), Span::ms(1500), [&](absl::StatusOr<Value> got) {
+    ++told;
+    end = field.clock.system.now();
+    CHECK_FALSE(got.ok());
+  });
+  field.clock.play(Span::ms(5000));
+  CHECK_EQUAL(1, told);
+  CHECK_TRUE(end - start <= Span::ms(1550));
+}
+
+// A read alone writes nothing: it is asked for several times a second.
+TEST(RegisterOrders, ReadOfAChosenValueWritesNothing) {
+  p.reg.learn_epoch(field.first_set(3));
+  p.reg.change(replacing(0, 4, 9), Span::ms(1000), [](absl::StatusOr<Value>) {});
+  field.clock.play(Span::ms(1000));
+  std::vector<std::size_t> before;
+  for (const Machine& m : field.all) before.push_back(m.disk->steps());
+  bool read = false;
+  p.reg.read(Span::ms(1000), [&](absl::StatusOr<Value> got) { read = got.ok() && had(*got, 9); });
+  field.clock.play(Span::ms(1000));
+  CHECK_TRUE(read);
+  for (std::size_t i = 0; i < 3; ++i) CHECK_EQUAL(before[i], field.all[i].disk->steps());
+}
+
+// The set is changed by a sealed value, which nobody is told of: the next epoch begins with what it held.
+TEST(RegisterOrders, SealedAndOpened) {
+  Field five(5, 3);
+  Proposer q(five, 1), late(five, 2);
+  q.reg.learn_epoch(five.first_set(3));
+  late.reg.learn_epoch(five.first_set(3));
+  std::vector<Value> told;
+  q.reg.on_chosen([&](const Value& v) { told.push_back(v); });
+  q.reg.change(replacing(0, 4, 9), Span::ms(1000), [](absl::StatusOr<Value>) {});
+  five.clock.play(Span::ms(1000));
+  const std::vector<Acceptor> next = {{"m2", "d2"}, {"m3", "d3"}, {"m4", "d4"}};
+  bool done = false;
+  q.reg.change(
+      [&](const Value& current) -> std::optional<Value> {
+        if (current.acceptors == next) return std::nullopt;
+        Value out = current;
+        out.next = next;
+        return out;
+      },
+      Span::ms(1000), [&](absl::StatusOr<Value> got) { done = got.ok() && got->epoch == 2 && had(*got, 9); });
+  five.clock.play(Span::ms(1000));
+  CHECK_TRUE(done);
+  for (const Value& v : told) CHECK_TRUE(v.next.empty());
+  CHECK_TRUE(told.back().acceptors == next);
+  // The old set is of no use any more; who knows only it comes over by any one of it.
+  five.all[0].up = five.all[1].up = false;
+  bool read = false;
+  late.reg.read(Span::ms(2000),
+                [&](absl::StatusOr<Value> got) { read = got.ok() && got->epoch == 2 && had(*got, 9); });
+  five.clock.play(Span::ms(2500));
+  CHECK_TRUE(read);
+}
+
+TEST_GROUP(RegisterAcceptor) {
+  static Prepare prepare(const Value& initial, std::int64_t round, std::int64_t proposer = 1,
+                         bool look = false) {
+    return {initial.epoch, {round, proposer}, initial, look};
+  }
+  static Accept accept(const Value& initial, std::int64_t round, const std::string& config,
+                       std::int64_t proposer = 1) {
+    Value v = initial;
+    v.number = round;
+    v.config.data = config;
+    return {initial.epoch, {round, proposer}, v};
+  }
+  const Value initial = first_value({{"m0", ""}, {"m1", ""}, {"m2", ""}});
+};
+
+// Guards every promise and every accepted value that was told, at each step of the disk.
+TEST(RegisterAcceptor, WhatItSaidStandsAfterLossOfPowerAtEveryStep) {
+  const auto speak = [&](AcceptorState& a, Ballot& promised, Ballot& accepted, std::string& value) {
+    for (std::int64_t round = 1; round < 12; ++round) {
+      if (round % 3 != 0) {
+        const auto got = a.prepare(prepare(initial, round));
+        if (!got.ok()) return;
+        CHECK_TRUE(verdict(got->verdict) == Verdict::yes);
+        promised = {round, 1};
+      }
+      if (round % 2 == 0) {
+        const auto got = a.accept(accept(initial, round, "v" + std::to_string(round)));
+        if (!got.ok()) return;
+        CHECK_TRUE(verdict(got->verdict) == Verdict::yes);
+        promised = accepted = {round, 1};
+        value = "v" + std::to_string(round);
+      }
+    }
+  };
+  market::MemoryDisk whole;
+  AcceptorState counted(whole, "m0", "d0", true);
+  CHECK_TRUE(counted.open().ok());
+  Ballot promised, accepted;
+  std::string value;
+  speak(counted, promised, accepted, value);
+  const std::size_t points = whole.steps();
+  CHECK_TRUE(points > 20);
+  for (std::size_t point = 0; point <= points; ++point) {
+    for (std::uint64_t luck = 0; luck < 30; ++luck) {
+      const std::string where = "point " + std::to_string(point) + ", luck " + std::to_string(luck);
+      market::MemoryDisk disk;
+      AcceptorState a(disk, "m0", "d0", true);
+      CHECK_TRUE(a.open().ok());
+      disk.fail_from(point);
+      promised = accepted = {};
+      value.clear();
+      speak(a, promised, accepted, value);
+      disk.power_cycle(luck);
+      AcceptorState again(disk, "m0", "d0", true);
+      const absl::Status opened = again.open();
+      if (promised == Ballot{} && !opened.ok()) continue;  // it had said nothing yet
+      CHECK_WHERE(opened.ok(), where);
+      const auto got = again.prepare(prepare(initial, 0, 0, true));
+      CHECK_WHERE(got.ok(), where);
+      if (promised == Ballot{}) continue;
+      CHECK_WHERE(!(got->promised < promised), where);
+      CHECK_WHERE(!(got->accepted < accepted), where);
+      if (got->accepted == accepted) CHECK_WHERE(got->value.config.data == value, where);
+    }
+  }
+}
+
+TEST(RegisterAcceptor, EarlierBallotsAreTurnedAway) {
+  market::MemoryDisk disk;
+  AcceptorState a(disk, "m0", "d0", true);
+  CHECK_TRUE(a.open().ok());
+  CHECK_TRUE(verdict(a.prepare(prepare(initial, 5))->verdict) == Verdict::yes);
+  CHECK_TRUE(verdict(a.prepare(prepare(initial, 5))->verdict) == Verdict::yes);  // repeated
+  CHECK_TRUE(verdict(a.prepare(prepare(initial, 4))->verdict) == Verdict::later);
+  CHECK_TRUE(verdict(a.prepare(prepare(initial, 5, 0))->verdict) == Verdict::later);
+  CHECK_TRUE(verdict(a.accept(accept(initial, 4, "x"))->verdict) == Verdict::later);
+  CHECK_TRUE(verdict(a.accept(accept(initial, 5, "x"))->verdict) == Verdict::yes);
+  CHECK_TRUE(verdict(a.accept(accept(initial, 5, "x"))->verdict) == Verdict::yes);  // repeated
+  const auto look = a.prepare(prepare(initial, 0, 0, true));
+  CHECK_TRUE(look->value.config.data == "x" && look->accepted == (Ballot{5, 1}));
+}
+
+// A disk that was lost: the machine has its address and not its promises.
+TEST(RegisterAcceptor, WipedDiskVotesForNothingOfThatEpoch) {
+  const Value named = [&] {
+    Value v = initial;
+    v.epoch = 2;
+    v.acceptors = {{"m0", "d0"}, {"m1", "d1"}, {"m2", "d2"}};
+    return v;
+  }();
+  for (const Value& epoch : {initial, named}) {
+    market::MemoryDisk disk;
+    AcceptorState wiped(disk, "m0", "another", false);
+    CHECK_TRUE(wiped.open().ok());
+    CHECK_FALSE(wiped.voting());
+    CHECK_TRUE(verdict(wiped.prepare(prepare(epoch, 5))->verdict) == Verdict::stranger);
+    CHECK_TRUE(verdict(wiped.prepare(prepare(epoch, 0, 0, true))->verdict) == Verdict::stranger);
+    CHECK_TRUE(verdict(wiped.accept(accept(epoch, 5, "x"))->verdict) == Verdict::stranger);
+    // A later epoch names its new disk.
+    Value next = named;
+    next.epoch = 3;
+    next.acceptors[0].disk = "another";
+    CHECK_TRUE(verdict(wiped.prepare(prepare(next, 1))->verdict) == Verdict::yes);
+    CHECK_TRUE(verdict(wiped.accept(accept(next, 1, "x"))->verdict) == Verdict::yes);
+  }
+}
+
+// The first set is known by addresses alone: only a disk of the first start may stand for one.
+TEST(RegisterAcceptor, AddressAloneCountsInTheFirstEpochOnly) {
+  Value second = initial;
+  second.epoch = 2;
+  market::MemoryDisk disk;
+  AcceptorState a(disk, "m0", "d0", true);
+  CHECK_TRUE(a.open().ok());
+  CHECK_TRUE(verdict(a.prepare(prepare(second, 1))->verdict) == Verdict::stranger);
+  CHECK_TRUE(verdict(a.prepare(prepare(initial, 1))->verdict) == Verdict::yes);
+}
+
+TEST(RegisterAcceptor, EarlierEpochsAreToldOfTheLater) {
+  market::MemoryDisk disk;
+  AcceptorState a(disk, "m0", "d0", true);
+  CHECK_TRUE(a.open().ok());
+  CHECK_TRUE(verdict(a.prepare(prepare(initial, 9))->verdict) == Verdict::yes);
+  Value second = initial;
+  second.epoch = 2;
+  second.acceptors = {{"m0", "d0"}};
+  CHECK_TRUE(verdict(a.prepare(prepare(second, 1))->verdict) == Verdict::yes);
+  const auto got = a.prepare(prepare(initial, 10));
+  CHECK_TRUE(verdict(got->verdict) == Verdict::moved);
+  CHECK_TRUE(got->initial == second);
+  CHECK_TRUE(verdict(a.accept(accept(initial, 10, "x"))->verdict) == Verdict::moved);
+  AcceptorState again(disk, "m0", "d0", true);
+  CHECK_TRUE(again.open().ok());
+  CHECK_EQUAL(2, static_cast<int>(again.epoch()));
+}
+
+// An accept that comes before anybody has prepared this acceptor for the epoch is no vote of that epoch.
+TEST(RegisterAcceptor, AcceptAloneDoesNotOpenAnEpoch) {
+  market::MemoryDisk disk;
+  AcceptorState a(disk, "m0", "d0", true);
+  CHECK_TRUE(a.open().ok());
+  CHECK_TRUE(verdict(a.accept(accept(initial, 1, "x"))->verdict) == Verdict::stranger);
+}
+
+// Its log is long and is folded into a slot: nothing is lost on the way.
+TEST(RegisterAcceptor, LongLogIsFolded) {
+  market::MemoryDisk disk;
+  AcceptorState a(disk, "m0", "d0", true);
+  CHECK_TRUE(a.open().ok());
+  CHECK_TRUE(a.prepare(prepare(initial, 1)).ok());
+  const std::string large(60000, 'c');
+  for (std::int64_t round = 2; round < 24; ++round)
+    CHECK_TRUE(verdict(a.accept(accept(initial, round, large + std::to_string(round)))->verdict) ==
+               Verdict::yes);
+  disk.power_cycle(1);
+  AcceptorState again(disk, "m0", "d0", true);
+  CHECK_TRUE(again.open().ok());
+  const auto got = again.prepare(prepare(initial, 0, 0, true));
+  CHECK_TRUE(got->accepted == (Ballot{23, 1}) && got->value.config.data == large + "23");
+}
