--- a/tests/market/disk_test.cpp
+++ b/tests/market/disk_test.cpp
@@ -26,7 +26,7 @@
   std::vector<std::string> changes;
   bool operator==(const Held&) const = default;
   std::string text() const {
-    std::string out = there ? state.substr(0, 12) + "/" + std::to_string(state.size()) : "nothing";
+    std::string out = there ? state.substr(0, 12) + numbered("/", state.size()) : "nothing";
     for (const std::string& c : changes) out += " + " + c.substr(0, 12);
     return out;
   }
@@ -103,7 +103,7 @@
 }
 
 std::string place(std::size_t point, std::uint64_t luck) {
-  return "point " + std::to_string(point) + ", luck " + std::to_string(luck);
+  return numbered("point ", point) + numbered(", luck ", luck);
 }
 
 }  // namespace
@@ -153,7 +153,7 @@
   for (std::size_t first = 0; first <= points; ++first) {
     for (std::size_t second = 0; second <= 14; ++second) {
       for (std::uint64_t luck = 0; luck < 6; ++luck) {
-        const std::string where = place(first, luck) + ", second " + std::to_string(second);
+        const std::string where = place(first, luck) + numbered(", second ", second);
         MemoryDisk disk;
         Slots slots(disk, "s");
         disk.fail_from(first);
--- a/tests/market/register_test.cpp
+++ b/tests/market/register_test.cpp
@@ -75,8 +75,8 @@
 struct Field {
   explicit Field(std::size_t machines, std::uint64_t seed) : luck(seed), all(machines) {
     for (std::size_t i = 0; i < machines; ++i) {
-      all[i].address = "m" + std::to_string(i);
-      all[i].disk_id = "d" + std::to_string(i);
+      all[i].address = numbered("m", i);
+      all[i].disk_id = numbered("d", i);
       all[i].start();
     }
   }
@@ -171,34 +171,34 @@
   std::int64_t floor() const { return floor_; }
   void saw(const Value& v) {
     const auto [at, fresh] = values_.emplace(v.number, v);
-    check(fresh || at->second == v, "two values of number " + std::to_string(v.number));
+    check(fresh || at->second == v, numbered("two values of number ", v.number));
     check(v.next.empty(), "a sealed value is told of");
     for (const market::Taken& t : v.taken) {
-      check(!refused_.contains(t.hash), "refused, and in force: " + std::to_string(t.hash));
+      check(!refused_.contains(t.hash), numbered("refused, and in force: ", t.hash));
       in_force_.insert(t.hash);
     }
   }
   void ended(const Value& v, std::int64_t floor_at_start) {
     saw(v);
     check(v.number >= floor_at_start,
-          "went back from " + std::to_string(floor_at_start) + " to " + std::to_string(v.number));
+          numbered("went back from ", floor_at_start) + numbered(" to ", v.number));
     floor_ = std::max(floor_, v.number);
   }
   void taken(std::int64_t base, std::int64_t hash) {
     const auto [at, fresh] = winners_.emplace(base, hash);
-    check(fresh || at->second == hash, "two changes won on version " + std::to_string(base));
+    check(fresh || at->second == hash, numbered("two changes won on version ", base));
     acknowledged_.insert(hash);
   }
   void refused(std::int64_t hash) {
     refused_.insert(hash);
-    check(!in_force_.contains(hash), "in force, and refused: " + std::to_string(hash));
+    check(!in_force_.contains(hash), numbered("in force, and refused: ", hash));
   }
   // The last word: all that was acknowledged is there, versions rise, nothing refused is.
   void close(const Value& last) {
     for (const std::int64_t hash : acknowledged_)
       check(std::any_of(last.taken.begin(), last.taken.end(),
                         [&](const market::Taken& t) { return t.hash == hash; }),
-            "acknowledged, and gone: " + std::to_string(hash));
+            numbered("acknowledged, and gone: ", hash));
     const Value* before = nullptr;
     for (const auto& [number, v] : values_) {
       if (before != nullptr) {
@@ -237,7 +237,7 @@
       return std::nullopt;
     Value out = current;
     out.config_version = version;
-    out.config.data = "config " + std::to_string(hash);
+    out.config.data = numbered("config ", hash);
     out.taken.push_back({version, hash});
     return out;
   };
@@ -252,10 +252,7 @@
     bool losses_of_power = false, wipes = false, other_sets = false, words = false;
   };
   Day(std::uint64_t seed, const Plan& wanted)
-      : plan(wanted),
-        field(5, seed),
-        watcher("seed " + std::to_string(seed)),
-        value_of_first(field.first_set(3)) {
+      : plan(wanted), field(5, seed), watcher(numbered("seed ", seed)), value_of_first(field.first_set(3)) {
     field.weather = plan.weather;
     field.on_death = [this](Machine& m) { back_later(m); };
     for (std::uint64_t i = 0; i < 3; ++i) {
@@ -385,7 +382,7 @@
       if (!m.up || !m.acceptor->voting()) continue;
       const auto [at, fresh] = opened_with.emplace(m.acceptor->epoch(), m.acceptor->initial());
       watcher.check(fresh || at->second == m.acceptor->initial(),
-                    "epoch " + std::to_string(m.acceptor->epoch()) + " was opened with two values");
+                    numbered("epoch ", m.acceptor->epoch()) + " was opened with two values");
     }
   }
 
@@ -466,8 +463,8 @@
     refused += day.watcher.refused_count();
     epochs += day.last.epoch - 1;
   }
-  const std::string came = std::to_string(taken) + " taken, " + std::to_string(refused) + " refused, " +
-                           std::to_string(epochs) + " epochs";
+  const std::string came =
+      std::to_string(taken) + numbered(" taken, ", refused) + numbered(" refused, ", epochs) + " epochs";
   CHECK_WHERE(taken > seeds * 2, came);
   CHECK_WHERE(refused > seeds, came);
   if (plan.other_sets) CHECK_WHERE(epochs > static_cast<std::int64_t>(seeds / 4), came);
@@ -538,7 +535,7 @@
   for (std::uint64_t seed = 0; seed < 400; ++seed) {
     Value last;
     const auto [a, b] = race(seed, {}, Span::ms(static_cast<double>(seed % 61)), &last);
-    const std::string where = "seed " + std::to_string(seed);
+    const std::string where = numbered("seed ", seed);
     CHECK_WHERE((a == Came::taken && b == Came::refused) || (a == Came::refused && b == Came::taken), where);
     CHECK_WHERE(last.taken.size() == 1, where);
     CHECK_WHERE(had(last, a == Came::taken ? 10 : 11), where);
@@ -554,7 +551,7 @@
     Value last;
     const auto [a, b] = race(seed, {.lost = 0.3, .repeated = 0.2, .slow = 0.2},
                              Span::ms(static_cast<double>(seed % 31)), &last);
-    const std::string where = "seed " + std::to_string(seed);
+    const std::string where = numbered("seed ", seed);
     CHECK_WHERE(a != Came::nothing && b != Came::nothing, where);
     CHECK_WHERE(!(a == Came::taken && b == Came::taken), where);
     CHECK_WHERE(last.taken.size() <= 1, where);
@@ -691,11 +688,11 @@
         promised = {round, 1};
       }
       if (round % 2 == 0) {
-        const auto got = a.accept(accept(initial, round, "v" + std::to_string(round)));
+        const auto got = a.accept(accept(initial, round, numbered("v", round)));
         if (!got.ok()) return;
         CHECK_TRUE(verdict(got->verdict) == Verdict::yes);
         promised = accepted = {round, 1};
-        value = "v" + std::to_string(round);
+        value = numbered("v", round);
       }
     }
   };
@@ -709,7 +706,7 @@
   CHECK_TRUE(points > 20);
   for (std::size_t point = 0; point <= points; ++point) {
     for (std::uint64_t luck = 0; luck < 30; ++luck) {
-      const std::string where = "point " + std::to_string(point) + ", luck " + std::to_string(luck);
+      const std::string where = numbered("point ", point) + numbered(", luck ", luck);
       market::MemoryDisk disk;
       AcceptorState a(disk, "m0", "d0", true);
       CHECK_TRUE(a.open().ok());
--- /dev/null
+++ b/tests/market/roster_test.cpp
@@ -0,0 +1,375 @@
+// Who should vote, and who should keep turns: replaced after their time and not sooner, retired only when all
+// that stay are whole.
+#include "clerk/roster.hpp"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "played_system.hpp"
+#include "unit.hpp"
+
+using chutevane::Span;
+using chutevane::TimePoint;
+using chutevane::clerk::acceptor_lost_after;
+using chutevane::clerk::cellar_lost_after;
+using chutevane::clerk::copies_for;
+using chutevane::clerk::LiveClerk;
+using chutevane::clerk::retire;
+using chutevane::clerk::RetireVerdict;
+using chutevane::clerk::Roster;
+using chutevane::market::Acceptor;
+using chutevane::market::Cellar;
+using chutevane::market::Member;
+using chutevane::market::Value;
+
+namespace {
+
+constexpr Span look_every = Span::ms(250);
+
+LiveClerk clerk(int n, const std::string& disk = "") {
+  return {numbered("c", n), disk.empty() ? numbered("d", n) : disk, true, true};
+}
+
+std::vector<LiveClerk> clerks(std::initializer_list<int> numbers) {
+  std::vector<LiveClerk> out;
+  for (const int n : numbers) out.push_back(clerk(n));
+  return out;
+}
+
+Value with_acceptors(std::initializer_list<int> numbers) {
+  Value out;
+  out.epoch = 2;
+  for (const int n : numbers) out.acceptors.push_back({numbered("c", n), numbered("d", n)});
+  return out;
+}
+
+bool has(const std::vector<Acceptor>& set, const std::string& address, const std::string& disk) {
+  return std::any_of(set.begin(), set.end(),
+                     [&](const Acceptor& a) { return a.address == address && a.disk == disk; });
+}
+
+// Looks again and again; when the set changes, how long that took.
+struct Watched {
+  std::optional<std::vector<Acceptor>> next;
+  Span after;
+};
+Watched watch(Roster& roster, const Value& value, const std::vector<LiveClerk>& live, TimePoint& now,
+              Span most) {
+  const TimePoint start = now;
+  while (now - start <= most) {
+    if (auto next = roster.acceptors(value, live, now)) return {next, now - start};
+    now = now + look_every;
+  }
+  return {std::nullopt, now - start};
+}
+
+}  // namespace
+
+TEST_GROUP(RosterAcceptors) {
+  Roster roster{1};
+  TimePoint now = TimePoint::at_ms(1e6);
+};
+
+TEST(RosterAcceptors, CopiesBearTheLosses) {
+  CHECK_EQUAL(static_cast<std::size_t>(1), copies_for(0));
+  CHECK_EQUAL(static_cast<std::size_t>(3), copies_for(1));
+  CHECK_EQUAL(static_cast<std::size_t>(5), copies_for(2));
+}
+
+TEST(RosterAcceptors, NothingChangesWhileAllAreThere) {
+  const auto got = watch(roster, with_acceptors({1, 2, 3}), clerks({1, 2, 3, 4, 5}), now, Span::ms(60000));
+  CHECK_FALSE(got.next.has_value());
+}
+
+// Not sooner than its time: a process that is started again comes back with its disk.
+TEST(RosterAcceptors, LostOneIsReplacedAfterItsTime) {
+  const Value value = with_acceptors({1, 2, 3});
+  CHECK_FALSE(roster.acceptors(value, clerks({1, 2, 3, 4}), now).has_value());
+  const Watched got = watch(roster, value, clerks({1, 2, 4}), now, Span::ms(20000));
+  CHECK_TRUE(got.next.has_value());
+  CHECK_TRUE(got.after > acceptor_lost_after);
+  CHECK_TRUE(got.after <= acceptor_lost_after + look_every);
+  CHECK_EQUAL(static_cast<std::size_t>(3), got.next->size());
+  CHECK_TRUE(has(*got.next, "c4", "d4") && !has(*got.next, "c3", "d3"));
+}
+
+TEST(RosterAcceptors, OneThatComesBackInTimeStays) {
+  const Value value = with_acceptors({1, 2, 3});
+  for (int round = 0; round < 10; ++round) {
+    CHECK_FALSE(
+        watch(roster, value, clerks({1, 2, 4}), now, acceptor_lost_after - look_every).next.has_value());
+    CHECK_FALSE(roster.acceptors(value, clerks({1, 2, 3, 4}), now).has_value());
+  }
+}
+
+TEST(RosterAcceptors, WithoutAnotherTheLostOneStays) {
+  CHECK_FALSE(
+      watch(roster, with_acceptors({1, 2, 3}), clerks({1, 2}), now, Span::ms(30000)).next.has_value());
+}
+
+TEST(RosterAcceptors, OneThatLeavesTakesNoPlace) {
+  std::vector<LiveClerk> live = clerks({1, 2, 4});
+  live[2].ready = false;
+  CHECK_FALSE(watch(roster, with_acceptors({1, 2, 3}), live, now, Span::ms(30000)).next.has_value());
+}
+
+// Its disk is gone for good, and with it what it promised: there is nothing to wait for.
+TEST(RosterAcceptors, SameAddressWithAnotherDiskAtOnce) {
+  std::vector<LiveClerk> live = clerks({1, 2});
+  live.push_back({"c3", "new", false, true});
+  live.push_back(clerk(4));
+  const auto next = roster.acceptors(with_acceptors({1, 2, 3}), live, now);
+  CHECK_TRUE(next.has_value());
+  CHECK_TRUE(has(*next, "c3", "new"));
+  CHECK_FALSE(has(*next, "c3", "d3") || has(*next, "c4", "d4"));
+}
+
+// Who begins to keep the roster does not hold against anybody what it has not seen.
+TEST(RosterAcceptors, WatchedAnew) {
+  const Value value = with_acceptors({1, 2, 3});
+  CHECK_FALSE(roster.acceptors(value, clerks({1, 2, 3, 4}), now).has_value());
+  now = now + Span::ms(60000);
+  roster.restart();
+  const Watched got = watch(roster, value, clerks({1, 2, 4}), now, Span::ms(20000));
+  CHECK_TRUE(got.next.has_value() && got.after > acceptor_lost_after);
+}
+
+TEST(RosterAcceptors, SmallSetGrowsToBearTheLosses) {
+  Roster of_two(2);
+  const auto next = of_two.acceptors(with_acceptors({1, 2, 3}), clerks({1, 2, 3, 4, 5, 6}), now);
+  CHECK_TRUE(next.has_value());
+  CHECK_EQUAL(static_cast<std::size_t>(5), next->size());
+  // One more alone bears no more: the set stays.
+  CHECK_FALSE(of_two.acceptors(with_acceptors({1, 2, 3}), clerks({1, 2, 3, 4}), now).has_value());
+}
+
+// The first set is known by its addresses alone; the next names each disk that is there.
+TEST(RosterAcceptors, FirstSetIsNamedWithItsDisks) {
+  Value value;
+  value.epoch = 1;
+  value.acceptors = {{"c1", ""}, {"c2", ""}, {"c3", ""}};
+  const std::vector<LiveClerk> all = clerks({1, 2, 3, 4});
+  CHECK_FALSE(watch(roster, value, all, now, Span::ms(10000)).next.has_value());
+  const Watched got = watch(roster, value, clerks({1, 2, 4}), now, Span::ms(10000));
+  CHECK_TRUE(got.next.has_value());
+  for (const Acceptor& a : *got.next) CHECK_FALSE(a.disk.empty());
+  // One at a known address, whose disk is not of the first start, is another disk.
+  std::vector<LiveClerk> wiped = clerks({1, 2});
+  wiped.push_back({"c3", "new", false, true});
+  const auto next = roster.acceptors(value, wiped, now);
+  CHECK_TRUE(next.has_value() && has(*next, "c3", "new") && has(*next, "c1", "d1") && has(*next, "c2", "d2"));
+}
+
+// Days of comings and goings: a set never shrinks, never names one twice, and changes a place only for a
+// cause.
+TEST(RosterAcceptors, ComingsAndGoings) {
+  for (std::uint64_t seed = 0; seed < 60; ++seed) {
+    chutevane::played::Luck luck(seed);
+    Roster r(1);
+    Value value = with_acceptors({0, 1, 2});
+    std::vector<int> disks(6, 0);
+    std::vector<TimePoint> seen(6, now);
+    std::vector<bool> up(6, true);
+    for (int step = 0; step < 400; ++step) {
+      now = now + look_every;
+      const std::size_t one = luck.below(6);
+      if (luck.chance(0.06)) up[one] = !up[one];
+      if (luck.chance(0.01)) ++disks[one];
+      std::vector<LiveClerk> live;
+      for (std::size_t i = 0; i < 6; ++i) {
+        if (!up[i]) continue;
+        seen[i] = now;
+        const std::string disk = numbered("d", i) + std::string(static_cast<std::size_t>(disks[i]), 'x');
+        live.push_back({numbered("c", i), disk, disks[i] == 0, true});
+      }
+      const auto next = r.acceptors(value, live, now);
+      if (!next) continue;
+      CHECK_TRUE(next->size() == 3 && *next != value.acceptors);
+      for (std::size_t i = 0; i < 3; ++i) {
+        const Acceptor& a = (*next)[i];
+        CHECK_EQUAL(1, static_cast<int>(std::count_if(next->begin(), next->end(), [&](const Acceptor& b) {
+                      return a.address == b.address;
+                    })));
+        if (value.acceptors[i] == a) continue;
+        const Acceptor& before = value.acceptors[i];
+        const auto number = static_cast<std::size_t>(before.address[1] - '0');
+        const bool wiped = a.address == before.address;
+        CHECK_TRUE(wiped || disks[number] > 0 || now - seen[number] > acceptor_lost_after);
+      }
+      value.acceptors = *next;
+      ++value.epoch;
+    }
+  }
+}
+
+namespace {
+
+Cellar cellar(int n) {
+  const std::string s = std::to_string(n);
+  return {"n" + s, "d" + s, "a" + s, "z", false};
+}
+
+Value with_cellars(std::initializer_list<int> numbers, std::int64_t map = 7) {
+  Value out;
+  out.map = map;
+  for (const int n : numbers) out.cellars.push_back(cellar(n));
+  return out;
+}
+
+Member member(int n, std::int64_t whole) {
+  const std::string s = std::to_string(n);
+  Member out;
+  out.node = "n" + s;
+  out.plane = "cellar";
+  out.disk = "d" + s;
+  out.address = "a" + s;
+  out.zone = "z";
+  out.whole = whole;
+  return out;
+}
+
+std::vector<Member> members(std::initializer_list<int> numbers, std::int64_t whole) {
+  std::vector<Member> out;
+  for (const int n : numbers) out.push_back(member(n, whole));
+  return out;
+}
+
+bool lists(const Value& value, const std::string& node) {
+  return std::any_of(value.cellars.begin(), value.cellars.end(),
+                     [&](const Cellar& c) { return c.node == node; });
+}
+
+}  // namespace
+
+TEST_GROUP(RosterCellars) {
+  Roster roster{1};
+  TimePoint now = TimePoint::at_ms(1e6);
+  std::optional<Value> watched(const Value& value, const std::vector<Member>& live, Span most, Span* took) {
+    const TimePoint start = now;
+    while (now - start <= most) {
+      if (auto next = roster.cellars(value, live, now)) {
+        *took = now - start;
+        return next;
+      }
+      now = now + look_every;
+    }
+    return std::nullopt;
+  }
+  Span after;
+};
+
+TEST(RosterCellars, NothingChangesWhileAllAreThere) {
+  CHECK_FALSE(watched(with_cellars({1, 2, 3}), members({1, 2, 3}, 7), Span::ms(30000), &after).has_value());
+}
+
+TEST(RosterCellars, ANewOneJoinsAtOnce) {
+  std::vector<Member> live = members({1, 2, 3, 4}, 7);
+  Member other = member(9, 0);
+  other.plane = "stall";  // of another plane
+  live.push_back(other);
+  const auto next = roster.cellars(with_cellars({1, 2, 3}), live, now);
+  CHECK_TRUE(next.has_value() && next->map == 8 && next->cellars.size() == 4);
+  CHECK_TRUE(next->cellars.back() == cellar(4));
+}
+
+// The same node with an empty disk: the map tells, so that it takes over anew what is its own.
+TEST(RosterCellars, AWipedOneIsNamedAtOnceWithItsNewDisk) {
+  std::vector<Member> live = members({1, 2, 3}, 7);
+  live[1].disk = "new";
+  const auto next = roster.cellars(with_cellars({1, 2, 3}), live, now);
+  CHECK_TRUE(next.has_value() && next->map == 8 && next->cellars.size() == 3);
+  CHECK_TRUE(next->cellars[1].disk == "new" && next->cellars[1].node == "n2");
+}
+
+TEST(RosterCellars, GoneAfterItsTimeAndNotSooner) {
+  const Value value = with_cellars({1, 2, 3, 4});
+  CHECK_FALSE(roster.cellars(value, members({1, 2, 3, 4}, 7), now).has_value());
+  const auto next = watched(value, members({1, 2, 4}, 7), Span::ms(30000), &after);
+  CHECK_TRUE(next.has_value());
+  CHECK_TRUE(after > cellar_lost_after && after <= cellar_lost_after + look_every);
+  CHECK_TRUE(!lists(*next, "n3") && next->cellars.size() == 3 && next->map == 8);
+}
+
+// The copies lie there: fewer than bear the losses are not left in the map.
+TEST(RosterCellars, TheLastCopiesStayInTheMap) {
+  CHECK_FALSE(watched(with_cellars({1, 2, 3}), members({1, 2}, 7), Span::ms(30000), &after).has_value());
+  CHECK_FALSE(watched(with_cellars({1, 2, 3}), {}, Span::ms(30000), &after).has_value());
+}
+
+// Emptied only when each that stays has what lay there, by this map and on this disk.
+TEST(RosterCellars, RetiredOnlyWhenAllThatStayAreWhole) {
+  Value value = with_cellars({1, 2, 3, 4});
+  CHECK_TRUE(retire(value, "n4", 1) == RetireVerdict::taken);
+  CHECK_EQUAL(8, static_cast<int>(value.map));
+  CHECK_TRUE(value.cellars[3].leaving && !value.retired[0].completed);
+  for (int behind = 1; behind <= 3; ++behind) {  // one is not whole by the newest map
+    std::vector<Member> live = members({1, 2, 3, 4}, 8);
+    live[static_cast<std::size_t>(behind - 1)].whole = 7;
+    CHECK_FALSE(watched(value, live, Span::ms(10000), &after).has_value());
+  }
+  for (int gone = 1; gone <= 3; ++gone) {  // one is not heard of
+    Roster fresh(1);
+    std::vector<Member> live = members({1, 2, 3, 4}, 8);
+    live.erase(live.begin() + gone - 1);
+    CHECK_FALSE(fresh.cellars(value, live, now).has_value());
+  }
+  for (int wiped = 1; wiped <= 3; ++wiped) {  // one has another disk: the map is told of it first
+    Roster fresh(1);
+    std::vector<Member> live = members({1, 2, 3, 4}, 8);
+    live[static_cast<std::size_t>(wiped - 1)].disk = "new";
+    const auto next = fresh.cellars(value, live, now);
+    CHECK_TRUE(next.has_value() && lists(*next, "n4") && !next->retired[0].completed && next->map == 9);
+    CHECK_FALSE(fresh.cellars(*next, live, now).has_value());  // it was whole by the map before
+  }
+  const auto next = roster.cellars(value, members({1, 2, 3, 4}, 8), now);
+  CHECK_TRUE(next.has_value() && !lists(*next, "n4"));
+  CHECK_TRUE(next->retired[0].completed && next->map == 9);
+  // Its machine is not taken in again.
+  CHECK_FALSE(roster.cellars(*next, members({1, 2, 3, 4}, 9), now).has_value());
+}
+
+// The one that leaves need not be whole, nor be there.
+TEST(RosterCellars, TheLeavingOneItselfIsNotWaitedFor) {
+  Value value = with_cellars({1, 2, 3, 4});
+  CHECK_TRUE(retire(value, "n4", 1) == RetireVerdict::taken);
+  const auto next = roster.cellars(value, members({1, 2, 3}, 8), now);
+  CHECK_TRUE(next.has_value() && !lists(*next, "n4") && next->retired[0].completed);
+}
+
+TEST(RosterCellars, TwoLeaveOneAfterTheOther) {
+  Value value = with_cellars({1, 2, 3, 4, 5});
+  CHECK_TRUE(retire(value, "n4", 1) == RetireVerdict::taken &&
+             retire(value, "n5", 1) == RetireVerdict::taken);
+  const auto next = roster.cellars(value, members({1, 2, 3, 4, 5}, 9), now);
+  CHECK_TRUE(next.has_value() && next->cellars.size() == 4 && next->map == 10);
+  CHECK_FALSE(roster.cellars(*next, members({1, 2, 3, 4, 5}, 9), now).has_value());
+  const auto then = roster.cellars(*next, members({1, 2, 3, 5}, 10), now);
+  CHECK_TRUE(then.has_value() && then->cellars.size() == 3);
+  CHECK_TRUE(then->retired[0].completed && then->retired[1].completed);
+}
+
+TEST(RosterCellars, TooFewAreRefused) {
+  for (const std::size_t losses : {0U, 1U, 2U}) {
+    Value value;
+    for (int n = 0; n < static_cast<int>(copies_for(losses)); ++n) value.cellars.push_back(cellar(n));
+    const Value before = value;
+    CHECK_TRUE(retire(value, "n0", losses) == RetireVerdict::too_few);
+    CHECK_TRUE(value == before);
+    value.cellars.push_back(cellar(90));
+    CHECK_TRUE(retire(value, "n0", losses) == RetireVerdict::taken);
+    // The one that leaves does not count for the next.
+    const Value left = value;
+    CHECK_TRUE(retire(value, "n90", losses) == RetireVerdict::too_few);
+    CHECK_TRUE(value == left);
+  }
+}
+
+TEST(RosterCellars, UnknownAndRepeatedOrders) {
+  Value value = with_cellars({1, 2, 3, 4});
+  CHECK_TRUE(retire(value, "n8", 1) == RetireVerdict::unknown);
+  CHECK_TRUE(retire(value, "n1", 1) == RetireVerdict::taken);
+  const Value before = value;
+  CHECK_TRUE(retire(value, "n1", 1) == RetireVerdict::known);
+  CHECK_TRUE(value == before);
+}
--- a/tests/market/unit.hpp
+++ b/tests/market/unit.hpp
@@ -7,3 +7,11 @@
 
 // A check that says in words what was not so, and where in a run of many.
 #define CHECK_WHERE(condition, where) CHECK_TEXT(condition, std::string(where).c_str())
+
+// A word and its number. (GCC 12 warns of "word" + std::to_string(n), wrongly.)
+template <class Number>
+std::string numbered(const char* word, Number n) {
+  std::string out = word;
+  out += std::to_string(n);
+  return out;
+}
