Tests of the tier: Avro messages agree with their schema files and refuse other bytes

Provoked: a field that is missing in the struct or the schema file, of another type or in another place; messages cut at every byte, changed, random, and with lengths that cannot be. Why: a field named in one of the two alone is read from nowhere, and peers may send anything.

--- /dev/null
+++ b/tests/market/avro_test.cpp
@@ -0,0 +1,303 @@
+// Messages as Avro: every struct of messages.hpp has the fields of its record in api/*.avsc, and no others;
+// each comes back as it was written; bytes that are none are refused.
+#include <avro.h>
+
+#include <cstring>
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "market/messages.hpp"
+#include "played_system.hpp"
+#include "unit.hpp"
+
+namespace market = chutevane::market;
+using chutevane::played::Luck;
+
+namespace {
+
+using Messages =
+    std::tuple<market::Acceptor, market::Cellar, market::Retired, market::Taken, market::Value,
+               market::Ballot, market::Prepare, market::Promise, market::Accept, market::Accepted,
+               market::Chosen, market::AcceptorRecord, market::ClerkRecord, market::Member, market::HeldDuty,
+               market::Gossip, market::Vote, market::Voted, market::Listed, market::EndpointList,
+               market::Hello, market::Push, market::Beat, market::Reserve, market::Reserved, market::Settle,
+               market::Turn, market::Keep, market::Kept, market::Find, market::Found, market::Reservation,
+               market::Account, market::Pull, market::Pulled, market::CellarRecord>;
+
+template <class F>
+void each_message(F f) {
+  std::apply([&](auto&&... one) { (f(one), ...); }, Messages{});
+}
+
+// What a struct says of itself: its fields in order, each with the type that it has by the schema's words.
+class Named {
+ public:
+  void operator()(const char* name, std::int64_t&) { add(name, "long"); }
+  void operator()(const char* name, bool&) { add(name, "boolean"); }
+  void operator()(const char* name, std::string&) { add(name, "string"); }
+  void operator()(const char* name, market::Bytes&) { add(name, "bytes"); }
+  template <class T>
+  void operator()(const char* name, std::vector<T>&) {
+    if constexpr (std::is_same_v<T, std::string>) {
+      add(name, "array of string");
+    } else {
+      add(name, std::string("array of ") + T::record);
+    }
+  }
+  template <class T>
+  requires requires { T::record; }
+  void operator()(const char* name, T&) { add(name, T::record); }
+  const std::vector<std::string>& fields() const { return fields_; }
+
+ private:
+  void add(const char* name, const std::string& type) { fields_.push_back(std::string(name) + ": " + type); }
+  std::vector<std::string> fields_;
+};
+
+std::string type_of(avro_schema_t schema) {
+  switch (avro_typeof(schema)) {
+    case AVRO_INT64: return "long";
+    case AVRO_BOOLEAN: return "boolean";
+    case AVRO_STRING: return "string";
+    case AVRO_BYTES: return "bytes";
+    case AVRO_ARRAY: return "array of " + type_of(avro_schema_array_items(schema));
+    case AVRO_LINK: return type_of(avro_schema_link_target(schema));
+    case AVRO_RECORD: return avro_schema_name(schema);
+    default: return "another type";
+  }
+}
+
+// The records of both schema files.
+std::map<std::string, std::vector<std::string>> schema_records() {
+  std::map<std::string, std::vector<std::string>> out;
+  for (const char* text : {market::control_schema, market::storage_schema}) {
+    avro_schema_t all;
+    CHECK_EQUAL(0, avro_schema_from_json_length(text, std::strlen(text), &all));
+    for (std::size_t i = 0; i < avro_schema_union_size(all); ++i) {
+      avro_schema_t record = avro_schema_union_branch(all, static_cast<int>(i));
+      std::vector<std::string>& fields = out[avro_schema_name(record)];
+      for (std::size_t f = 0; f < avro_schema_record_size(record); ++f) {
+        const char* name = avro_schema_record_field_name(record, static_cast<int>(f));
+        fields.push_back(std::string(name) + ": " +
+                         type_of(avro_schema_record_field_get_by_index(record, static_cast<int>(f))));
+      }
+    }
+    avro_schema_decref(all);
+  }
+  return out;
+}
+
+// Puts something into every field.
+class Filler {
+ public:
+  Filler(Luck& luck, std::size_t most) : luck_(luck), most_(most) {}
+  void operator()(const char*, std::int64_t& v) {
+    v = static_cast<std::int64_t>(luck_.next() >> luck_.below(64));
+    if (luck_.chance(0.3)) v = -v;
+    if (luck_.chance(0.05)) v = std::numeric_limits<std::int64_t>::min();
+    if (luck_.chance(0.05)) v = std::numeric_limits<std::int64_t>::max();
+  }
+  void operator()(const char*, bool& v) { v = luck_.chance(0.5); }
+  void operator()(const char*, std::string& v) { v = text(); }
+  void operator()(const char*, market::Bytes& v) { v.data = text(); }
+  template <class T>
+  void operator()(const char* name, std::vector<T>& v) {
+    v.resize(luck_.below(most_ + 1));
+    for (T& one : v) (*this)(name, one);
+  }
+  template <class T>
+  requires requires { T::record; }
+  void operator()(const char*, T& v) {
+    Filler inner(luck_, most_ > 0 ? most_ - 1 : 0);
+    v.each(inner);
+  }
+
+ private:
+  std::string text() {  // any bytes, zeros among them
+    std::string out(luck_.below(luck_.chance(0.05) ? 3000 : 20), '\0');
+    for (char& c : out) c = static_cast<char>(luck_.next());
+    return out;
+  }
+  Luck& luck_;
+  const std::size_t most_;
+};
+
+// All that a message holds, as text of its own: no codec stands between.
+class Shown {
+ public:
+  void operator()(const char* name, std::int64_t& v) { add(name, std::to_string(v)); }
+  void operator()(const char* name, bool& v) { add(name, v ? "true" : "false"); }
+  void operator()(const char* name, std::string& v) { add(name, v); }
+  void operator()(const char* name, market::Bytes& v) { add(name, v.data); }
+  template <class T>
+  void operator()(const char* name, std::vector<T>& v) {
+    add(name, numbered("list of ", v.size()));
+    for (T& one : v) (*this)(name, one);
+  }
+  template <class T>
+  requires requires { T::record; }
+  void operator()(const char* name, T& v) {
+    add(name, "{");
+    v.each(*this);
+    add(name, "}");
+  }
+  std::string text;
+
+ private:
+  void add(const char* name, const std::string& v) {
+    text += name;
+    text += numbered("(", v.size());
+    text += ")" + v + ";";
+  }
+};
+
+template <class M>
+std::string shown(M& message) {
+  Shown out;
+  message.each(out);
+  return out.text;
+}
+
+}  // namespace
+
+TEST_GROUP(AvroMessages){};
+
+// A field that is missing in either is found, and one of another type or in another place too.
+TEST(AvroMessages, FieldsAgreeWithTheSchemaFiles) {
+  auto records = schema_records();
+  each_message([&](auto& message) {
+    using M = std::remove_reference_t<decltype(message)>;
+    const auto record = records.find(M::record);
+    CHECK_WHERE(record != records.end(), std::string("no record ") + M::record);
+    Named named;
+    message.each(named);
+    std::string struct_text, schema_text;
+    for (const std::string& f : named.fields()) struct_text += f + "\n";
+    for (const std::string& f : record->second) schema_text += f + "\n";
+    CHECK_WHERE(struct_text == schema_text,
+                std::string(M::record) + ", struct:\n" + struct_text + "schema:\n" + schema_text);
+    records.erase(record);
+  });
+  CHECK_WHERE(records.empty(), "no struct for " + (records.empty() ? "" : records.begin()->first));
+}
+
+// The kind stands on the wire: two of one kind would be taken for each other.
+TEST(AvroMessages, KindsAreApart) {
+  std::set<int> kinds;
+  std::size_t count = 0;
+  each_message([&](auto& message) {
+    kinds.insert(std::remove_reference_t<decltype(message)>::kind);
+    ++count;
+  });
+  CHECK_EQUAL(count, kinds.size());
+  CHECK_FALSE(kinds.contains(0));
+}
+
+TEST(AvroMessages, EachComesBackAsItWas) {
+  Luck luck(5);
+  for (int round = 0; round < 40; ++round) {
+    each_message([&](auto& message) {
+      using M = std::remove_reference_t<decltype(message)>;
+      Filler fill(luck, static_cast<std::size_t>(round % 4));
+      message.each(fill);
+      const std::string bytes = market::encoded(message);
+      M back;
+      Filler other(luck, 2);
+      back.each(other);  // what was there before does not stay
+      CHECK_WHERE(market::decode(bytes, back), M::record);
+      CHECK_WHERE(shown(message) == shown(back), M::record);
+      CHECK_WHERE(market::encoded(back) == bytes, M::record);
+    });
+  }
+}
+
+// A configuration as large as one may be.
+TEST(AvroMessages, LargeValue) {
+  market::Value value;
+  value.config.data.assign(8U << 20U, '\x7f');
+  market::Value back;
+  CHECK_TRUE(market::decode(market::encoded(value), back) && back == value);
+}
+
+// Every beginning of a message is refused.
+TEST(AvroMessages, CutAtEveryByte) {
+  Luck luck(6);
+  for (int round = 0; round < 6; ++round) {
+    each_message([&](auto& message) {
+      using M = std::remove_reference_t<decltype(message)>;
+      Filler fill(luck, 2);
+      message.each(fill);
+      const std::string bytes = market::encoded(message);
+      const std::size_t step = bytes.size() > 600 ? 7 : 1;
+      for (std::size_t n = 0; n < bytes.size(); n += step) {
+        M back;
+        CHECK_WHERE(!market::decode(std::string_view(bytes).substr(0, n), back),
+                    numbered(M::record, n) + " bytes of " + std::to_string(bytes.size()));
+      }
+    });
+  }
+}
+
+// Bytes of anybody: refused, or a message that stands by itself; the process goes on.
+TEST(AvroMessages, RandomBytes) {
+  Luck luck(7);
+  std::size_t refused = 0, all = 0;
+  for (int round = 0; round < 300; ++round) {
+    std::string noise(luck.below(120), '\0');
+    for (char& c : noise) c = static_cast<char>(luck.next());
+    each_message([&](auto& message) {
+      using M = std::remove_reference_t<decltype(message)>;
+      ++all;
+      if (!market::decode(noise, message)) {
+        ++refused;
+        return;
+      }
+      M back;
+      CHECK_WHERE(market::decode(market::encoded(message), back) && shown(message) == shown(back), M::record);
+    });
+  }
+  CHECK_TRUE(refused > all / 2);
+}
+
+// One byte of a good message is changed: lengths and counts among them.
+TEST(AvroMessages, ChangedBytes) {
+  Luck luck(8);
+  for (int round = 0; round < 60; ++round) {
+    each_message([&](auto& message) {
+      using M = std::remove_reference_t<decltype(message)>;
+      Filler fill(luck, 2);
+      message.each(fill);
+      std::string bytes = market::encoded(message);
+      if (bytes.empty()) return;
+      bytes[luck.below(bytes.size())] = static_cast<char>(luck.next());
+      M back;
+      if (!market::decode(bytes, back)) return;
+      M again;
+      CHECK_WHERE(market::decode(market::encoded(back), again) && shown(back) == shown(again), M::record);
+    });
+  }
+}
+
+// Lengths and counts far beyond what follows, and below nothing.
+TEST(AvroMessages, ImpossibleLengths) {
+  const std::vector<std::string> lengths = {"\x01",
+                                            "\x7f",
+                                            std::string("\xff\xff\xff\xff\xff\xff\xff\xff\xff\x01"),
+                                            std::string("\xfe\xff\xff\xff\xff\xff\xff\xff\xff\x01"),
+                                            std::string(10, '\xff'),
+                                            std::string("\xfe\xff\xff\xff\x0f")};
+  for (const std::string& length : lengths) {
+    for (const std::string& behind : {std::string(), std::string("abc"), std::string(64, '\0')}) {
+      each_message([&](auto& message) { (void)market::decode(length + behind, message); });
+      market::Settle word;
+      CHECK_FALSE(market::decode(length, word));
+    }
+  }
+  // A message after a refused one is read as ever.
+  market::Voted voted;
+  CHECK_TRUE(market::decode(market::encoded(market::Voted{true, 9}), voted) && voted.granted &&
+             voted.term == 9);
+}
