--- a/tests/market/main.cpp
+++ b/tests/market/main.cpp
@@ -5,6 +5,14 @@
 #include <CppUTest/CommandLineTestRunner.h>
 #include <CppUTest/MemoryLeakWarningPlugin.h>
 
+#include "unit.hpp"
+
+std::string numbered(const char* word, long long number) {
+  std::string out = word;
+  out += std::to_string(number);
+  return out;
+}
+
 int main(int argc, char** argv) {
   MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
   return CommandLineTestRunner::RunAllTests(argc, argv);
