A red test: what slots read after a kill is lost with the next power

Provoked: a process killed between a write and its sync, the next one that reads it, then a loss of power. Fails: open() does not sync what it reads, so an acceptor tells of a value that it may lose. Why: a read would go back.

--- a/tests/market/disk_test.cpp
+++ b/tests/market/disk_test.cpp
@@ -344,3 +344,29 @@
     CHECK_TRUE(unframed(noise, 7).empty());
   }
 }
+
+TEST_GROUP(DiskSlotsKilledThenDark){};
+
+// A process is killed between a write and its sync. The next one reads what lies there and tells of it; a
+// loss of power must not take it back then.
+TEST(DiskSlotsKilledThenDark, WhatWasReadLasts) {
+  const std::size_t points = steps_of_all();
+  for (std::size_t point = 0; point <= points; ++point) {
+    for (std::uint64_t luck = 0; luck < lucks; ++luck) {
+      MemoryDisk disk;
+      Slots slots(disk, "s");
+      disk.fail_from(point);
+      const Run before = give_all(slots, {}, orders());
+      disk.fail_from(static_cast<std::size_t>(-1));  // killed: the files are as they were
+      Slots again(disk, "s");
+      const auto told = again.open();
+      if (!told.ok()) continue;
+      disk.power_cycle(luck);
+      Slots last(disk, "s");
+      const auto got = last.open();
+      CHECK_WHERE(got.ok() && held(*got) == held(*told),
+                  place(point, luck) + ": told " + held(*told).text() + ", then " +
+                      (got.ok() ? held(*got).text() : got.status().ToString()));
+    }
+  }
+}
