A red test: a turn kept again after a kill is lost with the next power

Provoked: a kill between a segment's write and its sync, the same turn asked for again, then a loss of power. Fails: open() does not sync the segments that it reads, keep() finds the turn there and commit() has nothing to do. Why: what commit() has said OK to is there.

--- a/tests/market/cellar_test.cpp
+++ b/tests/market/cellar_test.cpp
@@ -602,3 +602,33 @@
   for (Cellar& c : left) c.leaving = true;
   CHECK_TRUE(group_of("p", left, 1).empty());
 }
+
+TEST_GROUP(CellarKilledThenDark) { TimePoint now = TimePoint::at_ms(1e6); };
+
+// A process is killed between a write and its sync. The next one is asked to keep the same turn, says OK, and
+// then power is lost: the turn is there.
+TEST(CellarKilledThenDark, KeptAgainIsKept) {
+  for (std::size_t point = 0; point < 3; ++point) {
+    for (std::uint64_t luck = 0; luck < 20; ++luck) {
+      MemoryDisk disk;
+      Store store(disk, room);
+      CHECK_TRUE(store.open(now).ok());
+      disk.fail_from(point);
+      store.keep(turn("a1", ""), now);
+      store.reserve("p", "a1", 40, now);
+      (void)store.commit(now);
+      disk.fail_from(static_cast<std::size_t>(-1));
+      Store again(disk, room);
+      CHECK_TRUE(again.open(now).ok());
+      CHECK_TRUE(again.keep(turn("a1", ""), now));
+      again.reserve("p", "a1", 40, now);
+      CHECK_TRUE(again.commit(now).ok());
+      disk.power_cycle(luck);
+      Store last(disk, room);
+      CHECK_TRUE(last.open(now).ok());
+      const std::string where = numbered("point ", point) + numbered(", luck ", luck);
+      CHECK_WHERE(last.find("a1") != nullptr, where + ": the turn is gone");
+      CHECK_WHERE(tokens(last, "p", "a1") == 40, where + ": the reservation is gone");
+    }
+  }
+}
