A red test: a machine that is being emptied and was lost comes back as any other

Provoked: an order to empty a machine, which is then gone for over its time and returns. Fails: it is taken out of the map with its mark, and joins without it; the order stays active for ever. Why: an order is active or completed.

--- a/tests/market/roster_test.cpp
+++ b/tests/market/roster_test.cpp
@@ -373,3 +373,25 @@
   CHECK_TRUE(retire(value, "n1", 1) == RetireVerdict::known);
   CHECK_TRUE(value == before);
 }
+
+TEST_GROUP(RosterRetiringAndLost) { TimePoint now = TimePoint::at_ms(1e6); };
+
+// A machine that is to be emptied is gone for longer than its time, and comes back: the order stands, it gets
+// nothing new, and it comes to its end.
+TEST(RosterRetiringAndLost, TheOrderStands) {
+  Roster roster(1);
+  Value value = with_cellars({1, 2, 3, 4});
+  CHECK_TRUE(retire(value, "n4", 1) == RetireVerdict::taken);
+  std::vector<Member> three = members({1, 2, 3}, 0);  // not whole yet: it is not emptied
+  for (int i = 0; i < 40; ++i) {
+    if (auto next = roster.cellars(value, three, now)) value = *next;
+    now = now + look_every;
+  }
+  if (auto next = roster.cellars(value, members({1, 2, 3, 4}, 0), now)) value = *next;
+  for (const Cellar& c : value.cellars) CHECK_WHERE(c.node != "n4" || c.leaving, "it gets turns again");
+  for (int i = 0; i < 40 && !value.retired[0].completed; ++i) {
+    if (auto next = roster.cellars(value, members({1, 2, 3, 4}, value.map), now)) value = *next;
+    now = now + look_every;
+  }
+  CHECK_WHERE(value.retired[0].completed, "the order never ends");
+}
