A red test: a voter that starts anew votes again in a term

Provoked: a vote, a kill and a start, the same term asked for by another. Fails: a duty that has heard nothing yet counts as vacant at once. Why: two of one term tell two lists under one number.

--- a/tests/market/duty_test.cpp
+++ b/tests/market/duty_test.cpp
@@ -282,3 +282,15 @@
   while (!duty.stand(at, term)) at = at + Span::ms(10);
   CHECK_EQUAL(8, static_cast<int>(term));
 }
+
+TEST_GROUP(DutyRestarted) { TimePoint now = TimePoint::at_ms(1e6); };
+
+// A voter's process is killed and starts anew, and knows nothing of its vote: for as long as a holder's word
+// may take it gives none, or two win one term and tell two lists under one number.
+TEST(DutyRestarted, NoVoteTwiceInATermAcrossAStart) {
+  Duty before("list", 1);
+  CHECK_TRUE(before.vote(5, now));
+  Duty after("list", 2);
+  now = now + Span::ms(200);
+  CHECK_FALSE(after.vote(5, now));
+}
