--- a/tests/market/settings_test.cpp
+++ b/tests/market/settings_test.cpp
@@ -211,3 +211,13 @@
 TEST(ProcessSettingsFile, FileThatIsNotThere) {
   CHECK_TRUE(absl::IsNotFound(chutevane::market::load_settings("no-such-folder/boot.conf").status()));
 }
+
+TEST_GROUP(ProcessSettingsPorts){};
+
+TEST(ProcessSettingsPorts, BytesBehindANumberAreFound) {
+  for (const char* ports : {"7380x,7395", "7380,7395 or so", "7380.5,7395"}) {
+    int line = 0;
+    const std::string got = told(with("internalPorts", std::string("internalPorts=") + ports, &line));
+    CHECK_WHERE(says(got, numbered("line ", line)), ports);
+  }
+}
