A red test: an engine of another type is read as none

Provoked: an engine that is a number, a text or a list. Fails: no finding. Why: tokens of an event would count as one each, below the budget's count.

--- a/tests/market/configuration_test.cpp
+++ b/tests/market/configuration_test.cpp
@@ -274,3 +274,13 @@
     CHECK_TRUE(of("h", "/a/b/x") == "h/a/b/" && of("h", "/ab/x") == "h/ab/" && of("h", "/a/x") == "h/a/");
   } while (std::next_permutation(prefixes.begin(), prefixes.end()));
 }
+
+TEST_GROUP(OperatorConfigurationEngine){};
+
+// Read as no engine it would count one token for each event: the budget's count would be too low.
+TEST(OperatorConfigurationEngine, WrongTypeIsFound) {
+  const std::string from =
+      R"("engine":{"capacity":96,"kvCapacity":256505,"kvTokenBytes":131072,"linkMbps":550000.0,"tokensPerEvent":2,"models":[{"name":"m"}]})";
+  for (const char* to : {"\"engine\":5", "\"engine\":\"x\"", "\"engine\":[]"})
+    check_found(from, to, "services[0].engine");
+}
