--- a/tests/market/request_test.cpp
+++ b/tests/market/request_test.cpp
@@ -289,3 +289,13 @@
   CHECK_TRUE(read_event("").data.empty() && !read_event("id: -1\n\n").id);
   CHECK_TRUE(read_event("id: 007\n\n").id == 7);
 }
+
+TEST_GROUP(RequestLongTime){};
+
+// A client that would wait for ever: what is left is long, and not below nothing.
+TEST(RequestLongTime, VeryMuchTimeIsNotSpent) {
+  for (const char* ms : {"9223372036854775807", "9300000000000000", "1000000000000"}) {
+    const Read got = read(host + "X-Chutevane-Time-Remaining: " + ms + "\r\n");
+    CHECK_WHERE(!got.wrong.empty() || (got.request.left && *got.request.left > Span::ms(1e6)), ms);
+  }
+}
