A red test: a chain that is not found is told of after its time

Provoked: storage that does not answer. Fails: each question has 400 ms whatever is left, so the answer comes up to that much late. Why: a request that is held beyond its time has its price.

--- a/tests/market/ledger_test.cpp
+++ b/tests/market/ledger_test.cpp
@@ -101,3 +101,25 @@
   clock.play(Span::ms(10000));
   CHECK_TRUE(clock.system.connects() >= 6 && clock.system.connects() < 1000);
 }
+
+TEST_GROUP(LedgerFindInTime) {
+  Clockwork clock;
+  Ledger ledger{clock.scheduler, clock.later, "z", 1, 1U << 20U, 5};
+};
+
+// The client's time is over by then: a later answer only holds the request.
+TEST(LedgerFindInTime, AnswersByItsTime) {
+  for (const int n : {0, 1, 3, 5}) {
+    for (const double most : {100.0, 800.0}) {
+      ledger.map_came(ledger.usable() ? 100 + n : n + 1, cellars(n));
+      const TimePoint until = clock.system.now() + Span::ms(most);
+      Told found;
+      ledger.find("b", "p", until, [&](const Ledger::Chain&) { found(false, clock.system.now()); });
+      clock.play(Span::ms(4000));
+      CHECK_WHERE(found.times == 1, numbered("of ", n));
+      CHECK_WHERE(
+          found.at <= until + Span::ms(60),
+          numbered("of ", n) + numbered(", ms late: ", static_cast<long>((found.at - until).as_ms())));
+    }
+  }
+}
