A red test: an answer takes prompts off that others still read

Provoked: a held prompt that is answered while another is being read at the same endpoint. Fails: all its tokens are taken off, though none were put on. Why: by parts, the endpoint then looks free.

--- a/tests/market/tier_test.cpp
+++ b/tests/market/tier_test.cpp
@@ -460,3 +460,26 @@
   held.clear();
   CHECK_TRUE(!held.has(7) && held.tokens() == 0);
 }
+
+TEST_GROUP(TierUnread) {
+  Tier tier{"z", 5};
+  TimePoint now = TimePoint::at_ms(1e6);
+};
+
+// An answer takes off what its own prompt still had to be read, and nothing of what others have.
+TEST(TierUnread, HeldPartsAreNotTakenOffOthers) {
+  tier.listed(endpoints(2), now);
+  tier.engine(1e6);
+  const Placing held = parts({{1, 5000}}), other = parts({{2, 4000}});
+  tier.sent("e0", held, now);
+  tier.answered("e0", held, Span::ms(50), now);
+  tier.ended("e0", held, Ended::served, now);
+  tier.sent("e0", other, now);  // 4000 tokens are being read there
+  tier.sent("e0", held, now);   // nothing to be read
+  tier.answered("e0", held, Span::ms(50), now);
+  tier.ended("e0", held, Ended::served, now);
+  for (int i = 0; i < 2; ++i) tier.sent("e1", {}, now);  // two run there, and nothing is being read
+  // An unheard-of prompt goes where nothing is being read, whatever its rank.
+  for (std::uint64_t key = 100; key < 130; ++key)
+    CHECK_WHERE(tier.place(parts({{key, 30}}), now) == "e1", numbered("key ", static_cast<long long>(key)));
+}
