--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -15,6 +15,7 @@
 #include "lab/recovery.hpp"
 #include "lab/report.hpp"
 #include "lab/sidecar_config.hpp"
+#include "lab/tier/fleet.hpp"
 #include "net/socket.hpp"
 
 namespace chutevane::lab {
@@ -26,10 +27,12 @@
 
 volatile std::sig_atomic_t told_to_stop = 0;
 Fleet* running = nullptr;
+tier::Fleet* running_tier = nullptr;
 
 void on_signal(int) {
   told_to_stop = 1;
   if (running != nullptr) running->stop();
+  if (running_tier != nullptr) running_tier->stop();
 }
 
 void take_signals() {
@@ -308,6 +311,26 @@
   return r.done > 0 ? all_well : failed;
 }
 
+// The serving tier's real processes, with faults, between stand-ins.
+int tier_command(const cxxopts::ParseResult& given) {
+  const fs::path out = given["out"].as<std::string>();
+  fs::create_directories(out / "tier");
+  tier::FleetSpec spec;
+  spec.folder = fs::absolute(out / "tier").string();
+  spec.programs = given.count("programs") > 0 ? given["programs"].as<std::string>()
+                                              : fs::read_symlink("/proc/self/exe").parent_path().string();
+  if (given.count("seed") > 0) spec.seed = given["seed"].as<std::uint64_t>();
+  if (given.count("seconds") > 0) spec.seconds = given["seconds"].as<double>();
+  tier::Fleet fleet(spec);
+  running_tier = &fleet;
+  const tier::FleetResult r = fleet.run();
+  running_tier = nullptr;
+  write_file(out / "tier.json", tier::json_of(r));
+  std::printf("%sreport: %s\n", tier::table_of(r).c_str(), (out / "tier.json").c_str());
+  if (!r.started || r.stopped) return failed;
+  return r.broken() ? rule_broken : all_well;
+}
+
 int stand_in_command(const cxxopts::ParseResult& given) {
   StandInSpec spec;
   const auto address = [&](const char* name) {
@@ -327,7 +350,8 @@
 int main_command(int argc, char** argv) {
   cxxopts::Options options("chutevane-lab",
                            "Experiments with a whole fleet on one machine, real sidecars in it");
-  options.positional_help("run FILE | compare A B | recover FILE... | check FILE... | load | stand-in");
+  options.positional_help(
+      "run FILE | compare A B | recover FILE... | check FILE... | load | tier | stand-in");
   auto add = options.add_options();
   add("command", "", cxxopts::value<std::string>());
   add("file", "", cxxopts::value<std::vector<std::string>>());
@@ -347,6 +371,8 @@
   add("direct", "load: on the bare stand-in endpoint, without a sidecar");
   add("endpoints", "load, stand-in: how many", cxxopts::value<int>()->default_value("4"));
   add("work-ms", "load, stand-in: of each request", cxxopts::value<double>()->default_value("0"));
+  add("programs", "tier: the folder of the serving tier's programs; else that of this one",
+      cxxopts::value<std::string>());
   add("listen", "stand-in: the first endpoint's address", cxxopts::value<std::string>());
   add("discovery", "stand-in: discovery's address", cxxopts::value<std::string>());
   add("h,help", "this text");
@@ -358,6 +384,7 @@
     if (command == "stand-in") return stand_in_command(given);
     take_signals();
     if (command == "load") return load_command(given);
+    if (command == "tier") return tier_command(given);
     if ((command == "run" || command == "compare" || command == "recover" || command == "check") &&
         given.count("file") > 0) {
       if (command == "run") return run_command(given);
--- /dev/null
+++ b/src/lab/tier/auditor.cpp
@@ -0,0 +1,215 @@
+#include "lab/tier/auditor.hpp"
+
+#include <cstdio>
+#include <numeric>
+
+namespace chutevane::lab::tier {
+namespace {
+
+constexpr std::size_t breaches_kept = 100;
+constexpr std::size_t chain_most = 10000;  // turns: guards against names that go round in a ring
+
+std::string shown(const std::string& text) { return text.substr(0, 40) + (text.size() > 40 ? "..." : ""); }
+
+// Where two texts part.
+std::string difference(const std::string& want, const std::string& got) {
+  std::size_t at = 0;
+  while (at < want.size() && at < got.size() && want[at] == got[at]) ++at;
+  return std::to_string(got.size()) + " bytes, " + std::to_string(want.size()) + " due, parting at byte " +
+         std::to_string(at) + ": '" + shown(got.substr(at)) + "' for '" + shown(want.substr(at)) + "'";
+}
+
+}  // namespace
+
+const char* name_of(Check check) {
+  static constexpr std::array<const char*, checks> names = {"lost",
+                                                            "run twice",
+                                                            "budget overrun",
+                                                            "chain not exact",
+                                                            "joined or short answer",
+                                                            "refused and run",
+                                                            "refused without a cause",
+                                                            "invented turn",
+                                                            "sent to one that left",
+                                                            "configuration",
+                                                            "unserved",
+                                                            "crashed"};
+  return names[static_cast<std::size_t>(check)];
+}
+
+void Auditor::breach(Check check, std::string what) {
+  ++counts_[static_cast<std::size_t>(check)];
+  if (breaches_.size() < breaches_kept) breaches_.push_back({check, std::move(what)});
+}
+
+std::uint64_t Auditor::all() const {
+  return std::accumulate(counts_.begin(), counts_.end(), std::uint64_t{0});
+}
+
+void Auditor::asked(Ask ask) {
+  ++figures_.tries;
+  if (ask.sort == Sort::turn) ++figures_.turns_asked;
+  if (ask.budget) {
+    Program& p = programs_[ask.program];
+    p.has_budget = true;
+    p.budget = *ask.budget;
+    p.asked += ask.most;
+  }
+  const std::string id = ask.id;
+  tries_[id].ask = std::move(ask);
+}
+
+std::optional<std::string> Auditor::chain_before(const Try& of, std::size_t& length) const {
+  std::vector<const Try*> chain;
+  for (std::string at = of.ask.previous; !at.empty();) {
+    const auto found = tries_.find(at);
+    if (found == tries_.end() || !found->second.whole || chain.size() > chain_most) return std::nullopt;
+    chain.push_back(&found->second);
+    at = found->second.ask.previous;
+  }
+  length = chain.size();
+  std::string out;
+  for (auto it = chain.rbegin(); it != chain.rend(); ++it) out.append((*it)->ask.input).append((*it)->output);
+  return out;
+}
+
+std::uint64_t Auditor::ran(const std::string& id, const std::string& endpoint, const std::string& body) {
+  ++figures_.runs;
+  runs_.push_back({id, endpoint, "", false});
+  const std::uint64_t run = runs_.size();
+  const auto found = tries_.find(id);
+  if (found == tries_.end()) {
+    breach(Check::invented, endpoint + " ran " + id + ", which nobody asked for");
+    return run;
+  }
+  Try& at = found->second;
+  at.runs.push_back(run);
+  if (at.ask.sort != Sort::idempotent && at.runs.size() > 1)
+    breach(Check::twice, id + " ran at " + runs_[at.runs.front() - 1].endpoint + " and again at " + endpoint);
+  if (at.promised) breach(Check::promised, id + " ran at " + endpoint + " after it was refused");
+  if (at.ask.sort != Sort::turn) {
+    if (body != at.ask.input)
+      breach(Check::chain, id + " at " + endpoint + ": " + difference(at.ask.input, body));
+    return run;
+  }
+  std::size_t length = 0;
+  const auto before = chain_before(at, length);
+  if (!before) {
+    breach(Check::invented,
+           id + " ran at " + endpoint + ", on from " + at.ask.previous + ", which never ended");
+    return run;
+  }
+  ++figures_.chains_checked;
+  figures_.longest_chain = std::max<std::uint64_t>(figures_.longest_chain, length + 1);
+  if (const std::string due = *before + at.ask.input; due != body)
+    breach(Check::chain,
+           id + " at " + endpoint + ", turn " + std::to_string(length + 1) + ": " + difference(due, body));
+  return run;
+}
+
+void Auditor::check_budget(const std::string& program) {
+  Program& p = programs_[program];
+  if (!p.has_budget || p.told || (p.generated <= p.budget && p.handed <= p.budget)) return;
+  p.told = true;
+  breach(Check::overrun, "program " + program + ": " + std::to_string(p.generated) + " tokens generated, " +
+                             std::to_string(p.handed) + " handed over, budget " + std::to_string(p.budget));
+}
+
+void Auditor::generated(std::uint64_t run, const std::string& data, std::int64_t tokens) {
+  Run& at = runs_.at(run - 1);
+  at.output += data;
+  figures_.tokens_generated += static_cast<std::uint64_t>(tokens);
+  const auto found = tries_.find(at.id);
+  if (found == tries_.end() || tokens == 0) return;
+  found->second.tokens = tokens;
+  programs_[found->second.ask.program].generated += tokens;
+  check_budget(found->second.ask.program);
+}
+
+void Auditor::run_whole(std::uint64_t run) { runs_.at(run - 1).whole = true; }
+
+std::string Auditor::seal_of(std::uint64_t run) {
+  char text[40];
+  std::snprintf(text, sizeof text, "r%llu.%08llx", static_cast<unsigned long long>(run),
+                static_cast<unsigned long long>(run * 0x9e3779b97f4a7c15ULL >> 32U));
+  return text;
+}
+
+void Auditor::came(const std::string& id, std::int64_t event, const std::string& data) {
+  Try& at = tries_.at(id);
+  if (at.last_event && event <= *at.last_event)
+    breach(Check::joined,
+           id + ": event " + std::to_string(event) + " after " + std::to_string(*at.last_event));
+  at.last_event = event;
+  at.output += data;
+  // Tokens of an event are those of the endpoint that ran it, the same in each of its events.
+  figures_.tokens_handed += static_cast<std::uint64_t>(at.tokens);
+  programs_[at.ask.program].handed += at.tokens;
+  check_budget(at.ask.program);
+}
+
+void Auditor::came_plain(const std::string& id, const std::string& body) { tries_.at(id).output = body; }
+
+// Guards against an answer of two runs, of a part of one, or of another request's.
+void Auditor::check_answer(Try& at, const std::string& seal) {
+  for (const std::uint64_t n : at.runs) {
+    const Run& run = runs_[n - 1];
+    if (seal_of(n) != seal) continue;
+    if (run.output != at.output) {
+      breach(Check::joined, at.ask.id + " from " + run.endpoint + ": " + difference(run.output, at.output));
+    } else if (!run.whole) {
+      breach(Check::joined, at.ask.id + ": whole at its client, and broken off at " + run.endpoint);
+    }
+    return;
+  }
+  breach(Check::joined, at.ask.id + ": whole with the seal '" + seal + "', which none of its " +
+                            std::to_string(at.runs.size()) + " runs has");
+}
+
+void Auditor::answered(const std::string& id, Ended how, const std::string& seal) {
+  Try& at = tries_.at(id);
+  at.ended = true;
+  const bool turn = at.ask.sort == Sort::turn;
+  const Program& program = programs_[at.ask.program];
+  switch (how) {
+    case Ended::whole: {
+      at.whole = true;
+      if (turn) ++figures_.turns_whole;
+      check_answer(at, seal);
+      std::size_t length = 0;
+      if (turn && !chain_before(at, length))
+        breach(Check::invented, id + " was answered, on from " + at.ask.previous + ", which never ended");
+      break;
+    }
+    case Ended::spent:
+      ++figures_.spent;
+      // All that it ever asked for, at its most, and still within the budget.
+      if (!program.has_budget || program.asked <= program.budget)
+        breach(Check::denied, id + ": 402, and all of program " + at.ask.program + " comes to " +
+                                  std::to_string(program.asked) + " of " + std::to_string(program.budget));
+      [[fallthrough]];
+    case Ended::promised:
+      if (how == Ended::promised) ++figures_.promised;
+      at.promised = true;
+      if (!at.runs.empty())
+        breach(Check::promised, id + ": refused, and it ran at " + runs_[at.runs.back() - 1].endpoint);
+      break;
+    case Ended::unknown:
+      if (!turn || at.ask.previous.empty()) {
+        breach(Check::denied, id + ": 404, and its route is there");
+      } else if (is_whole(at.ask.previous)) {
+        breach(Check::lost, at.ask.previous + " was answered whole; then 404 to " + id);
+      }
+      if (!at.runs.empty()) breach(Check::promised, id + ": 404, and it ran");
+      break;
+    case Ended::denied: breach(Check::denied, id + ": another 4xx"); break;
+    case Ended::broken: ++figures_.broken; break;
+  }
+}
+
+bool Auditor::is_whole(const std::string& id) const {
+  const auto found = tries_.find(id);
+  return found != tries_.end() && found->second.whole;
+}
+
+}  // namespace chutevane::lab::tier
--- /dev/null
+++ b/src/lab/tier/auditor.hpp
@@ -0,0 +1,116 @@
+// The tier's auditor: hears clients and endpoints, never the tier itself, and says what was lost, run twice,
+// overrun or made up. Without I/O; told the time by nobody, since nothing it judges depends on it.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace chutevane::lab::tier {
+
+enum class Sort : std::uint8_t { idempotent, once, turn };
+
+// How one try of a client ended.
+enum class Ended : std::uint8_t {
+  whole,
+  promised,  // it has not run and will not: 503, 429, 408, 421
+  spent,     // 402
+  unknown,   // 404
+  denied,    // any other 4xx
+  broken,    // nothing is promised
+};
+
+enum class Check : std::uint8_t {
+  lost,           // answered whole, and later no such turn
+  twice,          // what may run once ran again
+  overrun,        // more tokens than the program's budget
+  chain,          // an endpoint got other bytes than the chain and the new input
+  joined,         // an answer that is not one whole run
+  promised,       // refused with a promise, and run
+  denied,         // a refusal that nothing explains
+  invented,       // a turn that goes on from one that never ended whole
+  drained,        // sent to an endpoint that had long begun to leave
+  configuration,  // an acknowledged one that is not in force, or not read back
+  unserved,       // a program that was given up, where none should be
+  crashed,        // a process that ended by itself
+};
+constexpr std::size_t checks = 12;
+const char* name_of(Check check);
+
+struct Breach {
+  Check check = Check::lost;
+  std::string what;
+};
+
+class Auditor {
+ public:
+  // ---- clients
+  struct Ask {
+    std::string id;
+    Sort sort = Sort::turn;
+    std::string program, previous, input;
+    std::int64_t most = 0;  // tokens that it may generate
+    std::optional<std::int64_t> budget;
+  };
+  void asked(Ask ask);
+  void came(const std::string& id, std::int64_t event, const std::string& data);  // with its line feed
+  void came_plain(const std::string& id, const std::string& body);
+  void answered(const std::string& id, Ended how, const std::string& seal);
+
+  // ---- endpoints
+  // Begins to run; which run it is.
+  std::uint64_t ran(const std::string& id, const std::string& endpoint, const std::string& body);
+  void generated(std::uint64_t run, const std::string& data, std::int64_t tokens);
+  void run_whole(std::uint64_t run);
+  static std::string seal_of(std::uint64_t run);
+
+  // ---- whatever else is found
+  void breach(Check check, std::string what);
+
+  // Whether an answer to it came to a client whole.
+  bool is_whole(const std::string& id) const;
+  std::uint64_t count(Check check) const { return counts_[static_cast<std::size_t>(check)]; }
+  std::uint64_t all() const;
+  const std::vector<Breach>& breaches() const { return breaches_; }
+
+  struct Figures {
+    std::uint64_t turns_asked = 0, turns_whole = 0, tries = 0, runs = 0, tokens_generated = 0,
+                  tokens_handed = 0;
+    std::uint64_t spent = 0, promised = 0, broken = 0, chains_checked = 0, longest_chain = 0;
+  };
+  const Figures& figures() const { return figures_; }
+
+ private:
+  struct Run {
+    std::string id, endpoint, output;
+    bool whole = false;
+  };
+  struct Try {
+    Ask ask;
+    std::vector<std::uint64_t> runs;
+    std::string output;  // as the client has it
+    std::optional<std::int64_t> last_event;
+    std::int64_t tokens = 0;
+    bool ended = false, whole = false, promised = false;
+  };
+  struct Program {
+    std::int64_t budget = 0, generated = 0, handed = 0, asked = 0;
+    bool has_budget = false, told = false;
+  };
+  // Nothing where the chain has a turn that never ended whole.
+  std::optional<std::string> chain_before(const Try& of, std::size_t& length) const;
+  void check_budget(const std::string& program);
+  void check_answer(Try& at, const std::string& seal);
+
+  std::map<std::string, Try> tries_;
+  std::vector<Run> runs_;
+  std::map<std::string, Program> programs_;
+  std::array<std::uint64_t, checks> counts_{};
+  std::vector<Breach> breaches_;
+  Figures figures_;
+};
+
+}  // namespace chutevane::lab::tier
--- /dev/null
+++ b/src/lab/tier/endpoint.hpp
@@ -0,0 +1,66 @@
+// A stand-in endpoint: it streams the answers of turns, token by token, or answers plainly; it runs so many
+// at once, queues a few, and says of the rest that they never ran. What it runs the auditor hears.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <string>
+
+#include "lab/draw.hpp"
+#include "lab/tier/auditor.hpp"
+#include "lab/tier/web.hpp"
+
+namespace chutevane::lab::tier {
+
+constexpr std::int64_t tokens_per_event = 4;
+
+struct EndpointSpec {
+  std::string id, service, zone;
+  sockaddr_in at{};
+  bool streams = false;
+  std::size_t capacity = 8, queue = 4;
+  double first_ms = 12, event_ms = 6, work_ms = 4;
+};
+
+class EndpointStandIn {
+ public:
+  EndpointStandIn(net::Scheduler& scheduler, net::Later& later, Auditor& auditor, const EndpointSpec& spec,
+                  std::uint64_t seed);
+  const EndpointSpec& spec() const { return spec_; }
+  bool draining() const { return draining_; }
+  // From here on it stands on the list as leaving; what comes `most` after it was read there is a breach.
+  void drain() { draining_ = true; }
+  void read_as_draining(TimePoint at, Span most);
+  void end();  // it is gone, whatever it ran
+  std::uint64_t turned_away() const { return turned_away_; }
+
+ private:
+  struct Job {
+    std::uint64_t visit = 0, run = 0;
+    std::size_t events = 0, told = 0;  // events in all, and so far
+    std::int64_t last_id = 0;
+    TimePoint until;
+    net::Later::Ticket next;
+  };
+  void take(Port::Visit& visit);
+  void left(Port::Visit& visit);
+  void start(std::uint64_t visit);
+  void go_on(std::uint64_t visit);
+  void over(std::uint64_t visit);
+  void refuse(Port::Visit& visit, int status);
+  std::string load() const;
+  Fields fields_for(const Asked& asked, std::uint64_t run) const;
+
+  net::Later& later_;
+  Auditor& auditor_;
+  EndpointSpec spec_;
+  Chance chance_;
+  Port port_;
+  std::map<std::uint64_t, Job> jobs_;  // by visit
+  std::deque<std::uint64_t> queue_;    // visits
+  bool draining_ = false, ended_ = false;
+  std::optional<TimePoint> closed_from_;
+  std::uint64_t turned_away_ = 0;
+};
+
+}  // namespace chutevane::lab::tier
--- /dev/null
+++ b/src/lab/tier/fleet.hpp
@@ -0,0 +1,116 @@
+// A small tier of real processes on loopback, one address for each machine, between stand-ins; faults at
+// stated parts of its time, and what it came to.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lab/loopback.hpp"
+#include "lab/process.hpp"
+#include "lab/tier/load.hpp"
+#include "lab/tier/operators.hpp"
+
+namespace chutevane::lab::tier {
+
+struct FleetSpec {
+  std::string programs;  // folder of chutevane-clerk, -cellar, -stall
+  std::string folder;    // for settings, logs and the cellars' data; it is there
+  std::uint64_t seed = 1;
+  double seconds = 20;  // of load, with what follows it
+  double programs_per_s = 12;
+};
+
+struct FaultRecord {
+  std::string name;
+  TimePoint at;
+  double at_ms = 0;   // from the start of the load
+  Span full_service;  // from the fault to the end of the last try that went badly
+  bool back = true;   // before the next fault
+  std::size_t bad_tries = 0, tries = 0;
+  std::string note;
+};
+
+struct FleetResult {
+  bool started = false, stopped = false;
+  std::string trouble;  // why it did not start
+  Span up;              // from the first start to a ready tier
+  Load::Figures load;
+  Auditor::Figures figures;
+  std::array<std::uint64_t, checks> counts{};
+  std::vector<Breach> breaches;
+  std::vector<FaultRecord> faults;
+  std::vector<double> first_event_ms, tool_ms;
+  struct BadTry {
+    std::string id;
+    double began_ms = 0, lasted_ms = 0, first_ms = 0;  // from the start of the load
+    int status = 0;
+    bool turn = false;
+  };
+  std::vector<BadTry> bad_tries;
+  std::vector<double> change_ms;  // from the operator's first call to the 200
+  std::vector<double> force_ms;   // from the 200 to the last stall
+  std::uint64_t operator_calls = 0, list_pages = 0, list_over_rate = 0, turned_away = 0;
+  bool broken() const;
+};
+
+class Fleet {
+ public:
+  explicit Fleet(const FleetSpec& spec);
+  ~Fleet();
+  FleetResult run();
+  void stop() { told_to_stop_ = true; }  // from a signal
+
+ private:
+  struct Machine {
+    std::string plane, node, zone;
+    sockaddr_in at{};  // its address, any port
+    Process process;
+    bool ends_by_order = false;  // a fault, or an order to end
+    std::string settings, log, data;
+  };
+  void add(const std::string& plane, std::size_t number, int group, const char* zone, bool first);
+  void write_settings(Machine& machine, bool first);
+  void start(Machine& machine, bool first);
+  void watch();
+  Machine& drawn(const char* plane, std::size_t& which);
+  sockaddr_in with_port(const sockaddr_in& at, std::uint16_t port) const;
+  bool wait(Span most, const std::function<bool()>& what);
+  void plan(TimePoint begin, Span lasts);
+  FaultRecord& fault(const std::string& name);
+  void lose_cellar();
+  void kill_clerk();
+  void end_stall();
+  void drain_endpoint();
+  void look_whole(std::size_t record, const std::string& node, TimePoint since);
+  void change(std::int64_t version, std::size_t first_to);
+  void probe(std::int64_t version, std::int64_t before, std::size_t stall, TimePoint since,
+             const std::shared_ptr<std::size_t>& left);
+  void judge_faults(FleetResult& result, TimePoint begin, TimePoint end);
+  std::string last_words() const;
+
+  FleetSpec spec_;
+  volatile bool told_to_stop_ = false;
+  Chance chance_;
+  AddressBlock addresses_;
+  net::Scheduler scheduler_;
+  net::Later later_;
+  Auditor auditor_;
+  std::vector<std::unique_ptr<Machine>> machines_;
+  ListStandIn list_;
+  std::vector<std::unique_ptr<EndpointStandIn>> endpoints_;
+  Lines lines_;
+  Front front_;
+  std::unique_ptr<OperatorStandIn> operator_;
+  std::unique_ptr<Load> load_;
+  std::vector<FaultRecord> faults_;
+  std::vector<double> change_ms_, force_ms_;
+  std::size_t probes_open_ = 0, orders_open_ = 0;
+  bool quiet_ = false;  // the end: processes may end as they like
+};
+
+std::string table_of(const FleetResult& result);
+std::string json_of(const FleetResult& result);
+
+}  // namespace chutevane::lab::tier
--- /dev/null
+++ b/src/lab/tier/load.cpp
@@ -0,0 +1,451 @@
+#include "lab/tier/load.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <cstdio>
+#include <cstdlib>
+
+namespace chutevane::lab::tier {
+namespace {
+
+constexpr Span silence_most = Span::ms(2000);  // four times the objective, and eight pauses are less
+constexpr std::size_t tries_most = 6;          // of one request, inside its time
+constexpr int anew_most = 2;                   // a turn is sent from its start so often again
+constexpr Span heirs_ask = Span::ms(12000);    // as long as a deployment has to recover
+
+std::string hex(std::uint64_t value) {
+  char text[17];
+  std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(value));
+  return text;
+}
+
+}  // namespace
+
+// ---- one request, in as many tries as its kind and its time allow
+
+class Load::Asking final : public Line::Sink {
+ public:
+  Asking(Load& load, Want want, std::function<void(const Got&)> done, std::uint64_t place)
+      : load_(load), want_(std::move(want)), done_(std::move(done)), place_(place) {
+    until_ = load_.later_.now() + want_.lasts;
+  }
+  ~Asking() {
+    load_.later_.cancel(due_);
+    load_.later_.cancel(again_);
+  }
+  void go() {
+    ++tries_;
+    id_ = load_.new_id();
+    status_ = 0;
+    seal_.clear();
+    retry_after_ = Span();
+    bytes_.clear();
+    heard_ = false;
+    began_ = load_.later_.now();
+    load_.auditor_.asked(
+        {id_, want_.sort, want_.program, want_.previous, want_.input, want_.most, want_.budget});
+    Fields fields{
+        {"X-Chutevane-Attempt-Id", id_},
+        {"X-Chutevane-Time-Remaining", std::to_string(static_cast<long>((until_ - began_).as_ms()))}};
+    const auto put = [&](const char* name, const std::string& value) {
+      if (!value.empty()) fields.emplace_back(name, value);
+    };
+    put("Program", want_.program);
+    put("Session", want_.session);
+    put("Finish-Ms", want_.program.empty() ? "" : "20000");
+    put("Previous", want_.previous);
+    if (want_.budget) put("Budget", std::to_string(*want_.budget));
+    if (want_.sort == Sort::turn) {
+      put("X-Chutevane-Model", "m");
+      put("X-Chutevane-Token-Count",
+          std::to_string(want_.input.size() / 4 + 1) + "," + std::to_string(want_.most));
+      put("X-Chutevane-Prompt-Prefix", want_.parts);
+    }
+    line_ = &load_.line_for(want_.client, tries_ - 1);
+    wait();
+    line_->ask(*this, request_text(want_.sort == Sort::idempotent ? "GET" : "POST", want_.path, host, fields,
+                                   want_.input));
+  }
+
+ private:
+  void wait() {
+    load_.later_.cancel(due_);
+    const TimePoint silent = load_.later_.now() + silence_most;
+    due_ = load_.later_.at(want_.sort == Sort::turn ? std::min(until_, silent) : until_, [this] {
+      line_->close();
+      over(Ended::broken);
+    });
+  }
+  void line_head(const http::Parser& answer) override {
+    status_ = answer.status();
+    seal_ = answer.find("X-Chutevane-Server-Seal").value_or("");
+    const std::string wait(answer.find("Retry-After").value_or(""));
+    retry_after_ = Span::ms(std::strtod(wait.c_str(), nullptr) * 1000);
+    if (const auto id = answer.find("X-Chutevane-Attempt-Id"); status_ == 200 && id != id_)
+      load_.auditor_.breach(Check::joined, id_ + " got the answer to " + std::string(id.value_or("nothing")));
+  }
+  void line_piece(std::string_view piece) override {
+    bytes_ += piece;
+    if (want_.sort != Sort::turn || status_ != 200) return;
+    wait();
+    for (std::size_t end = bytes_.find("\n\n"); end != std::string::npos; end = bytes_.find("\n\n")) {
+      event(std::string_view(bytes_).substr(0, end + 1));
+      bytes_.erase(0, end + 2);
+    }
+  }
+  void event(std::string_view text) {
+    std::string data;
+    std::int64_t number = -1;
+    for (std::size_t at = 0; at < text.size();) {
+      const std::size_t end = text.find('\n', at);
+      const std::string_view line = text.substr(at, end - at);
+      at = end + 1;
+      if (line.starts_with("data: ")) data.append(line.substr(6)).append("\n");
+      if (line.starts_with("id: ")) std::from_chars(line.data() + 4, line.data() + line.size(), number);
+    }
+    if (!std::exchange(heard_, true)) first_ = load_.later_.now();
+    load_.auditor_.came(id_, number, data);
+  }
+  void line_whole() override {
+    if (line_->reusable()) load_.idle(want_.client, *line_);
+    if (status_ == 200) {
+      if (!heard_) first_ = load_.later_.now();
+      if (want_.sort != Sort::turn) load_.auditor_.came_plain(id_, bytes_);
+      if (want_.sort == Sort::turn && !bytes_.empty())
+        load_.auditor_.breach(Check::joined, id_ + ": a part of an event at its end");
+      return over(Ended::whole);
+    }
+    if (status_ == 503 || status_ == 429 || status_ == 408 || status_ == 421) return over(Ended::promised);
+    if (status_ == 402) return over(Ended::spent);
+    if (status_ == 404) return over(Ended::unknown);
+    over(status_ >= 400 && status_ < 500 ? Ended::denied : Ended::broken);
+  }
+  void line_failed(bool unsent) override { over(unsent ? Ended::promised : Ended::broken); }
+
+  void over(Ended how) {
+    const auto self = load_.asking_.at(place_);
+    load_.later_.cancel(due_);
+    const TimePoint now = load_.later_.now();
+    load_.auditor_.answered(id_, how, seal_);
+    const bool good = how == Ended::whole || how == Ended::spent;
+    if (want_.counted)
+      load_.records_.push_back({began_, now, good, want_.sort == Sort::turn,
+                                how == Ended::whole ? (first_ - began_).as_ms() : 0, id_, status_});
+    const bool may = how == Ended::promised || (how == Ended::broken && want_.sort == Sort::idempotent);
+    const Span pause = std::max(retry_after_, Span::ms(20));
+    if (may && tries_ < tries_most && pause * 3 < until_ - now) {
+      again_ = load_.later_.after(pause, [this] { go(); });
+      return;
+    }
+    const Got got{how, id_};
+    const auto done = std::move(done_);
+    load_.asking_.erase(place_);
+    done(got);
+  }
+
+  Load& load_;
+  const Want want_;
+  std::function<void(const Got&)> done_;
+  const std::uint64_t place_;
+  TimePoint until_, began_, first_;
+  std::size_t tries_ = 0;
+  std::string id_, seal_, bytes_;
+  int status_ = 0;
+  Span retry_after_;
+  bool heard_ = false;
+  Line* line_ = nullptr;
+  net::Later::Ticket due_, again_;
+};
+
+// ---- one program
+
+class Load::Program {
+ public:
+  struct Step {
+    std::int64_t most = 0;
+    std::string input;
+    std::size_t tools = 0, acts = 0;
+    Span pause;
+    std::vector<Step> sub_agent;  // its steps; none: no sub-agent
+  };
+  struct Talk {  // a line of turns
+    std::string session, previous;
+    std::vector<Step> steps;
+    std::size_t at = 0;
+    int anew = 0;
+    bool main = false;
+    std::function<void()> done;
+  };
+
+  // `from`: the turn that it goes on from; then it is an heir, and asks until its time is over.
+  Program(Load& load, std::size_t number, std::string from)
+      : load_(load), chance_(load.spec_.seed, "program " + std::to_string(number)), heir_(!from.empty()) {
+    client_ = word();
+    name_ = hex(word()).substr(4);
+    loops_ = !heir_ && number % 8 == 3;
+    const std::size_t steps = heir_ ? 1 : loops_ ? 1 : 3 + chance_.below(4);
+    main_ = std::make_shared<Talk>();
+    main_->main = true;
+    main_->session = hex(word()).substr(10);
+    main_->previous = std::move(from);
+    std::int64_t all = 0;
+    for (std::size_t i = 0; i < steps; ++i) {
+      main_->steps.push_back(draw(!heir_ && (loops_ || (i > 0 && chance_.one_in(0.25)))));
+      all += main_->steps.back().most * (main_->steps.back().sub_agent.empty() ? 1 : 3);
+    }
+    // Room for a turn that breaks off and counts at its most; a loop's is spent in some rounds.
+    budget_ = loops_ ? all * 4 : all * 4 + 200;
+    parts_ = hex(chance_.below(4) + 1) + ":800," + hex(word()) + ":200";
+    last_possible_ = load_.later_.now() + heirs_ask;
+  }
+  bool is_heir() const { return heir_; }
+  void start() { turn(main_); }
+
+ private:
+  std::uint64_t word() {
+    const std::uint64_t high = chance_();
+    return high << 32U | chance_();
+  }
+  Step draw(bool sub_agent) {
+    Step s;
+    s.most = tokens_per_event * static_cast<std::int64_t>(4 + chance_.below(13));
+    s.input = "input " + hex(word()) + std::string(20 + chance_.below(400), 'i') +
+              (chance_.one_in(0.5) ? "\n" : "");
+    s.tools = chance_.below(3);
+    s.acts = chance_.below(2);
+    s.pause = Span::ms(20 + static_cast<double>(chance_.below(80)));
+    for (std::size_t i = 0; sub_agent && i < (loops_ ? 1U : 2U); ++i) {
+      s.sub_agent.push_back(draw(false));
+      s.sub_agent.back().most = std::min(s.sub_agent.back().most, s.most);
+    }
+    return s;
+  }
+
+  void turn(const std::shared_ptr<Talk>& talk) {
+    const Step& step = talk->steps[talk->at];
+    Want want;
+    want.path = "/turns/say";
+    want.program = name_;
+    want.session = talk->session;
+    want.previous = talk->previous;
+    want.input = step.input;
+    want.parts = parts_;
+    want.budget = budget_;
+    want.most = step.most;
+    want.client = client_;
+    load_.ask(want, [this, talk](const Got& got) { turned(talk, got); });
+  }
+
+  void turned(const std::shared_ptr<Talk>& talk, const Got& got) {
+    const Step step = talk->steps[talk->at];
+    switch (got.how) {
+      case Ended::whole: {
+        talk->previous = got.id;
+        talk->anew = 0;
+        if (talk->main) last_ = got.id;
+        auto open = std::make_shared<std::size_t>(step.tools + step.acts + (step.sub_agent.empty() ? 0 : 1));
+        const auto one_over = [this, talk, open, pause = step.pause] {
+          if (--*open == 0) load_.later_.after(pause, [this, talk] { next(talk); });
+        };
+        if (*open == 0) {
+          *open = 1;
+          one_over();
+          return;
+        }
+        for (std::size_t i = 0; i < step.tools + step.acts; ++i) tool(i >= step.tools, one_over);
+        if (!step.sub_agent.empty()) sub_agent(step, talk->previous, one_over);
+        return;
+      }
+      case Ended::spent:
+        if (loops_) {
+          spent_ = true;
+          if (talk->main && talk->anew++ < anew_most) return again(talk);
+          return end(talk, true);
+        }
+        return end(talk, false);
+      case Ended::unknown:
+      case Ended::denied: return end(talk, false);
+      case Ended::promised:
+      case Ended::broken:
+        if (heir_ ? load_.later_.now() < last_possible_ : talk->anew++ < anew_most) return again(talk);
+        return end(talk, false);
+    }
+  }
+  void again(const std::shared_ptr<Talk>& talk) {
+    ++load_.figures_.sent_anew;
+    load_.later_.after(Span::ms(100 + 300 * load_.habits_.unit()), [this, talk] { turn(talk); });
+  }
+  void next(const std::shared_ptr<Talk>& talk) {
+    if (over_) return;
+    if (loops_ && talk->main) return turn(talk);  // the same step, round by round
+    if (++talk->at < talk->steps.size()) return turn(talk);
+    end(talk, true);
+  }
+
+  void tool(bool act, const std::function<void()>& over) {
+    Want want;
+    want.sort = act ? Sort::once : Sort::idempotent;
+    want.path = act ? "/acts/do" : "/tools/look?for=it";
+    want.program = name_;
+    want.session = main_->session;
+    if (act) want.input = "act " + name_ + " " + std::to_string(++acts_);
+    want.lasts = Span::ms(3000);
+    want.client = client_;
+    ++load_.figures_.tools;
+    load_.ask(want, [this, over](const Got& got) {
+      if (got.how == Ended::whole) ++load_.figures_.tools_whole;
+      over();
+    });
+  }
+  // Its turns begin with its parent's; side by side with what else follows that turn.
+  void sub_agent(const Step& step, const std::string& from, const std::function<void()>& over) {
+    const auto talk = std::make_shared<Talk>();
+    talk->session = main_->session + "." + std::to_string(++sub_agents_);
+    talk->previous = from;
+    talk->steps = step.sub_agent;
+    talk->done = over;
+    turn(talk);
+  }
+
+  void end(const std::shared_ptr<Talk>& talk, bool well) {
+    if (!well) failed_ = true;
+    if (!talk->main) return talk->done();
+    if (std::exchange(over_, true)) return;
+    --load_.open_;
+    load_.part(client_);
+    Figures& f = load_.figures_;
+    if (heir_) {
+      f.heirs_whole += failed_ ? 0 : 1;
+      if (failed_)
+        load_.auditor_.breach(
+            Check::unserved, "an heir, program " + name_ + ", got no whole answer on from " + talk->previous);
+      return;
+    }
+    if (loops_ && spent_) ++f.loops_spent;
+    if (failed_) {
+      ++f.given_up;
+      load_.auditor_.breach(Check::unserved, "program " + name_ + " was given up");
+    } else {
+      ++f.done;
+    }
+    if (!last_.empty()) load_.last_turns_.push_back(last_);
+  }
+
+  Load& load_;
+  Chance chance_;
+  const bool heir_;
+  bool loops_ = false, spent_ = false, failed_ = false, over_ = false;
+  std::uint64_t client_ = 0, acts_ = 0, sub_agents_ = 0;
+  std::string name_, parts_, last_;
+  std::int64_t budget_ = 0;
+  std::shared_ptr<Talk> main_;
+  TimePoint last_possible_;
+};
+
+// ---- all of them
+
+Load::Load(net::Scheduler& scheduler, net::Later& later, Lines& lines, Front& front, Auditor& auditor,
+           const Spec& spec)
+    : scheduler_(scheduler),
+      later_(later),
+      lines_(lines),
+      front_(front),
+      auditor_(auditor),
+      spec_(spec),
+      arrivals_(spec.seed, "arrivals"),
+      ids_(spec.seed, "ids"),
+      habits_(spec.seed, "habits") {}
+
+Load::~Load() = default;
+
+std::string Load::new_id() {
+  const std::uint64_t high = ids_();
+  return hex(high << 32U | ids_());
+}
+
+void Load::ask(const Want& want, std::function<void(const Got&)> done) {
+  const std::uint64_t place = ++last_asking_;
+  const auto asking = std::make_shared<Asking>(*this, want, std::move(done), place);
+  asking_[place] = asking;
+  asking->go();
+}
+
+void Load::begin() {
+  next_program();
+  later_.after(Span::ms(700), [this] { next_stranger(); });
+}
+
+void Load::next_program() {
+  if (stopped_) return;
+  ++open_;
+  ++figures_.programs;
+  programs_.push_back(std::make_unique<Program>(*this, programs_.size(), ""));
+  if (programs_.size() % 8 == 4) ++figures_.loops;
+  programs_.back()->start();
+  const double pause_ms = -std::log(1 - arrivals_.unit()) * 1000.0 / spec_.programs_per_s;
+  later_.after(Span::ms(pause_ms), [this] { next_program(); });
+}
+
+// Asks for what never was: 404, or 503 while that is not certain.
+void Load::next_stranger() {
+  if (stopped_) return;
+  Want want;
+  want.path = "/turns/say";
+  want.program = "dead" + new_id().substr(12);
+  want.session = "beef";
+  want.previous = new_id();
+  want.input = "who?";
+  want.most = tokens_per_event;
+  want.lasts = Span::ms(2000);
+  want.client = 7;
+  want.counted = false;
+  ++figures_.strangers;
+  ask(want, [this](const Got& got) {
+    if (got.how == Ended::unknown || got.how == Ended::promised) ++figures_.strangers_refused;
+  });
+  later_.after(Span::ms(700), [this] { next_stranger(); });
+}
+
+void Load::go_on_from_old(std::size_t most) {
+  const std::size_t count = std::min(most, last_turns_.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    const std::string from = last_turns_[i * last_turns_.size() / count];
+    ++open_;
+    ++figures_.heirs;
+    programs_.push_back(std::make_unique<Program>(*this, 1000000 + i, from));
+    later_.after(Span::ms(static_cast<double>(i) * 10),
+                 [program = programs_.back().get()] { program->start(); });
+  }
+}
+
+// ---- connections
+
+Line& Load::line_for(std::uint64_t client, std::size_t again) {
+  auto& idle = idle_[client];
+  while (again == 0 && !idle.empty()) {
+    Line* const line = idle.back();
+    idle.pop_back();
+    line->on_gone({});
+    if (line->reusable()) return *line;
+    line->close();
+  }
+  return lines_.open(front_.pick(client, again));
+}
+
+void Load::idle(std::uint64_t client, Line& line) {
+  idle_[client].push_back(&line);
+  line.on_gone([this, client](Line& gone) { std::erase(idle_[client], &gone); });
+}
+
+void Load::part(std::uint64_t client) {
+  auto& idle = idle_[client];
+  while (!idle.empty()) {
+    Line* const line = idle.back();
+    idle.pop_back();
+    line->on_gone({});
+    line->close();
+  }
+}
+
+}  // namespace chutevane::lab::tier
--- /dev/null
+++ b/src/lab/tier/platform.hpp
@@ -0,0 +1,64 @@
+// The platform's stand-ins: the paged list of endpoints, and the front that hands clients to sidecars.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lab/tier/endpoint.hpp"
+#include "lab/tier/web.hpp"
+
+namespace chutevane::lab::tier {
+
+class ListStandIn {
+ public:
+  ListStandIn(net::Scheduler& scheduler, net::Later& later, double rate_per_s, Span drain);
+  void listen(const sockaddr_in& at) { port_.listen(at); }
+  void add(EndpointStandIn& endpoint) { endpoints_.push_back(&endpoint); }
+  void remove(const EndpointStandIn& endpoint) { std::erase(endpoints_, &endpoint); }
+  std::uint64_t pages() const { return pages_; }
+  std::uint64_t over_rate() const { return over_rate_; }
+
+ private:
+  void take(Port::Visit& visit);
+  net::Later& later_;
+  const double rate_;
+  const Span drain_;
+  Port port_;
+  std::vector<EndpointStandIn*> endpoints_;
+  TimePoint at_;
+  double allowed_;
+  std::uint64_t pages_ = 0, over_rate_ = 0;
+};
+
+// Asks each sidecar once a second whether it is ready; two misses take it out, one 200 brings it back. New
+// connections go to those that are in, or to all while fewer than half are.
+class Front {
+ public:
+  Front(Lines& lines, net::Later& later) : lines_(lines), later_(later) {}
+  void add(const std::string& name, const sockaddr_in& front, const sockaddr_in& readiness);
+  void begin(Span every);
+  void every(Span span) { every_ = span; }
+  std::size_t in() const;
+  bool is_in(std::size_t which) const { return stalls_[which].in; }
+  std::size_t size() const { return stalls_.size(); }
+  const sockaddr_in& address(std::size_t which) const { return stalls_[which].front; }
+  // For a new connection; `again`: how many the client has had in this request, so that it meets others.
+  const sockaddr_in& pick(std::uint64_t client, std::size_t again) const;
+
+ private:
+  struct Stall {
+    std::string name;
+    sockaddr_in front{}, readiness{};
+    bool in = false;
+    int misses = 0;
+  };
+  void look(std::size_t which);
+  Lines& lines_;
+  net::Later& later_;
+  Span every_ = Span::ms(1000);
+  std::vector<Stall> stalls_;
+};
+
+}  // namespace chutevane::lab::tier
--- /dev/null
+++ b/src/lab/tier/web.cpp
@@ -0,0 +1,251 @@
+#include "lab/tier/web.hpp"
+
+#include <cstdio>
+
+#include "http/writer.hpp"
+
+namespace chutevane::lab::tier {
+namespace {
+
+constexpr http::Limits bounds{.head = 16 * 1024, .body = 8U << 20U, .fields = 100};  // bytes
+constexpr Span comes_up = Span::ms(1000);
+
+}  // namespace
+
+std::string Asked::find(std::string_view name) const {
+  for (const auto& [n, value] : fields) {
+    if (http::same_name(n, name)) return value;
+  }
+  return "";
+}
+
+std::string Asked::query(std::string_view name) const {
+  const std::string wanted = std::string(name) + "=";
+  std::size_t at = target.find('?');
+  while (at != std::string::npos) {
+    const std::size_t next = target.find('&', ++at);
+    if (target.compare(at, wanted.size(), wanted) == 0)
+      return target.substr(at + wanted.size(), next == std::string::npos ? next : next - at - wanted.size());
+    at = next;
+  }
+  return "";
+}
+
+std::string request_text(std::string_view method, std::string_view target, std::string_view host,
+                         const Fields& fields, std::string_view body) {
+  std::string out =
+      std::string(method) + " " + std::string(target) + " HTTP/1.1\r\nHost: " + std::string(host) + "\r\n";
+  for (const auto& [name, value] : fields) out += name + ": " + value + "\r\n";
+  if (!body.empty() || method != "GET") out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  return out.append("\r\n").append(body);
+}
+
+// ---- a port
+
+Port::Port(net::Scheduler& scheduler, Handler handler, Handler gone)
+    : scheduler_(scheduler),
+      handler_(std::move(handler)),
+      gone_(std::move(gone)),
+      listener_(scheduler, [this](int fd) { crew_.add(std::make_unique<Visit>(*this)).channel_.adopt(fd); }),
+      crew_(scheduler) {}
+
+Port::Visit* Port::find(std::uint64_t id) {
+  const auto found = visits_.find(id);
+  return found == visits_.end() ? nullptr : found->second;
+}
+
+void Port::close() {
+  listener_.close();
+  while (crew_.size() > 0) crew_[crew_.size() - 1].reset();
+}
+
+Port::Visit::Visit(Port& port)
+    : port_(port),
+      channel_(port.scheduler_, static_cast<net::Channel::Sink&>(*this)),
+      parser_(http::Side::request, bounds),
+      id_(++port.last_) {
+  port.visits_.emplace(id_, this);
+}
+
+void Port::Visit::leave() {
+  if (std::exchange(left_, true)) return;
+  port_.visits_.erase(id_);
+  if (std::exchange(in_hand_, false) && port_.gone_) port_.gone_(*this);
+  port_.crew_.retire(*this);
+}
+
+void Port::Visit::reset() {
+  channel_.reset();
+  leave();
+}
+
+void Port::Visit::look() {
+  if (in_hand_ || !channel_.open() || channel_.in().empty()) return;
+  const http::Progress progress = parser_.feed(channel_.in().bytes());
+  if (progress == http::Progress::more) return;
+  if (progress == http::Progress::failed) return reset();
+  asked_ = {std::string(parser_.method()), std::string(parser_.target()), std::string(parser_.body()), {}};
+  for (std::size_t i = 0; i < parser_.fields(); ++i)
+    asked_.fields.emplace_back(parser_.field(i).name, parser_.field(i).value);
+  keep_ = parser_.keep_alive();
+  channel_.in().consume(parser_.size());
+  parser_.reset();
+  in_hand_ = true;
+  port_.handler_(*this);
+}
+
+void Port::Visit::begin(int status, const Fields& fields) {
+  if (port_.ends_) keep_ = false;
+  http::Writer out(channel_.out());
+  out.status_line(status);
+  for (const auto& [name, value] : fields) out.field(name, value);
+  if (!keep_) out.field("Connection", "close");
+  channel_.out().append("Transfer-Encoding: chunked\r\n\r\n");
+}
+
+void Port::Visit::piece(std::string_view bytes) {
+  char line[24];
+  const int n = std::snprintf(line, sizeof line, "%zx\r\n", bytes.size());
+  channel_.out().append({line, static_cast<std::size_t>(n)});
+  channel_.out().append(bytes);
+  channel_.out().append("\r\n");
+  channel_.flush();
+}
+
+void Port::Visit::finish() {
+  channel_.out().append("0\r\n\r\n");
+  over();
+}
+
+void Port::Visit::answer(int status, const Fields& fields, std::string_view body) {
+  if (port_.ends_) keep_ = false;
+  http::Writer out(channel_.out());
+  out.status_line(status);
+  for (const auto& [name, value] : fields) out.field(name, value);
+  if (!keep_) out.field("Connection", "close");
+  out.body(body);
+  over();
+}
+
+void Port::Visit::over() {
+  in_hand_ = false;
+  channel_.flush();
+  if (!keep_) {
+    channel_.end_when_written();
+  } else {
+    look();
+  }
+}
+
+// ---- a line
+
+Line::Line(Lines& all)
+    : all_(all),
+      channel_(all.scheduler_, static_cast<net::Channel::Sink&>(*this)),
+      parser_(http::Side::response, bounds) {}
+
+Line& Lines::open(const sockaddr_in& to) {
+  Line& line = crew_.add(std::make_unique<Line>(*this));
+  const bool begun = line.channel_.connect(to);
+  // Not from inside the call that opens it.
+  line.due_ = later_.after(begun ? comes_up : Span(), [&line] {
+    if (!line.channel_.up()) line.fail(true);
+  });
+  return line;
+}
+
+void Line::ask(Sink& sink, std::string request) {
+  sink_ = &sink;
+  request_ = std::move(request);
+  head_seen_ = false;
+  parser_.reset();
+  if (!channel_.up()) return;
+  channel_.write(request_);
+}
+
+void Line::channel_up(net::Channel&) {
+  came_up_ = true;
+  all_.later_.cancel(due_);
+  if (sink_ != nullptr) channel_.write(request_);
+}
+
+void Line::close() {
+  sink_ = nullptr;
+  if (std::exchange(left_, true)) return;
+  all_.later_.cancel(due_);
+  channel_.close();
+  if (const auto told = std::exchange(told_gone_, nullptr)) told(*this);
+  all_.crew_.retire(*this);
+}
+
+void Line::fail(bool unsent) {
+  Sink* const told = std::exchange(sink_, nullptr);
+  close();
+  if (told != nullptr) told->line_failed(unsent);
+}
+
+void Line::channel_gone(net::Channel&) { fail(!came_up_); }
+
+void Line::done() {
+  Sink* const told = std::exchange(sink_, nullptr);
+  if (!channel_.in().empty()) keep_ = false;
+  if (!keep_) close();
+  if (told != nullptr) told->line_whole();
+}
+
+void Line::look() {
+  while (!left_ && sink_ != nullptr) {
+    const std::span<char> bytes = channel_.in().bytes();
+    if (bytes.empty()) return;
+    if (!head_seen_) {
+      const http::Progress progress = parser_.feed(bytes);
+      if (progress == http::Progress::failed) return fail(false);
+      if (!parser_.head_done()) return;
+      head_seen_ = true;
+      keep_ = parser_.keep_alive();
+      sink_->line_head(parser_);
+      if (sink_ == nullptr) return;
+      if (!parser_.body().empty()) sink_->line_piece(parser_.body());
+      if (sink_ == nullptr) return;
+      channel_.in().consume(parser_.size());
+      parser_.detach(nullptr);
+      if (progress == http::Progress::complete) return done();
+      continue;
+    }
+    std::size_t taken = 0;
+    std::string_view piece;
+    const http::Progress progress = parser_.more(bytes, taken, piece);
+    if (progress == http::Progress::failed) return fail(false);
+    if (!piece.empty()) sink_->line_piece(piece);
+    if (sink_ == nullptr) return;
+    channel_.in().consume(taken);
+    if (progress == http::Progress::complete) return done();
+    if (taken == 0) return;
+  }
+}
+
+// ---- an errand
+
+void Errand::run(Lines& lines, net::Later& later, const sockaddr_in& to, std::string request, Span most,
+                 Done done) {
+  const auto one = std::make_shared<Errand>(Key{}, later, std::move(done));
+  one->due_ = later.after(most, [one] { one->end(false); });
+  one->line_ = &lines.open(to);
+  one->line_->ask(*one, std::move(request));
+}
+
+void Errand::line_head(const http::Parser& answer) {
+  got_.status = answer.status();
+  for (std::size_t i = 0; i < answer.fields(); ++i)
+    got_.fields.emplace_back(answer.field(i).name, answer.field(i).value);
+}
+
+void Errand::end(bool whole) {
+  const auto self = shared_from_this();
+  later_.cancel(due_);
+  line_->close();
+  got_.whole = whole;
+  done_(got_);
+}
+
+}  // namespace chutevane::lab::tier
--- /dev/null
+++ b/src/lab/tier/web.hpp
@@ -0,0 +1,173 @@
+// HTTP/1.1 for the tier's stand-ins: a port whose visitors may be answered late and in pieces, and a line
+// to one, for many requests in a row.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "http/parser.hpp"
+#include "net/channel.hpp"
+#include "net/crew.hpp"
+#include "net/later.hpp"
+
+namespace chutevane::lab::tier {
+
+using Fields = std::vector<std::pair<std::string, std::string>>;
+
+// A request, copied from the bytes that it came in.
+struct Asked {
+  std::string method, target, body;
+  Fields fields;
+  // The first of that name, empty where there is none.
+  std::string find(std::string_view name) const;
+  std::string path() const { return target.substr(0, target.find('?')); }
+  std::string query(std::string_view name) const;
+};
+
+class Port {
+ public:
+  class Visit final : net::Channel::Sink {
+   public:
+    explicit Visit(Port& port);
+    std::uint64_t id() const { return id_; }
+    const Asked& asked() const { return asked_; }
+    void answer(int status, const Fields& fields, std::string_view body);
+    void begin(int status, const Fields& fields);  // then pieces, in chunks, and an end
+    void piece(std::string_view bytes);
+    void finish();
+    void reset();  // ends the connection before its answer does
+    std::size_t crew_place = 0;
+
+   private:
+    friend class Port;
+    void look();
+    void over();
+    void leave();
+    void channel_came(net::Channel&) override { look(); }
+    void channel_gone(net::Channel&) override { leave(); }
+    Port& port_;
+    net::Channel channel_;
+    http::Parser parser_;
+    std::uint64_t id_;
+    Asked asked_;
+    bool in_hand_ = false, keep_ = true, left_ = false;
+  };
+  using Handler = std::function<void(Visit&)>;
+
+  // `gone`: its visitor left while a request was in hand.
+  Port(net::Scheduler& scheduler, Handler handler, Handler gone = {});
+  void listen(const sockaddr_in& at) { listener_.listen(at); }
+  void close();  // the listener and every connection
+  // While `ends` each answer ends its connection.
+  void each_answer_ends(bool ends) { ends_ = ends; }
+  Visit* find(std::uint64_t id);
+
+ private:
+  net::Scheduler& scheduler_;
+  Handler handler_, gone_;
+  net::Listener listener_;
+  bool ends_ = false;
+  std::uint64_t last_ = 0;
+  std::unordered_map<std::uint64_t, Visit*> visits_;
+  net::Crew<Visit> crew_;
+};
+
+class Lines;
+
+class Line final : net::Channel::Sink {
+ public:
+  class Sink {
+   public:
+    virtual void line_head(const http::Parser& answer) = 0;
+    virtual void line_piece(std::string_view piece) = 0;
+    virtual void line_whole() = 0;
+    // `unsent`: the connection never stood.
+    virtual void line_failed(bool unsent) = 0;
+
+   protected:
+    ~Sink() = default;
+  };
+  explicit Line(Lines& all);
+  void ask(Sink& sink, std::string request);
+  void close();  // whatever is in hand; its sink hears no more
+  // A next request may be sent here.
+  // Told once, when it is no more.
+  void on_gone(std::function<void(Line&)> told) { told_gone_ = std::move(told); }
+  bool reusable() const { return keep_ && sink_ == nullptr && channel_.up() && channel_.quiet(); }
+  std::size_t crew_place = 0;
+
+ private:
+  friend class Lines;
+  void look();
+  void fail(bool unsent);
+  void done();
+  void channel_up(net::Channel&) override;
+  void channel_came(net::Channel&) override { look(); }
+  void channel_gone(net::Channel&) override;
+  Lines& all_;
+  net::Channel channel_;
+  http::Parser parser_;
+  Sink* sink_ = nullptr;
+  std::string request_;
+  std::function<void(Line&)> told_gone_;
+  net::Later::Ticket due_;
+  bool head_seen_ = false, keep_ = true, left_ = false, came_up_ = false;
+};
+
+// Owns the lines.
+class Lines {
+ public:
+  Lines(net::Scheduler& scheduler, net::Later& later)
+      : scheduler_(scheduler), later_(later), crew_(scheduler) {}
+  // A new connection; it has a second to come up.
+  Line& open(const sockaddr_in& to);
+
+ private:
+  friend class Line;
+  net::Scheduler& scheduler_;
+  net::Later& later_;
+  net::Crew<Line> crew_;
+};
+
+// One request, its answer held whole.
+class Errand final : Line::Sink, public std::enable_shared_from_this<Errand> {
+ public:
+  struct Got {
+    bool whole = false;
+    int status = 0;
+    std::string body;
+    Fields fields;
+  };
+  using Done = std::function<void(const Got&)>;
+  // Calls back once, `most` later at the latest. Its timer owns it.
+  static void run(Lines& lines, net::Later& later, const sockaddr_in& to, std::string request, Span most,
+                  Done done);
+
+ private:
+  struct Key {};
+
+ public:
+  Errand(Key, net::Later& later, Done done) : later_(later), done_(std::move(done)) {}
+
+ private:
+  void end(bool whole);
+  void line_head(const http::Parser& answer) override;
+  void line_piece(std::string_view piece) override { got_.body += piece; }
+  void line_whole() override { end(true); }
+  void line_failed(bool) override { end(false); }
+  net::Later& later_;
+  Done done_;
+  Line* line_ = nullptr;
+  Got got_;
+  net::Later::Ticket due_;
+};
+
+std::string request_text(std::string_view method, std::string_view target, std::string_view host,
+                         const Fields& fields, std::string_view body);
+
+}  // namespace chutevane::lab::tier
