--- a/src/lab/tier/fleet.cpp
+++ b/src/lab/tier/fleet.cpp
@@ -109,7 +109,10 @@
   m->log = stem.string() + ".log";
   if (plane != "stall") m->data = stem.string() + ".data";
   std::ofstream(m->log, std::ios::trunc);
-  if (first && !m->data.empty()) fs::remove_all(m->data);
+  if (first && !m->data.empty()) {
+    fs::remove_all(m->data);
+    fs::remove_all(m->data + ".gone");
+  }
   machines_.push_back(std::move(m));
 }
 
@@ -212,7 +215,8 @@
   fault(m.node + " killed, its folder gone");
   m.ends_by_order = true;
   m.process.kill();
-  fs::remove_all(m.data);
+  // Put aside at once, and removed with the run: removing file by file may hold the stand-ins up.
+  fs::rename(m.data, m.data + ".gone");
   ++orders_open_;
   later_.after(down, [this, &m, record] {
     std::ofstream(m.log, std::ios::trunc);
@@ -373,6 +377,7 @@
     front_.every(Span::ms(1000));
     const Span lasts = Span::ms(std::max(spec_.seconds - tail_s, 1.0) * 1000);
     const TimePoint start = later_.now();
+    delays_ = std::make_unique<OwnDelays>(later_, (fs::path(spec_.folder) / "sync.own").string());
     plan(start, lasts);
     load_->begin();
     wait(lasts, [] { return false; });
@@ -390,6 +395,9 @@
     bool read = false;
     operator_->read_back(read_back_most, [&read] { read = true; });
     wait(read_back_most + Span::ms(3000), [&read] { return read; });
+    delays_->stop();
+    result.lateness_ms = delays_->lateness_ms();
+    result.sync_ms = delays_->sync_ms();
     judge_faults(result, start, later_.now());
   } else {
     result.trouble = last_words();
@@ -502,6 +510,10 @@
   out += line("changes: to the 200, then in force",
               filled("at most %.0f ms, at most %.0f ms, %llu calls", most(r.change_ms), most(r.force_ms),
                      static_cast<unsigned long long>(r.operator_calls)));
+  out += line("the lab's timers late, p99, most",
+              filled("%.1f, %.1f ms", quantile(r.lateness_ms, 0.99), most(r.lateness_ms)));
+  out += line("this disk's sync, p50, p99, most", filled("%.1f, %.1f, %.1f ms", quantile(r.sync_ms, 0.5),
+                                                         quantile(r.sync_ms, 0.99), most(r.sync_ms)));
   out += "\n  fault                                     full service after   bad tries of  \n";
   for (const FaultRecord& f : r.faults)
     out += filled("  %-42s %8.0f ms%-8s %5zu of %-6zu %s\n", f.name.c_str(), f.full_service.as_ms(),
@@ -523,6 +535,10 @@
   out["toolMs"] = {{"p50", quantile(r.tool_ms, 0.5)}, {"p99", quantile(r.tool_ms, 0.99)}};
   out["changeMs"] = r.change_ms;
   out["inForceMs"] = r.force_ms;
+  out["own"] = {{"latenessP99Ms", quantile(r.lateness_ms, 0.99)},
+                {"latenessMostMs", most(r.lateness_ms)},
+                {"syncP99Ms", quantile(r.sync_ms, 0.99)},
+                {"syncMostMs", most(r.sync_ms)}};
   out["faults"] = nlohmann::json::array();
   for (const FaultRecord& f : r.faults)
     out["faults"].push_back({{"name", f.name},
--- a/src/lab/tier/fleet.hpp
+++ b/src/lab/tier/fleet.hpp
@@ -11,6 +11,7 @@
 #include "lab/process.hpp"
 #include "lab/tier/load.hpp"
 #include "lab/tier/operators.hpp"
+#include "lab/tier/own_delays.hpp"
 
 namespace chutevane::lab::tier {
 
@@ -49,8 +50,9 @@
     bool turn = false;
   };
   std::vector<BadTry> bad_tries;
-  std::vector<double> change_ms;  // from the operator's first call to the 200
-  std::vector<double> force_ms;   // from the 200 to the last stall
+  std::vector<double> change_ms;             // from the operator's first call to the 200
+  std::vector<double> force_ms;              // from the 200 to the last stall
+  std::vector<double> lateness_ms, sync_ms;  // the lab's own
   std::uint64_t operator_calls = 0, list_pages = 0, list_over_rate = 0, turned_away = 0;
   bool broken() const;
 };
@@ -104,6 +106,7 @@
   Front front_;
   std::unique_ptr<OperatorStandIn> operator_;
   std::unique_ptr<Load> load_;
+  std::unique_ptr<OwnDelays> delays_;
   std::vector<FaultRecord> faults_;
   std::vector<double> change_ms_, force_ms_;
   std::size_t probes_open_ = 0, orders_open_ = 0;
--- /dev/null
+++ b/tests/tier_fleet_test.cpp
@@ -0,0 +1,190 @@
+// The serving tier's real processes on loopback, with faults; and its auditor, shown to find what is planted.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "fleet_helpers.hpp"
+#include "lab/tier/fleet.hpp"
+
+namespace chutevane::lab::tier {
+namespace {
+
+// --- the auditor ------------------------------------------------------------------------------------
+
+// Two turns of a program, the second on from the first, each answered whole; every way to spoil it is one
+// step of this.
+class Auditing : public ::testing::Test {
+ protected:
+  Auditor::Ask ask(const std::string& id, const std::string& previous = "") {
+    return {id, Sort::turn, "p", previous, "in-" + id, 8, 40};
+  }
+  std::uint64_t run(const std::string& id, const std::string& body) {
+    const std::uint64_t run = auditor.ran(id, "i-1", body);
+    auditor.generated(run, "one of " + id + "\n", 4);
+    auditor.generated(run, "two of " + id + "\n", 4);
+    auditor.run_whole(run);
+    return run;
+  }
+  void client(const std::string& id, std::uint64_t run) {
+    auditor.came(id, 1, "one of " + id + "\n");
+    auditor.came(id, 3, "two of " + id + "\n");
+    auditor.answered(id, Ended::whole, Auditor::seal_of(run));
+  }
+  void first_turn() {
+    auditor.asked(ask("a"));
+    client("a", run("a", "in-a"));
+  }
+  // That breach and no other.
+  void expect_only(Check check) {
+    EXPECT_EQ(auditor.count(check), 1U) << name_of(check);
+    EXPECT_EQ(auditor.all(), 1U) << (auditor.breaches().empty() ? "" : auditor.breaches().front().what);
+  }
+  Auditor auditor;
+};
+
+const std::string chain = "in-aone of a\ntwo of a\nin-b";
+
+TEST_F(Auditing, FindsNothingInWhatIsRight) {
+  first_turn();
+  auditor.asked(ask("b", "a"));
+  client("b", run("b", chain));
+  auditor.asked({"t", Sort::idempotent, "p", "", "", 0, std::nullopt});
+  auditor.ran("t", "i-2", "");
+  const std::uint64_t again = auditor.ran("t", "i-3", "");
+  auditor.generated(again, "plain", 0);
+  auditor.run_whole(again);
+  auditor.came_plain("t", "plain");
+  auditor.answered("t", Ended::whole, Auditor::seal_of(again));
+  EXPECT_EQ(auditor.all(), 0U) << auditor.breaches().front().what;
+  EXPECT_EQ(auditor.figures().turns_whole, 2U);
+  EXPECT_EQ(auditor.figures().longest_chain, 2U);
+}
+
+TEST_F(Auditing, FindsADoubledRun) {
+  auditor.asked(ask("a"));
+  client("a", run("a", "in-a"));
+  auditor.ran("a", "i-2", "in-a");
+  expect_only(Check::twice);
+}
+
+TEST_F(Auditing, FindsADoubledActOfATool) {
+  auditor.asked({"t", Sort::once, "p", "", "act", 0, std::nullopt});
+  auditor.ran("t", "i-1", "act");
+  auditor.ran("t", "i-1", "act");
+  expect_only(Check::twice);
+}
+
+TEST_F(Auditing, FindsAShortChain) {
+  for (const std::string& body : {std::string("in-b"), chain.substr(1), std::string("in-aone of a\nin-b"),
+                                  std::string("in-aone of a\ntwo of ain-b"), chain + "\n"}) {
+    Auditing::auditor = Auditor();
+    first_turn();
+    auditor.asked(ask("b", "a"));
+    auditor.ran("b", "i-1", body);
+    expect_only(Check::chain);
+  }
+}
+
+TEST_F(Auditing, FindsALostTurn) {
+  first_turn();
+  auditor.asked(ask("b", "a"));
+  auditor.answered("b", Ended::unknown, "");
+  expect_only(Check::lost);
+}
+
+TEST_F(Auditing, FindsAnOverrunBudget) {
+  first_turn();
+  auditor.asked(ask("b", "a"));
+  const std::uint64_t run = auditor.ran("b", "i-1", chain);
+  for (int i = 0; i < 10; ++i) auditor.generated(run, "x\n", 4);  // 48 of 40 in all
+  expect_only(Check::overrun);
+}
+
+TEST_F(Auditing, FindsAnAnswerOfTwoRuns) {
+  auditor.asked(ask("a"));
+  const std::uint64_t run = auditor.ran("a", "i-1", "in-a");
+  auditor.generated(run, "one of a\n", 4);
+  auditor.generated(run, "two of a\n", 4);
+  auditor.run_whole(run);
+  auditor.came("a", 1, "one of a\n");
+  auditor.came("a", 2, "two of another\n");
+  auditor.answered("a", Ended::whole, Auditor::seal_of(run));
+  expect_only(Check::joined);
+}
+
+TEST_F(Auditing, FindsAHalfAnswerThatLooksWhole) {
+  auditor.asked(ask("a"));
+  const std::uint64_t run = auditor.ran("a", "i-1", "in-a");
+  auditor.generated(run, "one of a\n", 4);
+  auditor.came("a", 1, "one of a\n");
+  auditor.answered("a", Ended::whole, Auditor::seal_of(run));
+  expect_only(Check::joined);
+}
+
+TEST_F(Auditing, FindsEventsOutOfOrder) {
+  auditor.asked(ask("a"));
+  const std::uint64_t run = auditor.ran("a", "i-1", "in-a");
+  for (const char* data : {"one\n", "two\n"}) auditor.generated(run, data, 4);
+  auditor.run_whole(run);
+  auditor.came("a", 2, "one\n");
+  auditor.came("a", 2, "two\n");
+  auditor.answered("a", Ended::whole, Auditor::seal_of(run));
+  expect_only(Check::joined);
+}
+
+TEST_F(Auditing, FindsARefusalThatRan) {
+  auditor.asked(ask("a"));
+  auditor.answered("a", Ended::promised, "");
+  auditor.ran("a", "i-1", "in-a");
+  expect_only(Check::promised);
+}
+
+TEST_F(Auditing, FindsABudgetThatIsSaidToBeSpentTooSoon) {
+  first_turn();
+  auditor.asked(ask("b", "a"));
+  auditor.answered("b", Ended::spent, "");  // 16 of 40
+  expect_only(Check::denied);
+}
+
+TEST_F(Auditing, FindsATurnOnFromOneThatNeverEnded) {
+  auditor.asked(ask("a"));
+  run("a", "in-a");
+  auditor.answered("a", Ended::broken, "");
+  auditor.asked(ask("b", "a"));
+  auditor.ran("b", "i-1", chain);
+  expect_only(Check::invented);
+}
+
+// --- the tier ---------------------------------------------------------------------------------------
+
+std::uint64_t count(const FleetResult& r, Check check) { return r.counts[static_cast<std::size_t>(check)]; }
+
+// A cellar with its disk, a clerk with a change in flight, and a stall, one after the other.
+TEST(TierFleet, LosesNothingThroughFaults) {
+  Folder folder;
+  FleetSpec spec;
+  spec.programs = PROGRAMS;
+  spec.folder = folder.path;
+  spec.seed = 3;
+  spec.seconds = 8;
+  Fleet fleet(spec);
+  const FleetResult r = fleet.run();
+  ASSERT_TRUE(r.started) << table_of(r);
+  for (std::size_t i = 0; i < checks; ++i)
+    EXPECT_EQ(r.counts[i], 0U) << name_of(static_cast<Check>(i)) << "\n" << table_of(r);
+  EXPECT_EQ(count(r, Check::lost) + count(r, Check::twice) + count(r, Check::overrun), 0U);
+  // That the run has tried what it judges.
+  EXPECT_GT(r.figures.turns_whole, 50U) << table_of(r);
+  EXPECT_GE(r.figures.longest_chain, 3U) << table_of(r);
+  EXPECT_GT(r.load.loops, 0U) << table_of(r);
+  EXPECT_EQ(r.load.loops_spent, r.load.loops) << table_of(r);
+  EXPECT_GT(r.load.heirs, 0U) << table_of(r);
+  EXPECT_EQ(r.load.heirs_whole, r.load.heirs) << table_of(r);
+  EXPECT_EQ(r.load.strangers_refused, r.load.strangers) << table_of(r);
+  EXPECT_EQ(r.change_ms.size(), 3U) << table_of(r);
+  EXPECT_EQ(r.force_ms.size(), 3U) << table_of(r);
+  EXPECT_EQ(r.faults.size(), 4U) << table_of(r);
+}
+
+}  // namespace
+}  // namespace chutevane::lab::tier
