Lab: clerks and cellars have to end in order at the end of a tier's run

Cause: only the stall was ever told to end; the others were killed, so that a bad end of theirs showed nowhere. Change: at the end of a run each is told to end and has to do so with status 0 within its grace.

--- a/src/lab/tier/fleet.cpp
+++ b/src/lab/tier/fleet.cpp
@@ -402,11 +402,7 @@
   } else {
     result.trouble = last_words();
   }
-  quiet_ = true;
-  for (auto& m : machines_) {
-    m->ends_by_order = true;
-    m->process.kill();
-  }
+  end_all();
   result.stopped = told_to_stop_;
   result.load = load_->figures();
   result.figures = auditor_.figures();
@@ -421,6 +417,35 @@
   return result;
 }
 
+// Clerks and cellars are told to end, and have to do so in order; the stalls have shown it by one of them.
+void Fleet::end_all() {
+  quiet_ = true;
+  std::vector<Machine*> told;
+  for (auto& m : machines_) {
+    const bool in_order = m->plane != "stall" && !m->ends_by_order && m->process.running();
+    m->ends_by_order = true;
+    if (!in_order || told_to_stop_ || auditor_.count(Check::crashed) > 0) {
+      m->process.kill();
+      continue;
+    }
+    m->process.signal(SIGTERM);
+    told.push_back(m.get());
+  }
+  const TimePoint until = later_.now() + grace;
+  for (Machine* const m : told) {
+    std::optional<std::string> how;
+    wait(until - later_.now(), [&] {
+      how = m->process.ended();
+      return how.has_value();
+    });
+    if ((!how || *how != "exit status 0") && !told_to_stop_)
+      auditor_.breach(Check::crashed, m->node +
+                                          ", told to end: " + how.value_or("still there after its grace") +
+                                          "\n" + last_lines(m->log, 6));
+    m->process.kill();
+  }
+}
+
 // Full service after a fault: the end of the last try that went badly, of those until the next fault.
 void Fleet::judge_faults(FleetResult& result, TimePoint begin, TimePoint end) {
   for (const TryRecord& t : load_->records()) {
--- a/src/lab/tier/fleet.hpp
+++ b/src/lab/tier/fleet.hpp
@@ -90,6 +90,7 @@
   void probe(std::int64_t version, std::int64_t before, std::size_t stall, TimePoint since,
              const std::shared_ptr<std::size_t>& left);
   void judge_faults(FleetResult& result, TimePoint begin, TimePoint end);
+  void end_all();
   std::string last_words() const;
 
   FleetSpec spec_;
