--- a/src/market/messages.hpp
+++ b/src/market/messages.hpp
@@ -271,6 +271,7 @@
   std::string disk;
   std::string zone;
   bool leaving = false;
+  bool full = false;
   std::int64_t epoch = 0;
   std::int64_t known = 0;
   std::int64_t accepted = 0;
@@ -290,6 +291,7 @@
     v("disk", disk);
     v("zone", zone);
     v("leaving", leaving);
+    v("full", full);
     v("epoch", epoch);
     v("known", known);
     v("accepted", accepted);
@@ -402,11 +404,13 @@
   static constexpr std::uint8_t kind = 23;  // on the wire
   std::int64_t fresh_ms = 0;
   std::int64_t number = 0;
+  std::int64_t stalls = 0;
   std::vector<std::string> clerks;
   template <class Visitor>
   void each(Visitor& v) {
     v("fresh_ms", fresh_ms);
     v("number", number);
+    v("stalls", stalls);
     v("clerks", clerks);
   }
 };
--- a/src/market/session.cpp
+++ b/src/market/session.cpp
@@ -68,7 +68,11 @@
       Way& way = ways_[address];
       way.heard = now;  // it has its chance
       way.link = std::make_unique<Link>(scheduler_, later_, *to, mixed(address, self_.node));
-      way.link->on_up([this, address] { tell(ways_[address]); });
+      way.link->on_up([this, address] {
+        // One that was parted with may come up all the same before it is destroyed.
+        const auto at = ways_.find(address);
+        if (at != ways_.end()) tell(at->second);
+      });
       way.link->on_word(
           [this, address](std::uint8_t kind, std::string_view record) { word(address, kind, record); });
       ++good;
@@ -119,6 +123,7 @@
     if (!decode(record, beat)) return;
     if (Span::ms(static_cast<double>(beat.fresh_ms)) < silent_most) way->second.heard = later_.now();
     if (!beat.clerks.empty()) clerks_ = beat.clerks;
+    if (beat.stalls > 0) stalls_ = static_cast<std::size_t>(beat.stalls);
   } else if (kind == Push::kind) {
     Push push;
     if (!decode(record, push)) return;
