Lab: an end that was told once stays told; the tier's test keeps its folder in memory

Cause: the wait for the ends in order asked a second time, got nothing, and called 7 good ends breaches. On a disk that other builds keep busy (lab's own syncs up to 2.1 s) turns wait for seconds: a verdict on the machine. Change: the first answer is kept. The test's folder is in /dev/shm where there is one; no check is changed.

--- a/src/lab/tier/fleet.cpp
+++ b/src/lab/tier/fleet.cpp
@@ -435,7 +435,7 @@
   for (Machine* const m : told) {
     std::optional<std::string> how;
     wait(until - later_.now(), [&] {
-      how = m->process.ended();
+      if (!how) how = m->process.ended();  // told once
       return how.has_value();
     });
     if ((!how || *how != "exit status 0") && !told_to_stop_)
--- a/tests/tier_fleet_test.cpp
+++ b/tests/tier_fleet_test.cpp
@@ -1,9 +1,10 @@
 // The serving tier's real processes on loopback, with faults; and its auditor, shown to find what is planted.
 #include <gtest/gtest.h>
+#include <stdlib.h>
 
-#include <algorithm>
+#include <filesystem>
+#include <string>
 
-#include "fleet_helpers.hpp"
 #include "lab/tier/fleet.hpp"
 
 namespace chutevane::lab::tier {
@@ -157,11 +158,23 @@
 
 // --- the tier ---------------------------------------------------------------------------------------
 
+// In memory where there is such a folder: a disk that other programs keep busy stands still for seconds, and
+// the verdict is to be about the tier.
+struct QuietFolder {
+  QuietFolder() {
+    char quiet[] = "/dev/shm/chutevane-tier-XXXXXX", other[] = "/tmp/chutevane-tier-XXXXXX";
+    const char* const made = ::mkdtemp(quiet);
+    path = made != nullptr ? made : ::mkdtemp(other);
+  }
+  ~QuietFolder() { std::filesystem::remove_all(path); }
+  std::string path;
+};
+
 std::uint64_t count(const FleetResult& r, Check check) { return r.counts[static_cast<std::size_t>(check)]; }
 
 // A cellar with its disk, a clerk with a change in flight, and a stall, one after the other.
 TEST(TierFleet, LosesNothingThroughFaults) {
-  Folder folder;
+  QuietFolder folder;
   FleetSpec spec;
   spec.programs = PROGRAMS;
   spec.folder = folder.path;
