Lab: the tier's endpoints break off, say more than was asked, fill up, and are replaced under their address

Cause: nothing that a run met could have tempted the tier to run a request again or to pass on a half answer. What an endpoint spoilt is left out of the time to full service.

--- a/src/lab/tier/auditor.hpp
+++ b/src/lab/tier/auditor.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -65,6 +66,9 @@
   std::uint64_t ran(const std::string& id, const std::string& endpoint, const std::string& body);
   void generated(std::uint64_t run, const std::string& data, std::int64_t tokens);
   void run_whole(std::uint64_t run);
+  // The endpoint is about to spoil it: what its client sees is not the tier's doing.
+  void troubled(const std::string& id) { troubled_.insert(id); }
+  bool was_troubled(const std::string& id) const { return troubled_.contains(id); }
   static std::string seal_of(std::uint64_t run);
 
   // ---- whatever else is found
@@ -109,6 +113,7 @@
   std::vector<Run> runs_;
   std::map<std::string, Program> programs_;
   std::array<std::uint64_t, checks> counts_{};
+  std::set<std::string> troubled_;
   std::vector<Breach> breaches_;
   Figures figures_;
 };
--- a/src/lab/tier/endpoint.cpp
+++ b/src/lab/tier/endpoint.cpp
@@ -32,7 +32,11 @@
 
 void EndpointStandIn::end() {
   if (std::exchange(ended_, true)) return;
-  for (auto& [visit, job] : jobs_) later_.cancel(job.next);
+  for (auto& [visit, job] : jobs_) {
+    later_.cancel(job.next);
+    if (Port::Visit* const at = port_.find(visit))
+      auditor_.troubled(at->asked().find("X-Chutevane-Attempt-Id"));
+  }
   jobs_.clear();
   queue_.clear();
   port_.close();
@@ -102,6 +106,11 @@
       std::string_view(counts).substr(std::min(counts.find(',') + 1, counts.size())), tokens_per_event);
   job.events = static_cast<std::size_t>(std::max<std::int64_t>(most / tokens_per_event, 1));
   if (job.events > 2) job.events -= chance_.below(job.events / 2);  // it may say less than it might
+  if (chance_.one_in(spec_.trouble)) {
+    ++troubles_;
+    job.trouble = static_cast<Trouble>(1 + chance_.below(3));
+    auditor_.troubled(asked.find("X-Chutevane-Attempt-Id"));
+  }
   const double wait = spec_.streams ? spec_.first_ms : spec_.work_ms;
   job.next = later_.after(Span::ms(wait * (0.5 + chance_.unit())), [this, visit] { go_on(visit); });
 }
@@ -120,11 +129,17 @@
     }
     return over(visit);
   }
+  if (job.trouble == Trouble::mute || (job.trouble == Trouble::half && job.told * 2 >= job.events)) {
+    at->reset();
+    return over(visit);
+  }
   const std::string mark = "run" + std::to_string(job.run) + "." + std::to_string(job.told);
   if (!spec_.streams) {
     const std::string body = mark + " of " + spec_.id;
     auditor_.generated(job.run, body, 0);
     auditor_.run_whole(job.run);
+    if (job.trouble == Trouble::surplus)
+      at->add_behind("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nnobody's\n");
     at->answer(200, fields_for(at->asked(), job.run), body);
     return over(visit);
   }
@@ -148,6 +163,7 @@
     return;
   }
   auditor_.run_whole(job.run);
+  if (job.trouble == Trouble::surplus) at->add_behind("id: 1\ndata: of nobody\n\n");
   at->finish();
   over(visit);
 }
--- a/src/lab/tier/endpoint.hpp
+++ b/src/lab/tier/endpoint.hpp
@@ -20,6 +20,7 @@
   bool streams = false;
   std::size_t capacity = 8, queue = 4;
   double first_ms = 12, event_ms = 6, work_ms = 4;
+  double trouble = 0;  // part of what it runs that ends badly
 };
 
 class EndpointStandIn {
@@ -33,9 +34,13 @@
   void read_as_draining(TimePoint at, Span most);
   void end();  // it is gone, whatever it ran
   std::uint64_t turned_away() const { return turned_away_; }
+  std::uint64_t troubles() const { return troubles_; }
 
  private:
+  // Broken off before anything was said, in the middle, or followed by more that belongs to no request.
+  enum class Trouble : std::uint8_t { none, mute, half, surplus };
   struct Job {
+    Trouble trouble = Trouble::none;
     std::uint64_t visit = 0, run = 0;
     std::size_t events = 0, told = 0;  // events in all, and so far
     std::int64_t last_id = 0;
@@ -60,7 +65,7 @@
   std::deque<std::uint64_t> queue_;    // visits
   bool draining_ = false, ended_ = false;
   std::optional<TimePoint> closed_from_;
-  std::uint64_t turned_away_ = 0;
+  std::uint64_t turned_away_ = 0, troubles_ = 0;
 };
 
 }  // namespace chutevane::lab::tier
--- a/src/lab/tier/fleet.cpp
+++ b/src/lab/tier/fleet.cpp
@@ -25,6 +25,7 @@
 constexpr const char* zones[] = {"north", "middle", "south"};
 constexpr double list_rate = 40;                       // pages a second
 constexpr Span drain = Span::ms(1500);                 // of an endpoint that leaves
+constexpr Span list_behind = Span::ms(800);            // the list has one that crashed for so long
 constexpr Span drain_end = Span::ms(2600);             // it serves on for that and a little longer
 constexpr Span down = Span::ms(400);                   // before a process that ended is started again
 constexpr Span grace = Span::ms(8000);                 // of a process that is told to end
@@ -32,6 +33,7 @@
 constexpr Span up_most = Span::ms(20000), end_most = Span::ms(20000), read_back_most = Span::ms(8000);
 constexpr double tail_s = 4;  // of the seconds: what follows the load
 constexpr std::size_t heirs_most = 60;
+constexpr double trouble_part = 0.01;  // of what endpoints run: it must not be run again, nor look whole
 
 std::size_t lines_with(const std::string& file, const std::string& word) {
   std::ifstream in(file);
@@ -68,7 +70,9 @@
     e.zone = zones[number % 3];
     e.at = addresses_.at(endpoints, number, endpoint_port);
     e.streams = streams;
-    if (!streams) e.capacity = 16;
+    e.capacity = streams ? 5 : 16;  // few enough that turns find them full at times
+    e.queue = streams ? 1 : 4;
+    e.trouble = trouble_part;
     endpoints_.push_back(std::make_unique<EndpointStandIn>(scheduler_, later_, auditor_, e, spec_.seed));
     list_.add(*endpoints_.back());
   };
@@ -207,6 +211,23 @@
   });
 }
 
+// Another process under its address, at once: the list has the old id for a while, and requests for it are
+// not the new one's.
+void Fleet::replace_endpoint() {
+  const auto old = std::find_if(endpoints_.begin(), endpoints_.end(),
+                                [](const auto& e) { return e->spec().id == "i-t2"; });
+  fault("endpoint i-t2 is i-t3, at its address");
+  EndpointSpec e = (*old)->spec();
+  e.id = "i-t3";
+  EndpointStandIn* const gone = old->get();
+  gone->end();
+  endpoints_.push_back(std::make_unique<EndpointStandIn>(scheduler_, later_, auditor_, e, spec_.seed));
+  later_.after(list_behind, [this, gone, now = endpoints_.back().get()] {
+    list_.remove(*gone);
+    list_.add(*now);
+  });
+}
+
 // The machine's disk is gone with it: it comes back empty, under its address.
 void Fleet::lose_cellar() {
   std::size_t which = 0;
@@ -353,6 +374,7 @@
   };
   at(0.05, [this] { change(4, 1); });
   at(0.12, [this] { drain_endpoint(); });
+  at(0.20, [this] { replace_endpoint(); });
   // Of planes whose losses do not add up: cellars, clerks, stalls.
   at(0.30, [this] { lose_cellar(); });
   at(0.55, [this] { kill_clerk(); });
@@ -413,7 +435,10 @@
   result.operator_calls = operator_->sent();
   result.list_pages = list_.pages();
   result.list_over_rate = list_.over_rate();
-  for (const auto& e : endpoints_) result.turned_away += e->turned_away();
+  for (const auto& e : endpoints_) {
+    result.turned_away += e->turned_away();
+    result.troubles += e->troubles();
+  }
   return result;
 }
 
@@ -525,6 +550,7 @@
   out += line("tool calls, answered", n(r.load.tools) + ", " + n(r.load.tools_whole));
   out += line("tries: 503 and alike, 402, broken",
               n(r.figures.promised) + ", " + n(r.figures.spent) + ", " + n(r.figures.broken));
+  out += line("spoilt by endpoints, turned away", n(r.troubles) + ", " + n(r.turned_away));
   out += line("tokens generated, handed over",
               n(r.figures.tokens_generated) + ", " + n(r.figures.tokens_handed));
   out +=
--- a/src/lab/tier/fleet.hpp
+++ b/src/lab/tier/fleet.hpp
@@ -53,7 +53,7 @@
   std::vector<double> change_ms;             // from the operator's first call to the 200
   std::vector<double> force_ms;              // from the 200 to the last stall
   std::vector<double> lateness_ms, sync_ms;  // the lab's own
-  std::uint64_t operator_calls = 0, list_pages = 0, list_over_rate = 0, turned_away = 0;
+  std::uint64_t operator_calls = 0, list_pages = 0, list_over_rate = 0, turned_away = 0, troubles = 0;
   bool broken() const;
 };
 
@@ -85,6 +85,7 @@
   void kill_clerk();
   void end_stall();
   void drain_endpoint();
+  void replace_endpoint();
   void look_whole(std::size_t record, const std::string& node, TimePoint since);
   void change(std::int64_t version, std::size_t first_to);
   void probe(std::int64_t version, std::int64_t before, std::size_t stall, TimePoint since,
--- a/src/lab/tier/load.cpp
+++ b/src/lab/tier/load.cpp
@@ -128,8 +128,9 @@
     load_.later_.cancel(due_);
     const TimePoint now = load_.later_.now();
     load_.auditor_.answered(id_, how, seal_);
+    // A try that its endpoint spoilt tells nothing of the tier.
     const bool good = how == Ended::whole || how == Ended::spent;
-    if (want_.counted)
+    if (want_.counted && (good || !load_.auditor_.was_troubled(id_)))
       load_.records_.push_back({began_, now, good, want_.sort == Sort::turn,
                                 how == Ended::whole ? (first_ - began_).as_ms() : 0, id_, status_});
     const bool may = how == Ended::promised || (how == Ended::broken && want_.sort == Sort::idempotent);
--- a/src/lab/tier/web.cpp
+++ b/src/lab/tier/web.cpp
@@ -129,6 +129,7 @@
 
 void Port::Visit::over() {
   in_hand_ = false;
+  channel_.out().append(std::exchange(behind_, {}));
   channel_.flush();
   if (!keep_) {
     channel_.end_when_written();
--- a/src/lab/tier/web.hpp
+++ b/src/lab/tier/web.hpp
@@ -40,6 +40,9 @@
     void begin(int status, const Fields& fields);  // then pieces, in chunks, and an end
     void piece(std::string_view bytes);
     void finish();
+    void add_behind(std::string bytes) {
+      behind_ = std::move(bytes);
+    }              // the answer, in one piece with its end
     void reset();  // ends the connection before its answer does
     std::size_t crew_place = 0;
 
@@ -55,6 +58,7 @@
     http::Parser parser_;
     std::uint64_t id_;
     Asked asked_;
+    std::string behind_;
     bool in_hand_ = false, keep_ = true, left_ = false;
   };
   using Handler = std::function<void(Visit&)>;
--- a/tests/tier_fleet_test.cpp
+++ b/tests/tier_fleet_test.cpp
@@ -196,7 +196,9 @@
   EXPECT_EQ(r.load.strangers_refused, r.load.strangers) << table_of(r);
   EXPECT_EQ(r.change_ms.size(), 3U) << table_of(r);
   EXPECT_EQ(r.force_ms.size(), 3U) << table_of(r);
-  EXPECT_EQ(r.faults.size(), 4U) << table_of(r);
+  EXPECT_GT(r.troubles, 0U) << table_of(r);
+  EXPECT_GT(r.turned_away, 0U) << table_of(r);
+  EXPECT_EQ(r.faults.size(), 5U) << table_of(r);
 }
 
 }  // namespace
