--- a/src/market/settings.cpp
+++ b/src/market/settings.cpp
@@ -133,7 +133,7 @@
   int first = 0, last = 0;
   const auto port = [](const std::string& digits, int& into) {
     const auto got = std::from_chars(digits.data(), digits.data() + digits.size(), into);
-    return got.ec == std::errc() && into > 0 && into < 65536;
+    return got.ec == std::errc() && got.ptr == digits.data() + digits.size() && into > 0 && into < 65536;
   };
   if (!ports.empty() && (pair.size() != 2 || !port(pair[0], first) || !port(pair[1], last) ||
                          last - first < storage_plane_port))
@@ -155,6 +155,9 @@
   in.number("limits.diskMb", out.disk_mb, 0, 1e9);
   in.number("limits.maxFds", out.descriptors, 64, 1e8);
   in.number("faultTolerance.machineLosses", out.machine_losses, 0, 1000);
+  std::size_t zone_losses = 0;
+  in.number("faultTolerance.zones", zone_losses, 0, 1000);
+  out.machine_losses = std::max(out.machine_losses, zone_losses);
   if (const auto platform = in.address("cloudApi.address")) out.platform = *platform;
   in.number("cloudApi.ratePerS", out.platform_rate, 0, 1e6);
   in.span("cloudApi.lagMs", out.platform_lag, 1);
