A message's lengths are checked before the Avro library allocates by them

Cause (tests of the tier under the sanitizers): avro-c asks for as much memory as a length says, tens of GB for noise, and loses what it has read of a message that it refuses. Change: the bytes are walked by the record's own fields first.

--- a/src/market/avro.hpp
+++ b/src/market/avro.hpp
@@ -144,6 +144,76 @@
   avro_value_t* record_;
 };
 
+// Walks the bytes of a record without taking anything: guards the library, which allocates what a length says
+// and loses it where the rest is missing.
+class Checker {
+ public:
+  explicit Checker(std::string_view bytes) : rest_(bytes) {}
+  bool good() const { return good_; }
+  bool whole() const { return good_ && rest_.empty(); }
+  void operator()(const char*, const std::int64_t&) { number(); }
+  void operator()(const char*, const bool&) {
+    if (good_ && !rest_.empty() && (rest_[0] == 0 || rest_[0] == 1)) {
+      rest_.remove_prefix(1);
+    } else {
+      good_ = false;
+    }
+  }
+  void operator()(const char*, const std::string&) { text(); }
+  void operator()(const char*, const Bytes&) { text(); }
+  template <class T>
+  void operator()(const char*, const std::vector<T>&) {
+    while (good_) {
+      std::int64_t count = number();
+      if (!good_ || count == 0) return;
+      if (count < 0) {  // a block with its size in bytes before it
+        number();
+        count = count == INT64_MIN ? 0 : -count;
+      }
+      // Nothing here takes less than a byte: more items than bytes are not there.
+      if (count <= 0 || static_cast<std::uint64_t>(count) > rest_.size()) good_ = false;
+      for (; good_ && count > 0; --count) {
+        if constexpr (std::is_same_v<T, std::string>) {
+          text();
+        } else {
+          T one;
+          one.each(*this);
+        }
+      }
+    }
+  }
+  template <class T>
+  requires requires(T& t, Setter& s) { t.each(s); }
+  void operator()(const char*, const T&) {
+    T one;
+    one.each(*this);
+  }
+
+ private:
+  std::int64_t number() {
+    std::uint64_t out = 0;
+    for (int shift = 0; good_ && shift < 70; shift += 7) {
+      if (rest_.empty() || shift == 63 + 7) break;
+      const auto byte = static_cast<unsigned char>(rest_[0]);
+      rest_.remove_prefix(1);
+      out |= static_cast<std::uint64_t>(byte & 0x7fU) << (shift > 63 ? 63 : shift);
+      if (byte < 0x80U) return static_cast<std::int64_t>(out >> 1U) ^ -static_cast<std::int64_t>(out & 1U);
+    }
+    good_ = false;
+    return 0;
+  }
+  void text() {
+    const std::int64_t size = number();
+    if (!good_ || size < 0 || static_cast<std::uint64_t>(size) > rest_.size()) {
+      good_ = false;
+    } else {
+      rest_.remove_prefix(static_cast<std::size_t>(size));
+    }
+  }
+  std::string_view rest_;
+  bool good_ = true;
+};
+
 std::string written(avro_value_t* value);
 bool read(std::string_view bytes, avro_value_t* value);
 
@@ -163,6 +233,9 @@
 // False: these bytes are no such record.
 template <class M>
 bool decode(std::string_view bytes, M& into) {
+  avro::Checker check(bytes);
+  into.each(check);
+  if (!check.whole()) return false;
   avro_value_t* value = avro::value_of(M::record);
   avro_value_reset(value);
   if (!avro::read(bytes, value)) return false;
