--- a/src/cellar/store.cpp
+++ b/src/cellar/store.cpp
@@ -51,6 +51,8 @@
   for (const auto& [number, segment] : segments_) {
     const auto text = disk_.read(segment_name(number));
     if (!text.ok()) return text.status();
+    // What a process before wrote may be read from memory alone: it lasts before it is told of again.
+    if (absl::Status s = disk_.sync(segment_name(number)); !s.ok()) return s;
     for (const std::string& record : records(*text, number)) load(record, number, now);
   }
   // What was torn at the end of the last one stays there: nothing is appended behind it.
--- a/src/clerk/control_plane.cpp
+++ b/src/clerk/control_plane.cpp
@@ -71,6 +71,7 @@
       list_duty_("list", seed_of(settings.node + "list", scheduler.now())),
       roster_duty_("roster", seed_of(settings.node + "roster", scheduler.now())),
       platform_(scheduler, later_, settings.platform, settings.platform_rate),
+      holder_(seed_of(settings.node + "holder", scheduler.now())),
       roster_(settings.machine_losses) {}
 
 void ControlPlane::die(const absl::Status& why) {
@@ -416,7 +417,7 @@
     session.list_term = hello.list_term;
     session.list_number = hello.list_number;
   }
-  list_duty_.learn_term(hello.list_term);
+  list_duty_.learn_term(duty_term(hello.list_term));
   if (fresh) {
     session.pushed = hello.member.number;
     market::Beat word;
@@ -584,7 +585,7 @@
       for (market::Listed& e : *entries)
         e.cold_ms = e.cold_ms > 0 ? 1 : 0;  // falls with time: no news by itself
       const std::int64_t term = list_.term(), number = list_.number();
-      if (!list_.update(list_duty_.term(), *entries)) return;
+      if (!list_.update(told_term(list_duty_.term(), holder_), *entries)) return;
       for (auto& [address, peer] : peers_) {
         for (const market::EndpointList& change : list_.since(term, number)) peer.link->tell(change);
       }
--- a/src/clerk/control_plane.hpp
+++ b/src/clerk/control_plane.hpp
@@ -117,6 +117,7 @@
   std::optional<TimePoint> behind_since_;
   Duty list_duty_, roster_duty_;
   Platform platform_;
+  const std::uint64_t holder_;  // of duties: this process, told from all others
   market::EndpointBook list_;
   bool changing_roster_ = false;
   bool had_roster_ = false;
--- a/src/market/disk.cpp
+++ b/src/market/disk.cpp
@@ -226,6 +226,12 @@
     out.state = records[0].substr(8);
   }
   // Never a state that was told of: the first write of all had not come to its end.
+  // What a process before left behind may be read from memory alone: it lasts before anything rests on it.
+  if (found) {
+    for (const char* kind : {"slot", "log"}) {
+      if (absl::Status s = disk_.sync(file(kind, current_)); !s.ok()) return s;
+    }
+  }
   if (!found) return spoilt ? absl::DataLossError(name_) : absl::NotFoundError(name_);
   const std::string log = file("log", current_);
   const absl::StatusOr<std::string> text = disk_.read(log);
--- a/src/stall/tier.hpp
+++ b/src/stall/tier.hpp
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "base/pcg.hpp"
+#include "base/windowed_count.hpp"
 #include "chutevane/types.hpp"
 #include "policy/estimate.hpp"
 #include "policy/shares.hpp"
@@ -29,10 +30,11 @@
 
 // One attempt as it is about to be placed.
 struct Placing {
-  bool affinity = false;           // it goes where parts of its prompt are held
-  std::vector<Part> parts;         // of its prompt, in order
-  double bytes = 0;                // of its body
-  double unread = 0;               // of the attempt under way: tokens that its endpoint has still to read
+  bool affinity = false;    // it goes where parts of its prompt are held
+  std::vector<Part> parts;  // of its prompt, in order
+  double bytes = 0;         // of its body
+  mutable double unread =
+      0;  // kept by the tier, of the attempt under way: tokens that its endpoint has still to read
   std::vector<std::string> avoid;  // endpoints that have turned it away or failed it
 };
 
@@ -68,10 +70,10 @@
 
   // The endpoint for an attempt; none where all are avoided.
   std::optional<std::string> place(const Placing& placing, TimePoint now);
-  void sent(const std::string& id, Placing& placing, TimePoint now);
+  void sent(const std::string& id, const Placing& placing, TimePoint now);
   // `latency`: to the first event of a stream, to the whole answer else.
-  void answered(const std::string& id, Placing& placing, Span latency, TimePoint now);
-  void ended(const std::string& id, Placing& placing, Ended how, TimePoint now);
+  void answered(const std::string& id, const Placing& placing, Span latency, TimePoint now);
+  void ended(const std::string& id, const Placing& placing, Ended how, TimePoint now);
   // What an endpoint tells of its load: requests running and waiting, and slots.
   void load(const std::string& id, double running, double waiting, double slots, TimePoint now);
   // Whether over half of the places of all endpoints are taken, as far as it is known.
@@ -97,11 +99,13 @@
   std::string by_parts(const std::vector<std::size_t>& open, const Placing& placing, TimePoint now);
 
   const std::string zone_;
+  const std::uint64_t seed_;
   Pcg luck_;
   double kv_tokens_ = 0;
   std::vector<Place> places_;
   std::unordered_map<std::string, std::size_t> index_;  // by id
   Estimate estimate_;
+  WindowedCount recent_{Span::ms(10000)};  // attempts
   Shares shares_{TimePoint()};
 };
 
--- /dev/null
+++ b/tests/market/endpoint_book_test.cpp
@@ -0,0 +1,104 @@
+// The list of endpoints as numbered changes: whoever follows has the same list, whatever was lost on the way.
+#include "market/endpoint_book.hpp"
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "unit.hpp"
+
+namespace {
+
+using chutevane::market::EndpointBook;
+using chutevane::market::EndpointList;
+using chutevane::market::Listed;
+
+Listed endpoint(int n, bool draining = false) {
+  Listed out;
+  out.id = "i-" + std::to_string(n);
+  out.address = "10.0.0.1:" + std::to_string(1000 + n);
+  out.draining = draining;
+  return out;
+}
+
+}  // namespace
+
+TEST_GROUP(EndpointBook) {
+  EndpointBook holder, follower;
+  void follow() {
+    for (const EndpointList& told : holder.since(follower.term(), follower.number())) follower.apply(told);
+  }
+};
+
+TEST(EndpointBook, AFollowerHasTheSameList) {
+  CHECK_TRUE(holder.empty() && holder.since(0, 0).empty());
+  std::vector<Listed> all;
+  for (int n = 0; n < 40; ++n) {
+    all.push_back(endpoint(n));
+    if (n % 3 == 0 && n > 3) all.erase(all.begin());
+    if (n % 5 == 0) all.back().draining = true;
+    CHECK_TRUE(holder.update(7, all));
+    CHECK_FALSE(holder.update(7, all));  // nothing has changed
+    if (n % 4 != 1) follow();            // now and then it is behind by some
+    if (n % 4 != 1) CHECK_TRUE(follower.entries() == holder.entries());
+  }
+  follow();
+  CHECK_TRUE(follower.entries() == holder.entries() && follower.number() == holder.number());
+}
+
+TEST(EndpointBook, ChangesAreSmallAndTheWholeIsSentOnlyWhereTheyAreNotKept) {
+  std::vector<Listed> all;
+  for (int n = 0; n < 500; ++n) all.push_back(endpoint(n));
+  holder.update(1, all);
+  CHECK_EQUAL(1U, holder.since(0, 0).size());
+  CHECK_EQUAL(500U, holder.since(0, 0)[0].entries.size());
+  all[7].draining = true;
+  holder.update(1, all);
+  const auto one = holder.since(1, 1);
+  CHECK_EQUAL(1U, one.size());
+  CHECK_EQUAL(1U, one[0].entries.size());
+  for (int n = 0; n < 300; ++n) {
+    all[8].draining = !all[8].draining;
+    holder.update(1, all);
+  }
+  CHECK_EQUAL(500U, holder.since(1, 1)[0].entries.size());  // these are not kept any more
+  CHECK_TRUE(holder.since(1, holder.number()).empty());
+}
+
+// A change that does not follow what is held, of another term, or told again, changes nothing.
+TEST(EndpointBook, WhatDoesNotFitIsNotTaken) {
+  holder.update(3, {endpoint(1)});
+  follow();
+  holder.update(3, {endpoint(1), endpoint(2)});
+  const EndpointList second = holder.since(3, 1)[0];
+  holder.update(3, {endpoint(1), endpoint(2), endpoint(3)});
+  const EndpointList third = holder.since(3, 2)[0];
+  CHECK_FALSE(follower.apply(third));  // one is missing before it
+  CHECK_EQUAL(1U, follower.entries().size());
+  CHECK_TRUE(follower.apply(second));
+  CHECK_FALSE(follower.apply(second));
+  CHECK_TRUE(follower.apply(third));
+  EndpointList other = third;
+  other.term = 4;
+  other.base = other.number = 3;
+  ++other.number;
+  CHECK_FALSE(follower.apply(other));  // a change of a list that it has not got
+  EndpointList old = holder.whole();
+  old.term = 2;
+  old.number = 99;
+  CHECK_FALSE(follower.apply(old));
+  CHECK_FALSE(holder.update(2, {}));
+  CHECK_EQUAL(3U, follower.entries().size());
+}
+
+// Two holders of one duty number alike; their lists go under terms of their own, and the higher is whole.
+TEST(EndpointBook, AHigherTermBringsItsWholeList) {
+  EndpointBook second;
+  holder.update(11, {endpoint(1)});
+  second.update(12, {endpoint(2)});
+  follow();
+  for (const EndpointList& told : second.since(follower.term(), follower.number())) follower.apply(told);
+  CHECK_TRUE(follower.entries() == second.entries());
+  follow();  // what the lower one tells is no news
+  CHECK_TRUE(follower.entries() == second.entries());
+}
