--- a/tests/market/cellar_test.cpp
+++ b/tests/market/cellar_test.cpp
@@ -551,6 +551,23 @@
   }
 }
 
+// A zone that goes takes no more of a group than it must.
+TEST(CellarPlacement, OneOfEachZoneFirst) {
+  std::vector<Cellar> all = cellars(9);
+  for (std::size_t i = 0; i < all.size(); ++i) all[i].zone = numbered("z", static_cast<int>(i % 3));
+  for (int p = 0; p < 200; ++p) {
+    std::map<std::string, int> zones;
+    for (const std::size_t i : group_of(numbered("p", p), all, 1)) ++zones[all[i].zone];
+    CHECK_EQUAL(3U, zones.size());
+    zones.clear();
+    for (const std::size_t i : group_of(numbered("p", p), all, 2)) ++zones[all[i].zone];
+    for (const auto& [zone, n] : zones) CHECK_WHERE(n <= 2, zone);  // five over three zones
+  }
+  // Where a zone has none left, the others fill up.
+  for (Cellar& c : all) c.leaving = c.zone == "z0";
+  CHECK_EQUAL(3U, group_of("p", all, 1).size());
+}
+
 // Agreed by all, whatever order the map has.
 TEST(CellarPlacement, OrderOfTheMapDoesNotMatter) {
   std::vector<Cellar> all = cellars(8);
--- a/tests/market/roster_test.cpp
+++ b/tests/market/roster_test.cpp
@@ -395,3 +395,36 @@
   }
   CHECK_WHERE(value.retired[0].completed, "the order never ends");
 }
+
+TEST_GROUP(RosterSpare) { TimePoint now = TimePoint::at_ms(1e6); };
+
+// With one more than is needed a silent one is not waited for; with just enough it has its longer time.
+TEST(RosterSpare, ASilentOneGoesSoonerWhereOneIsToSpare) {
+  using chutevane::clerk::cellar_spared_after;
+  for (const bool spare : {true, false}) {
+    Roster roster(1);
+    const Value value = spare ? with_cellars({1, 2, 3, 4, 5}) : with_cellars({1, 2, 3, 4});
+    const auto live = spare ? members({2, 3, 4, 5}, 7) : members({2, 3, 4}, 7);
+    const Span after = spare ? cellar_spared_after : cellar_lost_after;
+    Span waited;
+    while (!roster.cellars(value, live, now + waited)) {
+      waited = waited + Span::ms(50);
+      CHECK_TRUE(waited < Span::ms(10000));
+    }
+    CHECK_TRUE(waited > after && waited <= after + Span::ms(100));
+  }
+}
+
+// The map says which disk took the place of a lost one, and keeps saying so; one that is new is no loss.
+TEST(RosterSpare, ALostDiskIsMarked) {
+  Roster roster(1);
+  std::vector<Member> live = members({1, 2, 3, 4}, 7);
+  live[0].disk = "another";
+  const auto next = roster.cellars(with_cellars({1, 2, 3}), live, now);
+  CHECK_TRUE(next.has_value());
+  for (const Cellar& c : next->cellars) CHECK_WHERE(c.lost == (c.node == "n1"), c.node);
+  live[0].address = "moved";
+  const auto then = roster.cellars(*next, live, now);
+  CHECK_TRUE(then.has_value());
+  for (const Cellar& c : then->cellars) CHECK_WHERE(c.lost == (c.node == "n1"), c.node);
+}
