A budget is granted by all of the group, or by a majority that is asked again

Cause (found by the model of budgets): of three turns at once through three edges each could be told of one other alone, and all were granted on a budget for two; and a newcomer could leave a silent one out beside a disk that was lost and not made up for. Change: the answers of the whole group decide; after 12 ms a majority is asked a second time, under the same map. Beside a lost disk in the map nobody is left out of a take-over.

--- a/src/cellar/storage_plane.cpp
+++ b/src/cellar/storage_plane.cpp
@@ -234,7 +234,11 @@
   // A disk that took the place of a lost one, one that the map gave up in between, or another that it gives
   // up now, is a loss already: so many fewer of the others may be left out. One that is new here is none.
   const bool came_back = map_before > 0 && !went_on && !lost_some;
-  const bool lost_already = lost_some || came_back || (mine->lost && !record_.held);
+  // Nor is another's lost disk known here to be made up for: what it answers may be less than it held.
+  const bool lost_beside = std::any_of(cellars_.begin(), cellars_.end(), [&](const market::Cellar& c) {
+    return c.lost && c.node != settings_.node;
+  });
+  const bool lost_already = lost_some || came_back || lost_beside || (mine->lost && !record_.held);
   may_miss_ =
       settings_.machine_losses - std::min<std::size_t>(settings_.machine_losses, lost_already ? 1 : 0);
   take_over(before);
--- a/src/stall/ledger.cpp
+++ b/src/stall/ledger.cpp
@@ -12,6 +12,8 @@
 
 constexpr Span ask_most = Span::ms(400);   // for one answer of storage: two ways and a sync take some ms
 constexpr Span ask_again = Span::ms(15);   // where the map is about to change
+constexpr Span rest_most = Span::ms(12);   // for the rest of the group after a majority: two ways and a sync,
+                                           // then the majority is asked again
 constexpr Span keep_hedge = Span::ms(40);  // then the next of the group is asked to keep it too
 constexpr Span find_hedge = Span::ms(40);  // then the next is asked whether it has it
 constexpr std::size_t chain_most = 10000;  // turns: guards against names that go round in a ring
@@ -28,7 +30,9 @@
   std::uint64_t turn = 0;
   std::size_t yes = 0, no = 0, all = 0;
   std::map<std::string, market::Reservation> others;  // by attempt: no one of the group need know of all
-  bool over = false;
+  std::int64_t map = 0;
+  bool over = false, again = false;  // again: a majority has it already, and is asked a second time
+  net::Later::Ticket rest;
   std::int64_t sum() const {
     std::int64_t out = 0;
     for (const auto& [id, r] : others) out += r.tokens;
@@ -113,15 +117,25 @@
 
 // Every other reservation that was granted is at a majority of the group: one of those that answer tells it.
 // No two need tell the same, so what they tell is joined by attempt.
+//
+// What a majority says at once does not decide: of three turns through three edges each may be told of one
+// other alone, and all be granted on a budget for two. All of the group decide, since the last at any one of
+// them is told of all others there; or a majority that is asked again, under the same map, once a majority
+// has it: who has it later is told of it by then (docs/state.md).
 void Ledger::ask_reserve(const std::shared_ptr<Asked>& asked) {
   if (asked->over) return;
   const std::vector<std::size_t> places = group(asked->program);
   const std::uint64_t turn = ++asked->turn;
+  asked->again = asked->again && asked->map == map_;
+  asked->map = map_;
   asked->yes = asked->no = 0;
   asked->all = places.size();
   asked->others.clear();
-  const auto again = [this, asked, turn] {
+  later_.cancel(asked->rest);
+  const auto anew = [this, asked, turn] {
     if (asked->over || asked->turn != turn) return;
+    asked->again = false;
+    later_.cancel(asked->rest);
     ++asked->turn;
     if (later_.now() + ask_again >= asked->until) {
       asked->over = true;
@@ -129,33 +143,39 @@
     }
     later_.after(ask_again, [this, asked] { ask_reserve(asked); });
   };
-  if (places.size() <= losses_) return again();
+  if (places.size() <= losses_) return anew();
   const std::size_t needed = std::max(cellar::quorum(places.size()), losses_ + 1);
   const market::Reserve ask{map_, asked->program, asked->attempt, asked->most};
   const Span most = std::min(ask_most, asked->until - later_.now());
-  for (const std::size_t i : places) {
-    link(cellars_[i].address)
-        .call<market::Reserved>(
-            ask, most, [asked, turn, needed, again](absl::StatusOr<market::Reserved> got) {
-              if (asked->over || asked->turn != turn) return;
-              const bool yes = got.ok() && static_cast<Verdict>(got->verdict) == Verdict::yes;
-              if (yes) {
-                ++asked->yes;
-                for (market::Reservation& r : got->others) {
-                  const auto [at, fresh] = asked->others.emplace(r.attempt, r);
-                  if (!fresh && r.settled && !at->second.settled) at->second = r;
-                }
-              } else {
-                ++asked->no;
-              }
-              if (asked->yes == needed) {
-                asked->over = true;
-                asked->done(asked->sum() + asked->most <= asked->budget ? Granted::yes : Granted::spent);
-              } else if (asked->all - asked->no < needed) {
-                again();
-              }
-            });
-  }
+  const auto answered = [this, asked, turn, needed, anew](absl::StatusOr<market::Reserved> got) {
+    if (asked->over || asked->turn != turn) return;
+    const bool yes = got.ok() && static_cast<Verdict>(got->verdict) == Verdict::yes;
+    ++(yes ? asked->yes : asked->no);
+    if (yes) {
+      for (market::Reservation& r : got->others) {
+        const auto [at, fresh] = asked->others.emplace(r.attempt, r);
+        if (!fresh && r.settled && !at->second.settled) at->second = r;
+      }
+    }
+    if (asked->yes == asked->all || (asked->again && asked->yes == needed)) {
+      asked->over = true;
+      later_.cancel(asked->rest);
+      return asked->done(asked->sum() + asked->most <= asked->budget ? Granted::yes : Granted::spent);
+    }
+    if (asked->all - asked->no < needed) return anew();
+    if (asked->yes < needed) return;
+    const auto second = [this, asked, turn] {
+      if (asked->over || asked->turn != turn) return;
+      asked->again = true;
+      ask_reserve(asked);
+    };
+    if (asked->yes + asked->no == asked->all) {
+      second();
+    } else if (yes && asked->yes == needed) {
+      asked->rest = later_.after(rest_most, second);
+    }
+  };
+  for (const std::size_t i : places) link(cellars_[i].address).call<market::Reserved>(ask, most, answered);
 }
 
 void Ledger::settle(const std::string& program, const std::string& attempt, std::int64_t used) {
