No address has two places among the acceptors; a disk that no map names is no source

Cause (read and modelled): a control sidecar that came back with a new disk could take the place of another that was gone, while its own old place stayed: one acceptor would have counted as two. And a storage machine's new disk, not named by a map yet, answered a take-over with nothing as though it had been heard. Change: own places first, then others whose address has none; such a disk says that it is not ready.

--- a/src/cellar/storage_plane.cpp
+++ b/src/cellar/storage_plane.cpp
@@ -160,8 +160,13 @@
     return false;
   };
   std::size_t bytes = 0;
+  const bool named = std::any_of(cellars_.begin(), cellars_.end(), [&](const market::Cellar& c) {
+    return c.node == settings_.node && c.disk == record_.disk;
+  });
   if (map_ < ask.map) {
     out.verdict = static_cast<std::int64_t>(Verdict::behind);
+  } else if (!named) {  // a disk that no map names yet is no source: what its place held is not here
+    out.verdict = static_cast<std::int64_t>(Verdict::unready);
   } else if (!ask.wanted.empty()) {
     out.last = false;  // says nothing about the names
     for (const std::string& id : ask.wanted) {
--- a/src/clerk/roster.cpp
+++ b/src/clerk/roster.cpp
@@ -32,22 +32,30 @@
     free.erase(free.begin() + static_cast<std::ptrdiff_t>(which));
     changed = true;
   };
+  const auto here = [&](const Acceptor& a) {
+    return std::any_of(live.begin(), live.end(), [&](const LiveClerk& c) { return is(a, c); });
+  };
+  // The same machine with another disk: what its place promised is lost for good.
   for (Acceptor& a : next) {
-    const bool seen = std::any_of(live.begin(), live.end(), [&](const LiveClerk& c) { return is(a, c); });
-    const bool gone = lost("acceptor " + a.address + " " + a.disk, seen, acceptor_lost_after, now);
-    if (seen) continue;
-    // The same machine with another disk: what this place promised is lost for good.
     const auto again =
         std::find_if(free.begin(), free.end(), [&](const LiveClerk& c) { return c.address == a.address; });
-    if (again != free.end()) {
-      take(a, static_cast<std::size_t>(again - free.begin()));
-    } else if (gone && !free.empty()) {
-      take(a, 0);
-    }
+    if (!here(a) && again != free.end()) take(a, static_cast<std::size_t>(again - free.begin()));
+  }
+  // Only then others, and none whose address has a place: it would count as two.
+  const auto other = [&] {
+    return std::find_if(free.begin(), free.end(), [&](const LiveClerk& c) {
+      return std::none_of(next.begin(), next.end(),
+                          [&](const Acceptor& a) { return a.address == c.address; });
+    });
+  };
+  for (Acceptor& a : next) {
+    const bool gone = lost("acceptor " + a.address + " " + a.disk, here(a), acceptor_lost_after, now);
+    if (gone && !here(a) && other() != free.end()) take(a, static_cast<std::size_t>(other() - free.begin()));
   }
-  while (next.size() < copies_for(losses_) && !free.empty()) {
+  while (next.size() < copies_for(losses_) && other() != free.end()) {
+    const auto which = static_cast<std::size_t>(other() - free.begin());
     next.emplace_back();
-    take(next.back(), 0);
+    take(next.back(), which);
   }
   // An even number bears no more losses than one fewer.
   if (changed && next.size() > 1 && next.size() % 2 == 0 && next.size() < copies_for(losses_)) {
--- a/tests/market/roster_test.cpp
+++ b/tests/market/roster_test.cpp
@@ -3,6 +3,7 @@
 #include "clerk/roster.hpp"
 
 #include <algorithm>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -428,3 +429,32 @@
   CHECK_TRUE(then.has_value());
   for (const Cellar& c : then->cellars) CHECK_WHERE(c.lost == (c.node == "n1"), c.node);
 }
+
+// A clerk with a new disk gets its own place back, and never another's beside it: one address would vote as
+// two.
+TEST(RosterSpare, NoAddressHasTwoPlaces) {
+  for (int order = 0; order < 2; ++order) {
+    Roster roster(1);
+    Value value;
+    value.epoch = 2;
+    for (const char* n : {"1", "2", "3"})
+      value.acceptors.push_back({std::string("a") + n, std::string("d") + n});
+    std::vector<chutevane::clerk::LiveClerk> live{{"a2", "other", false, true}, {"a3", "d3", false, true}};
+    if (order == 1) std::swap(live[0], live[1]);
+    // Both others are gone for longer than their time, and none is free; then one comes back with a new disk.
+    const std::vector<chutevane::clerk::LiveClerk> alone{{"a3", "d3", false, true}};
+    for (int i = 0; i < 50; ++i, now = now + Span::ms(100))
+      CHECK_FALSE(roster.acceptors(value, alone, now).has_value());
+    for (int i = 0; i < 100; ++i) {
+      if (auto next = roster.acceptors(value, live, now)) {
+        value.acceptors = *next;
+        ++value.epoch;
+      }
+      std::set<std::string> places;
+      for (const auto& a : value.acceptors) places.insert(a.address);
+      CHECK_EQUAL(value.acceptors.size(), places.size());
+      now = now + Span::ms(100);
+    }
+    CHECK_TRUE(value.acceptors[1].disk == "other");
+  }
+}
