--- a/src/common/disk.cpp
+++ b/src/common/disk.cpp
@@ -12,6 +12,8 @@
 #include <cstring>
 #include <fstream>
 
+#include "common/invariant.hpp"
+
 namespace chutevane::common {
 namespace {
 
@@ -348,6 +350,9 @@
   if (absl::Status s = disk_.append(log, record); !s.ok()) return s;
   if (absl::Status s = disk_.sync(log); !s.ok()) return s;
   needs_write_ = false;
+  // Whoever appends writes a whole state once the log is long: one change may come on top.
+  check_invariant(Invariant::log_is_bounded, log_size_ <= log_most,
+                  [&] { return log + " has " + std::to_string(log_size_) + " bytes before a change"; });
   log_size_ += record.size();
   return absl::OkStatus();
 }
--- a/src/common/log.cpp
+++ b/src/common/log.cpp
@@ -16,6 +16,7 @@
 std::string the_node, the_role;
 std::int64_t second = 0;
 int lines = 0, dropped = 0;
+std::uint64_t dropped_in_all = 0;
 bool is_open = false;
 LogSink the_sink;
 
@@ -61,6 +62,8 @@
   return out.result();
 }
 
+std::uint64_t log_lines_dropped() { return dropped_in_all; }
+
 void set_log_sink(LogSink sink) { the_sink = std::move(sink); }
 
 void log_event(Level level, std::string_view event, std::string_view detail) {
@@ -76,6 +79,7 @@
   }
   if (++lines > lines_most) {
     ++dropped;
+    ++dropped_in_all;
     return;
   }
   put(level, log_line_of(name_of(level), the_node, the_role, event, detail, now));
--- a/src/common/log.hpp
+++ b/src/common/log.hpp
@@ -20,6 +20,8 @@
 inline void log_warning(std::string_view event, std::string_view detail) {
   log_event(Level::warning, event, detail);
 }
+// Lines of this process that its bound has left out, since its start.
+std::uint64_t log_lines_dropped();
 // Where lines go instead of standard output, in simulations; none: to standard output.
 using LogSink = std::function<void(Level level, std::string_view event, std::string_view detail)>;
 void set_log_sink(LogSink sink);
--- a/src/common/messages.hpp
+++ b/src/common/messages.hpp
@@ -594,10 +594,12 @@
   static constexpr std::uint8_t kind = 30;  // on the wire
   std::int64_t map = 0;
   std::string id;
+  std::string attempt;  // of the request that asks, for logs; empty: no request does
   template <class Visitor>
   void each(Visitor& v) {
     v("map", map);
     v("id", id);
+    v("attempt", attempt);
   }
 };
 
--- a/src/common/process.cpp
+++ b/src/common/process.cpp
@@ -1,5 +1,6 @@
 #include "common/process.hpp"
 
+#include <arpa/inet.h>
 #include <sys/stat.h>
 
 #include <csignal>
@@ -7,7 +8,9 @@
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <exception>
+#include <system_error>
 
+#include "common/http_port.hpp"
 #include "common/log.hpp"
 #include "net/signals.hpp"
 #include "net/timer_queue.hpp"
@@ -17,6 +20,8 @@
 
 constexpr Span look_every = Span::ms(2000);  // at the settings file, which may change without a signal
 
+constexpr std::size_t metrics_body_most = 1024;  // bytes of a request for figures
+
 std::string stamp_of(const std::string& path) {
   struct stat info {};
   if (::stat(path.c_str(), &info) != 0) return "";
@@ -24,6 +29,42 @@
          std::to_string(info.st_size);
 }
 
+// Answers `GET /metrics` with the figures of process and plane. A port that is taken costs the figures alone.
+class MetricsPort {
+ public:
+  MetricsPort(net::Scheduler& scheduler, Plane& plane, const sockaddr_in& at)
+      : plane_(plane),
+        port_(scheduler, metrics_body_most, [this](const http::Parser& request, HttpPort::Reply reply) {
+          serve(request, std::move(reply));
+        }) {
+    try {
+      port_.listen(at);
+    } catch (const std::system_error& e) {
+      log_warning("metrics.not_served", net::text_of(at) + ": " + e.what());
+    }
+  }
+
+ private:
+  void serve(const http::Parser& request, HttpPort::Reply reply) {
+    const std::string_view path = request.target().substr(0, request.target().find('?'));
+    if (path != "/metrics") return reply({404, "", {}});
+    if (request.method() != "GET") return reply({405, "", {}});
+    MetricsWriter out;
+    write_process_metrics(out);
+    plane_.write_metrics(out);
+    reply({200, std::move(out).finish(), {{"Content-Type", std::string(metrics_content_type)}}});
+  }
+  Plane& plane_;
+  HttpPort port_;
+};
+
+sockaddr_in metrics_address(const Program& program, const ProcessSettings& settings) {
+  if (settings.metrics) return *settings.metrics;
+  sockaddr_in out = settings.internal_address(0);
+  out.sin_port = htons(program.metrics_port);
+  return out;
+}
+
 class Loop {
  public:
   Loop(net::Scheduler& scheduler, Plane& plane, std::string path, std::string node)
@@ -81,9 +122,8 @@
 
 }  // namespace
 
-int run_process(const std::string& program, const std::string& about, int argc, char** argv,
-                const MakePlane& make) {
-  cxxopts::Options options(program, about);
+int run_process(const Program& program, int argc, char** argv, const MakePlane& make) {
+  cxxopts::Options options(program.name, program.about);
   options.add_options()("settings", "the settings file; else $CHUTEVANE_SETTINGS",
                         cxxopts::value<std::string>())("check", "read and check the settings, and end")(
       "version", "print the version")("help", "print this");
@@ -93,15 +133,16 @@
     const auto given = options.parse(argc, argv);
     if (given.count("help") > 0) return std::printf("%s", options.help().c_str()) < 0 ? 1 : 0;
     if (given.count("version") > 0)
-      return std::printf("%s %s\n", program.c_str(), CHUTEVANE_VERSION) < 0 ? 1 : 0;
+      return std::printf("%s %s\n", program.name.c_str(), CHUTEVANE_VERSION) < 0 ? 1 : 0;
     if (given.count("settings") > 0) path = given["settings"].as<std::string>();
     const auto settings = load_settings(path);
     if (!settings.ok()) {
-      std::fprintf(stderr, "%s: %s\n", program.c_str(), std::string(settings.status().message()).c_str());
+      std::fprintf(stderr, "%s: %s\n", program.name.c_str(),
+                   std::string(settings.status().message()).c_str());
       return 2;
     }
     if (given.count("check") > 0) return std::printf("%s: good\n", path.c_str()) < 0 ? 1 : 0;
-    open_log(settings->node, program);
+    open_log(settings->node, program.name);
     net::Scheduler scheduler;
     if (settings->descriptors > 0) scheduler.system().descriptors(settings->descriptors);
     const std::unique_ptr<Plane> plane = make(scheduler, *settings);
@@ -110,11 +151,12 @@
       return 3;
     }
     Loop loop(scheduler, *plane, path, settings->node);
+    const MetricsPort metrics(scheduler, *plane, metrics_address(program, *settings));
     while (!plane->finished()) scheduler.turn();
     log_info("process.ended", "");
     return 0;
   } catch (const std::exception& e) {
-    std::fprintf(stderr, "%s: %s\n", program.c_str(), e.what());
+    std::fprintf(stderr, "%s: %s\n", program.name.c_str(), e.what());
     return 2;
   }
 }
--- a/src/common/session.cpp
+++ b/src/common/session.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 
+#include "common/invariant.hpp"
 #include "common/log.hpp"
 
 namespace chutevane::common {
@@ -51,8 +52,17 @@
   }));
 }
 
+Span Sessions::knowledge_age() const {
+  TimePoint newest;
+  for (const auto& [address, way] : ways_) newest = std::max(newest, way.confirmed);
+  return timers_.now() - newest;
+}
+
 bool Sessions::usable(const Way& way) const {
   const TimePoint now = timers_.now();
+  check_invariant(Invariant::confirmed_value_is_held, way.confirmed_number <= values_.number(), [&] {
+    return std::to_string(way.confirmed_number) + " confirmed, " + std::to_string(values_.number()) + " held";
+  });
   return now - way.heard < silent_most && now - way.confirmed < knowledge_most;
 }
 
@@ -146,8 +156,10 @@
     const TimePoint confirmed =
         TimePoint() + Span::us(heartbeat.echo_stamp) - Span::ms(static_cast<double>(heartbeat.fresh_ms));
     // One whose newest value has not come, was held back or could not be applied confirms nothing.
-    if (heartbeat.number <= values_.number())
+    if (heartbeat.number <= values_.number()) {
       way->second.confirmed = std::max(way->second.confirmed, confirmed);
+      way->second.confirmed_number = std::max(way->second.confirmed_number, heartbeat.number);
+    }
     if (!heartbeat.controllers.empty()) controllers_ = heartbeat.controllers;
     if (heartbeat.edges > 0) edges_ = static_cast<std::size_t>(heartbeat.edges);
   } else if (kind == Push::kind) {
@@ -162,9 +174,11 @@
 }
 
 void Sessions::pushed(Way& way, Push push) {
-  const std::int64_t number = push.number;
+  const std::int64_t number = push.number, before = values_.number();
   switch (values_.take(std::move(push))) {
     case ValueReceiver::Came::newer:
+      check_invariant(Invariant::value_number_rises, values_.number() > before,
+                      [&] { return std::to_string(values_.number()) + " after " + std::to_string(before); });
       if (told_value_) told_value_(*values_.value());
       break;
     case ValueReceiver::Came::old: break;
--- a/src/common/session.hpp
+++ b/src/common/session.hpp
@@ -46,6 +46,8 @@
     tell_all();
   }
   std::size_t standing() const;
+  // Since nothing newer can have been chosen than what is held here, as the best session proves.
+  Span knowledge_age() const;
   // Sidecars of the traffic that are members, as control last told; 1 at least.
   std::size_t edges() const { return edges_; }
 
@@ -58,7 +60,8 @@
     // that it has echoed, less the age of its own knowledge. Its clock does not matter, nor how long a
     // message was under way.
     TimePoint confirmed;
-    std::int64_t refused = 0;  // the newest push that could not be applied: to be sent whole
+    std::int64_t confirmed_number = 0;  // the newest value that it named with that proof
+    std::int64_t refused = 0;           // the newest push that could not be applied: to be sent whole
   };
   void tick();
   void tell_all();
--- a/src/common/settings.cpp
+++ b/src/common/settings.cpp
@@ -127,6 +127,7 @@
   out.front = in.address("listenAddrs.front");
   out.readiness = in.address("listenAddrs.readiness");
   out.control = in.address("listenAddrs.control");
+  out.metrics = in.address("listenAddrs.metrics");
   std::string ports;
   in.text("internalPorts", ports, true);
   const std::vector<std::string> pair = split(ports);
--- a/src/common/settings.hpp
+++ b/src/common/settings.hpp
@@ -18,7 +18,7 @@
   std::string node, role, machine_class, serves, zone, region;
   std::string ip;
   std::map<std::string, std::string> zones;  // to their regions
-  std::optional<sockaddr_in> front, readiness, control;
+  std::optional<sockaddr_in> front, readiness, control, metrics;
   std::uint16_t first_port = 0, last_port = 0;
   std::vector<sockaddr_in> seeds;  // control addresses of sidecars that serve it
   bool initial_start = false, loss_counted = false;
--- a/src/control/control_plane.hpp
+++ b/src/control/control_plane.hpp
@@ -37,6 +37,7 @@
   void leave() override;
   bool finished() const override { return finished_; }
   void reread(const common::ProcessSettings& settings) override;
+  void write_metrics(common::MetricsWriter& out) override;
 
  private:
   struct Peer {
--- a/src/control/control_plane_sessions.cpp
+++ b/src/control/control_plane_sessions.cpp
@@ -119,13 +119,53 @@
 }
 
 ControlStatus ControlPlane::status() const {
-  ControlStatus out{settings_.node, fresh_age(), {}, list_.entries().size()};
+  ControlStatus out{settings_.node, fresh_age(), {}, list_.entries().size(), timers_.now()};
   for (const Duty* duty : {&list_duty_, &roster_duty_}) {
     if (duty->mine()) out.duties.push_back({duty->name(), duty->term()});
   }
   return out;
 }
 
+void ControlPlane::write_metrics(common::MetricsWriter& out) {
+  const auto gauge = [&](std::string_view name, std::string_view unit, std::string_view help, double value) {
+    out.gauge(name, unit, help, value);
+  };
+  const std::optional<common::Value>& known = register_.known();
+  const auto number = [](std::int64_t value) { return static_cast<double>(value); };
+  operator_api_.write_metrics(out);
+  gauge("chutevane_register_number", "", "Number of the newest value known to be chosen.",
+        known ? number(known->number) : 0);
+  gauge("chutevane_register_epoch", "", "Epoch of the newest set of acceptors known.",
+        number(register_.initial().epoch));
+  gauge("chutevane_register_ballot_round", "",
+        "Round under which the known value was accepted; 0: not known.",
+        number(register_.known_ballot().round));
+  gauge("chutevane_configuration_version", "", "Newest configuration known to be chosen.",
+        known ? number(known->config_version) : 0);
+  gauge("chutevane_storage_map", "", "Number of the newest map of storage nodes known to be chosen.",
+        known ? number(known->map) : 0);
+  gauge("chutevane_storage_nodes", "", "Storage nodes in that map.",
+        known ? static_cast<double>(known->storage_nodes.size()) : 0);
+  gauge("chutevane_knowledge_age_seconds", "seconds",
+        "Since a quorum of acceptors last proved that nothing newer was chosen.", fresh_age().as_ms() / 1000);
+  gauge("chutevane_control_peers", "", "Other controllers known.", static_cast<double>(peers_.size()));
+  gauge("chutevane_control_peers_heard", "", "Other controllers heard of lately.",
+        static_cast<double>(std::count_if(peers_.begin(), peers_.end(), [&](const auto& one) {
+          return one.second.last && timers_.now() - one.second.heard < peer_heard;
+        })));
+  gauge("chutevane_sessions", "", "Sessions of edges and storage nodes here.",
+        static_cast<double>(sessions_.size()));
+  gauge("chutevane_endpoints", "", "Endpoints on the list held here.",
+        static_cast<double>(list_.entries().size()));
+  out.begin(common::MetricsWriter::Type::gauge, "chutevane_duty_held", "",
+            "1 while this controller holds the duty.");
+  for (const Duty* duty : {&list_duty_, &roster_duty_})
+    out.sample(duty->mine() ? 1 : 0, {{"duty", duty->name()}});
+  gauge("chutevane_acceptor_voting", "", "1 while this controller's disk votes.",
+        acceptor_->voting() ? 1 : 0);
+  gauge("chutevane_disk_failing", "", "1 while the disk takes nothing.", disk_health_.works() ? 0 : 1);
+}
+
 std::vector<Member> ControlPlane::members() const {
   std::map<std::string, Member> all;
   const auto take = [&](const Member& m) {
--- a/src/control/main.cpp
+++ b/src/control/main.cpp
@@ -5,7 +5,9 @@
 int main(int argc, char** argv) {
   using namespace chutevane;
   return common::run_process(
-      "chutevane-control", "Control: configuration, membership, the list of endpoints", argc, argv,
+      {"chutevane-control", "Control: configuration, membership, the list of endpoints",
+       common::control_metrics_port},
+      argc, argv,
       [](net::Scheduler& scheduler,
          const common::ProcessSettings& settings) -> std::unique_ptr<common::Plane> {
         return std::make_unique<control::ControlPlane>(
--- a/src/control/operator_api.cpp
+++ b/src/control/operator_api.cpp
@@ -89,7 +89,10 @@
   const auto read = common::read_configuration(order.body, findings);
   if (read && findings.none() && read->version <= order.base)
     findings.add("version", std::to_string(read->version) + " is not above its base");
-  if (!findings.none() || !read) return reply(invalid(findings));
+  if (!findings.none() || !read) {
+    note(Outcome::invalid, order, findings.text());
+    return reply(invalid(findings));
+  }
   order.version = read->version;
   const auto shared = std::make_shared<const ConfigurationOrder>(std::move(order));
   register_.change(
@@ -99,18 +102,61 @@
       },
       change_most,
       [this, reply, shared](absl::StatusOr<common::Value> got) {
-        if (!got.ok()) return reply(unclear());
+        if (!got.ok()) {
+          note(Outcome::unclear, *shared, got.status().ToString());
+          return reply(unclear());
+        }
+        const std::string current = "version " + std::to_string(got->config_version) + " is current";
         switch (judge(*got, *shared, remembered_)) {
-          case OrderVerdict::taken: return acknowledge(*got, shared->version, reply);
+          case OrderVerdict::taken:
+            note(Outcome::taken, *shared, current);
+            return acknowledge(*got, shared->version, reply);
           case OrderVerdict::superseded:
-            return reply(problem(412, "version " + std::to_string(got->config_version) + " is current"));
-          case OrderVerdict::not_above_base: return reply(problem(400, "version: not above its base"));
+            note(Outcome::superseded, *shared, current);
+            return reply(problem(412, current));
+          case OrderVerdict::not_above_base:
+            note(Outcome::invalid, *shared, "not above its base");
+            return reply(problem(400, "version: not above its base"));
           case OrderVerdict::applicable:
-          case OrderVerdict::unclear: return reply(unclear());
+          case OrderVerdict::unclear: note(Outcome::unclear, *shared, current); return reply(unclear());
         }
       });
 }
 
+std::string_view OperatorApi::name_of(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::taken: return "taken";
+    case Outcome::invalid: return "invalid";
+    case Outcome::superseded: return "superseded";
+    case Outcome::unclear: return "unclear";
+    case Outcome::read: return "read";
+    case Outcome::read_unclear: return "read_unclear";
+  }
+  return "";
+}
+
+void OperatorApi::note(Outcome outcome, const ConfigurationOrder& order, std::string_view cause) {
+  ++counts_[static_cast<std::size_t>(outcome)];
+  if (outcome == Outcome::taken || outcome == Outcome::read) return;
+  const ControlStatus own = host_.status();
+  if (!refusals_.admits(own.now)) return;
+  const common::Ballot ballot = register_.known_ballot();
+  refusals_.line("outcome=" + std::string(name_of(outcome)) + " version=" + std::to_string(order.version) +
+                 " base=" + std::to_string(order.base) +
+                 " hash=" + common::hash_text(static_cast<std::uint64_t>(order.hash)) +
+                 " epoch=" + std::to_string(register_.initial().epoch) +
+                 " ballot=" + std::to_string(ballot.round) + "." + std::to_string(ballot.proposer) +
+                 " quorum_age_ms=" + std::to_string(static_cast<std::int64_t>(own.fresh_age.as_ms())) +
+                 " cause=" + std::string(cause));
+}
+
+void OperatorApi::write_metrics(common::MetricsWriter& out) const {
+  out.begin(common::MetricsWriter::Type::counter, "chutevane_control_orders", "",
+            "Configurations and reads of operators, by what became of them.");
+  for (std::size_t i = 0; i < outcomes; ++i)
+    out.sample(static_cast<double>(counts_[i]), {{"outcome", name_of(static_cast<Outcome>(i))}});
+}
+
 void OperatorApi::acknowledge(const common::Value& chosen, std::int64_t version,
                               common::HttpPort::Reply reply) {
   common::log_info("config.taken",
@@ -124,8 +170,12 @@
 }
 
 void OperatorApi::retrieve(common::HttpPort::Reply reply) {
-  register_.read(order_most, [reply](absl::StatusOr<common::Value> got) {
-    if (!got.ok()) return reply(unclear());
+  register_.read(order_most, [this, reply](absl::StatusOr<common::Value> got) {
+    if (!got.ok()) {
+      note(Outcome::read_unclear, {}, got.status().ToString());
+      return reply(unclear());
+    }
+    note(Outcome::read, {}, "");
     if (got->config_version == 0) return reply(problem(404, "no configuration was taken yet"));
     reply({200, got->config.data, {{"X-Chutevane-Base-Version", std::to_string(got->config_version)}}});
   });
--- a/src/control/operator_api.hpp
+++ b/src/control/operator_api.hpp
@@ -5,14 +5,17 @@
 // else it cannot tell is 503 with Retry-After: the call is sent again unchanged.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "common/bounded_log.hpp"
 #include "common/http_port.hpp"
 #include "common/messages.hpp"
+#include "common/metrics.hpp"
 #include "control/configuration_order.hpp"
 #include "control/register.hpp"
 #include "http/parser.hpp"
@@ -25,6 +28,7 @@
   Span fresh_age;                        // since its knowledge of the register was last confirmed
   std::vector<common::HeldDuty> duties;  // its own
   std::size_t endpoints = 0;             // in its list
+  TimePoint now;                         // by its steady clock
 };
 
 class OperatorApi {
@@ -51,8 +55,16 @@
               std::size_t remembered = remembered_configurations);
   // Answers one call: at once or later, exactly once.
   void serve(const http::Parser& request, common::HttpPort::Reply reply);
+  void write_metrics(common::MetricsWriter& out) const;
 
  private:
+  // What became of a configuration, or of a read.
+  enum class Outcome : std::uint8_t { taken, invalid, superseded, unclear, read, read_unclear };
+  static constexpr std::size_t outcomes = static_cast<std::size_t>(Outcome::read_unclear) + 1;
+  static std::string_view name_of(Outcome outcome);
+  // Counts it; what was refused or left unclear is told with all that the decision rested on.
+  void note(Outcome outcome, const ConfigurationOrder& order, std::string_view cause);
+
   void replace(const http::Parser& request, common::HttpPort::Reply reply);
   void acknowledge(const common::Value& chosen, std::int64_t version, common::HttpPort::Reply reply);
   void retrieve(common::HttpPort::Reply reply);
@@ -65,6 +77,9 @@
   Register& register_;
   Host& host_;
   const std::size_t machine_losses_, remembered_;
+  static constexpr int lines_most = 10;  // a second
+  std::array<std::uint64_t, outcomes> counts_{};
+  common::BoundedLog refusals_{"order.not_taken", lines_most};
 };
 
 }  // namespace chutevane::control
--- a/src/control/register.cpp
+++ b/src/control/register.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "common/invariant.hpp"
 #include "common/value_update.hpp"
 
 namespace chutevane::control {
@@ -57,6 +58,11 @@
 }
 
 absl::Status AcceptorState::store(bool whole) {
+  common::check_invariant(common::Invariant::accepted_not_above_promised,
+                          !(state_.promised < state_.accepted), [&] {
+                            return "promised round " + std::to_string(state_.promised.round) + ", accepted " +
+                                   std::to_string(state_.accepted.round);
+                          });
   const std::string record = common::encoded(state_);
   const bool as_slot = whole || slots_.log_is_long() || slots_.needs_write();
   return as_slot ? slots_.write(record) : slots_.append(record);
@@ -186,6 +192,15 @@
 
 void Register::learn_chosen(const Value& value, const Value& initial) {
   learn_epoch(initial);
+  common::check_invariant(common::Invariant::one_value_under_a_number,
+                          !known_ || known_->number != value.number ||
+                              (known_->config_version == value.config_version && known_->map == value.map),
+                          [&] {
+                            return "number " + std::to_string(value.number) + ": version " +
+                                   std::to_string(value.config_version) + " and " +
+                                   std::to_string(known_->config_version) + ", map " +
+                                   std::to_string(value.map) + " and " + std::to_string(known_->map);
+                          });
   if (known_ && known_->number >= value.number) return;
   known_ = value;
   if (told_) told_(value);
--- a/src/edge/client.cpp
+++ b/src/edge/client.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "common/log.hpp"
+#include "common/invariant.hpp"
 #include "edge/data_plane.hpp"
 #include "http/writer.hpp"
 
@@ -44,10 +44,15 @@
 
 Client::~Client() { plane_.timers_.cancel(timer_); }
 
-void Client::close() {
+void Client::close(Cause cause) {
   if (stage_ == Stage::over) return;
   channel_.close();
-  channel_gone(channel_);
+  leave(cause);
+}
+
+bool Client::request_in_hand() const {
+  return stage_ == Stage::preparing || stage_ == Stage::asking || stage_ == Stage::relaying ||
+         stage_ == Stage::keeping;
 }
 
 Span Client::left() const { return deadline_ - plane_.timers_.now(); }
@@ -81,10 +86,10 @@
 
 void Client::request_late() {
   if (stage_ != Stage::reading) return;
-  if (!parser_.begun()) return close();
+  if (!parser_.begun()) return close(Cause::client_stalled);
   stage_ = Stage::preparing;
   keep_ = false;
-  answer_plain(408, "the request did not come whole in time");
+  answer_own(Cause::slow_request, 408, "the request did not come whole in time");
 }
 
 // How long the client may rest, between two requests or before it ends the connection. While an answer is
@@ -99,7 +104,7 @@
   if (channel_.unsent() > 0 && channel_.unsent() < unsent_before) return set_rest_timer(most);
   // Clients go by the limit that is in force: it may have grown meanwhile.
   if (stage_ == Stage::reading && idle_limit() > most) return set_rest_timer(idle_limit(), most);
-  if (stage_ != Stage::reading || !channel_.unread()) return close();
+  if (stage_ != Stage::reading || !channel_.unread()) return close(Cause::client_stalled);
   // A request has arrived, and was not read yet: this process stood still, not the client.
   timer_ = plane_.timers_.after(unread_look, [this] { request_late(); });
 }
@@ -137,7 +142,7 @@
   stage_ = Stage::preparing;
   if (progress == http::Progress::failed) {
     keep_ = false;
-    answer_plain(parser_.status_of_error(), parser_.error());
+    answer_own(Cause::malformed_request, parser_.status_of_error(), parser_.error());
     return;
   }
   begin();
@@ -145,6 +150,7 @@
 
 void Client::begin() {
   began_ = plane_.timers_.now();
+  exchange_open_ = true;
   ++plane_.counters_.requests;
   keep_ = parser_.keep_alive() && !plane_.closing_;
   const std::string wrong = read_request(parser_, request_);
@@ -157,7 +163,10 @@
   attempts_ = tries_ = 0;
   placing_ = {};
   route_ = nullptr;
-  if (!wrong.empty()) return answer_plain(400, wrong);
+  service_.clear();
+  endpoint_.clear();
+  last_attempt_ = LastAttempt::none;
+  if (!wrong.empty()) return answer_own(Cause::malformed_request, 400, wrong);
   route();
 }
 
@@ -169,26 +178,17 @@
     return;
   }
   configuration_ = plane_.configuration_;
-  if (!configuration_) return answer_plain(503, "no configuration yet", true);
+  if (!configuration_) return answer_own(Cause::no_configuration, 503, "no configuration yet", ComeBack::yes);
   route_ = configuration_->route_of(request_.host,
                                     std::string_view(request_.target).substr(0, request_.target.find('?')));
   if (route_ == nullptr) {
     // One that hears of no control may have missed the route.
-    if (plane_.sessions_->standing() == 0) return answer_plain(503, "no route known here yet", true);
-    return answer_plain(404, "no route");
+    if (plane_.sessions_->standing() == 0)
+      return answer_own(Cause::route_uncertain, 503, "no route known here yet", ComeBack::yes);
+    return answer_own(Cause::no_route, 404, "no route");
   }
   deadline_ = began_ + std::min(request_.left.value_or(unlimited), route_->timeout);
-  double sum = 0;
-  for (const common::Weighted& w : route_->split) sum += w.weight;
-  double at = plane_.random_.unit() * sum;
-  service_ = route_->split.back().service;
-  for (const common::Weighted& w : route_->split) {
-    at -= w.weight;
-    if (at < 0) {
-      service_ = w.service;
-      break;
-    }
-  }
+  service_ = plane_.service_for(*route_);
   streaming_ = route_->type == common::RouteType::streaming && request_.method != "HEAD";
   if (route_->affinity) {
     placing_.affinity = true;
@@ -205,20 +205,22 @@
 // ---- turns
 
 void Client::prepare() {
-  if (request_.attempt_id.empty()) return answer_plain(400, "X-Chutevane-Attempt-Id: missing");
+  if (request_.attempt_id.empty())
+    return answer_own(Cause::missing_attempt_id, 400, "X-Chutevane-Attempt-Id: missing");
   if (request_.previous.empty()) {
     body_ = request_.body;
     return reserve();
   }
-  plane_.ledger_.find(request_.previous, request_.program, storage_until(),
+  plane_.ledger_.find(request_.previous, request_.program, request_.attempt_id, storage_until(),
                       guarded([this](Ledger::Chain chain) {
                         if (chain.verdict == Ledger::Sought::unknown) {
                           ++plane_.counters_.not_found;
-                          return answer_plain(404, "no such turn");
+                          return answer_own(Cause::no_such_turn, 404, "no such turn");
                         }
                         if (chain.verdict == Ledger::Sought::unsure) {
                           ++plane_.counters_.unsure;
-                          return answer_plain(503, "not certain yet whether there is such a turn", true);
+                          return answer_own(Cause::turn_uncertain, 503,
+                                            "not certain yet whether there is such a turn", ComeBack::yes);
                         }
                         std::size_t size = request_.body.size();
                         for (const auto& t : chain.turns)
@@ -237,18 +239,19 @@
 void Client::reserve() {
   placing_.bytes = static_cast<double>(body_.size());
   if (!request_.budget) return attempt();
-  if (request_.program.empty()) return answer_plain(400, "Program: missing");
+  if (request_.program.empty()) return answer_own(Cause::missing_program, 400, "Program: missing");
   plane_.ledger_.reserve(request_.program, request_.attempt_id, request_.most_out.value_or(0),
                          *request_.budget, storage_until(), guarded([this](Ledger::Granted granted) {
                            reserved_ = true;
                            if (granted == Ledger::Granted::spent) {
                              ++plane_.counters_.spent;
                              unreserve();
-                             return answer_plain(402, "the budget is spent");
+                             return answer_own(Cause::budget_spent, 402, "the budget is spent");
                            }
                            if (granted == Ledger::Granted::unclear) {
                              unreserve();
-                             return answer_plain(503, "budgets cannot be set aside now", true);
+                             return answer_own(Cause::budget_uncertain, 503,
+                                               "budgets cannot be set aside now", ComeBack::yes);
                            }
                            attempt();
                          }));
@@ -264,13 +267,18 @@
 
 void Client::attempt() {
   stage_ = Stage::asking;
+  common::check_invariant(common::Invariant::not_sent_twice, !may_have_run_ || route_->repeatable(),
+                          [&] { return request_.attempt_id + " after " + endpoint_; });
+  common::check_invariant(common::Invariant::reserved_before_sent,
+                          !route_->retained || !request_.budget || reserved_,
+                          [&] { return request_.attempt_id; });
   const TimePoint now = plane_.timers_.now();
   const Span time = left();
   Tier& tier = plane_.tier(service_);
-  if (Tier::spent(time)) return give_up(may_have_run_);
-  if (tries_ > 0 && !tier.worth_retry(time, now)) return give_up(may_have_run_);
+  if (Tier::spent(time)) return give_up(Cause::time_spent);
+  if (tries_ > 0 && !tier.worth_retry(time, now)) return give_up(Cause::time_spent);
   if (attempts_ >= std::max<std::size_t>(route_->max_attempts, 1) || tries_ > turned_away_most + attempts_)
-    return give_up(may_have_run_);
+    return give_up(last_attempt_ == LastAttempt::turned_away ? Cause::endpoints_full : Cause::no_endpoint);
   std::shared_ptr<Endpoint> to;
   // What may be repeated goes once more to where it has been, rather than to nobody with time left.
   if (route_->repeatable() && !placing_.avoid.empty() && !tier.place(placing_, now)) placing_.avoid.clear();
@@ -282,7 +290,8 @@
     placing_.avoid.push_back(*chosen);
   }
   placing_.avoid.resize(avoided);
-  if (!to) return give_up(may_have_run_);
+  if (!to)
+    return give_up(last_attempt_ == LastAttempt::turned_away ? Cause::endpoints_full : Cause::no_endpoint);
   endpoint_ = to->id;
   ++tries_;
   ++attempts_;
@@ -324,16 +333,13 @@
   if (connection_ != nullptr) plane_.endpoints_.give_up(*std::exchange(connection_, nullptr));
   attempt_over(measured_ceiling_ ? Ended::cut : Ended::failed);
   may_have_run_ = true;
-  if (stage_ == Stage::relaying) {
-    channel_.reset();
-    channel_gone(channel_);
-    return;
-  }
+  last_attempt_ = LastAttempt::timed_out;
+  if (stage_ == Stage::relaying) return break_off(Cause::stream_timeout);
   if (route_->repeatable()) {
     placing_.avoid.push_back(endpoint_);
     return attempt();
   }
-  give_up(true);
+  give_up(Cause::time_spent);
 }
 
 void Client::answer_head(const http::Parser& response) {
@@ -365,13 +371,14 @@
 void Client::answer_failed(Failure how) {
   connection_ = nullptr;
   attempt_over(Ended::failed);
-  if (stage_ == Stage::relaying) {  // part of it is at the client: it must not look whole
-    channel_.reset();
-    channel_gone(channel_);
-    return;
-  }
+  if (stage_ == Stage::relaying) return break_off(Cause::stream_broke_off);
   if (how == Failure::unsent) --attempts_;
   const bool may_run = how == Failure::broken && !turned_away_;  // a rejection's head is proof enough
+  last_attempt_ = may_run        ? LastAttempt::broke_off
+                  : turned_away_ ? LastAttempt::turned_away
+                                 : LastAttempt::unsent;
+  // From here on, and not only once it is tried again: the client may leave before.
+  may_have_run_ = may_have_run_ || may_run;
   placing_.avoid.push_back(endpoint_);
   // Not from inside the call that has just failed.
   plane_.timers_.cancel(timer_);
@@ -380,7 +387,7 @@
 
 void Client::after_failure(bool ran) {
   may_have_run_ = may_have_run_ || ran;
-  if (ran && !route_->repeatable()) return give_up(true);
+  if (ran && !route_->repeatable()) return give_up(Cause::time_spent);
   attempt();
 }
 
@@ -389,17 +396,15 @@
   const TimePoint now = plane_.timers_.now();
   if (turned_away_) {
     attempt_over(Ended::turned_away);
+    last_attempt_ = LastAttempt::turned_away;
     placing_.avoid.push_back(endpoint_);
     if (status_ == 400) return deliver();
     return attempt();
   }
   if (bad_answer_) {
     attempt_over(Ended::failed);
-    if (stage_ == Stage::relaying) {
-      channel_.reset();
-      channel_gone(channel_);
-      return;
-    }
+    if (stage_ == Stage::relaying) return break_off(Cause::stream_bad);
+    last_attempt_ = LastAttempt::bad_answer;
     placing_.avoid.push_back(endpoint_);
     return after_failure(true);
   }
@@ -416,27 +421,64 @@
   // A 500 is the request's own, and its endpoint works.
   attempt_over(status_ > 500 ? Ended::failed : Ended::served);
   may_have_run_ = true;
+  last_attempt_ = LastAttempt::server_error;
   if (status_ >= 500 && route_->repeatable() && attempts_ < route_->max_attempts) {
     placing_.avoid.push_back(endpoint_);
     return attempt();
   }
   const bool promises =
       status_ == 503 || status_ == 429 || status_ == 408 || (status_ == 402 && request_.budget.has_value());
-  if (promises && !route_->repeatable()) return give_up(true);
+  if (promises && !route_->repeatable()) return give_up(Cause::time_spent);
   deliver();
 }
 
-void Client::give_up(bool ran) {
-  if (ran) {
+void Client::give_up(Cause unsent_cause) {
+  if (may_have_run_) {
     ++plane_.counters_.failed;
-    return answer_plain(Tier::spent(left()) ? 504 : 502, "the endpoint gave no whole answer");
+    const int status = Tier::spent(left()) ? 504 : 502;
+    return answer_own(cause_of_last_attempt(), status, "the endpoint gave no whole answer");
   }
   unreserve();
-  answer_plain(503, "no endpoint can take it now", true);
+  answer_own(unsent_cause, 503, "no endpoint can take it now", ComeBack::yes);
+}
+
+Cause Client::cause_of_last_attempt() const {
+  switch (last_attempt_) {
+    case LastAttempt::bad_answer: return Cause::bad_answer;
+    case LastAttempt::timed_out: return Cause::endpoint_timeout;
+    case LastAttempt::server_error: return Cause::refusal_without_proof;
+    case LastAttempt::none:
+    case LastAttempt::unsent:
+    case LastAttempt::turned_away:
+    case LastAttempt::broke_off: break;
+  }
+  return Cause::endpoint_broke_off;
+}
+
+std::string_view Client::name_of(LastAttempt how) {
+  switch (how) {
+    case LastAttempt::none: return "";
+    case LastAttempt::unsent: return "unsent";
+    case LastAttempt::broke_off: return "broke_off";
+    case LastAttempt::bad_answer: return "bad_answer";
+    case LastAttempt::timed_out: return "timed_out";
+    case LastAttempt::turned_away: return "turned_away";
+    case LastAttempt::server_error: return "server_error";
+  }
+  return "";
 }
 
 // ---- answers
 
+void Client::check_answer_belongs() const {
+  for (const auto& [name, value] : answer_fields_) {
+    if (!same_name(name, "X-Chutevane-Attempt-Id")) continue;
+    common::check_invariant(common::Invariant::answer_belongs_to_exchange,
+                            exchange_open_ && value == request_.attempt_id,
+                            [&] { return "answer to " + value + " for " + request_.attempt_id; });
+  }
+}
+
 void Client::write_head(int status, const std::vector<std::pair<std::string, std::string>>& fields) {
   http::Writer out(channel_.out());
   out.status_line(status);
@@ -456,25 +498,52 @@
 
 void Client::deliver() {
   ++plane_.counters_.answered;
+  check_answer_belongs();
   if (status_ >= 400 && turned_away_) unreserve();
   write_head(status_, answer_fields_);
   write_body(status_, answer_, stated_length_);
   end_exchange();
 }
 
-void Client::answer_plain(int status, std::string_view cause, bool come_back) {
+void Client::answer_own(Cause cause, int status, std::string_view text, ComeBack come_back) {
   if (status == 503) ++plane_.counters_.refused;
+  note_failure(cause, status);
   std::vector<std::pair<std::string, std::string>> fields{{"Content-Type", "text/plain"}};
   if (!request_.attempt_id.empty()) fields.emplace_back("X-Chutevane-Attempt-Id", request_.attempt_id);
-  if (come_back) fields.emplace_back("Retry-After", plane_.come_back());
+  if (come_back == ComeBack::yes) fields.emplace_back("Retry-After", plane_.come_back());
   write_head(status, fields);
-  write_body(status, cause, cause.size());
+  write_body(status, text, text.size());
   end_exchange();
 }
 
+void Client::note_failure(Cause cause, int status) {
+  plane_.failures_.count(cause);
+  const TimePoint now = plane_.timers_.now();
+  plane_.failures_.log(now, [&] {
+    FailureReport report;
+    report.cause = cause;
+    report.status = status;
+    report.attempt_id = request_.attempt_id;
+    if (route_ != nullptr) report.route = route_->name;
+    report.service = service_;
+    report.endpoint = endpoint_;
+    report.held = exchange_open_ ? now - began_ : Span();
+    report.attempts = attempts_;
+    report.last_attempt = name_of(last_attempt_);
+    plane_.describe_knowledge(report);
+    return report;
+  });
+}
+
+void Client::break_off(Cause cause) {
+  channel_.reset();
+  leave(cause);
+}
+
 void Client::end_exchange() {
   plane_.timers_.cancel(timer_);
   alive_.reset();
+  exchange_open_ = false;
   // What is answered before a request is read whole says nothing of the one before.
   request_ = {};
   stage_ = Stage::reading;
@@ -521,6 +590,7 @@
       stage_ = Stage::relaying;
       ++plane_.counters_.streams;
       plane_.tier(service_).answered(endpoint_, placing_, now - sent_, now);
+      check_answer_belongs();
       write_head(status_, answer_fields_);
       channel_.out().append("Transfer-Encoding: chunked\r\n\r\n");
     }
@@ -541,11 +611,7 @@
 }
 
 void Client::finish_stream() {
-  if (bad_answer_) {
-    channel_.reset();
-    channel_gone(channel_);
-    return;
-  }
+  if (bad_answer_) return break_off(Cause::stream_bad);
   if (!head_out_) {
     write_head(status_, answer_fields_);
     channel_.out().append("Transfer-Encoding: chunked\r\n\r\n");
@@ -571,11 +637,7 @@
   const int per_event = service != nullptr && service->engine ? service->engine->tokens_per_event : 1;
   const std::int64_t used = reserved_ ? static_cast<std::int64_t>(events_) * per_event : -1;
   plane_.ledger_.keep(turn, used, deadline_, guarded([this](bool kept) {
-                        if (!kept) {
-                          channel_.reset();
-                          channel_gone(channel_);
-                          return;
-                        }
+                        if (!kept) return break_off(Cause::turn_not_kept);
                         ++plane_.counters_.turns_kept;
                         ++plane_.counters_.answered;
                         channel_.out().append("0\r\n\r\n");
@@ -583,14 +645,21 @@
                       }));
 }
 
-void Client::channel_gone(net::Channel&) {
+void Client::channel_gone(net::Channel&) { leave(Cause::client_left); }
+
+void Client::leave(Cause cause) {
+  common::check_invariant(common::Invariant::exchange_ends_once, stage_ != Stage::over,
+                          [&] { return request_.attempt_id + ", " + std::string(edge::name_of(cause)); });
+  const bool answer_cut = channel_.unsent() > 0;
+  if (request_in_hand() || answer_cut) note_failure(cause, 0);
   alive_.reset();
   plane_.timers_.cancel(timer_);
-  if (connection_ != nullptr) plane_.endpoints_.give_up(*std::exchange(connection_, nullptr));
-  if (std::exchange(attempt_open_, false))
-    plane_.tier(service_).ended(endpoint_, placing_, Ended::left, plane_.timers_.now());
-  else if (stage_ == Stage::preparing || (stage_ == Stage::asking && !may_have_run_))
-    unreserve();
+  bool reached_endpoint = may_have_run_;
+  if (connection_ != nullptr)
+    reached_endpoint = plane_.endpoints_.give_up(*std::exchange(connection_, nullptr)) || reached_endpoint;
+  attempt_over(Ended::left);
+  if (!reached_endpoint && (stage_ == Stage::preparing || stage_ == Stage::asking)) unreserve();
+  exchange_open_ = false;
   stage_ = Stage::over;
   plane_.clients_.retire(*this);
 }
--- a/src/edge/client.hpp
+++ b/src/edge/client.hpp
@@ -8,6 +8,7 @@
 
 #include "common/configuration.hpp"
 #include "edge/endpoints.hpp"
+#include "edge/failure.hpp"
 #include "edge/request.hpp"
 #include "edge/tier.hpp"
 #include "http/parser.hpp"
@@ -25,7 +26,10 @@
   void adopt(int fd) { channel_.adopt(fd); }
   // Nothing of a request has come, and nothing of an answer has still to go out.
   bool idle() const { return stage_ == Stage::reading && channel_.unsent() == 0 && channel_.quiet(); }
-  void close();
+  // Ends the connection; a request in hand ends with it, for that cause.
+  void close(Cause cause);
+  // An attempt of it is charged to an endpoint.
+  bool attempt_open() const { return attempt_open_; }
   std::size_t crew_place = 0;
 
  private:
@@ -66,14 +70,23 @@
   void attempt_due();
   void attempt_over(Ended how);
   void after_failure(bool may_have_run);
-  void give_up(bool may_have_run);
+  // Answers in place of an endpoint: 502 or 504 where it may have run, else 503 for that cause.
+  void give_up(Cause unsent_cause);
+  Cause cause_of_last_attempt() const;
   void deliver();
   void relay(bool all);
   void finish_stream();
   void keep_turn();
   void end_exchange();
 
-  void answer_plain(int status, std::string_view cause, bool come_back = false);
+  enum class ComeBack : std::uint8_t { no, yes };
+  void answer_own(Cause cause, int status, std::string_view text, ComeBack come_back = ComeBack::no);
+  // Part of an answer is at the client: it must not look whole.
+  void break_off(Cause cause);
+  void leave(Cause cause);
+  bool request_in_hand() const;
+  void note_failure(Cause cause, int status);
+  void check_answer_belongs() const;
   void write_head(int status, const std::vector<std::pair<std::string, std::string>>& fields);
   void write_body(int status, std::string_view body, std::size_t length);
   void unreserve();
@@ -89,6 +102,7 @@
   Stage stage_ = Stage::reading;
   std::shared_ptr<int> alive_;  // of the exchange in hand
   bool keep_ = true, reading_timer_for_head_ = false, told_to_go_on_ = false;
+  bool exchange_open_ = false;  // a request was read whole, and its exchange has not ended
   net::TimerQueue::Ticket timer_;
 
   // The exchange in hand.
@@ -101,6 +115,18 @@
   bool reserved_ = false;
   std::size_t attempts_ = 0, tries_ = 0;
   bool may_have_run_ = false;
+  // How an attempt ended, for the cause that is told.
+  enum class LastAttempt : std::uint8_t {
+    none,
+    unsent,
+    broke_off,
+    bad_answer,
+    timed_out,
+    turned_away,
+    server_error,  // a status of 5xx without proof that it has not run
+  };
+  static std::string_view name_of(LastAttempt how);
+  LastAttempt last_attempt_ = LastAttempt::none;
   // The attempt in hand.
   EndpointConnection* connection_ = nullptr;
   std::string endpoint_;
--- a/src/edge/data_plane.cpp
+++ b/src/edge/data_plane.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstdio>
 
+#include "common/invariant.hpp"
 #include "common/log.hpp"
 #include "json/value.hpp"
 
@@ -70,7 +71,12 @@
     common::log_event(common::Level::error, "config.unreadable", findings.text());
     return;
   }
+  common::check_invariant(
+      common::Invariant::configuration_version_rises, value.config_version > version_in_force_,
+      [&] { return std::to_string(value.config_version) + " after " + std::to_string(version_in_force_); });
+  version_in_force_ = value.config_version;
   configuration_ = std::make_shared<const common::Configuration>(std::move(*read));
+  forget_split_draws();
   settle_tiers();
   common::log_info("config.in_force", "version " + std::to_string(configuration_->version));
 }
@@ -102,6 +108,37 @@
   return *at;
 }
 
+const std::string& DataPlane::service_for(const common::Route& route) {
+  if (route.split.size() == 1) return route.split.front().service;
+  return route.split[split_draws_[route.name].next(route.split, random_)].service;
+}
+
+// Those of routes that are gone.
+void DataPlane::forget_split_draws() {
+  std::erase_if(split_draws_, [this](const auto& one) {
+    return std::none_of(configuration_->routes.begin(), configuration_->routes.end(),
+                        [&](const common::Route& route) { return route.name == one.first; });
+  });
+}
+
+void DataPlane::describe_knowledge(FailureReport& report) const {
+  report.sessions = sessions_->standing();
+  report.session_age = sessions_->knowledge_age();
+  report.configuration_version = configuration_ ? configuration_->version : 0;
+  report.map = ledger_.map();
+}
+
+void DataPlane::check_books() {
+  endpoints_.check_connections();
+  std::size_t attempts = 0;
+  for (std::size_t i = 0; i < clients_.size(); ++i) attempts += clients_[i].attempt_open() ? 1 : 0;
+  double charged = 0;
+  for (const auto& [service, tier] : tiers_) charged += tier->in_flight();
+  common::check_invariant(
+      common::Invariant::places_held_by_attempts, charged <= static_cast<double>(attempts),
+      [&] { return std::to_string(charged) + " charged, " + std::to_string(attempts) + " under way"; });
+}
+
 bool DataPlane::room_at(const Endpoint& endpoint) const {
   if (!endpoint.idle.empty()) return true;
   const common::Service* const service = configuration_ ? configuration_->service(endpoint.service) : nullptr;
@@ -156,6 +193,42 @@
   reply({200, out.result(), {}});
 }
 
+void DataPlane::write_metrics(common::MetricsWriter& out) {
+  check_books();
+  const Counters& c = counters_;
+  const auto counter = [&](std::string_view name, std::string_view help, std::uint64_t value) {
+    out.counter(name, "", help, static_cast<double>(value));
+  };
+  const auto gauge = [&](std::string_view name, std::string_view unit, std::string_view help, double value) {
+    out.gauge(name, unit, help, value);
+  };
+  counter("chutevane_requests", "Requests of clients that were read whole.", c.requests);
+  counter("chutevane_answered", "Requests answered with an endpoint's answer.", c.answered);
+  counter("chutevane_attempts", "Attempts sent to endpoints.", c.attempts);
+  counter("chutevane_retries", "Attempts after the first of their request.", c.retries);
+  counter("chutevane_attempts_cut", "Attempts ended because their time was over.", c.cut);
+  counter("chutevane_streams", "Streams of which a part was passed on.", c.streams);
+  counter("chutevane_events", "Events of streams passed on.", c.events);
+  counter("chutevane_turns_kept", "Turns that storage has kept.", c.turns_kept);
+  failures_.write(out);
+  gauge("chutevane_clients", "", "Connections of clients.", static_cast<double>(clients_.size()));
+  gauge("chutevane_endpoint_connections", "", "Connections to endpoints.",
+        static_cast<double>(endpoints_.open_connections()));
+  counter("chutevane_endpoint_connections_opened", "Connections to endpoints that were begun.",
+          endpoints_.opened());
+  gauge("chutevane_endpoints", "", "Endpoints on the list.", static_cast<double>(endpoints_.size()));
+  gauge("chutevane_control_sessions", "", "Sessions with control that stand.",
+        static_cast<double>(sessions_->standing()));
+  gauge("chutevane_knowledge_age_seconds", "seconds", "Age of what is known from control.",
+        sessions_->knowledge_age().as_ms() / 1000);
+  gauge("chutevane_configuration_version", "", "Configuration in force; 0: none.",
+        configuration_ ? static_cast<double>(configuration_->version) : 0);
+  gauge("chutevane_storage_map", "", "Number of the map of storage nodes.",
+        static_cast<double>(ledger_.map()));
+  gauge("chutevane_turns_cached", "", "Turns in memory.", static_cast<double>(ledger_.cached()));
+  gauge("chutevane_ready", "", "1 while the readiness address answers 200.", ready() ? 1 : 0);
+}
+
 std::string DataPlane::come_back() {
   char text[16];
   std::snprintf(text, sizeof text, "%.2f", 0.1 + 0.3 * random_.unit());
@@ -173,16 +246,25 @@
     front_.close();
     look_finished();
   });
-  timers_.after(settings_.grace - grace_spare, [this] { finished_ = true; });
+  timers_.after(settings_.grace - grace_spare, [this] { end_now(); });
+}
+
+// The time is over: what is still in hand ends without its answer, and is told.
+void DataPlane::end_now() {
+  if (finished_) return;
+  finished_ = true;
+  for (std::size_t i = clients_.size(); i-- > 0;) clients_[i].close(Cause::process_ended);
+  check_books();
 }
 
 void DataPlane::look_finished() {
   if (!closing_ || finished_) return;
   for (std::size_t i = clients_.size(); i-- > 0;) {
-    if (clients_[i].idle()) clients_[i].close();
+    if (clients_[i].idle()) clients_[i].close(Cause::process_ended);
   }
   if (clients_.size() == 0) {
     finished_ = true;
+    check_books();
   } else {
     timers_.after(Span::ms(50), [this] { look_finished(); });
   }
--- a/src/edge/data_plane.hpp
+++ b/src/edge/data_plane.hpp
@@ -11,7 +11,9 @@
 #include "common/session.hpp"
 #include "edge/client.hpp"
 #include "edge/endpoints.hpp"
+#include "edge/failure.hpp"
 #include "edge/ledger.hpp"
+#include "edge/split_draw.hpp"
 #include "edge/tier.hpp"
 #include "net/crew.hpp"
 
@@ -30,6 +32,8 @@
   void leave() override;
   bool finished() const override { return finished_; }
   void reread(const common::ProcessSettings& settings) override { sessions_->reread(settings); }
+  void write_metrics(common::MetricsWriter& out) override;
+  const FailureCounters& failures() const { return failures_; }
 
  private:
   friend class Client;
@@ -40,6 +44,12 @@
   // Whether this sidecar may open one more connection to it: an endpoint resets those over its bound, which
   // all sidecars share, and what was sent on one that is reset may have run.
   bool room_at(const Endpoint& endpoint) const;
+  // The service of the route's split that takes the next request.
+  const std::string& service_for(const common::Route& route);
+  void forget_split_draws();
+  void describe_knowledge(FailureReport& report) const;
+  void check_books();  // that nothing is charged that no exchange holds
+  void end_now();
   bool ready() const;
   bool knows_enough() const;  // to send any request on
   void readiness(const http::Parser& request, common::HttpPort::Reply reply);
@@ -51,7 +61,10 @@
   net::TimerQueue timers_;
   Pcg random_;
   Counters counters_;
+  FailureCounters failures_;
+  std::map<std::string, SplitDraw> split_draws_;  // by route
   std::shared_ptr<const common::Configuration> configuration_;
+  std::int64_t version_in_force_ = 0;
   Endpoints endpoints_;
   std::map<std::string, std::unique_ptr<Tier>> tiers_;
   Ledger ledger_;
--- a/src/edge/endpoints.cpp
+++ b/src/edge/endpoints.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <charconv>
 
-#include "common/log.hpp"
+#include "common/invariant.hpp"
 
 namespace chutevane::edge {
 namespace {
@@ -262,9 +262,28 @@
   return c.sink_ == &sink ? &c : nullptr;
 }
 
-void Endpoints::give_up(EndpointConnection& connection) {
+bool Endpoints::give_up(EndpointConnection& connection) {
+  const bool may_have_run = connection.written_;
   connection.sink_ = nullptr;
   connection.drop();
+  return may_have_run;
+}
+
+void Endpoints::check_connections() {
+  std::map<const Endpoint*, std::size_t> open;
+  for (std::size_t i = 0; i < crew_.size(); ++i) {
+    const EndpointConnection& c = crew_[i];
+    if (!c.closed_) ++open[c.endpoint_.get()];
+  }
+  for (const auto& [id, endpoint] : endpoints_) {
+    const auto found = open.find(endpoint.get());
+    const std::size_t count = found == open.end() ? 0 : found->second;
+    common::check_invariant(common::Invariant::connections_equal_descriptors, endpoint->connections == count,
+                            [&] {
+                              return id + ": charged with " + std::to_string(endpoint->connections) +
+                                     ", open " + std::to_string(count);
+                            });
+  }
 }
 
 }  // namespace chutevane::edge
--- a/src/edge/endpoints.hpp
+++ b/src/edge/endpoints.hpp
@@ -101,9 +101,12 @@
 
   // The sink hears of it, perhaps before this returns: then nothing is returned.
   EndpointConnection* send(const std::shared_ptr<Endpoint>& to, AnswerSink& sink, OutgoingRequest request);
-  // Closes the connection: nothing more is told of it.
-  void give_up(EndpointConnection& connection);
+  // Closes the connection: nothing more is told of it. Whether any of the request may have gone out.
+  bool give_up(EndpointConnection& connection);
   std::size_t opened() const { return opened_; }
+  std::size_t open_connections() const { return crew_.size(); }
+  // Connections that endpoints are charged with, those that have gone from the list too, equal those open.
+  void check_connections();
 
  private:
   friend class EndpointConnection;
--- a/src/edge/ledger.cpp
+++ b/src/edge/ledger.cpp
@@ -1,8 +1,9 @@
 #include "edge/ledger.hpp"
 
 #include <algorithm>
+#include <set>
 
-#include "common/log.hpp"
+#include "common/invariant.hpp"
 
 namespace chutevane::edge {
 namespace {
@@ -49,12 +50,13 @@
   std::int64_t map = 0;  // of `group`: answers under two maps do not add up
   std::vector<std::size_t> group;
   std::size_t asked = 0, yes = 0, needed = 0;
+  std::set<std::size_t> disks;  // places in the map of those that have it
   net::TimerQueue::Ticket hedge;
   bool over = false, again_due = false;
 };
 
 struct Ledger::Seeking {
-  std::string want, program;
+  std::string want, program, attempt;
   TimePoint until;
   std::function<void(Chain)> done;
   std::vector<std::shared_ptr<const Turn>> newest_first;
@@ -214,6 +216,7 @@
   std::stable_partition(keeping->group.begin(), keeping->group.end(),
                         [&](std::size_t i) { return storage_nodes_[i].zone == zone_; });
   keeping->asked = keeping->yes = 0;
+  keeping->disks.clear();
   keeping->needed = std::max(storage::quorum(keeping->group.size()), losses_ + 1);
   timers_.cancel(keeping->hedge);
   if (keeping->group.size() < keeping->needed) {
@@ -240,11 +243,13 @@
   const Span most = std::min(ask_most, std::max(keeping->until - timers_.now(), Span::ms(1)));
   link(storage_nodes_[place].address)
       .call<common::Kept>(common::Keep{map_, keeping->turn, keeping->used}, most,
-                          [this, keeping, turn](absl::StatusOr<common::Kept> got) {
+                          [this, keeping, turn, place](absl::StatusOr<common::Kept> got) {
                             if (keeping->over || keeping->turn_number != turn) return;
                             if (keeping->map != map_) return ask_keep(keeping);
                             if (got.ok() && static_cast<Verdict>(got->verdict) == Verdict::yes) {
+                              keeping->disks.insert(place);
                               if (++keeping->yes < keeping->needed) return;
+                              check_kept(*keeping);
                               keeping->over = true;
                               timers_.cancel(keeping->hedge);
                               remember(keeping->turn);
@@ -258,6 +263,14 @@
                           });
 }
 
+void Ledger::check_kept(const Keeping& keeping) const {
+  common::check_invariant(
+      common::Invariant::kept_by_enough_disks, keeping.disks.size() > losses_ && keeping.map == map_, [&] {
+        return keeping.turn.id + " at " + std::to_string(keeping.disks.size()) + " disks, map " +
+               std::to_string(keeping.map) + " of " + std::to_string(map_);
+      });
+}
+
 void Ledger::remember(Turn turn) {
   const std::string id = turn.id;
   if (cache_.contains(id)) return;
@@ -281,11 +294,12 @@
   return c.turn;
 }
 
-void Ledger::find(const std::string& id, const std::string& program, TimePoint until,
-                  std::function<void(Chain)> done) {
+void Ledger::find(const std::string& id, const std::string& program, const std::string& attempt,
+                  TimePoint until, std::function<void(Chain)> done) {
   auto seeking = std::make_shared<Seeking>();
   seeking->want = id;
   seeking->program = program;
+  seeking->attempt = attempt;
   seeking->until = until;
   seeking->done = std::move(done);
   seek(seeking);
@@ -341,7 +355,7 @@
     if (seeking->turn == turn) seek_at(seeking, which + 1);
   });
   link(storage_nodes_[seeking->order[which]].address)
-      .call<common::Found>(common::Find{seeking->map, seeking->want}, most,
+      .call<common::Found>(common::Find{seeking->map, seeking->want, seeking->attempt}, most,
                            [this, seeking, turn](absl::StatusOr<common::Found> got) {
                              sought(seeking, turn, std::move(got));
                            });
--- a/src/edge/ledger.hpp
+++ b/src/edge/ledger.hpp
@@ -41,9 +41,11 @@
     Sought verdict = Sought::unsure;
     std::vector<std::shared_ptr<const common::Turn>> turns;
   };
-  void find(const std::string& id, const std::string& program, TimePoint until,
+  // `attempt`: of the request that asks, for logs.
+  void find(const std::string& id, const std::string& program, const std::string& attempt, TimePoint until,
             std::function<void(Chain)> done);
   std::size_t cached() const { return cache_.size(); }
+  std::int64_t map() const { return map_; }
 
  private:
   struct Asked;
@@ -52,6 +54,7 @@
   void ask_reserve(const std::shared_ptr<Asked>& asked);
   void ask_keep(const std::shared_ptr<Keeping>& keeping);
   void keep_at(const std::shared_ptr<Keeping>& keeping, std::size_t place);
+  void check_kept(const Keeping& keeping) const;
   void seek(const std::shared_ptr<Seeking>& seeking);
   void seek_at(const std::shared_ptr<Seeking>& seeking, std::size_t which);
   void sought(const std::shared_ptr<Seeking>& seeking, std::uint64_t turn, absl::StatusOr<common::Found> got);
--- a/src/edge/main.cpp
+++ b/src/edge/main.cpp
@@ -4,9 +4,11 @@
 
 int main(int argc, char** argv) {
   using namespace chutevane;
-  return common::run_process("chutevane-edge", "Traffic: clients in front, endpoints behind", argc, argv,
-                             [](net::Scheduler& scheduler,
-                                const common::ProcessSettings& settings) -> std::unique_ptr<common::Plane> {
-                               return std::make_unique<edge::DataPlane>(scheduler, settings);
-                             });
+  return common::run_process(
+      {"chutevane-edge", "Traffic: clients in front, endpoints behind", common::edge_metrics_port}, argc,
+      argv,
+      [](net::Scheduler& scheduler,
+         const common::ProcessSettings& settings) -> std::unique_ptr<common::Plane> {
+        return std::make_unique<edge::DataPlane>(scheduler, settings);
+      });
 }
--- a/src/edge/tier.cpp
+++ b/src/edge/tier.cpp
@@ -55,6 +55,12 @@
   solve(now);
 }
 
+double Tier::in_flight() const {
+  double out = 0;
+  for (const Place& p : places_) out += p.in_flight;
+  return out;
+}
+
 Span Tier::ceiling(Span deadline, Span left, bool repeatable, TimePoint now) {
   const Span most = std::min(deadline, left);
   if (!repeatable) return most;
--- a/src/edge/tier.hpp
+++ b/src/edge/tier.hpp
@@ -76,6 +76,8 @@
   void ended(const std::string& id, const Placing& placing, Ended how, TimePoint now);
   // What an endpoint tells of its load: requests running and waiting, and slots.
   void load(const std::string& id, double running, double waiting, double slots, TimePoint now);
+  // Attempts that endpoints of the list are charged with.
+  double in_flight() const;
   // Whether over half of the places of all endpoints are taken, as far as it is known.
   bool crowded() const;
 
--- a/src/simulation/programs.cpp
+++ b/src/simulation/programs.cpp
@@ -76,7 +76,7 @@
 void Programs::find(const std::shared_ptr<Line>& line, Machine& edge) {
   EdgePlane& plane = *edge.edge();
   const std::uint64_t number = line->attempt;
-  plane.ledger().find(line->last, line->program->id, plane.later().now() + ask_within,
+  plane.ledger().find(line->last, line->program->id, "", plane.later().now() + ask_within,
                       [this, line, at = &edge, number, wanted = line->last](edge::Ledger::Chain chain) {
                         found(wanted, chain, at->name());
                         if (line->attempt != number) return;
@@ -110,7 +110,7 @@
     Machine& edge = *edges[chance_.next() % edges.size()];
     line->found_again = false;
     EdgePlane& plane = *edge.edge();
-    plane.ledger().find(line->last, line->program->id, plane.later().now() + ask_within,
+    plane.ledger().find(line->last, line->program->id, "", plane.later().now() + ask_within,
                         [this, line, at = &edge, wanted = line->last](const edge::Ledger::Chain& chain) {
                           found(wanted, chain, at->name());
                           line->found_again = chain.verdict == edge::Ledger::Sought::whole;
--- a/src/storage/main.cpp
+++ b/src/storage/main.cpp
@@ -5,7 +5,9 @@
 int main(int argc, char** argv) {
   using namespace chutevane;
   return common::run_process(
-      "chutevane-storage", "Storage: what programs have said, and what they have spent", argc, argv,
+      {"chutevane-storage", "Storage: what programs have said, and what they have spent",
+       common::storage_metrics_port},
+      argc, argv,
       [](net::Scheduler& scheduler,
          const common::ProcessSettings& settings) -> std::unique_ptr<common::Plane> {
         return std::make_unique<storage::StoragePlane>(
--- a/src/storage/placement.hpp
+++ b/src/storage/placement.hpp
@@ -55,5 +55,12 @@
   unsure,   // not here, and it may be elsewhere
   full,     // no room
 };
+constexpr std::size_t verdicts = static_cast<std::size_t>(Verdict::full) + 1;
+
+constexpr std::string_view name_of(Verdict verdict) {
+  constexpr std::string_view names[verdicts] = {"yes",     "moved",  "behind", "unready",
+                                                "unknown", "unsure", "full"};
+  return names[static_cast<std::size_t>(verdict)];
+}
 
 }  // namespace chutevane::storage
--- a/src/storage/storage_plane.cpp
+++ b/src/storage/storage_plane.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "common/invariant.hpp"
 #include "common/log.hpp"
 
 namespace chutevane::storage {
@@ -85,7 +86,11 @@
 // What waits for a disk that fails is told once it works again; nothing else is taken up meanwhile.
 void StoragePlane::sync() {
   const bool worked = disk_health_.works();
-  if (!disk_health_.note(store_.commit(timers_.now()))) {
+  const TimePoint began = timers_.now();
+  const absl::Status committed = store_.commit(began);
+  ++syncs_;
+  sync_time_ = sync_time_ + (timers_.now() - began);
+  if (!disk_health_.note(committed)) {
     if (worked) sessions_->tell_disk_failing(true);
     timers_.after(disk_again, [this] { sync(); });
     return;
@@ -97,6 +102,15 @@
   for (const auto& one : told) one();
 }
 
+template <class M>
+void StoragePlane::answer_when_synced(const Connection& connection, std::uint64_t number, M message) {
+  when_synced([this, id = connection.id(), number, message = std::move(message)] {
+    common::check_invariant(common::Invariant::answered_after_sync, !store_.dirty(),
+                            [] { return std::string("records are not on disk yet"); });
+    if (Connection* const there = rpc_server_.find(id)) there->answer(number, message);
+  });
+}
+
 void StoragePlane::listen() {
   rpc_server_.on<common::Reserve>([this](Connection& connection, std::uint64_t number, common::Reserve& ask) {
     common::Reserved out;
@@ -104,11 +118,10 @@
     Verdict verdict = check(ask.map);
     if (verdict == Verdict::yes && (!ready_ || store_.failing())) verdict = Verdict::unready;
     out.verdict = static_cast<std::int64_t>(verdict);
+    note_answer(Asked::reserve, verdict, ask.attempt, ask.map);
     if (verdict != Verdict::yes) return connection.answer(number, out);
     out.others = store_.reserve(ask.program, ask.attempt, ask.most, timers_.now());
-    when_synced([this, id = connection.id(), number, out] {
-      if (Connection* const there = rpc_server_.find(id)) there->answer(number, out);
-    });
+    answer_when_synced(connection, number, std::move(out));
   });
   rpc_server_.on<common::Settle>([this](Connection&, std::uint64_t, common::Settle& word) {
     store_.settle(word.program, word.attempt, word.used, timers_.now());
@@ -121,22 +134,21 @@
     if (verdict == Verdict::yes && (store_.failing() || !store_.keep(ask.turn, timers_.now())))
       verdict = Verdict::full;
     out.verdict = static_cast<std::int64_t>(verdict);
+    note_answer(Asked::keep, verdict, ask.turn.id, ask.map);
     if (verdict != Verdict::yes) return connection.answer(number, out);
     if (ask.used >= 0) store_.settle(ask.turn.program, ask.turn.id, ask.used, timers_.now());
-    with_chain(ask.turn, [this, id = connection.id(), number, out] {
-      when_synced([this, id, number, out] {
-        if (Connection* const there = rpc_server_.find(id)) there->answer(number, out);
-      });
+    const std::uint64_t id = connection.id();
+    with_chain(ask.turn, [this, id, number, out] {
+      if (const Connection* const there = rpc_server_.find(id)) answer_when_synced(*there, number, out);
     });
   });
   rpc_server_.on<common::Find>([this](Connection& connection, std::uint64_t number, common::Find& ask) {
     common::Found out;
     out.map = map_;
     for (const Turn* t : store_.chain(ask.id, chain_bytes, timers_.now())) out.turns.push_back(*t);
-    const Verdict at = check(ask.map);
-    Verdict verdict = Verdict::yes;
-    if (out.turns.empty()) verdict = at != Verdict::yes ? at : whole_ ? Verdict::unknown : Verdict::unsure;
+    const Verdict verdict = out.turns.empty() ? verdict_on_missing(ask.map) : Verdict::yes;
     out.verdict = static_cast<std::int64_t>(verdict);
+    note_answer(Asked::find, verdict, ask.attempt, ask.map);
     connection.answer(number, out);
   });
   rpc_server_.on<common::Pull>([this](Connection& connection, std::uint64_t number, common::Pull& ask) {
@@ -145,6 +157,97 @@
   rpc_server_.listen(settings_.internal_address(common::storage_plane_port));
 }
 
+std::string_view StoragePlane::name_of(Asked asked) {
+  switch (asked) {
+    case Asked::reserve: return "reserve";
+    case Asked::keep: return "keep";
+    case Asked::find: return "find";
+  }
+  return "";
+}
+
+// Of a turn that is not here.
+Verdict StoragePlane::verdict_on_missing(std::int64_t asked_map) const {
+  const Verdict at = check(asked_map);
+  if (at != Verdict::yes) return at;
+  const Verdict verdict = whole_ ? Verdict::unknown : Verdict::unsure;
+  common::check_invariant(common::Invariant::unknown_only_when_whole,
+                          verdict != Verdict::unknown || take_over_is_done(),
+                          [&] { return "map " + std::to_string(map_) + ", " + describe_take_over(); });
+  return verdict;
+}
+
+// Whether as many sources have told all as have to.
+bool StoragePlane::take_over_is_done() const {
+  std::size_t done = 0;
+  for (const auto& [node, t] : taking_) done += t.done ? 1 : 0;
+  return done + may_miss_ >= taking_.size();
+}
+
+std::string StoragePlane::describe_take_over() const {
+  std::size_t accounts = 0, turns = 0;
+  for (const auto& [node, t] : taking_) {
+    accounts += t.accounts_done ? 1 : 0;
+    turns += t.done ? 1 : 0;
+  }
+  return std::string(whole_   ? "whole"
+                     : ready_ ? "ready"
+                              : "taking over") +
+         ", sources " + std::to_string(taking_.size()) + ", told accounts " + std::to_string(accounts) +
+         ", told turns " + std::to_string(turns) + ", may miss " + std::to_string(may_miss_);
+}
+
+// What is not answered as asked is told with the attempt that it was for, at a bounded rate. A turn that is
+// not there is the common answer to those who ask for one, and told by the edge where it matters.
+void StoragePlane::note_answer(Asked asked, Verdict verdict, const std::string& attempt, std::int64_t map) {
+  ++answers_[static_cast<std::size_t>(asked)][static_cast<std::size_t>(verdict)];
+  if (verdict == Verdict::yes || verdict == Verdict::unknown) return;
+  if (!refusals_.admits(timers_.now())) return;
+  refusals_.line("id=" + (attempt.empty() ? "none" : attempt) + " asked=" + std::string(name_of(asked)) +
+                 " verdict=" + std::string(name_of(verdict)) + " asked_map=" + std::to_string(map) +
+                 " map=" + std::to_string(map_) + " state=" + describe_take_over());
+}
+
+void StoragePlane::write_metrics(common::MetricsWriter& out) {
+  using Type = common::MetricsWriter::Type;
+  const auto gauge = [&](std::string_view name, std::string_view unit, std::string_view help, double value) {
+    out.gauge(name, unit, help, value);
+  };
+  out.begin(Type::counter, "chutevane_storage_answers", "",
+            "Answers to edges, by what was asked and the verdict.");
+  for (std::size_t a = 0; a < asked_kinds; ++a) {
+    for (std::size_t v = 0; v < verdicts; ++v) {
+      if (answers_[a][v] > 0)
+        out.sample(static_cast<double>(answers_[a][v]), {{"asked", name_of(static_cast<Asked>(a))},
+                                                         {"verdict", name_of(static_cast<Verdict>(v))}});
+    }
+  }
+  gauge("chutevane_storage_turns", "", "Turns held.", static_cast<double>(store_.turns()));
+  gauge("chutevane_storage_accounts", "", "Accounts of programs held.",
+        static_cast<double>(store_.accounts()));
+  gauge("chutevane_storage_bytes", "bytes", "Turns in memory and on disk.",
+        static_cast<double>(store_.bytes()));
+  gauge("chutevane_storage_map", "", "Number of the map of storage nodes.", static_cast<double>(map_));
+  gauge("chutevane_storage_nodes", "", "Storage nodes in that map.",
+        static_cast<double>(storage_nodes_.size()));
+  gauge("chutevane_storage_ready", "", "1 where accounts are complete by that map.", ready_ ? 1 : 0);
+  gauge("chutevane_storage_whole", "", "1 where turns are complete by that map.", whole_ ? 1 : 0);
+  gauge("chutevane_storage_sources", "", "Other nodes of the take-over under way, or of the last one.",
+        static_cast<double>(taking_.size()));
+  counter_of_syncs(out);
+  gauge("chutevane_disk_failing", "", "1 while the disk takes nothing.", store_.failing() ? 1 : 0);
+  gauge("chutevane_control_sessions", "", "Sessions with control that stand.",
+        static_cast<double>(sessions_->standing()));
+  gauge("chutevane_knowledge_age_seconds", "seconds", "Age of what is known from control.",
+        sessions_->knowledge_age().as_ms() / 1000);
+}
+
+void StoragePlane::counter_of_syncs(common::MetricsWriter& out) const {
+  out.counter("chutevane_disk_syncs", "", "Syncs of the disk.", static_cast<double>(syncs_));
+  out.counter("chutevane_disk_sync_seconds", "seconds", "Time in syncs of the disk.",
+              sync_time_.as_ms() / 1000);
+}
+
 // ---- chains
 
 struct StoragePlane::ChainFetch {
@@ -177,7 +280,7 @@
   }
   const std::string from = fetch->sources.back();
   fetch->sources.pop_back();
-  link(from).call<common::Found>(common::Find{map_, missing}, chain_most,
+  link(from).call<common::Found>(common::Find{map_, missing, ""}, chain_most,
                                  [this, fetch](auto got) { fetched(fetch, std::move(got)); });
 }
 
@@ -230,9 +333,7 @@
     });
   }
   // What is told here and not on disk yet may be gone with this machine: the asker would have it alone.
-  when_synced([this, id = connection.id(), number, out = std::move(out)] {
-    if (Connection* const there = rpc_server_.find(id)) there->answer(number, out);
-  });
+  answer_when_synced(connection, number, std::move(out));
 }
 
 // ---- maps
--- a/src/storage/storage_plane.hpp
+++ b/src/storage/storage_plane.hpp
@@ -2,6 +2,7 @@
 // is its own by a new map from the others before it answers under it.
 #pragma once
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -9,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "common/bounded_log.hpp"
 #include "common/disk_health.hpp"
 #include "common/process.hpp"
 #include "common/rpc.hpp"
@@ -27,6 +29,7 @@
   void leave() override;
   bool finished() const override { return finished_; }
   void reread(const common::ProcessSettings& settings) override { sessions_->reread(settings); }
+  void write_metrics(common::MetricsWriter& out) override;
 
  private:
   using Connection = common::RpcServer::Connection;
@@ -40,7 +43,20 @@
     std::uint64_t turn = 0;
   };
 
+  // What edges ask for.
+  enum class Asked : std::uint8_t { reserve, keep, find };
+  static constexpr std::size_t asked_kinds = static_cast<std::size_t>(Asked::find) + 1;
+  static std::string_view name_of(Asked asked);
+  static std::string_view name_of(Verdict verdict) { return storage::name_of(verdict); }
+
   void listen();
+  template <class M>
+  void answer_when_synced(const Connection& connection, std::uint64_t number, M message);
+  Verdict verdict_on_missing(std::int64_t asked_map) const;
+  bool take_over_is_done() const;
+  std::string describe_take_over() const;
+  void note_answer(Asked asked, Verdict verdict, const std::string& attempt, std::int64_t map);
+  void counter_of_syncs(common::MetricsWriter& out) const;
   void value_came(const common::Value& value);
   void take_over(const std::vector<common::StorageNode>& before);
   void ask(const std::string& node);
@@ -85,6 +101,12 @@
   std::uint64_t turn_ = 0;
   std::vector<std::function<void()>> synced_;
   bool sync_due_ = false;
+  // For the figures and logs.
+  static constexpr int refusal_lines_most = 10;  // a second
+  std::array<std::array<std::uint64_t, verdicts>, asked_kinds> answers_{};
+  common::BoundedLog refusals_{"storage.refused", refusal_lines_most};
+  std::uint64_t syncs_ = 0;
+  Span sync_time_;
 };
 
 }  // namespace chutevane::storage
--- a/tests/edge/harness.cpp
+++ b/tests/edge/harness.cpp
@@ -212,6 +212,23 @@
   return event_text(1, "one of " + attempt_id) + event_text(2, "two of " + attempt_id);
 }
 
+SilentAddress::SilentAddress()
+    : listening_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)),
+      filler_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+  address_.sin_family = AF_INET;
+  address_.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  auto* const at = reinterpret_cast<sockaddr*>(&address_);
+  socklen_t size = sizeof address_;
+  const bool full = ::bind(listening_, at, size) == 0 && ::listen(listening_, 0) == 0 &&
+                    ::getsockname(listening_, at, &size) == 0 && ::connect(filler_, at, size) == 0;
+  if (!full) throw std::runtime_error("no silent address");
+}
+
+SilentAddress::~SilentAddress() {
+  ::close(filler_);
+  ::close(listening_);
+}
+
 // ---- control and storage
 
 ScriptedControl::ScriptedControl(Loop& loop, const sockaddr_in& at) : rpc_server_(loop.scheduler) {
@@ -232,7 +249,7 @@
   common::Heartbeat heartbeat;
   heartbeat.fresh_ms = 0;
   heartbeat.echo_stamp = hello.stamp;
-  heartbeat.number = value_.number;
+  heartbeat.number = value_.number + heartbeat_ahead_;
   heartbeat.edges = 1;
   connection.tell(heartbeat);
   // The list first: the acknowledgement of the value then tells of both.
--- a/tests/edge/harness.hpp
+++ b/tests/edge/harness.hpp
@@ -125,6 +125,20 @@
   net::Listener listener_;
 };
 
+// An address whose queue of connections is full: connecting neither succeeds nor is refused.
+class SilentAddress {
+ public:
+  SilentAddress();
+  ~SilentAddress();
+  SilentAddress(const SilentAddress&) = delete;
+  SilentAddress& operator=(const SilentAddress&) = delete;
+  sockaddr_in address() const { return address_; }
+
+ private:
+  int listening_ = -1, filler_ = -1;
+  sockaddr_in address_{};
+};
+
 // Answers as the protocol has them.
 std::string answer(int status, const std::string& attempt_id, const std::string& body,
                    const std::string& extra_fields = "");
@@ -155,6 +169,8 @@
   // In force from the next word on.
   void configure(const std::string& configuration, const std::vector<common::StorageNode>& storage);
   void list(const std::vector<common::Listed>& endpoints);
+  // Heartbeats name a value that is newer by so much than any that is pushed.
+  void name_a_newer_value(std::int64_t by) { heartbeat_ahead_ = by; }
   // Whether the edge has told that it has the newest of both.
   bool acknowledged() const;
 
@@ -163,6 +179,7 @@
   common::RpcServer rpc_server_;
   common::Value value_;
   common::EndpointList list_;
+  std::int64_t heartbeat_ahead_ = 0;
   std::int64_t acknowledged_value_ = -1, acknowledged_list_ = -1;
   std::set<std::uint64_t> connections_;
 };
@@ -202,6 +219,7 @@
   void make_room(std::size_t bytes) { channel_.in().room(bytes); }
   void close() { channel_.close(); }
   void reset() { channel_.reset(); }
+  void end_writing() { channel_.end_writing_when_written(); }
   void stop_reading() { channel_.hold(true); }
   void resume_reading() { channel_.hold(false); }
 
--- a/tests/edge/strike_test.cpp
+++ b/tests/edge/strike_test.cpp
@@ -226,19 +226,9 @@
   Scene scene(1, {.timeout_ms = 4000, .max_attempts = 2});
   ASSERT_TRUE(scene.prepare(kind));
   scene.answer_well(kind);
-  const int listening = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in at{};
-  at.sin_family = AF_INET;
-  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof at;
-  ASSERT_EQ(::bind(listening, reinterpret_cast<sockaddr*>(&at), sizeof at), 0);
-  ASSERT_EQ(::listen(listening, 0), 0);
-  ASSERT_EQ(::getsockname(listening, reinterpret_cast<sockaddr*>(&at), &size), 0);
-  const int filler = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  ASSERT_EQ(::connect(filler, reinterpret_cast<sockaddr*>(&at), sizeof at), 0);
-
+  const SilentAddress silent;
   scene.listed.front().id = "i-silent";
-  scene.listed.front().address = net::text_of(at);
+  scene.listed.front().address = net::text_of(silent.address());
   scene.list_endpoints();
   ASSERT_TRUE(scene.in_force());
   const TimePoint began = scene.loop.later.now();
@@ -248,8 +238,6 @@
   if (kind == Kind::turn) {
     EXPECT_EQ(scene.storage->settled.count("none"), 1U);
   }
-  ::close(filler);
-  ::close(listening);
 }
 
 // An endpoint's proof lets another take it, up to maxAttempts; then the client is told that it has not run.
--- a/tests/tier/ledger_test.cpp
+++ b/tests/tier/ledger_test.cpp
@@ -70,7 +70,7 @@
                    [&](Ledger::Granted g) { reserved(g != Ledger::Granted::unclear, clock.system.now()); });
     const Turn turn{std::string("a"), "", std::string("p"), {}, {}, 60000};
     ledger.keep(turn, 5, until, [&](bool yes) { kept(yes, clock.system.now()); });
-    ledger.find("b", "p", until, [&](const Ledger::Chain& chain) {
+    ledger.find("b", "p", "", until, [&](const Ledger::Chain& chain) {
       found(chain.verdict != Ledger::Sought::unsure || !chain.turns.empty(), clock.system.now());
     });
     ledger.settle("p", "a", 3);
@@ -89,7 +89,7 @@
 // A turn that goes on from none has its chain at once.
 TEST(LedgerAlone, EmptyChainIsWhole) {
   bool whole = false;
-  ledger.find("", "p", in(100), [&](Ledger::Chain chain) {
+  ledger.find("", "p", "", in(100), [&](Ledger::Chain chain) {
     whole = chain.verdict == Ledger::Sought::whole && chain.turns.empty();
   });
   CHECK_TRUE(whole);
@@ -114,7 +114,7 @@
       ledger.map_came(ledger.usable() ? 100 + n : n + 1, storage_nodes(n));
       const TimePoint until = clock.system.now() + Span::ms(most);
       Told found;
-      ledger.find("b", "p", until, [&](const Ledger::Chain&) { found(false, clock.system.now()); });
+      ledger.find("b", "p", "", until, [&](const Ledger::Chain&) { found(false, clock.system.now()); });
       clock.play(Span::ms(4000));
       CHECK_WHERE(found.times == 1, numbered("of ", n));
       CHECK_WHERE(
