chutevane-lab soak: drawn stories of troubles on the tier's real processes

Cause: the lab played five faults one by one at fixed parts of the time; nothing paused, cut, delayed or lost an answer, and no controller or storage node was started again with its disk. Losses that overlap were played by nobody.

Change: lab/tier/story.* draws a story from a seed (15 kinds of trouble, clients that leave, half-close and stall, endpoints that spoil, operators whose answers are lost; a third of the seeds beyond the tolerance, one disk at most). troubles.* plays it, ways.* are relays in front of the ports where processes hear their peers (bindAddress is a new setting: the address to listen at where it is another than the announced one), machines.* has the processes, endpoint_set.* the endpoints, soak.* a process a seed and the table. The operators' stand-in reads every controller all the time and races two orders on one version. The auditor knows clients that left, and excuses misses of service (not of safety) while troubles are under way; after them service is to be whole within recoveryS.

--- a/src/common/settings.cpp
+++ b/src/common/settings.cpp
@@ -107,6 +107,12 @@
   return out;
 }
 
+sockaddr_in ProcessSettings::internal_listen_address(int plane) const {
+  sockaddr_in out = internal_address(plane);
+  if (!bind_ip.empty()) ::inet_pton(AF_INET, bind_ip.c_str(), &out.sin_addr);
+  return out;
+}
+
 absl::StatusOr<ProcessSettings> read_settings(std::string_view text) {
   ProcessSettings out;
   Reader in(text);
@@ -115,12 +121,15 @@
   in.text("machineClass", out.machine_class, true);
   in.text("serves", out.serves, false);
   in.text("ipAddress", out.ip, true);
+  in.text("bindAddress", out.bind_ip, false);
   in.text("zone", out.zone, true);
   in.text("region", out.region, false);
   in.text("dataDir", out.data_dir, false);
   sockaddr_in parsed{};
   if (!out.ip.empty() && ::inet_pton(AF_INET, out.ip.c_str(), &parsed.sin_addr) != 1)
     in.wrong("ipAddress", "'" + out.ip + "' is no IPv4 address");
+  if (!out.bind_ip.empty() && ::inet_pton(AF_INET, out.bind_ip.c_str(), &parsed.sin_addr) != 1)
+    in.wrong("bindAddress", "'" + out.bind_ip + "' is no IPv4 address");
   for (const auto& [key, value] : in.values()) {
     if (key.starts_with("zones.")) out.zones[key.substr(6)] = value;
   }
--- a/src/common/settings.hpp
+++ b/src/common/settings.hpp
@@ -17,6 +17,7 @@
 struct ProcessSettings {
   std::string node, role, machine_class, serves, zone, region;
   std::string ip;
+  std::string bind_ip;  // where peers are heard, if not at `ip`: behind a relay or a translated address
   std::map<std::string, std::string> zones;  // to their regions
   std::optional<sockaddr_in> front, readiness, control, metrics;
   std::uint16_t first_port = 0, last_port = 0;
@@ -35,6 +36,8 @@
 
   // Where a sidecar hears its peers: one port for each plane, so that two roles share a machine.
   sockaddr_in internal_address(int plane) const;
+  // Where the process listens for them: at the same port, of `bind_ip` where there is one.
+  sockaddr_in internal_listen_address(int plane) const;
 };
 
 constexpr int control_plane_port = 0, storage_plane_port = 1;  // places in the range of internal ports
--- a/src/control/control_plane.cpp
+++ b/src/control/control_plane.cpp
@@ -118,7 +118,7 @@
     sessions_.erase(connection.id());
     acknowledged();
   });
-  rpc_server_.listen(settings_.internal_address(common::control_plane_port));
+  rpc_server_.listen(settings_.internal_listen_address(common::control_plane_port));
   if (settings_.control) operator_port_.listen(*settings_.control);
 }
 
--- a/src/lab/relay.cpp
+++ b/src/lab/relay.cpp
@@ -102,13 +102,16 @@
 }
 
 Relay::Relay(net::Scheduler& scheduler, const sockaddr_in& at, const sockaddr_in& to, std::uint64_t seed)
+    : Relay(scheduler, to, seed) {
+  listener_.open(at);
+}
+
+Relay::Relay(net::Scheduler& scheduler, const sockaddr_in& to, std::uint64_t seed)
     : scheduler_(scheduler),
       to_(to),
       chance_(seed, "relay"),
       listener_(scheduler, *this),
-      connections_(scheduler) {
-  listener_.open(at);
-}
+      connections_(scheduler) {}
 
 void Relay::accepted(int fd) {
   connections_.add(std::make_unique<RelayedConnection>(scheduler_, *this, fd, to_)).task_.start();
--- a/src/lab/relay.hpp
+++ b/src/lab/relay.hpp
@@ -57,6 +57,8 @@
 class Relay final : public Acceptor {
  public:
   Relay(net::Scheduler& scheduler, const sockaddr_in& at, const sockaddr_in& to, std::uint64_t seed);
+  // Takes its connections by accepted() alone.
+  Relay(net::Scheduler& scheduler, const sockaddr_in& to, std::uint64_t seed);
   // `near_is_sidecar`: whether the connections are opened by the sidecar, whose directions the ills name.
   void suffer(const WayIlls& ills, bool near_is_sidecar);
   void cut();               // resets all connections, both ends
--- a/src/lab/tier/endpoint.hpp
+++ b/src/lab/tier/endpoint.hpp
@@ -29,6 +29,7 @@
                   const EndpointSpec& spec, std::uint64_t seed);
   const EndpointSpec& spec() const { return spec_; }
   bool draining() const { return draining_; }
+  bool ended() const { return ended_; }
   // From here on it stands on the list as leaving; what comes `most` after it was read there is a breach.
   void drain() { draining_ = true; }
   void read_as_draining(TimePoint at, Span most);
@@ -37,8 +38,10 @@
   std::uint64_t troubles() const { return troubles_; }
 
  private:
-  // Broken off before anything was said, in the middle, or followed by more that belongs to no request.
-  enum class Trouble : std::uint8_t { none, mute, half, surplus };
+  // Broken off before anything was said, in the middle, or followed by more that belongs to no request; bytes
+  // that are no answer; or no answer at all.
+  enum class Trouble : std::uint8_t { none, mute, half, surplus, garbled, silent };
+  static constexpr std::size_t troubles_drawn = 5;
   struct Job {
     Trouble trouble = Trouble::none;
     std::uint64_t visit = 0, run = 0;
--- a/src/lab/tier/load.hpp
+++ b/src/lab/tier/load.hpp
@@ -11,6 +11,7 @@
 #include "lab/draw.hpp"
 #include "lab/tier/auditor.hpp"
 #include "lab/tier/platform.hpp"
+#include "lab/tier/story.hpp"
 #include "lab/tier/web.hpp"
 
 namespace chutevane::lab::tier {
@@ -48,13 +49,19 @@
   struct Spec {
     std::uint64_t seed = 1;
     double programs_per_s = 12;
+    Manners manners = {};
+    bool judge_given_up = true;  // a program that is given up is a breach
   };
   Load(net::Scheduler& scheduler, net::TimerQueue& later, Lines& lines, Front& front, Auditor& auditor,
        const Spec& spec);
   ~Load();
 
   void begin();
-  void stop() { stopped_ = true; }  // no new programs
+  // No new programs, and clients that are there behave from now on.
+  void stop() {
+    stopped_ = true;
+    spec_.manners = {};
+  }
   // New programs that go on from the last turns of those that are over, `from` the oldest on.
   void go_on_from_old(std::size_t most);
   std::size_t open() const { return open_; }  // programs and heirs that are not over
--- /dev/null
+++ b/src/lab/tier/soak.cpp
@@ -0,0 +1,196 @@
+#include "lab/tier/soak.hpp"
+
+#include <time.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+namespace chutevane::lab::tier {
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr std::size_t processes_of_a_seed = 11;  // ten of the tier, and their lab
+constexpr const char *story_file = "story.txt", *report_file = "soak.json";
+
+void write_file(const fs::path& path, const std::string& text) {
+  std::ofstream out(path, std::ios::trunc | std::ios::binary);
+  out << text;
+  if (!out.flush()) throw std::runtime_error(path.string() + ": cannot be written");
+}
+
+std::string seed_folder(const std::string& folder, std::uint64_t seed) {
+  return (fs::path(folder) / ("seed-" + std::to_string(seed))).string();
+}
+
+std::string report_of(const FleetResult& r, const Story& story) {
+  nlohmann::json out;
+  out["started"] = r.started;
+  out["beyondTolerance"] = story.beyond_tolerance;
+  for (std::size_t i = 0; i < checks; ++i) out["checks"][name_of(static_cast<Check>(i))] = r.counts[i];
+  for (std::size_t i = 0; i < trouble_kinds; ++i)
+    out["played"][name_of(static_cast<TroubleKind>(i))] = r.played[i];
+  out["breaches"] = nlohmann::json::array();
+  for (const Breach& b : r.breaches) out["breaches"].push_back(std::string(name_of(b.check)) + ": " + b.what);
+  out["turnsWhole"] = r.figures.turns_whole;
+  out["heirs"] = r.load.heirs;
+  out["heirsWhole"] = r.load.heirs_whole;
+  out["orders"] = r.operator_calls;
+  out["reads"] = r.operator_reads;
+  out["excused"] = r.excused;
+  out["left"] = r.figures.left;
+  out["workedForNobody"] = r.figures.worked_for_nobody;
+  out["residentMb"] = r.resident_mb;
+  out["trouble"] = r.trouble;
+  return out.dump(1) + "\n";
+}
+
+// What a seed's process has written, added up.
+void add(SoakSummary& sum, SoakSummary::Seed& seed) {
+  std::ifstream in(fs::path(seed.folder) / report_file);
+  const auto report = nlohmann::json::parse(in, nullptr, false);
+  if (!report.is_object()) {
+    seed.broken = true;
+    seed.breaches.push_back("no report: its lab has ended before");
+    return;
+  }
+  seed.whole = report.at("started").get<bool>();
+  seed.beyond_tolerance = report.at("beyondTolerance").get<bool>();
+  for (std::size_t i = 0; i < checks; ++i) {
+    const auto count = report.at("checks").at(name_of(static_cast<Check>(i))).get<std::uint64_t>();
+    sum.counts[i] += count;
+    seed.broken = seed.broken || count > 0;
+  }
+  seed.broken = seed.broken || !seed.whole;
+  for (const auto& breach : report.at("breaches")) seed.breaches.push_back(breach.get<std::string>());
+  if (!seed.whole) seed.breaches.push_back("did not start: " + report.at("trouble").get<std::string>());
+  for (std::size_t i = 0; i < trouble_kinds; ++i) {
+    const auto count = report.at("played").at(name_of(static_cast<TroubleKind>(i))).get<std::uint64_t>();
+    sum.played[i] += count;
+    if (seed.broken) sum.in_broken_seeds[i] += count;
+  }
+  const auto figure = [&](const char* name) { return report.at(name).get<std::uint64_t>(); };
+  sum.turns_whole += figure("turnsWhole");
+  sum.heirs += figure("heirs");
+  sum.heirs_whole += figure("heirsWhole");
+  sum.orders += figure("orders");
+  sum.reads += figure("reads");
+  sum.excused += figure("excused");
+  sum.left += figure("left");
+  sum.worked_for_nobody += figure("workedForNobody");
+  sum.resident_mb = std::max(sum.resident_mb, report.at("residentMb").get<double>());
+}
+
+struct Job {
+  std::unique_ptr<Process> process = std::make_unique<Process>();
+  std::size_t seed = 0;  // its place in the summary
+};
+
+}  // namespace
+
+FleetResult play_seed(std::uint64_t seed, double seconds, const std::string& programs,
+                      const std::string& folder, Fleet*& running) {
+  StoryBounds bounds;
+  bounds.active = Span::ms(seconds * 1000);
+  FleetSpec spec;
+  spec.programs = programs;
+  spec.folder = folder;
+  spec.seed = seed;
+  spec.seconds = seconds;
+  spec.story = draw_story(seed, bounds);
+  write_file(fs::path(folder) / story_file, "seed " + std::to_string(seed) + "\n" + describe(*spec.story));
+  Fleet fleet(spec);
+  running = &fleet;
+  const FleetResult result = fleet.run();
+  running = nullptr;
+  write_file(fs::path(folder) / report_file, report_of(result, *spec.story));
+  write_file(fs::path(folder) / "tier.json", json_of(result));
+  return result;
+}
+
+bool SoakSummary::broken() const {
+  return std::any_of(seeds.begin(), seeds.end(), [](const Seed& s) { return s.broken; });
+}
+
+SoakSummary run_soak(const SoakSpec& spec, const volatile bool& stop) {
+  SoakSummary out;
+  std::vector<Job> running;
+  std::uint64_t next = spec.first;
+  while ((next <= spec.last && !stop) || !running.empty()) {
+    while (next <= spec.last && running.size() < spec.jobs && !stop) {
+      SoakSummary::Seed seed;
+      seed.number = next++;
+      seed.folder = seed_folder(spec.folder, seed.number);
+      fs::remove_all(seed.folder);
+      fs::create_directories(seed.folder);
+      Job& job = running.emplace_back();
+      job.seed = out.seeds.size();
+      job.process->start({spec.lab, "soak", "--seed", std::to_string(seed.number), "--seconds",
+                          std::to_string(spec.seconds), "--programs", spec.programs, "--out", seed.folder},
+                         (fs::path(seed.folder) / "lab.log").string());
+      out.seeds.push_back(std::move(seed));
+    }
+    out.processes = std::max(out.processes, running.size() * processes_of_a_seed);
+    std::erase_if(running, [&](Job& job) {
+      if (stop) job.process->kill();
+      if (job.process->running() && !job.process->ended()) return false;
+      SoakSummary::Seed& seed = out.seeds[job.seed];
+      add(out, seed);
+      std::fprintf(stderr, "seed %llu: %s\n", static_cast<unsigned long long>(seed.number),
+                   seed.broken ? seed.breaches.front().c_str() : "held");
+      return true;
+    });
+    const timespec pause{0, 50'000'000};
+    ::nanosleep(&pause, nullptr);
+  }
+  return out;
+}
+
+std::string table_of(const SoakSummary& s) {
+  std::string out = "trouble              played   in broken seeds\n";
+  char line[200];
+  for (std::size_t i = 0; i < trouble_kinds; ++i) {
+    std::snprintf(line, sizeof line, "%-18s %8llu %17llu\n", name_of(static_cast<TroubleKind>(i)),
+                  static_cast<unsigned long long>(s.played[i]),
+                  static_cast<unsigned long long>(s.in_broken_seeds[i]));
+    out += line;
+  }
+  const auto broken =
+      std::count_if(s.seeds.begin(), s.seeds.end(), [](const auto& one) { return one.broken; });
+  const auto beyond =
+      std::count_if(s.seeds.begin(), s.seeds.end(), [](const auto& one) { return one.beyond_tolerance; });
+  std::snprintf(line, sizeof line, "%zu seeds, %lld of them with losses beyond the tolerance; %lld broken\n",
+                s.seeds.size(), static_cast<long long>(beyond), static_cast<long long>(broken));
+  out += line;
+  std::snprintf(
+      line, sizeof line,
+      "turns answered whole %llu; heirs %llu, answered %llu; orders sent %llu; reads answered %llu\n",
+      static_cast<unsigned long long>(s.turns_whole), static_cast<unsigned long long>(s.heirs),
+      static_cast<unsigned long long>(s.heirs_whole), static_cast<unsigned long long>(s.orders),
+      static_cast<unsigned long long>(s.reads));
+  out += line;
+  std::snprintf(
+      line, sizeof line,
+      "clients that left %llu, worked for half a second later %llu; misses of service amid troubles %llu\n",
+      static_cast<unsigned long long>(s.left), static_cast<unsigned long long>(s.worked_for_nobody),
+      static_cast<unsigned long long>(s.excused));
+  out += line;
+  std::snprintf(line, sizeof line,
+                "processes at once %zu; a seed's processes have at most %.0f MB together\n", s.processes,
+                s.resident_mb);
+  out += line;
+  for (const SoakSummary::Seed& seed : s.seeds) {
+    if (!seed.broken) continue;
+    out += "BROKEN, seed " + std::to_string(seed.number) + " (" + seed.folder + ")\n";
+    for (std::size_t i = 0; i < std::min<std::size_t>(seed.breaches.size(), 3); ++i)
+      out += "  " + seed.breaches[i] + "\n";
+    std::ifstream story(fs::path(seed.folder) / story_file);
+    for (std::string text; std::getline(story, text);) out += "    " + text + "\n";
+  }
+  return out;
+}
+
+}  // namespace chutevane::lab::tier
--- /dev/null
+++ b/src/lab/tier/story.cpp
@@ -0,0 +1,247 @@
+#include "lab/tier/story.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+
+#include "lab/draw.hpp"
+
+namespace chutevane::lab::tier {
+namespace {
+
+constexpr Span first_at = Span::ms(300);
+constexpr double pause_least_ms = 50, pause_most_ms = 20000;
+constexpr Span down_least = Span::ms(100), down_spread = Span::ms(2500);
+constexpr Span cut_least = Span::ms(200), cut_spread = Span::ms(4000);
+constexpr Span halves_least = Span::ms(500), halves_spread = Span::ms(3000);
+constexpr Span delay_least = Span::ms(10), delay_spread = Span::ms(300);
+constexpr Span answers_lost_least = Span::ms(20), answers_lost_spread = Span::ms(150);
+constexpr Span beside_spread = Span::ms(1600);  // between troubles that are drawn independently of each other
+constexpr int stories_beyond = 3;               // one of so many
+
+class Drawer {
+ public:
+  Drawer(std::uint64_t seed, const StoryBounds& bounds) : bounds_(bounds), chance_(seed, "story") {}
+
+  Story draw() {
+    story_.beyond_tolerance = chance_.below(stories_beyond) == 0;
+    draw_manners();
+    if (story_.beyond_tolerance) {
+      draw_overlapping_losses();
+    } else {
+      draw_single_losses();
+    }
+    draw_beside();
+    std::stable_sort(story_.troubles.begin(), story_.troubles.end(),
+                     [](const Trouble& a, const Trouble& b) { return a.at < b.at; });
+    return std::move(story_);
+  }
+
+ private:
+  Span between(Span least, Span spread) { return least + spread * chance_.unit(); }
+  // Short ones as often as long ones.
+  Span pause() {
+    const double most = std::min(pause_most_ms, bounds_.active.as_ms() * 0.7);
+    return Span::ms(pause_least_ms * std::pow(most / pause_least_ms, chance_.unit()));
+  }
+  std::size_t size_of(MachinePlane plane) const {
+    switch (plane) {
+      case MachinePlane::edge: return bounds_.edges;
+      case MachinePlane::control: return bounds_.controllers;
+      case MachinePlane::storage: return bounds_.storage_nodes;
+    }
+    return 0;
+  }
+  void draw_manners() {
+    story_.manners.client_leaves = 0.04 * chance_.unit();
+    story_.manners.client_half_closes = 0.02 * chance_.unit();
+    story_.manners.client_stalls = 0.04 * chance_.unit();
+    story_.manners.endpoint_spoils = 0.03 * chance_.unit();
+    story_.manners.operator_loses_answer = chance_.one_in(0.5) ? 0.4 : 0;
+  }
+  // How long it lasts, and what else the kind needs.
+  void fill(Trouble& trouble) {
+    switch (trouble.kind) {
+      case TroubleKind::pause: trouble.lasts = pause(); break;
+      case TroubleKind::kill:
+      case TroubleKind::wipe:
+      case TroubleKind::kill_all: trouble.lasts = between(down_least, down_spread); break;
+      case TroubleKind::cut:
+        trouble.lasts = between(cut_least, cut_spread);
+        trouble.direction = static_cast<CutDirection>(chance_.below(3));
+        trouble.resets = chance_.one_in(0.4);
+        break;
+      case TroubleKind::halves:
+        trouble.lasts = between(halves_least, halves_spread);
+        trouble.resets = chance_.one_in(0.4);
+        break;
+      case TroubleKind::slow_way:
+        trouble.lasts = between(cut_least, cut_spread);
+        trouble.delay = between(delay_least, delay_spread);
+        break;
+      case TroubleKind::lose_answers: trouble.lasts = between(answers_lost_least, answers_lost_spread); break;
+      case TroubleKind::terminate:
+      case TroubleKind::reload:
+      case TroubleKind::change:
+      case TroubleKind::race:
+      case TroubleKind::drain_endpoint:
+      case TroubleKind::replace_endpoint:
+      case TroubleKind::endpoint_dies: break;
+    }
+    trouble.lasts = std::min(trouble.lasts, bounds_.active - trouble.at);
+  }
+  Trouble loss_at(Span at, bool may_wipe) {
+    constexpr std::array kinds = {TroubleKind::wipe,     TroubleKind::wipe,     TroubleKind::pause,
+                                  TroubleKind::pause,    TroubleKind::kill,     TroubleKind::cut,
+                                  TroubleKind::slow_way, TroubleKind::terminate};
+    Trouble out;
+    out.at = at;
+    do {
+      out.kind = kinds[chance_.below(kinds.size())];
+    } while (out.kind == TroubleKind::wipe && !may_wipe);
+    out.plane = chance_.one_in(0.6) ? MachinePlane::storage : MachinePlane::control;
+    out.place = chance_.below(size_of(out.plane));
+    fill(out);
+    return out;
+  }
+  void draw_single_losses() {
+    for (Span at = between(first_at, beside_spread); at < bounds_.active;) {
+      story_.troubles.push_back(loss_at(at, true));
+      // One that is told to end is away until its grace is over, at the most.
+      const Span away = story_.troubles.back().kind == TroubleKind::terminate ? Span::ms(8000)
+                                                                              : story_.troubles.back().lasts;
+      at = at + away + bounds_.catch_up + Span::ms(600) * chance_.unit();
+    }
+  }
+  // Each machine has one at a time; all but one are back with their disks.
+  void draw_overlapping_losses() {
+    bool wiped = false;
+    for (Span at = between(first_at, beside_spread); at < bounds_.active * 0.8;
+         at = at + beside_spread * chance_.unit()) {
+      if (chance_.one_in(0.1)) {
+        Trouble all;
+        all.kind = chance_.one_in(0.5) ? TroubleKind::kill_all : TroubleKind::halves;
+        all.at = at;
+        fill(all);
+        if (all.kind == TroubleKind::halves || nobody_busy(at)) story_.troubles.push_back(all);
+        continue;
+      }
+      const Trouble one = loss_at(at, !wiped);
+      if (busy(one)) continue;
+      wiped = wiped || one.kind == TroubleKind::wipe;
+      story_.troubles.push_back(one);
+    }
+  }
+  static Span until(const Trouble& trouble) {
+    return trouble.at + (trouble.kind == TroubleKind::terminate ? Span::ms(10000) : trouble.lasts) +
+           Span::ms(100);
+  }
+  bool busy(const Trouble& wanted) const {
+    return std::any_of(story_.troubles.begin(), story_.troubles.end(), [&](const Trouble& t) {
+      const bool same = t.plane == wanted.plane && t.place == wanted.place;
+      return until(t) > wanted.at && t.at < until(wanted) && (same || t.kind == TroubleKind::kill_all);
+    });
+  }
+  bool nobody_busy(Span at) const {
+    return std::all_of(story_.troubles.begin(), story_.troubles.end(),
+                       [&](const Trouble& t) { return until(t) <= at || t.kind == TroubleKind::halves; });
+  }
+  // What may come at any time: edges, endpoints, operators, connections.
+  void draw_beside() {
+    constexpr std::array kinds = {TroubleKind::pause,          TroubleKind::kill,
+                                  TroubleKind::terminate,      TroubleKind::reload,
+                                  TroubleKind::lose_answers,   TroubleKind::change,
+                                  TroubleKind::change,         TroubleKind::race,
+                                  TroubleKind::drain_endpoint, TroubleKind::replace_endpoint,
+                                  TroubleKind::endpoint_dies,  TroubleKind::cut};
+    for (Span at = between(first_at, beside_spread); at < bounds_.active * 0.85;
+         at = at + beside_spread * chance_.unit()) {
+      Trouble one;
+      one.kind = kinds[chance_.below(kinds.size())];
+      one.at = at;
+      one.plane = MachinePlane::edge;
+      const bool any_machine = one.kind == TroubleKind::reload || one.kind == TroubleKind::lose_answers;
+      if (any_machine) one.plane = static_cast<MachinePlane>(chance_.below(3));
+      one.place = chance_.below(size_of(one.plane));
+      fill(one);
+      if (!busy(one)) story_.troubles.push_back(one);
+    }
+  }
+
+  const StoryBounds bounds_;
+  Chance chance_;
+  Story story_;
+};
+
+bool of_one_machine(TroubleKind kind) {
+  switch (kind) {
+    case TroubleKind::pause:
+    case TroubleKind::kill:
+    case TroubleKind::wipe:
+    case TroubleKind::terminate:
+    case TroubleKind::reload:
+    case TroubleKind::cut:
+    case TroubleKind::slow_way:
+    case TroubleKind::lose_answers: return true;
+    default: return false;
+  }
+}
+
+std::string milliseconds(Span span) { return std::to_string(static_cast<long>(span.as_ms())) + " ms"; }
+
+}  // namespace
+
+const char* name_of(TroubleKind kind) {
+  constexpr std::array<const char*, trouble_kinds> names = {
+      "pause",  "kill", "wipe",           "kill_all",         "terminate",
+      "reload", "cut",  "halves",         "slow_way",         "lose_answers",
+      "change", "race", "drain_endpoint", "replace_endpoint", "endpoint_dies"};
+  return names[static_cast<std::size_t>(kind)];
+}
+
+const char* name_of(MachinePlane plane) {
+  switch (plane) {
+    case MachinePlane::edge: return "edge";
+    case MachinePlane::control: return "control";
+    case MachinePlane::storage: return "storage";
+  }
+  return "";
+}
+
+std::string describe(const Trouble& trouble) {
+  char at[24];
+  std::snprintf(at, sizeof at, "%7.2f s  ", trouble.at.as_ms() / 1000);
+  std::string out = std::string(at) + name_of(trouble.kind);
+  if (of_one_machine(trouble.kind))
+    out += std::string(" ") + name_of(trouble.plane) + "-" + std::to_string(trouble.place + 1);
+  if (trouble.lasts > Span()) out += ", " + milliseconds(trouble.lasts);
+  if (trouble.kind == TroubleKind::cut && trouble.direction != CutDirection::both)
+    out += trouble.direction == CutDirection::to_it ? ", to it" : ", from it";
+  if (trouble.resets) out += ", with resets";
+  if (trouble.delay > Span()) out += ", late by " + milliseconds(trouble.delay);
+  return out;
+}
+
+Span Story::ends() const {
+  Span out;
+  for (const Trouble& t : troubles) out = std::max(out, t.at + t.lasts);
+  return out;
+}
+
+std::string describe(const Story& story) {
+  char manners[200];
+  std::snprintf(manners, sizeof manners,
+                "clients leave %.3f, half-close %.3f, stall %.3f; endpoints spoil %.3f; operators lose %.1f "
+                "of their answers\n",
+                story.manners.client_leaves, story.manners.client_half_closes, story.manners.client_stalls,
+                story.manners.endpoint_spoils, story.manners.operator_loses_answer);
+  std::string out = story.beyond_tolerance ? "losses overlap beyond the tolerance, one disk at most\n" : "";
+  out += manners;
+  for (const Trouble& t : story.troubles) out += describe(t) + "\n";
+  return out;
+}
+
+Story draw_story(std::uint64_t seed, const StoryBounds& bounds) { return Drawer(seed, bounds).draw(); }
+
+}  // namespace chutevane::lab::tier
--- a/src/lab/tier/web.hpp
+++ b/src/lab/tier/web.hpp
@@ -42,8 +42,9 @@
     void finish();
     void add_behind(std::string bytes) {
       behind_ = std::move(bytes);
-    }              // the answer, in one piece with its end
-    void reset();  // ends the connection before its answer does
+    }                                           // the answer, in one piece with its end
+    void reset();                               // ends the connection before its answer does
+    void answer_bytes(std::string_view bytes);  // whatever they are, and an end of the connection
     std::size_t crew_place = 0;
 
    private:
@@ -98,6 +99,10 @@
   };
   explicit Line(Lines& all);
   void ask(Sink& sink, std::string request);
+  // In two parts, with a pause between.
+  void ask_slowly(Sink& sink, const std::string& request, std::size_t first_part, Span pause);
+  // Ends the writing side once the request is out.
+  void end_writing() { ends_writing_ = true, channel_.up() ? channel_.end_writing_when_written() : void(); }
   void close();  // whatever is in hand; its sink hears no more
   // A next request may be sent here.
   // Told once, when it is no more.
@@ -119,8 +124,8 @@
   Sink* sink_ = nullptr;
   std::string request_;
   std::function<void(Line&)> told_gone_;
-  net::TimerQueue::Ticket due_;
-  bool head_seen_ = false, keep_ = true, left_ = false, came_up_ = false;
+  net::TimerQueue::Ticket due_, rest_due_;
+  bool head_seen_ = false, keep_ = true, left_ = false, came_up_ = false, ends_writing_ = false;
 };
 
 // Owns the lines.
--- a/src/storage/storage_plane.cpp
+++ b/src/storage/storage_plane.cpp
@@ -154,7 +154,7 @@
   rpc_server_.on<common::Pull>([this](Connection& connection, std::uint64_t number, common::Pull& ask) {
     answer_pull(connection, number, ask);
   });
-  rpc_server_.listen(settings_.internal_address(common::storage_plane_port));
+  rpc_server_.listen(settings_.internal_listen_address(common::storage_plane_port));
 }
 
 std::string_view StoragePlane::name_of(Asked asked) {
