Test: a kept turn outlives a pause beside a lost disk (known red)

One storage node stands still for 4.5 s over the moment at which another comes back with an empty disk: one disk is lost, as may be. Cause as read: Roster::drop_silent gives up the silent node while the lost disk is not made up for; those who stay take over from one another alone, say that they are whole, and deny what only the silent one has; when it comes back nobody pulls from it.

--- a/tests/tier_fleet_test.cpp
+++ b/tests/tier_fleet_test.cpp
@@ -201,5 +201,47 @@
   EXPECT_EQ(r.faults.size(), 5U) << table_of(r);
 }
 
+// --- stories ----------------------------------------------------------------------------------------
+
+Trouble storage_trouble(TroubleKind kind, std::size_t number, double at_ms, double lasts_ms) {
+  Trouble out;
+  out.kind = kind;
+  out.plane = MachinePlane::storage;
+  out.place = number - 1;
+  out.at = Span::ms(at_ms);
+  out.lasts = Span::ms(lasts_ms);
+  return out;
+}
+
+FleetResult play(const Story& story, double seconds) {
+  QuietFolder folder;
+  FleetSpec spec;
+  spec.programs = PROGRAMS;
+  spec.folder = folder.path;
+  spec.seed = 5;
+  spec.seconds = seconds;
+  spec.story = story;
+  Fleet fleet(spec);
+  return fleet.run();
+}
+
+void expect_all_held(const FleetResult& r) {
+  ASSERT_TRUE(r.started) << table_of(r);
+  for (std::size_t i = 0; i < checks; ++i)
+    EXPECT_EQ(r.counts[i], 0U) << name_of(static_cast<Check>(i)) << "\n" << table_of(r);
+  EXPECT_GT(r.load.heirs, 0U) << table_of(r);
+  EXPECT_EQ(r.load.heirs_whole, r.load.heirs) << table_of(r);
+}
+
+// One storage node stands still over the moment at which another comes back with an empty disk: one disk is
+// lost, and what lay at these two alone is on the one that stood still.
+TEST(TierFleet, AKeptTurnOutlivesAPauseBesideALostDisk) {
+  Story story;
+  story.beyond_tolerance = true;
+  story.troubles = {storage_trouble(TroubleKind::pause, 4, 2500, 4500),
+                    storage_trouble(TroubleKind::wipe, 2, 2600, 2200)};
+  expect_all_held(play(story, 7));
+}
+
 }  // namespace
 }  // namespace chutevane::lab::tier
