Storage map: a silent node is not given up while its copies are needed

Cause (class: missing fence between losses, a set changed by counting who is heard): Roster::drop_silent gave a silent node up whatever else was missing; take-overs counted one loss whatever came together over several maps; marks of lost disks were never cleared, and a node that came back after it was given up gave nothing back, as those who had gone on pull nothing. So one disk lost beside one node that stood still lost the turns of that pair, for good.

Change: the map says which copies are missing: lost disks (marked until made up for), and absent nodes (given up while silent, remembered until all that stay are whole by one map). A silent node is given up only while lost, absent and silent together are no more than may be lost. A take-over leaves out as many sources as may be lost less the missing copies, none below 0: then it ends only once an absent one is back with its disk. Who comes back is named again with its copies, or marked as lost. Status and figures tell lost and absent.

--- a/src/common/messages.hpp
+++ b/src/common/messages.hpp
@@ -28,7 +28,8 @@
   std::string address;
   std::string zone;
   bool leaving = false;
-  bool lost = false;
+  bool lost = false;     // its disk took the place of one that was lost, and is not made up for yet
+  bool joining = false;  // it has come in, and has not been whole since
   template <class Visitor>
   void each(Visitor& v) {
     v("node", node);
@@ -37,6 +38,7 @@
     v("zone", zone);
     v("leaving", leaving);
     v("lost", lost);
+    v("joining", joining);
   }
   bool operator==(const StorageNode&) const = default;
 };
@@ -81,6 +83,7 @@
   std::vector<Taken> taken;
   std::int64_t map = 0;
   std::vector<StorageNode> storage_nodes;
+  std::vector<StorageNode> absent;  // given up while silent: the others have not made up for their copies yet
   std::vector<Retired> retired;
   template <class Visitor>
   void each(Visitor& v) {
@@ -93,6 +96,7 @@
     v("taken", taken);
     v("map", map);
     v("storage_nodes", storage_nodes);
+    v("absent", absent);
     v("retired", retired);
   }
   bool operator==(const Value&) const = default;
@@ -676,7 +680,7 @@
   static constexpr const char* record = "Storage_node_record";
   static constexpr std::uint8_t kind = 36;  // on the wire
   std::string disk;
-  bool held = false;
+  bool held = false;  // not used any more; disks of before have it
   template <class Visitor>
   void each(Visitor& v) {
     v("disk", disk);
--- a/src/control/control_plane.hpp
+++ b/src/control/control_plane.hpp
@@ -101,6 +101,7 @@
   void step_down_if_overtaken(std::int64_t told);
   void list_changed();
   void keep_roster();
+  Span longest_retention(const common::Value& value);
 
   // What the operators' API asks for.
   void announce(const common::Value& value) override;
@@ -144,6 +145,8 @@
   bool changing_roster_ = false;
   bool had_roster_ = false;
   Roster roster_;
+  std::int64_t retention_version_ = -1;  // of the configuration that longest_retention_ is of
+  Span longest_retention_;
   struct Waiting {  // an operator's change that is chosen: answered once all sidecars here have it
     std::int64_t number = 0;
     TimePoint until;
--- a/src/control/control_plane_duties.cpp
+++ b/src/control/control_plane_duties.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "common/log.hpp"
+#include "common/storage_map.hpp"
 #include "control/control_plane.hpp"
 #include "control/control_plane_limits.hpp"
 
@@ -112,6 +113,34 @@
   }
 }
 
+namespace {
+
+// Whether the roster may have to know how long a disk that is away is waited for.
+bool copies_may_outlive(const common::Value& value, const std::vector<common::Member>& members) {
+  return common::copies_missing(value) > 0 ||
+         std::any_of(value.storage_nodes.begin(), value.storage_nodes.end(),
+                     [&](const common::StorageNode& c) {
+                       return std::none_of(members.begin(), members.end(),
+                                           [&](const common::Member& m) { return m.node == c.node; });
+                     });
+}
+
+}  // namespace
+
+// By the configuration that is chosen, which is read once for each version.
+Span ControlPlane::longest_retention(const common::Value& value) {
+  if (retention_version_ == value.config_version) return longest_retention_;
+  common::Findings findings;
+  const auto read = common::read_configuration(value.config.data, findings);
+  if (!read) return longest_retention_;
+  retention_version_ = value.config_version;
+  longest_retention_ = Span();
+  for (const common::Route& route : read->routes) {
+    if (route.retained) longest_retention_ = std::max(longest_retention_, route.retention);
+  }
+  return longest_retention_;
+}
+
 void ControlPlane::keep_roster() {
   if (changing_roster_ || !register_.known() || !quorum_reached(duty_vacant_after)) return;
   const TimePoint now = timers_.now();
@@ -124,7 +153,9 @@
       live.push_back({address, peer.last->disk, peer.last->first, !peer.last->leaving});
   }
   const auto next = roster_.acceptors(value, live, now);
-  const auto wanted = next ? std::nullopt : roster_.storage_nodes(value, members(), now);
+  const std::vector<common::Member> all = members();
+  if (copies_may_outlive(value, all)) roster_.turns_are_kept_for(longest_retention(value));
+  const auto wanted = next ? std::nullopt : roster_.storage_nodes(value, all, now);
   if (!next && !wanted) return;
   changing_roster_ = true;
   const std::int64_t number = value.number;
--- a/src/control/control_plane_sessions.cpp
+++ b/src/control/control_plane_sessions.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "common/log.hpp"
+#include "common/storage_map.hpp"
 #include "control/control_plane.hpp"
 #include "control/control_plane_limits.hpp"
 
@@ -146,6 +147,9 @@
         known ? number(known->map) : 0);
   gauge("chutevane_storage_nodes", "", "Storage nodes in that map.",
         known ? static_cast<double>(known->storage_nodes.size()) : 0);
+  gauge("chutevane_storage_copies_missing", "",
+        "Lost disks and absent storage nodes that are not made up for yet.",
+        known ? static_cast<double>(common::copies_missing(*known)) : 0);
   gauge("chutevane_knowledge_age_seconds", "seconds",
         "Since a quorum of acceptors last proved that nothing newer was chosen.", fresh_age().as_ms() / 1000);
   gauge("chutevane_control_peers", "", "Other controllers known.", static_cast<double>(peers_.size()));
--- a/src/control/operator_api.cpp
+++ b/src/control/operator_api.cpp
@@ -263,8 +263,21 @@
   out.close(']').key("storageNodes").open('[');
   if (v) {
     for (const common::StorageNode& c : v->storage_nodes)
-      out.open('{').key("node").text(c.node).key("zone").text(c.zone).key("leaving").truth(c.leaving).close(
-          '}');
+      out.open('{')
+          .key("node")
+          .text(c.node)
+          .key("zone")
+          .text(c.zone)
+          .key("leaving")
+          .truth(c.leaving)
+          .key("lost")
+          .truth(c.lost)
+          .close('}');
+  }
+  out.close(']').key("absentStorageNodes").open('[');
+  if (v) {
+    for (const common::StorageNode& c : v->absent)
+      out.open('{').key("node").text(c.node).key("zone").text(c.zone).close('}');
   }
   out.close(']').key("duties").open('[');
   for (const common::HeldDuty& duty : own.duties)
--- a/src/control/roster.cpp
+++ b/src/control/roster.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <iterator>
 
+#include "common/storage_map.hpp"
+
 namespace chutevane::control {
 
 using common::Acceptor;
@@ -103,10 +105,18 @@
 }
 
 // One that the map does not name comes in. An order to empty it stands, also where it was gone in between.
+// Where it was given up and its copies are still needed, it brings them back, or has lost them.
 bool join(Value& value, const Member& m) {
   const common::Retired* const order = order_to_empty(value, m.node);
   if (m.leaving || (order != nullptr && order->completed)) return false;
-  value.storage_nodes.push_back({m.node, m.disk, m.address, m.zone, order != nullptr, false});
+  StorageNode node{m.node, m.disk, m.address, m.zone, order != nullptr, false, true};
+  const auto absent = std::find_if(value.absent.begin(), value.absent.end(),
+                                   [&](const StorageNode& c) { return c.node == m.node; });
+  if (absent != value.absent.end()) {
+    node.lost = absent->lost || absent->disk != m.disk;
+    value.absent.erase(absent);
+  }
+  value.storage_nodes.push_back(std::move(node));
   return true;
 }
 
@@ -115,7 +125,7 @@
   if (c.disk == m.disk && c.address == m.address) return false;
   // Its copies went with the disk of before: whoever takes over has to know of that loss.
   const bool lost = c.lost || c.disk != m.disk;
-  c = {m.node, m.disk, m.address, m.zone, c.leaving, lost};
+  c = {m.node, m.disk, m.address, m.zone, c.leaving, lost, c.joining};
   return true;
 }
 
@@ -129,12 +139,35 @@
   return true;
 }
 
+bool is_whole(const Value& value, const StorageNode& c, const std::vector<Member>& live) {
+  const Member* const m = storage_member(live, c.node);
+  return m != nullptr && m->disk == c.disk && m->whole >= value.map;
+}
+
 // Whether all that stay have what the leaving ones hold, by this map and on the disks that it names.
 bool taken_over(const Value& value, const std::vector<Member>& live) {
-  return std::all_of(value.storage_nodes.begin(), value.storage_nodes.end(), [&](const StorageNode& c) {
-    const Member* const m = storage_member(live, c.node);
-    return !stays(c) || (m != nullptr && m->disk == c.disk && m->whole >= value.map);
-  });
+  return std::all_of(value.storage_nodes.begin(), value.storage_nodes.end(),
+                     [&](const StorageNode& c) { return !stays(c) || is_whole(value, c, live); });
+}
+
+// Takes out of the map what has been made up for. Once all that stay are whole by it, every group has all of
+// its turns. Before that a lost disk is made up for by its own node alone, where nobody is away whose copies
+// were needed, and nobody has come or leaves that has not got, or given, its part. True where a map without
+// it is worth its number.
+bool settle(Value& value, const std::vector<Member>& live) {
+  const std::size_t before = common::copies_missing(value);
+  if (taken_over(value, live)) {
+    value.absent.clear();
+    for (StorageNode& c : value.storage_nodes) c.lost = c.joining = false;
+    return before > 0;
+  }
+  if (!value.absent.empty()) return false;
+  for (StorageNode& c : value.storage_nodes) c.joining = c.joining && !is_whole(value, c, live);
+  const bool moving = std::any_of(value.storage_nodes.begin(), value.storage_nodes.end(),
+                                  [](const StorageNode& c) { return c.joining || c.leaving; });
+  if (moving) return false;
+  for (StorageNode& c : value.storage_nodes) c.lost = c.lost && !is_whole(value, c, live);
+  return common::copies_missing(value) < before;
 }
 
 // The first that leaves is given up, and an order to empty it is completed.
@@ -157,15 +190,43 @@
   return staying > copies_for(losses_) ? storage_node_spared_after : storage_node_lost_after;
 }
 
+// A silent node may come back with the only copies that are left, or never. It is given up only where those
+// who stay can make up for it without it: while fewer disks are lost, absent or silent than may be. It is
+// remembered as absent until they have; it may have to bring its copies back if a disk is lost meanwhile.
 bool Roster::drop_silent(Value& value, const std::vector<Member>& live, TimePoint now) {
+  const auto silent = [&](const StorageNode& c) { return storage_member(live, c.node) == nullptr; };
+  std::vector<StorageNode> gone;
+  for (const StorageNode& c : value.storage_nodes) {
+    const Span after = silent_most(staying_without(value, c.node), now);
+    if (lost("storage_node " + c.node + " " + c.disk, !silent(c), after, now)) gone.push_back(c);
+  }
   bool changed = false;
+  for (const StorageNode& c : gone) {
+    const auto all_silent = static_cast<std::size_t>(
+        std::count_if(value.storage_nodes.begin(), value.storage_nodes.end(), silent));
+    if (common::copies_missing(value) + all_silent > losses_) break;
+    if (staying_without(value, c.node) < copies_for(losses_)) continue;
+    std::erase_if(value.storage_nodes, [&](const StorageNode& one) { return one.node == c.node; });
+    value.absent.push_back(c);
+    changed = true;
+  }
+  return changed;
+}
+
+bool Roster::forget_outlived(Value& value, const std::vector<Member>& live, TimePoint now) {
+  bool changed = false;
+  const auto outlived = [&](const std::string& what, const StorageNode& c) {
+    return lost(what + c.node + " " + c.disk, false, outlived_after_, now);
+  };
+  changed |= std::erase_if(value.absent, [&](const StorageNode& c) { return outlived("absent ", c); }) > 0;
   for (std::size_t i = 0; i < value.storage_nodes.size();) {
-    const StorageNode& c = value.storage_nodes[i];
-    const std::size_t staying = staying_without(value, c.node);
-    const Span after = silent_most(staying, now);
-    const bool present = storage_member(live, c.node) != nullptr;
-    const bool gone = lost("storage_node " + c.node + " " + c.disk, present, after, now);
-    if (gone && staying >= copies_for(losses_)) {
+    StorageNode& c = value.storage_nodes[i];
+    const bool was_lost = c.lost;
+    c.lost = c.lost && !outlived("lost disk ", c);
+    changed |= was_lost != c.lost;
+    const bool silent = storage_member(live, c.node) == nullptr;
+    const bool away_for_long = lost("away " + c.node + " " + c.disk, !silent, outlived_after_, now);
+    if (away_for_long && staying_without(value, c.node) >= copies_for(losses_)) {
       value.storage_nodes.erase(value.storage_nodes.begin() + static_cast<std::ptrdiff_t>(i));
       changed = true;
     } else {
@@ -182,7 +243,7 @@
   std::copy_if(members.begin(), members.end(), std::back_inserter(live),
                [](const Member& m) { return !m.disk_failing; });
   Value next = chosen;
-  bool changed = false;
+  bool changed = settle(next, live);
   for (const Member& m : live) {
     if (m.plane != "storage") continue;
     const auto same = std::find_if(next.storage_nodes.begin(), next.storage_nodes.end(),
@@ -197,6 +258,7 @@
     }
   }
   changed |= drop_silent(next, live, now);
+  changed |= forget_outlived(next, live, now);
   if (!changed) changed = taken_over(next, live) && give_up_emptied(next);
   if (!changed) return std::nullopt;
   ++next.map;
--- a/src/lab/tier/machines.hpp
+++ b/src/lab/tier/machines.hpp
@@ -63,9 +63,10 @@
 
   // A process that ends by itself is a breach; looked at again and again.
   void watch();
-  // All are told to end; nothing is started any more. Those that were not down end in order, or it is a
-  // breach. `wait` turns the loop until something is so, or for that time.
-  void end_all(bool at_once, const std::function<bool(Span, const std::function<bool()>&)>& wait);
+  // Turns the loop until something is so, or for that time.
+  using Wait = std::function<bool(Span most, const std::function<bool()>& what)>;
+  // Storage and control are told to end, and not to do so in order is a breach; nothing is started any more.
+  void end_all(bool at_once, const Wait& wait);
 
   // The node whose process has the connection with that end; empty: none of them.
   std::string node_of_connection(const sockaddr_in& end) const;
@@ -75,6 +76,7 @@
  private:
   void write_settings(Machine& machine, Start start);
   void look_ended(Machine& machine, TimePoint since, std::function<void(Span)> ended);
+  void end_plane(MachinePlane plane, bool at_once, const Wait& wait);
   void judge_end(const Machine& machine, const std::optional<std::string>& how);
 
   net::TimerQueue& timers_;
--- a/src/lab/tier/story.cpp
+++ b/src/lab/tier/story.cpp
@@ -19,6 +19,7 @@
 constexpr Span answers_lost_least = Span::ms(20), answers_lost_spread = Span::ms(150);
 constexpr Span beside_spread = Span::ms(1600);  // between troubles that are drawn independently of each other
 constexpr int stories_beyond = 3;               // one of so many
+constexpr double wipe_beside_absence = 0.7;     // of these
 
 class Drawer {
  public:
@@ -114,9 +115,27 @@
       at = at + away + bounds_.catch_up + Span::ms(600) * chance_.unit();
     }
   }
+  // Another machine of the plane is away over the moment at which one comes back with an empty disk.
+  void draw_wipe_beside_an_absence() {
+    constexpr std::array kinds = {TroubleKind::pause, TroubleKind::cut, TroubleKind::kill};
+    Trouble absence, wipe;
+    absence.kind = kinds[chance_.below(kinds.size())];
+    absence.plane = wipe.plane = chance_.one_in(0.7) ? MachinePlane::storage : MachinePlane::control;
+    absence.place = chance_.below(size_of(absence.plane));
+    wipe.kind = TroubleKind::wipe;
+    wipe.place = (absence.place + 1 + chance_.below(size_of(wipe.plane) - 1)) % size_of(wipe.plane);
+    absence.at = first_at + (bounds_.active - first_at) * 0.4 * chance_.unit();
+    absence.lasts = (bounds_.active - absence.at) * (0.4 + 0.6 * chance_.unit());
+    absence.resets = chance_.one_in(0.4);
+    wipe.at = absence.at + absence.lasts * 0.5 * chance_.unit();
+    wipe.lasts = absence.lasts * 0.4 * chance_.unit();
+    story_.troubles.push_back(absence);
+    story_.troubles.push_back(wipe);
+  }
   // Each machine has one at a time; all but one are back with their disks.
   void draw_overlapping_losses() {
-    bool wiped = false;
+    bool wiped = chance_.one_in(wipe_beside_absence);
+    if (wiped) draw_wipe_beside_an_absence();
     for (Span at = between(first_at, beside_spread); at < bounds_.active * 0.8;
          at = at + beside_spread * chance_.unit()) {
       if (chance_.one_in(0.1)) {
--- a/src/storage/storage_plane.cpp
+++ b/src/storage/storage_plane.cpp
@@ -4,6 +4,7 @@
 
 #include "common/invariant.hpp"
 #include "common/log.hpp"
+#include "common/storage_map.hpp"
 
 namespace chutevane::storage {
 namespace {
@@ -179,9 +180,9 @@
 
 // Whether as many sources have told all as have to.
 bool StoragePlane::take_over_is_done() const {
-  std::size_t done = 0;
+  std::int64_t done = 0;
   for (const auto& [node, t] : taking_) done += t.done ? 1 : 0;
-  return done + may_miss_ >= taking_.size();
+  return done + may_miss_ >= static_cast<std::int64_t>(taking_.size());
 }
 
 std::string StoragePlane::describe_take_over() const {
@@ -375,23 +376,16 @@
     sessions_->tell_whole(map_);
     return;
   }
-  const auto mine = std::find_if(storage_nodes_.begin(), storage_nodes_.end(), me);
-  if (mine == storage_nodes_.end()) {  // nothing is its own by this map
+  if (std::none_of(storage_nodes_.begin(), storage_nodes_.end(), me)) {  // nothing is its own by this map
     ready_ = whole_ = false;
     taking_.clear();
     ++turn_;
     return;
   }
-  // A disk that took the place of a lost one, one that the map gave up in between, or another that it gives
-  // up now, is a loss already: so many fewer of the others may be left out. One that is new here is none.
-  const bool came_back = map_before > 0 && !went_on && !lost_some;
-  // Nor is another's lost disk known here to be made up for: what it answers may be less than it held.
-  const bool lost_beside =
-      std::any_of(storage_nodes_.begin(), storage_nodes_.end(),
-                  [&](const common::StorageNode& c) { return c.lost && c.node != settings_.node; });
-  const bool lost_already = lost_some || came_back || lost_beside || (mine->lost && !record_.held);
-  may_miss_ =
-      settings_.machine_losses - std::min<std::size_t>(settings_.machine_losses, lost_already ? 1 : 0);
+  // Copies that are missing already may not be missed twice: so many fewer of the others may be left out, and
+  // where more are missing than may be lost, the map has to change before this one is whole.
+  may_miss_ = static_cast<std::int64_t>(settings_.machine_losses) -
+              static_cast<std::int64_t>(common::copies_missing(value));
   take_over(before);
 }
 
@@ -486,15 +480,16 @@
     pending_accounts += !t.accounts_done && !t.given_up ? 1 : 0;
     pending_turns += !t.done && !t.given_up ? 1 : 0;
   }
-  const std::size_t needed = taking_.size() - std::min(taking_.size(), may_miss_);
-  if (!ready_ && pending_accounts == 0 && accounts >= needed) {
+  const auto enough = [this](std::size_t done) {
+    return static_cast<std::int64_t>(done) + may_miss_ >= static_cast<std::int64_t>(taking_.size());
+  };
+  if (!ready_ && pending_accounts == 0 && enough(accounts)) {
     ready_ = true;
     common::log_info("storage.ready", "map " + std::to_string(map_) + " after ms " +
                                           std::to_string((timers_.now() - takeover_since_).as_ms()));
   }
-  if (ready_ && !whole_ && pending_turns == 0 && turns >= needed) {
+  if (ready_ && !whole_ && pending_turns == 0 && enough(turns)) {
     whole_ = true;
-    note_held();
     sessions_->tell_whole(map_);
     common::log_info("storage.whole", "map " + std::to_string(map_) + ", turns " +
                                           std::to_string(store_.turns()) + " after ms " +
@@ -502,17 +497,7 @@
   }
 }
 
-// That this disk has held what is its own. Without it a later take-over leaves nobody out, which is only
-// stricter.
-void StoragePlane::note_held() {
-  if (record_.held) return;
-  common::StorageNodeRecord held = record_;
-  held.held = true;
-  if (record_slots_.write(common::encoded(held)).ok()) record_ = std::move(held);
-}
-
 void StoragePlane::sweep() {
-  if (whole_) note_held();
   store_.sweep(timers_.now());
   if (store_.dirty()) when_synced([] {});
   timers_.after(Span::ms(1000), [this] { sweep(); });
--- a/src/storage/storage_plane.hpp
+++ b/src/storage/storage_plane.hpp
@@ -62,7 +62,6 @@
   void ask(const std::string& node);
   void pulled(const std::string& node, std::uint64_t turn, absl::StatusOr<common::Pulled> got);
   void look_ready();
-  void note_held();
   Verdict check(std::int64_t map) const;
   // Once the whole chain of the turn is here, or none of the others has what is missing: a turn is kept with
   // all that it goes on from, so that these have its time here too.
@@ -94,8 +93,9 @@
   std::vector<common::StorageNode> storage_nodes_;
   std::int64_t map_ = 0;
   bool ready_ = false, whole_ = false, leaving_ = false, finished_ = false;
-  // How many of the others may be left out of the take-over under way: none, where a copy was lost already.
-  std::size_t may_miss_ = 0;
+  // How many of the others may be left out of the take-over under way: those that may be lost, less the
+  // copies that are missing already. Below 0 it can't end by this map.
+  std::int64_t may_miss_ = 0;
   TimePoint takeover_since_;
   std::map<std::string, Taking> taking_;  // by node
   std::uint64_t turn_ = 0;
