Lab: a started process holds none of the lab's sockets once start() returns

Cause: between fork and exec a child holds the lab's listeners open (CLOEXEC acts at exec). Change: start() waits for the child's exec by a pipe that closes with it.

--- a/src/lab/process.cpp
+++ b/src/lab/process.cpp
@@ -97,10 +97,17 @@
   for (const std::string& word : command) words.push_back(const_cast<char*>(word.c_str()));
   words.push_back(nullptr);
   const pid_t parent = ::getpid();
+  // Ends in the child with its own program: until then the child holds the lab's sockets open, listeners too.
+  int begun[2] = {-1, -1};
+  if (::pipe2(begun, O_CLOEXEC) != 0) {
+    const int error = errno;
+    ::close(out);
+    throw std::system_error(error, std::generic_category(), "pipe");
+  }
   const pid_t pid = ::fork();
   if (pid < 0) {
     const int error = errno;
-    ::close(out);
+    for (const int fd : {out, begun[0], begun[1]}) ::close(fd);
     throw std::system_error(error, std::generic_category(), "fork");
   }
   if (pid == 0) {
@@ -116,6 +123,11 @@
     ::_exit(127);
   }
   ::close(out);
+  ::close(begun[1]);
+  char nothing = 0;
+  while (::read(begun[0], &nothing, 1) < 0 && errno == EINTR) {
+  }
+  ::close(begun[0]);
   pid_ = pid;
 }
 
