Soak: edges forget before the heirs ask, and a disk is lost beside an absence

Edges answered heirs from their own memory, and absences began before turns lay at the node. Change: at a story's end edges are killed and started, and heirs (100) come once they are ready: what is asked for has to be in storage. The absence begins after a fifth of the story.

--- a/src/lab/tier/fleet.cpp
+++ b/src/lab/tier/fleet.cpp
@@ -26,7 +26,7 @@
 constexpr Span recovery = Span::ms(12000);  // recoveryS
 constexpr Span read_every = Span::ms(70);   // the operators' reads amid a story
 constexpr double tail_s = 4;                // of the seconds: what follows the load
-constexpr std::size_t heirs_most = 60;
+constexpr std::size_t heirs_most = 100;
 constexpr double trouble_part = 0.01;  // of what endpoints run: it must not be run again, nor look whole
 
 std::size_t lines_with(const std::string& file, const std::string& word) {
@@ -277,6 +277,7 @@
     auditor_.breach(Check::configuration,
                     "troubles have no end: an order that is never clear, or a process that does not end");
   operator_->lose_answers(0);
+  restart_edges();
   // From here on service is to be whole again, within its time to recover.
   const bool ready = wait(recovery, [this] { return front_.in() == front_.size(); });
   auditor_.expect_service();
@@ -284,6 +285,15 @@
     auditor_.breach(Check::unserved, "an edge is not ready after the time to recover");
 }
 
+// What they remember is gone: what is asked for from here on has to be in storage.
+void Fleet::restart_edges() {
+  for (Machine* const m : machines_.of(MachinePlane::edge)) {
+    machines_.kill(*m);
+    machines_.start(*m, Machines::Start::again);
+  }
+  front_.forget();
+}
+
 void Fleet::play_load(FleetResult& result) {
   front_.every(Span::ms(1000));
   const TimePoint start = timers_.now();
--- a/src/lab/tier/fleet.hpp
+++ b/src/lab/tier/fleet.hpp
@@ -90,6 +90,7 @@
   bool start_all();
   void play_load(FleetResult& result);
   void play_story(TimePoint begin);
+  void restart_edges();
   void collect(FleetResult& result);
   void judge_invariants();
   void judge_faults(FleetResult& result, TimePoint begin, TimePoint end);
--- a/src/lab/tier/platform.hpp
+++ b/src/lab/tier/platform.hpp
@@ -40,6 +40,10 @@
   void add(const std::string& name, const sockaddr_in& front, const sockaddr_in& readiness);
   void begin(Span every);
   void every(Span span) { every_ = span; }
+  // None counts as in until it has answered again.
+  void forget() {
+    for (Edge& e : edges_) e.in = false;
+  }
   std::size_t in() const;
   bool is_in(std::size_t which) const { return edges_[which].in; }
   std::size_t size() const { return edges_.size(); }
--- a/src/lab/tier/story.cpp
+++ b/src/lab/tier/story.cpp
@@ -124,7 +124,8 @@
     absence.place = chance_.below(size_of(absence.plane));
     wipe.kind = TroubleKind::wipe;
     wipe.place = (absence.place + 1 + chance_.below(size_of(wipe.plane) - 1)) % size_of(wipe.plane);
-    absence.at = first_at + (bounds_.active - first_at) * 0.4 * chance_.unit();
+    // Late enough that turns lie at both.
+    absence.at = bounds_.active * (0.2 + 0.2 * chance_.unit());
     absence.lasts = (bounds_.active - absence.at) * (0.4 + 0.6 * chance_.unit());
     absence.resets = chance_.one_in(0.4);
     wipe.at = absence.at + absence.lasts * 0.5 * chance_.unit();
