Storage: what a node that has come in keeps counts only once it has taken over

Cause (class: missing fence; a negative answer by the map of before): a turn counts as kept at losses + 1 nodes of the newest map. Where that map brings a node in, one of them may be the newcomer, and so few of the nodes of the map before have the turn that an edge and nodes which lag, out of contact or in the other half, are enough to deny it: 404 to a turn that its client had whole. Change: a node that joins answers Keep with unready until it has taken over accounts under that map. Enough of the others have told it theirs, under that map, so fewer than may deny lag behind; the edge asks the next of the group meanwhile. Nodes that were there before, and those with a new disk at their place, keep at once: groups have not changed. Sought elsewhere: Reserve needs ready already; Find answers what it has under any map and denies only whole under the asker's; Pull compares maps; the register's reads meet a quorum of the epoch.

--- a/src/storage/storage_plane.cpp
+++ b/src/storage/storage_plane.cpp
@@ -132,6 +132,7 @@
     common::Kept out;
     out.map = map_;
     Verdict verdict = check(ask.map);
+    if (verdict == Verdict::yes && joining() && !ready_) verdict = Verdict::unready;
     if (verdict == Verdict::yes && (store_.failing() || !store_.keep(ask.turn, timers_.now())))
       verdict = Verdict::full;
     out.verdict = static_cast<std::int64_t>(verdict);
@@ -167,6 +168,14 @@
   return "";
 }
 
+// It has come in by a map that others may not have yet. Until it has taken over from enough of them, so many
+// may lag that an edge which lags as well would believe them that there is no such turn: what it keeps does
+// not count.
+bool StoragePlane::joining() const {
+  return std::any_of(storage_nodes_.begin(), storage_nodes_.end(),
+                     [&](const common::StorageNode& c) { return c.node == settings_.node && c.joining; });
+}
+
 // Of a turn that is not here.
 Verdict StoragePlane::verdict_on_missing(std::int64_t asked_map) const {
   const Verdict at = check(asked_map);
--- a/src/storage/storage_plane.hpp
+++ b/src/storage/storage_plane.hpp
@@ -52,6 +52,7 @@
   void listen();
   template <class M>
   void answer_when_synced(const Connection& connection, std::uint64_t number, M message);
+  bool joining() const;
   Verdict verdict_on_missing(std::int64_t asked_map) const;
   bool take_over_is_done() const;
   std::string describe_take_over() const;
