Split the edge's client and the storage plane by concern; a test's address of its own

And StorageNodes failed in some runs (listen: Address already in use): the storage node's port is next to control's, which the kernel may have given to another socket of the test. The test's node has an address of its own.

--- a/src/edge/client.hpp
+++ b/src/edge/client.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "common/configuration.hpp"
 #include "edge/endpoints.hpp"
@@ -34,6 +35,8 @@
 
  private:
   friend class DataPlane;
+  static constexpr Span ending_most =
+      Span::ms(1000);  // for the client's end, once its last answer has gone out
   enum class Stage : std::uint8_t {
     reading,
     preparing,
@@ -94,7 +97,11 @@
 
   // Guards callbacks that come after the exchange that they were for.
   template <class F>
-  auto guarded(F f);
+  auto guarded(F f) {
+    return [this, weak = std::weak_ptr<int>(alive_), f = std::move(f)](auto&&... args) {
+      if (!weak.expired()) f(std::forward<decltype(args)>(args)...);
+    };
+  }
 
   DataPlane& plane_;
   net::Channel channel_;
--- /dev/null
+++ b/src/edge/client_attempts.cpp
@@ -0,0 +1,220 @@
+// Attempts of a client's request: where it is sent, how long it is waited for, whether it goes again.
+#include <algorithm>
+#include <cstdio>
+
+#include "common/invariant.hpp"
+#include "edge/client.hpp"
+#include "edge/data_plane.hpp"
+
+namespace chutevane::edge {
+namespace {
+
+constexpr std::size_t plain_most = 64U << 20U;  // bytes of an answer that is held whole
+constexpr std::size_t turned_away_most = 3;     // endpoints that were full, on top of maxAttempts' first
+
+}  // namespace
+
+void Client::attempt() {
+  stage_ = Stage::asking;
+  common::check_invariant(common::Invariant::not_sent_twice, !may_have_run_ || route_->repeatable(),
+                          [&] { return request_.attempt_id + " after " + endpoint_; });
+  common::check_invariant(common::Invariant::reserved_before_sent,
+                          !route_->retained || !request_.budget || reserved_,
+                          [&] { return request_.attempt_id; });
+  const TimePoint now = plane_.timers_.now();
+  const Span time = left();
+  Tier& tier = plane_.tier(service_);
+  if (Tier::spent(time)) return give_up(Cause::time_spent);
+  if (tries_ > 0 && !tier.worth_retry(time, now)) return give_up(Cause::time_spent);
+  if (attempts_ >= std::max<std::size_t>(route_->max_attempts, 1) || tries_ > turned_away_most + attempts_)
+    return give_up(last_attempt_ == LastAttempt::turned_away ? Cause::endpoints_full : Cause::no_endpoint);
+  std::shared_ptr<Endpoint> to;
+  // What may be repeated goes once more to where it has been, rather than to nobody with time left.
+  if (route_->repeatable() && !placing_.avoid.empty() && !tier.place(placing_, now)) placing_.avoid.clear();
+  const std::size_t avoided = placing_.avoid.size();
+  while (const auto chosen = tier.place(placing_, now)) {
+    to = plane_.endpoints_.find(*chosen);
+    if (to && plane_.room_at(*to)) break;
+    to = nullptr;
+    placing_.avoid.push_back(*chosen);
+  }
+  placing_.avoid.resize(avoided);
+  if (!to)
+    return give_up(last_attempt_ == LastAttempt::turned_away ? Cause::endpoints_full : Cause::no_endpoint);
+  endpoint_ = to->id;
+  ++tries_;
+  ++attempts_;
+  ++plane_.counters_.attempts;
+  if (tries_ > 1) ++plane_.counters_.retries;
+  turned_away_ = bad_answer_ = head_out_ = false;
+  status_ = 0;
+  answer_.clear();
+  answer_fields_.clear();
+  events_ = 0;
+  last_event_.reset();
+  output_.clear();
+  sent_ = now;
+  attempt_open_ = true;
+  const Span ceiling = tier.ceiling(route_->timeout, time, route_->repeatable(), now);
+  measured_ceiling_ = ceiling < std::min(route_->timeout, time);
+  tier.sent(endpoint_, placing_, now);
+  plane_.timers_.cancel(timer_);
+  timer_ = plane_.timers_.after(ceiling, guarded([this] { attempt_due(); }));
+  std::optional<int> priority;
+  if (route_->affinity) priority = std::clamp(route_->priority * 2, 0, 9);
+  OutgoingRequest outgoing;
+  outgoing.head = head_for(request_, endpoint_, ceiling, priority, body_.size());
+  outgoing.body = body_;
+  outgoing.attempt_id = request_.attempt_id;
+  outgoing.bodiless_answer = request_.method == "HEAD";
+  connection_ = plane_.endpoints_.send(to, *this, std::move(outgoing));
+}
+
+void Client::attempt_over(Ended how) {
+  if (!std::exchange(attempt_open_, false)) return;
+  plane_.tier(service_).ended(endpoint_, placing_, how, plane_.timers_.now());
+}
+
+// Its ceiling has passed. What cannot be repeated is only held to the class deadline and the client's time.
+void Client::attempt_due() {
+  if (stage_ == Stage::keeping) return;
+  ++plane_.counters_.cut;
+  if (connection_ != nullptr) plane_.endpoints_.give_up(*std::exchange(connection_, nullptr));
+  attempt_over(measured_ceiling_ ? Ended::cut : Ended::failed);
+  may_have_run_ = true;
+  last_attempt_ = LastAttempt::timed_out;
+  if (stage_ == Stage::relaying) return break_off(Cause::stream_timeout);
+  if (route_->repeatable()) {
+    placing_.avoid.push_back(endpoint_);
+    return attempt();
+  }
+  give_up(Cause::time_spent);
+}
+
+void Client::answer_head(const http::Parser& response) {
+  status_ = response.status();
+  stated_length_ = response.length().value_or(0);
+  for (std::size_t i = 0; i < response.fields(); ++i) {
+    const http::Field f = response.field(i);
+    if (!of_one_connection(f.name, "")) answer_fields_.emplace_back(f.name, f.value);
+  }
+  if (const auto load = response.find("X-Chutevane-Server-Load")) {
+    double running = 0, waiting = 0, slots = 0;
+    if (std::sscanf(std::string(*load).c_str(), "%lf,%lf,%lf", &running, &waiting, &slots) == 3)
+      plane_.tier(service_).load(endpoint_, running, waiting, slots, plane_.timers_.now());
+  }
+  turned_away_ = response.find("X-Chutevane-Not-Executed").has_value() || status_ == 421;
+  if (status_ / 100 == 2) {
+    const auto id = response.find("X-Chutevane-Attempt-Id");
+    bad_answer_ = !response.find("X-Chutevane-Server-Seal") || response.find("Content-Encoding") ||
+                  (!request_.attempt_id.empty() && (!id || *id != request_.attempt_id));
+  }
+}
+
+void Client::answer_piece(std::string_view piece) {
+  if (answer_.size() + piece.size() > plain_most) bad_answer_ = true;
+  if (!bad_answer_) answer_.append(piece);
+  if (streaming_ && status_ == 200 && !bad_answer_) relay(false);
+}
+
+void Client::answer_failed(Failure how) {
+  connection_ = nullptr;
+  attempt_over(Ended::failed);
+  if (stage_ == Stage::relaying) return break_off(Cause::stream_broke_off);
+  if (how == Failure::unsent) --attempts_;
+  const bool may_run = how == Failure::broken && !turned_away_;  // a rejection's head is proof enough
+  last_attempt_ = may_run        ? LastAttempt::broke_off
+                  : turned_away_ ? LastAttempt::turned_away
+                                 : LastAttempt::unsent;
+  // From here on, and not only once it is tried again: the client may leave before.
+  may_have_run_ = may_have_run_ || may_run;
+  placing_.avoid.push_back(endpoint_);
+  // Not from inside the call that has just failed.
+  plane_.timers_.cancel(timer_);
+  timer_ = plane_.timers_.after(Span(), guarded([this, may_run] { after_failure(may_run); }));
+}
+
+void Client::after_failure(bool ran) {
+  may_have_run_ = may_have_run_ || ran;
+  if (ran && !route_->repeatable()) return give_up(Cause::time_spent);
+  attempt();
+}
+
+void Client::answer_whole() {
+  connection_ = nullptr;
+  const TimePoint now = plane_.timers_.now();
+  if (turned_away_) {
+    attempt_over(Ended::turned_away);
+    last_attempt_ = LastAttempt::turned_away;
+    placing_.avoid.push_back(endpoint_);
+    if (status_ == 400) return deliver();
+    return attempt();
+  }
+  if (bad_answer_) {
+    attempt_over(Ended::failed);
+    if (stage_ == Stage::relaying) return break_off(Cause::stream_bad);
+    last_attempt_ = LastAttempt::bad_answer;
+    placing_.avoid.push_back(endpoint_);
+    return after_failure(true);
+  }
+  if (status_ / 100 == 2) {
+    if (!streaming_) plane_.tier(service_).answered(endpoint_, placing_, now - sent_, now);
+    attempt_over(Ended::served);
+    if (streaming_ && status_ == 200) {
+      relay(true);
+      return finish_stream();
+    }
+    return deliver();
+  }
+  // It has run, or a promise that only an endpoint could give is missing.
+  // A 500 is the request's own, and its endpoint works.
+  attempt_over(status_ > 500 ? Ended::failed : Ended::served);
+  may_have_run_ = true;
+  last_attempt_ = LastAttempt::server_error;
+  if (status_ >= 500 && route_->repeatable() && attempts_ < route_->max_attempts) {
+    placing_.avoid.push_back(endpoint_);
+    return attempt();
+  }
+  const bool promises =
+      status_ == 503 || status_ == 429 || status_ == 408 || (status_ == 402 && request_.budget.has_value());
+  if (promises && !route_->repeatable()) return give_up(Cause::time_spent);
+  deliver();
+}
+
+void Client::give_up(Cause unsent_cause) {
+  if (may_have_run_) {
+    ++plane_.counters_.failed;
+    const int status = Tier::spent(left()) ? 504 : 502;
+    return answer_own(cause_of_last_attempt(), status, "the endpoint gave no whole answer");
+  }
+  unreserve();
+  answer_own(unsent_cause, 503, "no endpoint can take it now", ComeBack::yes);
+}
+
+Cause Client::cause_of_last_attempt() const {
+  switch (last_attempt_) {
+    case LastAttempt::bad_answer: return Cause::bad_answer;
+    case LastAttempt::timed_out: return Cause::endpoint_timeout;
+    case LastAttempt::server_error: return Cause::refusal_without_proof;
+    case LastAttempt::none:
+    case LastAttempt::unsent:
+    case LastAttempt::turned_away:
+    case LastAttempt::broke_off: break;
+  }
+  return Cause::endpoint_broke_off;
+}
+
+std::string_view Client::name_of(LastAttempt how) {
+  switch (how) {
+    case LastAttempt::none: return "";
+    case LastAttempt::unsent: return "unsent";
+    case LastAttempt::broke_off: return "broke_off";
+    case LastAttempt::bad_answer: return "bad_answer";
+    case LastAttempt::timed_out: return "timed_out";
+    case LastAttempt::turned_away: return "turned_away";
+    case LastAttempt::server_error: return "server_error";
+  }
+  return "";
+}
+
+}  // namespace chutevane::edge
--- a/src/storage/storage_plane.hpp
+++ b/src/storage/storage_plane.hpp
@@ -8,10 +8,12 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "common/bounded_log.hpp"
 #include "common/disk_health.hpp"
+#include "common/invariant.hpp"
 #include "common/process.hpp"
 #include "common/rpc.hpp"
 #include "common/session.hpp"
@@ -50,8 +52,15 @@
   static std::string_view name_of(Verdict verdict) { return storage::name_of(verdict); }
 
   void listen();
+  // Once what was written before is on disk, where the caller is still there.
   template <class M>
-  void answer_when_synced(const Connection& connection, std::uint64_t number, M message);
+  void answer_when_synced(const Connection& connection, std::uint64_t number, M message) {
+    when_synced([this, id = connection.id(), number, message = std::move(message)] {
+      common::check_invariant(common::Invariant::answered_after_sync, !store_.dirty(),
+                              [] { return std::string("records are not on disk yet"); });
+      if (Connection* const there = rpc_server_.find(id)) there->answer(number, message);
+    });
+  }
   bool joining() const;
   Verdict verdict_on_missing(std::int64_t asked_map) const;
   bool take_over_is_done() const;
--- a/tests/edge/storage_plane_test.cpp
+++ b/tests/edge/storage_plane_test.cpp
@@ -17,7 +17,8 @@
 
 const std::string own_name = numbered("storage-", 1), other_name = numbered("storage-", 2),
                   zone = numbered("z", 1), program = numbered("p", 1), other_disk = numbered("d", 2),
-                  loopback = numbered("127.0.0.", 1);
+                  own_ip = numbered("127.77.0.",
+                                    1);  // its port is next to control's, and may be taken at another address
 
 // One storage node, a control that names it, and another node of the map that says nothing.
 class StorageScene {
@@ -26,7 +27,7 @@
     common::ProcessSettings settings;
     settings.node = own_name;
     settings.zone = zone;
-    settings.ip = loopback;
+    settings.ip = own_ip;
     settings.first_port = ntohs(control_address_.sin_port);
     settings.last_port = static_cast<std::uint16_t>(settings.first_port + 1);
     settings.seeds = {control_address_};
