Soak: seeds that were under way when it was told to stop do not count

Cause: of 58 seeds of a soak that was interrupted the two under way were told as broken (no report: its lab has ended before). Change: they are left out of the summary. Lab alone: no program of the tier changes.

--- a/src/lab/tier/soak.cpp
+++ b/src/lab/tier/soak.cpp
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <set>
 
 namespace chutevane::lab::tier {
 namespace {
@@ -118,6 +119,7 @@
 SoakSummary run_soak(const SoakSpec& spec, const volatile bool& stop) {
   SoakSummary out;
   std::vector<Job> running;
+  std::set<std::uint64_t> stopped;  // seeds that were under way when it was told to stop
   std::uint64_t next = spec.first;
   while ((next <= spec.last && !stop) || !running.empty()) {
     while (next <= spec.last && running.size() < spec.jobs && !stop) {
@@ -135,7 +137,11 @@
     }
     out.processes = std::max(out.processes, running.size() * processes_of_a_seed);
     std::erase_if(running, [&](Job& job) {
-      if (stop) job.process->kill();
+      if (stop && job.process->running() && !job.process->ended()) {  // told nothing: it does not count
+        job.process->kill();
+        stopped.insert(out.seeds[job.seed].number);
+        return true;
+      }
       if (job.process->running() && !job.process->ended()) return false;
       SoakSummary::Seed& seed = out.seeds[job.seed];
       add(out, seed);
@@ -146,6 +152,7 @@
     const timespec pause{0, 50'000'000};
     ::nanosleep(&pause, nullptr);
   }
+  std::erase_if(out.seeds, [&](const SoakSummary::Seed& seed) { return stopped.contains(seed.number); });
   return out;
 }
 
