Lab: whose connection it is, found without reading each line of the kernel's table

Cause: for each connection that a relay takes the lab read /proc/net/tcp line by line through a stream; with the tens of thousands of connections that other labs had left there it stood still for up to 2.7 s, and the ways between processes with it. Change: the table is read whole and searched as text; the summary tells how late a lab was.

--- a/src/lab/process.cpp
+++ b/src/lab/process.cpp
@@ -11,6 +11,7 @@
 #include <deque>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <sstream>
 #include <system_error>
 
@@ -43,17 +44,18 @@
 constexpr const char* listening = "0A";  // a state in the kernel's table
 
 // How descriptors name the socket with that local end; empty: there is none. `state`: only one in that state.
+// The table has a line for each connection of the machine, also for those that are long over: it is searched
+// as text, and only the line that is found is read.
 std::string socket_at(const sockaddr_in& end, const std::string& wanted_state) {
-  char wanted[20];
-  std::snprintf(wanted, sizeof wanted, "%08X:%04X", end.sin_addr.s_addr, ntohs(end.sin_port));
-  std::ifstream table("/proc/net/tcp");
-  std::string line;
-  while (std::getline(table, line)) {  // sl local remote state queues timer retransmits uid timeout inode
-    std::istringstream fields(line);
-    std::string place, local, remote, state, skipped, inode;
-    fields >> place >> local >> remote >> state >> skipped >> skipped >> skipped >> skipped >> skipped >>
-        inode;
-    if (local == wanted && (wanted_state.empty() || state == wanted_state)) return "socket:[" + inode + "]";
+  char wanted[24];
+  std::snprintf(wanted, sizeof wanted, ": %08X:%04X ", end.sin_addr.s_addr, ntohs(end.sin_port));
+  std::ifstream in("/proc/net/tcp");
+  const std::string table{std::istreambuf_iterator<char>(in), {}};
+  for (std::size_t at = table.find(wanted); at != std::string::npos; at = table.find(wanted, at + 1)) {
+    std::istringstream fields(table.substr(at + 2, table.find('\n', at) - at - 2));
+    std::string local, remote, state, skipped, inode;  // ... queues timer retransmits uid timeout inode
+    fields >> local >> remote >> state >> skipped >> skipped >> skipped >> skipped >> skipped >> inode;
+    if (wanted_state.empty() || state == wanted_state) return "socket:[" + inode + "]";
   }
   return "";
 }
--- a/src/lab/tier/soak.cpp
+++ b/src/lab/tier/soak.cpp
@@ -45,6 +45,8 @@
   out["left"] = r.figures.left;
   out["workedForNobody"] = r.figures.worked_for_nobody;
   out["residentMb"] = r.resident_mb;
+  out["lateMostMs"] =
+      r.lateness_ms.empty() ? 0 : *std::max_element(r.lateness_ms.begin(), r.lateness_ms.end());
   out["trouble"] = r.trouble;
   return out.dump(1) + "\n";
 }
@@ -82,6 +84,7 @@
   sum.excused += figure("excused");
   sum.left += figure("left");
   sum.worked_for_nobody += figure("workedForNobody");
+  sum.late_most_ms = std::max(sum.late_most_ms, report.at("lateMostMs").get<double>());
   sum.resident_mb = std::max(sum.resident_mb, report.at("residentMb").get<double>());
 }
 
--- a/src/lab/tier/soak.hpp
+++ b/src/lab/tier/soak.hpp
@@ -37,6 +37,7 @@
   std::uint64_t turns_whole = 0, heirs = 0, heirs_whole = 0, orders = 0, reads = 0, excused = 0, left = 0,
                 worked_for_nobody = 0;
   double resident_mb = 0;     // of one seed's processes, at the most
+  double late_most_ms = 0;    // a lab's own timers: relays stand still as long
   std::size_t processes = 0;  // at once, labs among them
   bool broken() const;
 };
