Lab: the owner of a connection by one question to the kernel

Change: sock_diag asks for the one socket by both of its ends; the table only where the kernel does not answer. Lab alone: no program of the tier changes.

--- a/src/lab/process.cpp
+++ b/src/lab/process.cpp
@@ -1,13 +1,18 @@
 #include "lab/process.hpp"
 
 #include <fcntl.h>
+#include <linux/inet_diag.h>
+#include <linux/netlink.h>
+#include <linux/sock_diag.h>
 #include <sys/prctl.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <cerrno>
 #include <csignal>
 #include <cstdio>
+#include <cstring>
 #include <deque>
 #include <filesystem>
 #include <fstream>
@@ -60,6 +65,42 @@
   return "";
 }
 
+// The number of the socket with these ends, by one question to the kernel: its table of all connections takes
+// too long to read where other programs have left many. 0: there is none, or the kernel does not answer such
+// questions.
+std::uint32_t inode_of(const sockaddr_in& end, const sockaddr_in& other_end) {
+  const int fd = ::socket(AF_NETLINK, SOCK_RAW | SOCK_CLOEXEC, NETLINK_SOCK_DIAG);
+  if (fd < 0) return 0;
+  struct {
+    nlmsghdr head;
+    inet_diag_req_v2 request;
+  } question{};
+  question.head.nlmsg_len = sizeof question;
+  question.head.nlmsg_type = SOCK_DIAG_BY_FAMILY;
+  question.head.nlmsg_flags = NLM_F_REQUEST;
+  question.request.sdiag_family = AF_INET;
+  question.request.sdiag_protocol = IPPROTO_TCP;
+  question.request.idiag_states = ~0U;
+  inet_diag_sockid& id = question.request.id;
+  id.idiag_sport = end.sin_port;
+  id.idiag_dport = other_end.sin_port;
+  id.idiag_src[0] = end.sin_addr.s_addr;
+  id.idiag_dst[0] = other_end.sin_addr.s_addr;
+  id.idiag_cookie[0] = id.idiag_cookie[1] = INET_DIAG_NOCOOKIE;
+  char answer[4096];
+  ssize_t size = -1;
+  if (::send(fd, &question, sizeof question, 0) == static_cast<ssize_t>(sizeof question))
+    size = ::recv(fd, answer, sizeof answer, MSG_DONTWAIT);
+  ::close(fd);
+  nlmsghdr head{};
+  inet_diag_msg found{};
+  if (size < static_cast<ssize_t>(NLMSG_LENGTH(sizeof found))) return 0;
+  std::memcpy(&head, answer, sizeof head);
+  if (head.nlmsg_type != SOCK_DIAG_BY_FAMILY) return 0;
+  std::memcpy(&found, answer + NLMSG_HDRLEN, sizeof found);
+  return found.idiag_inode;
+}
+
 bool has_descriptor(const std::string& process, const std::string& socket) {
   std::error_code error;
   for (const auto& fd : std::filesystem::directory_iterator("/proc/" + process + "/fd", error)) {
@@ -70,8 +111,10 @@
 
 }  // namespace
 
-pid_t connected_from(const sockaddr_in& end, const std::vector<pid_t>& processes) {
-  const std::string socket = socket_at(end, "");
+pid_t connected_from(const sockaddr_in& end, const sockaddr_in& other_end,
+                     const std::vector<pid_t>& processes) {
+  const std::uint32_t inode = inode_of(end, other_end);
+  const std::string socket = inode != 0 ? "socket:[" + std::to_string(inode) + "]" : socket_at(end, "");
   if (socket.empty()) return 0;
   for (const pid_t pid : processes) {
     if (has_descriptor(std::to_string(pid), socket)) return pid;
--- a/src/lab/process.hpp
+++ b/src/lab/process.hpp
@@ -18,8 +18,9 @@
 // Of any process; nothing where there is none.
 std::optional<Usage> usage_of(pid_t pid);
 
-// Which of these processes has the connection with that end; 0: none.
-pid_t connected_from(const sockaddr_in& end, const std::vector<pid_t>& processes);
+// Which of these processes has the connection from `end` to `other_end`; 0: none.
+pid_t connected_from(const sockaddr_in& end, const sockaddr_in& other_end,
+                     const std::vector<pid_t>& processes);
 
 // The process that listens at an address, as far as this user may see; 0: none.
 pid_t listening_at(const sockaddr_in& address);
--- a/src/lab/tier/fleet.cpp
+++ b/src/lab/tier/fleet.cpp
@@ -61,7 +61,9 @@
       list_(scheduler_, timers_, list_rate, drain),
       machines_(timers_, addresses_, auditor_, machines_spec(spec, addresses_.at(platform, 1, list_port))),
       ways_(scheduler_, spec.seed,
-            [this](const sockaddr_in& end) { return machines_.node_of_connection(end); }),
+            [this](const sockaddr_in& end, const sockaddr_in& own_end) {
+              return machines_.node_of_connection(end, own_end);
+            }),
       endpoints_(scheduler_, timers_, addresses_, auditor_, list_, spec.seed,
                  spec.story ? spec.story->manners.endpoint_spoils : trouble_part),
       lines_(scheduler_, timers_),
--- a/src/lab/tier/machines.cpp
+++ b/src/lab/tier/machines.cpp
@@ -226,12 +226,12 @@
   }
 }
 
-std::string Machines::node_of_connection(const sockaddr_in& end) const {
+std::string Machines::node_of_connection(const sockaddr_in& end, const sockaddr_in& other_end) const {
   std::vector<pid_t> running;
   for (const auto& m : machines_) {
     if (m->process.running()) running.push_back(m->process.pid());
   }
-  const pid_t owner = connected_from(end, running);
+  const pid_t owner = connected_from(end, other_end, running);
   for (const auto& m : machines_) {
     if (owner != 0 && m->process.pid() == owner) return m->node;
   }
--- a/src/lab/tier/machines.hpp
+++ b/src/lab/tier/machines.hpp
@@ -68,8 +68,8 @@
   // Storage and control are told to end, and not to do so in order is a breach; nothing is started any more.
   void end_all(bool at_once, const Wait& wait);
 
-  // The node whose process has the connection with that end; empty: none of them.
-  std::string node_of_connection(const sockaddr_in& end) const;
+  // The node whose process has the connection from `end` to `other_end`; empty: none of them.
+  std::string node_of_connection(const sockaddr_in& end, const sockaddr_in& other_end) const;
   std::string last_words() const;
   double resident_mb() const;  // of all processes, each at its most
 
--- a/src/lab/tier/ways.cpp
+++ b/src/lab/tier/ways.cpp
@@ -20,10 +20,11 @@
 }
 
 void Ways::accepted(Port& port, int fd) {
-  sockaddr_in peer{};
-  socklen_t size = sizeof peer;
-  const bool known = ::getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size) == 0;
-  relay(port, known ? name_of_peer_(peer) : "").accepted(fd);
+  sockaddr_in peer{}, own{};
+  socklen_t peer_size = sizeof peer, own_size = sizeof own;
+  const bool known = ::getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &peer_size) == 0 &&
+                     ::getsockname(fd, reinterpret_cast<sockaddr*>(&own), &own_size) == 0;
+  relay(port, known ? name_of_peer_(peer, own) : "").accepted(fd);
 }
 
 Relay& Ways::relay(Port& port, const std::string& opener) {
--- a/src/lab/tier/ways.hpp
+++ b/src/lab/tier/ways.hpp
@@ -16,8 +16,9 @@
 
 class Ways {
  public:
-  // A machine's name of the process that holds the far end of a connection; empty: not known.
-  using NameOfPeer = std::function<std::string(const sockaddr_in& end)>;
+  // The machine whose process holds the far end of a connection, by that end and the own one; empty: not
+  // known.
+  using NameOfPeer = std::function<std::string(const sockaddr_in& end, const sockaddr_in& own_end)>;
 
   Ways(net::Scheduler& scheduler, std::uint64_t seed, NameOfPeer name_of_peer);
   // What comes to `announced` goes on to `bound`, where the machine's process listens.
