--- a/src/lab/tier/fleet.hpp
+++ b/src/lab/tier/fleet.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -93,6 +94,12 @@
   void restart_edges();
   void collect(FleetResult& result);
   void judge_invariants();
+  struct FiguresDue {
+    TimePoint until;
+    std::set<const Machine*> open;  // that have not told theirs
+  };
+  void ask_figures(Machine& machine, const std::shared_ptr<FiguresDue>& due);
+  void judge_figures(const Machine& machine, const std::string& figures);
   void judge_faults(FleetResult& result, TimePoint begin, TimePoint end);
 
   FleetSpec spec_;
