Control: one rule of membership of a set of acceptors, in a module of its own

Cause: a set planned before a first controller opened named it by its address alone. The planner of sets and the contact by gossip took that for the controller there, in any epoch; the acceptor itself only in the first.

Change: control/acceptor_membership.* has the rule (is_acceptor), which acceptor, planner and quorum contact ask. A set after the first is a NamedAcceptorSet: each member with its disk, no address twice. A stored set with a member that names no disk is healed with the leader's next tick.

Tests: a set planned before a first start, the start at every message; a stored set; the planner's cases. The planner's and the contact's tests compare members of the typed set; no assertion is dropped.

--- a/src/control/acceptor.cpp
+++ b/src/control/acceptor.cpp
@@ -1,7 +1,5 @@
 #include "control/acceptor.hpp"
 
-#include <algorithm>
-
 #include "common/invariant.hpp"
 #include "common/value_update.hpp"
 
@@ -23,12 +21,8 @@
 
 }  // namespace
 
-DurableAcceptor::DurableAcceptor(common::Disk& disk, std::string address, std::string disk_id,
-                                 bool has_initial_disk)
-    : storage_(disk, "acceptor"),
-      address_(std::move(address)),
-      disk_id_(std::move(disk_id)),
-      has_initial_disk_(has_initial_disk) {}
+DurableAcceptor::DurableAcceptor(common::Disk& disk, AcceptorIdentity identity)
+    : storage_(disk, "acceptor"), identity_(std::move(identity)) {}
 
 absl::Status DurableAcceptor::open() {
   const auto recovered = storage_.recover();
@@ -53,16 +47,9 @@
   return as_checkpoint ? storage_.write_checkpoint(record) : storage_.append_change(record);
 }
 
-bool DurableAcceptor::is_member_of(const RegisterValue& epoch_value) const {
-  return std::any_of(epoch_value.acceptors.begin(), epoch_value.acceptors.end(), [&](const Acceptor& member) {
-    const bool is_initial_member = member.disk.empty() && has_initial_disk_ && epoch_value.epoch == 1;
-    return member.address == address_ && (member.disk == disk_id_ || is_initial_member);
-  });
-}
-
 /// Begins a later epoch, if this acceptor is a member of it. In memory: the caller persists it.
 bool DurableAcceptor::enter_epoch(std::int64_t epoch, const RegisterValue& epoch_value) {
-  if (epoch != epoch_value.epoch || !is_member_of(epoch_value)) return false;
+  if (epoch != epoch_value.epoch || !contains_acceptor(epoch_value, identity_)) return false;
   state_ = {};
   state_.epoch = epoch;
   state_.initial = state_.value = epoch_value;
--- a/src/control/acceptor.hpp
+++ b/src/control/acceptor.hpp
@@ -10,6 +10,7 @@
 #include "common/disk.hpp"
 #include "common/durable_state.hpp"
 #include "common/messages.hpp"
+#include "control/acceptor_membership.hpp"
 #include "control/register_value.hpp"
 
 namespace chutevane::control {
@@ -34,9 +35,8 @@
 /// full checkpoint has been written, by the next request or by retry_write().
 class DurableAcceptor {
  public:
-  /// `has_initial_disk`: the disk was new when the whole system was first started. The first epoch names its
-  /// acceptors by address alone, and means the disks of that time.
-  DurableAcceptor(common::Disk& disk, std::string address, std::string disk_id, bool has_initial_disk);
+  /// `identity`: this process's address and the name of `disk`, by which sets of acceptors name it.
+  DurableAcceptor(common::Disk& disk, AcceptorIdentity identity);
 
   /// Reads the state from disk; to be called once, before anything else. DataLoss: the state can't be read,
   /// so the caller must treat the disk as a new one. Other errors are the disk's: this process cannot vote.
@@ -57,9 +57,7 @@
   /// Writes the current state again.
   [[nodiscard]] absl::Status retry_write() { return persist(WriteForm::checkpoint); }
 
-  /// Address and disk, by which a set of acceptors names this one.
-  common::Acceptor identity() const { return {address_, disk_id_}; }
-  bool has_initial_disk() const { return has_initial_disk_; }
+  const AcceptorIdentity& identity() const { return identity_; }
 
   /// 0: member of no epoch yet.
   std::int64_t epoch() const { return state_.epoch; }
@@ -74,15 +72,12 @@
  private:
   /// A checkpoint is written in full; a log record is appended, unless the log is full or a write has failed.
   enum class WriteForm : std::uint8_t { checkpoint, log_record };
-  bool is_member_of(const RegisterValue& epoch_value) const;
   bool enter_epoch(std::int64_t epoch, const RegisterValue& epoch_value);
   absl::Status persist(WriteForm form);
   absl::StatusOr<RegisterValue> requested_value(const common::Accept& request) const;
 
   common::DurableState storage_;
-  const std::string address_;
-  const std::string disk_id_;
-  const bool has_initial_disk_;
+  const AcceptorIdentity identity_;
   common::AcceptorRecord state_;
   std::function<void(const RegisterValue&)> epoch_entered_callback_;
 };
--- a/src/control/acceptor_set_planner.cpp
+++ b/src/control/acceptor_set_planner.cpp
@@ -1,6 +1,7 @@
 #include "control/acceptor_set_planner.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "control/replica_count.hpp"
 
@@ -9,44 +10,46 @@
 
 using common::Acceptor;
 
-/// Whether the acceptor is this controller on this disk. The first set names its members by address alone.
-bool is_same(const Acceptor& acceptor, const LiveController& controller) {
-  if (acceptor.address != controller.address) return false;
-  return acceptor.disk == controller.disk || (acceptor.disk.empty() && controller.has_initial_disk);
-}
-
 /// A set under construction: the current one, and the changes made to it so far.
 class DraftSet {
  public:
-  DraftSet(const std::vector<Acceptor>& current, const std::vector<LiveController>& live)
-      : members_(current), live_(live) {
+  struct Slot {
+    Acceptor acceptor;
+    bool is_new = false;  // not a member of the current set
+  };
+
+  DraftSet(const common::RegisterValue& current, const std::vector<LiveController>& live)
+      : epoch_(current.epoch), live_(live) {
+    for (const Acceptor& member : current.acceptors) slots_.push_back({member});
     std::copy_if(live.begin(), live.end(), std::back_inserter(free_), [&](const LiveController& controller) {
-      return controller.is_eligible && !is_member(controller);
+      return controller.is_eligible && !controller.identity.disk.empty() &&
+             !contains_acceptor(current, controller.identity);
     });
   }
 
-  std::vector<Acceptor>& members() { return members_; }
-  bool has_changed() const { return has_changed_; }
-
-  bool is_live(const Acceptor& acceptor) const {
-    return std::any_of(live_.begin(), live_.end(),
-                       [&](const LiveController& controller) { return is_same(acceptor, controller); });
+  std::vector<Slot>& slots() { return slots_; }
+  std::size_t size() const { return slots_.size(); }
+  bool has_new_members() const {
+    return std::any_of(slots_.begin(), slots_.end(), [](const Slot& slot) { return slot.is_new; });
   }
-  bool is_shutting_down(const Acceptor& acceptor) const {
-    return std::any_of(live_.begin(), live_.end(), [&](const LiveController& controller) {
-      return is_same(acceptor, controller) && !controller.is_eligible;
+
+  /// The controller that is this member. Null: it is not in contact.
+  const LiveController* live_member(const Slot& slot) const {
+    const auto found = std::find_if(live_.begin(), live_.end(), [&](const LiveController& controller) {
+      return is_acceptor(controller.identity, slot.acceptor, epoch_);
     });
+    return found == live_.end() ? nullptr : &*found;
   }
 
   /// Hands the slot to the free controller at the same address, if there is one.
-  void replace_by_own_address(Acceptor& slot) {
+  void replace_by_own_address(Slot& slot) {
     const auto same_address = std::find_if(free_.begin(), free_.end(), [&](const LiveController& controller) {
-      return controller.address == slot.address;
+      return controller.identity.address == slot.acceptor.address;
     });
     if (same_address != free_.end()) assign(slot, same_address);
   }
   /// Hands the slot to a free controller, if there is one.
-  void replace_by_any(Acceptor& slot) {
+  void replace_by_any(Slot& slot) {
     const auto candidate = find_candidate();
     if (candidate != free_.end()) assign(slot, candidate);
   }
@@ -54,75 +57,80 @@
   bool add_member() {
     const auto candidate = find_candidate();
     if (candidate == free_.end()) return false;
-    members_.emplace_back();
-    assign(members_.back(), candidate);
+    slots_.emplace_back();
+    assign(slots_.back(), candidate);
     return true;
   }
-  void drop_last_member(const std::vector<Acceptor>& current) {
-    members_.pop_back();
-    if (members_ == current) has_changed_ = false;
-  }
-  /// Names the disks of members that the first set knows by their addresses alone.
+  void drop_last_member() { slots_.pop_back(); }
+  /// Names the disks of members in contact that the first set knows by their addresses alone.
   void name_disks() {
-    for (Acceptor& member : members_) {
-      for (const LiveController& controller : live_) {
-        if (member.disk.empty() && is_same(member, controller)) member.disk = controller.disk;
-      }
+    for (Slot& slot : slots_) {
+      const LiveController* const controller = live_member(slot);
+      if (controller != nullptr) slot.acceptor.disk = controller->identity.disk;
     }
   }
+  /// Leaves out members whose disks are not known.
+  void drop_unnamed() {
+    std::erase_if(slots_, [](const Slot& slot) { return slot.acceptor.disk.empty(); });
+  }
+  std::vector<Acceptor> members() const {
+    std::vector<Acceptor> out;
+    for (const Slot& slot : slots_) out.push_back(slot.acceptor);
+    return out;
+  }
 
  private:
   using Candidate = std::vector<LiveController>::iterator;
 
-  bool is_member(const LiveController& controller) const {
-    return std::any_of(members_.begin(), members_.end(),
-                       [&](const Acceptor& member) { return is_same(member, controller); });
-  }
   /// A free controller whose address is not in the set: one address must not count as two members.
   Candidate find_candidate() {
     return std::find_if(free_.begin(), free_.end(), [&](const LiveController& controller) {
-      return std::none_of(members_.begin(), members_.end(),
-                          [&](const Acceptor& member) { return member.address == controller.address; });
+      return std::none_of(slots_.begin(), slots_.end(), [&](const Slot& slot) {
+        return slot.acceptor.address == controller.identity.address;
+      });
     });
   }
-  void assign(Acceptor& slot, Candidate candidate) {
-    slot = {candidate->address, candidate->disk};
+  void assign(Slot& slot, Candidate candidate) {
+    slot = {{candidate->identity.address, candidate->identity.disk}, true};
     free_.erase(candidate);
-    has_changed_ = true;
   }
 
-  std::vector<Acceptor> members_;
+  const std::int64_t epoch_;  // that the current set serves
+  std::vector<Slot> slots_;
   const std::vector<LiveController>& live_;
   std::vector<LiveController> free_;  // eligible and not in the set, in the order of `live_`
-  bool has_changed_ = false;
 };
 
 }  // namespace
 
-std::optional<std::vector<Acceptor>> AcceptorSetPlanner::plan(const common::RegisterValue& current,
-                                                              const std::vector<LiveController>& live,
-                                                              TimePoint now) {
+std::optional<NamedAcceptorSet> AcceptorSetPlanner::plan(const common::RegisterValue& current,
+                                                         const std::vector<LiveController>& live,
+                                                         TimePoint now) {
   const std::size_t target_size = replicas_for(losses_);
-  DraftSet draft(current.acceptors, live);
-  for (Acceptor& member : draft.members()) {
-    if (!draft.is_live(member)) draft.replace_by_own_address(member);
+  DraftSet draft(current, live);
+  for (DraftSet::Slot& slot : draft.slots()) {
+    if (draft.live_member(slot) == nullptr) draft.replace_by_own_address(slot);
   }
-  for (Acceptor& member : draft.members()) {
-    const bool is_live = draft.is_live(member);
-    const bool is_lost = absence_.update("acceptor " + member.address + " " + member.disk, is_live,
-                                         acceptor_absence_timeout, now);
+  bool is_awaiting_disk = false;
+  for (DraftSet::Slot& slot : draft.slots()) {
+    const LiveController* const member = slot.is_new ? nullptr : draft.live_member(slot);
+    const bool is_present = slot.is_new || member != nullptr;
+    const bool is_lost = absence_.update("acceptor " + slot.acceptor.address + " " + slot.acceptor.disk,
+                                         is_present, acceptor_absence_timeout, now);
     // One that shuts down may take its disk with it: it is replaced before it goes, not after.
-    if (draft.is_shutting_down(member) || (is_lost && !is_live)) draft.replace_by_any(member);
+    const bool is_shutting_down = member != nullptr && !member->is_eligible;
+    if (is_shutting_down || (is_lost && !is_present)) draft.replace_by_any(slot);
+    is_awaiting_disk = is_awaiting_disk || (slot.acceptor.disk.empty() && !is_present && !is_lost);
   }
-  while (draft.members().size() < target_size && draft.add_member()) {
+  while (draft.size() < target_size && draft.add_member()) {
   }
-  // An even number of members bears no more losses than one fewer.
-  const std::size_t size = draft.members().size();
-  if (draft.has_changed() && size > 1 && size % 2 == 0 && size < target_size)
-    draft.drop_last_member(current.acceptors);
-  if (!draft.has_changed()) return std::nullopt;
+  if (!draft.has_new_members() || is_awaiting_disk) return std::nullopt;
   draft.name_disks();
-  return draft.members();
+  draft.drop_unnamed();
+  // An even number of members bears no more losses than one fewer.
+  if (draft.size() > 1 && draft.size() % 2 == 0 && draft.size() < target_size) draft.drop_last_member();
+  if (!draft.has_new_members()) return std::nullopt;
+  return NamedAcceptorSet::make(draft.members());
 }
 
 }  // namespace chutevane::control
--- a/src/control/acceptor_set_planner.hpp
+++ b/src/control/acceptor_set_planner.hpp
@@ -6,21 +6,19 @@
 
 #include <cstddef>
 #include <optional>
-#include <string>
 #include <vector>
 
 #include "chutevane/types.hpp"
 #include "common/messages.hpp"
 #include "control/absence_tracker.hpp"
+#include "control/acceptor_membership.hpp"
 
 namespace chutevane::control {
 
 /// A controller that is in contact, as its gossip describes it.
 struct LiveController {
-  std::string address;
-  std::string disk;
-  bool has_initial_disk = false;  // its disk was new when the whole system was first started
-  bool is_eligible = false;       // it may become an acceptor: it is not shutting down
+  AcceptorIdentity identity;
+  bool is_eligible = false;  // it may become an acceptor: it is not shutting down
 };
 
 /// An acceptor that was out of contact for longer is replaced. A lost machine stops counting `catchUpS` (4.1
@@ -41,10 +39,14 @@
   /// The next set of acceptors, or nothing where the current one should stay. To be called regularly, as it
   /// notes who is present. A member is replaced
   /// - at once by the controller at its address, where that has another disk: the old disk is lost for good;
+  ///   and where the set names no disk, though only the first may: that member has never voted;
   /// - at once by any free controller, where the member is shutting down;
   /// - after acceptor_absence_timeout by any free controller, where the member is out of contact.
-  std::optional<std::vector<common::Acceptor>> plan(const common::RegisterValue& current,
-                                                    const std::vector<LiveController>& live, TimePoint now);
+  ///
+  /// The next set names every member's disk. So a change waits, for up to acceptor_absence_timeout, for
+  /// members of the first set whose disks are not known yet. Those still out of contact by then are left out.
+  std::optional<NamedAcceptorSet> plan(const common::RegisterValue& current,
+                                       const std::vector<LiveController>& live, TimePoint now);
 
  private:
   const std::size_t losses_;
--- a/src/control/control_plane.cpp
+++ b/src/control/control_plane.cpp
@@ -135,11 +135,11 @@
 /// This controller and its live peers, without those whose disk fails: they can't vote and count as gone.
 std::vector<LiveController> ControlPlane::live_controllers() const {
   std::vector<LiveController> out;
-  if (!acceptor_->is_disk_failing())
-    out.push_back({address_, record_.disk, record_.first, !is_shutting_down_});
+  if (!acceptor_->is_disk_failing()) out.push_back({acceptor_->identity(), !is_shutting_down_});
   for (const auto& [address, peer] : peers_) {
     if (!peers_.is_live(peer) || peer.last_gossip->disk_failing) continue;
-    out.push_back({address, peer.last_gossip->disk, peer.last_gossip->first, !peer.last_gossip->draining});
+    const common::Gossip& gossip = *peer.last_gossip;
+    out.push_back({{address, gossip.disk, gossip.first}, !gossip.draining});
   }
   return out;
 }
--- a/src/control/control_plane_startup.cpp
+++ b/src/control/control_plane_startup.cpp
@@ -109,7 +109,7 @@
 }
 
 absl::Status ControlPlane::open_acceptor() {
-  acceptor_.emplace(*disk_, address_, record_.disk, record_.first);
+  acceptor_.emplace(*disk_, AcceptorIdentity{address_, record_.disk, record_.first});
   absl::Status opened = acceptor_->open();
   if (!absl::IsDataLoss(opened)) return opened;
   // What it promised cannot be read: it is another disk from here on, and votes in no epoch that named it.
@@ -118,7 +118,7 @@
   record_.first = false;
   if (absl::Status stored = record_storage_.write_checkpoint(common::encoded(record_)); !stored.ok())
     return stored;
-  acceptor_.emplace(*disk_, address_, record_.disk, record_.first);
+  acceptor_.emplace(*disk_, AcceptorIdentity{address_, record_.disk, record_.first});
   return absl::OkStatus();
 }
 
--- a/src/control/knowledge_tracker.cpp
+++ b/src/control/knowledge_tracker.cpp
@@ -14,8 +14,7 @@
 
 AcceptorReport report_of(const DurableAcceptor& acceptor, std::int64_t epoch) {
   const bool has_entered = acceptor.is_voting() && acceptor.epoch() == epoch;
-  return {acceptor.identity(), acceptor.has_initial_disk(), epoch,
-          has_entered ? acceptor.accepted_number() : 0};
+  return {acceptor.identity(), epoch, has_entered ? acceptor.accepted_number() : 0};
 }
 
 KnowledgeTracker::KnowledgeTracker(net::TimerQueue& timers, Register& reg,
@@ -29,13 +28,13 @@
       contact_(incarnation) {}
 
 void KnowledgeTracker::on_gossip(const common::Gossip& gossip) {
-  const AcceptorReport report{{gossip.address, gossip.disk}, gossip.first, gossip.epoch, gossip.accepted};
+  const AcceptorReport report{{gossip.address, gossip.disk, gossip.first}, gossip.epoch, gossip.accepted};
   contact_.on_report(report, gossip.echo_incarnation, TimePoint() + Span::us(gossip.echo_stamp));
 }
 
 bool KnowledgeTracker::has_quorum_contact(Span within) const {
   const TimePoint now = timers_.now();
-  const auto last_contact = contact_.last_contact(register_.epoch_value().acceptors, own_report(), now);
+  const auto last_contact = contact_.last_contact(register_.epoch_value(), own_report(), now);
   return last_contact && now - *last_contact < within;
 }
 
@@ -45,7 +44,7 @@
 
 void KnowledgeTracker::update_confirmed_at() {
   if (!register_.known_value()) return;
-  const auto confirmed = contact_.confirmed_until(register_.epoch_value().acceptors, own_report(),
+  const auto confirmed = contact_.confirmed_until(register_.epoch_value(), own_report(),
                                                   register_.known_value()->number, timers_.now());
   if (confirmed) confirmed_at_ = std::max(confirmed_at_, *confirmed);
 }
--- a/src/control/membership_controller.cpp
+++ b/src/control/membership_controller.cpp
@@ -57,13 +57,11 @@
                                      const std::vector<common::Member>& members, TimePoint now) {
   if (is_change_pending_ || !register_.known_value()) return;
   const RegisterValue& value = *register_.known_value();
-  const std::optional<std::vector<Acceptor>> acceptors = acceptor_planner_.plan(value, controllers, now);
+  const std::optional<NamedAcceptorSet> acceptors = acceptor_planner_.plan(value, controllers, now);
   if (may_replicas_expire(value, members)) storage_planner_.set_longest_retention(longest_retention(value));
   if (acceptors) {
-    const auto seal = [acceptors](const RegisterValue& current) -> std::optional<RegisterValue> {
-      RegisterValue next = current;
-      next.next_acceptors = *acceptors;
-      return next;
+    const auto seal = [next = *acceptors](const RegisterValue& current) {
+      return std::optional(sealed_with(current, next));
     };
     return submit(value.number, seal, true);
   }
--- a/src/control/quorum_contact.cpp
+++ b/src/control/quorum_contact.cpp
@@ -3,16 +3,6 @@
 #include <algorithm>
 
 namespace chutevane::control {
-namespace {
-
-// Whether the report is of the very disk that the set names. The first set names addresses alone.
-bool is_report_of(const AcceptorReport& report, const common::Acceptor& named) {
-  if (report.acceptor.address != named.address) return false;
-  return named.disk.empty() ? report.has_initial_disk : report.acceptor.disk == named.disk;
-}
-
-}  // namespace
-
 void QuorumContact::on_report(const AcceptorReport& report, std::int64_t echo_incarnation,
                               TimePoint echo_stamp) {
   if (echo_incarnation != incarnation_) return;
@@ -23,34 +13,35 @@
 }
 
 template <class Agrees>
-std::optional<TimePoint> QuorumContact::newest_of_quorum(const std::vector<common::Acceptor>& acceptors,
+std::optional<TimePoint> QuorumContact::newest_of_quorum(const RegisterValue& epoch_value,
                                                          const AcceptorReport& own, TimePoint now,
                                                          Agrees agrees) const {
   std::vector<TimePoint> stamps;
-  for (const common::Acceptor& named : acceptors) {
-    if (is_report_of(own, named)) {
+  for (const Acceptor& member : epoch_value.acceptors) {
+    if (is_acceptor(own.acceptor, member, epoch_value.epoch)) {
       if (agrees(own)) stamps.push_back(now);
       continue;
     }
-    const auto peer = peers_.find(named.address);
-    if (peer == peers_.end() || !is_report_of(peer->second.report, named)) continue;
+    const auto peer = peers_.find(member.address);
+    if (peer == peers_.end() || !is_acceptor(peer->second.report.acceptor, member, epoch_value.epoch))
+      continue;
     if (agrees(peer->second.report)) stamps.push_back(peer->second.echo);
   }
-  const std::size_t quorum = acceptors.size() / 2 + 1;
+  const std::size_t quorum = quorum_size(epoch_value);
   if (stamps.size() < quorum) return std::nullopt;
   std::sort(stamps.begin(), stamps.end(), std::greater<>());
   return stamps[quorum - 1];
 }
 
-std::optional<TimePoint> QuorumContact::last_contact(const std::vector<common::Acceptor>& acceptors,
+std::optional<TimePoint> QuorumContact::last_contact(const RegisterValue& epoch_value,
                                                      const AcceptorReport& own, TimePoint now) const {
-  return newest_of_quorum(acceptors, own, now, [](const AcceptorReport&) { return true; });
+  return newest_of_quorum(epoch_value, own, now, [](const AcceptorReport&) { return true; });
 }
 
-std::optional<TimePoint> QuorumContact::confirmed_until(const std::vector<common::Acceptor>& acceptors,
+std::optional<TimePoint> QuorumContact::confirmed_until(const RegisterValue& epoch_value,
                                                         const AcceptorReport& own, std::int64_t known,
                                                         TimePoint now) const {
-  return newest_of_quorum(acceptors, own, now, [&](const AcceptorReport& report) {
+  return newest_of_quorum(epoch_value, own, now, [&](const AcceptorReport& report) {
     return report.epoch == own.epoch && report.accepted <= known;
   });
 }
--- a/src/control/quorum_contact.hpp
+++ b/src/control/quorum_contact.hpp
@@ -25,13 +25,13 @@
 
 #include "chutevane/types.hpp"
 #include "common/messages.hpp"
+#include "control/acceptor_membership.hpp"
 
 namespace chutevane::control {
 
 /// What a peer's message says of its acceptor, and the stamp that it echoes.
 struct AcceptorReport {
-  common::Acceptor acceptor;      // address and name of the disk
-  bool has_initial_disk = false;  // the disk that the first set of acceptors means (DurableAcceptor)
+  AcceptorIdentity acceptor;
   std::int64_t epoch = 0;
   std::int64_t accepted = 0;  // number of the value, 0: none in this epoch
 };
@@ -52,13 +52,12 @@
   void remove_peer(const std::string& address) { peers_.erase(address); }
 
   /// The newest time since which a quorum has received from this controller and it from them, whatever they
-  /// have accepted: what a lease rests on. Nothing: there was none.
-  std::optional<TimePoint> last_contact(const std::vector<common::Acceptor>& acceptors,
-                                        const AcceptorReport& own, TimePoint now) const;
+  /// have accepted: what a lease rests on. Nothing: there was none. `epoch_value` names the acceptors.
+  std::optional<TimePoint> last_contact(const RegisterValue& epoch_value, const AcceptorReport& own,
+                                        TimePoint now) const;
   /// The newest time T such that no value chosen before T has a number above `known`.
-  std::optional<TimePoint> confirmed_until(const std::vector<common::Acceptor>& acceptors,
-                                           const AcceptorReport& own, std::int64_t known,
-                                           TimePoint now) const;
+  std::optional<TimePoint> confirmed_until(const RegisterValue& epoch_value, const AcceptorReport& own,
+                                           std::int64_t known, TimePoint now) const;
 
  private:
   /// The newest report of a peer, and the newest stamp that it has echoed.
@@ -67,8 +66,8 @@
     TimePoint echo;
   };
   template <class Agrees>
-  std::optional<TimePoint> newest_of_quorum(const std::vector<common::Acceptor>& acceptors,
-                                            const AcceptorReport& own, TimePoint now, Agrees agrees) const;
+  std::optional<TimePoint> newest_of_quorum(const RegisterValue& epoch_value, const AcceptorReport& own,
+                                            TimePoint now, Agrees agrees) const;
 
   const std::int64_t incarnation_;
   std::map<std::string, Peer> peers_;  // by address
--- a/tests/control/acceptor_set_planner_test.cpp
+++ b/tests/control/acceptor_set_planner_test.cpp
@@ -19,6 +19,7 @@
 using chutevane::control::acceptor_absence_timeout;
 using chutevane::control::AcceptorSetPlanner;
 using chutevane::control::LiveController;
+using chutevane::control::NamedAcceptorSet;
 using chutevane::control::replicas_for;
 
 namespace {
@@ -26,7 +27,7 @@
 constexpr Span tick_interval = Span::ms(250);
 
 LiveController controller(int n, const std::string& disk = "") {
-  return {numbered("c", n), disk.empty() ? numbered("d", n) : disk, true, true};
+  return {{numbered("c", n), disk.empty() ? numbered("d", n) : disk, true}, true};
 }
 
 std::vector<LiveController> controllers(std::initializer_list<int> numbers) {
@@ -47,6 +48,10 @@
                      [&](const Acceptor& a) { return a.address == address && a.disk == disk; });
 }
 
+std::optional<std::vector<Acceptor>> members_of(const std::optional<NamedAcceptorSet>& next) {
+  return next ? std::optional(next->members()) : std::nullopt;
+}
+
 // Looks again and again; when the set changes, how long that took.
 struct Watched {
   std::optional<std::vector<Acceptor>> next;
@@ -56,7 +61,7 @@
               const std::vector<LiveController>& live, TimePoint& now, Span most) {
   const TimePoint start = now;
   while (now - start <= most) {
-    if (auto next = planner.plan(value, live, now)) return {next, now - start};
+    if (auto next = members_of(planner.plan(value, live, now))) return {next, now - start};
     now = now + tick_interval;
   }
   return {std::nullopt, now - start};
@@ -127,7 +132,7 @@
 TEST(AcceptorSetPlanning, OneThatLeavesIsReplacedBeforeItGoes) {
   std::vector<LiveController> live = controllers({1, 2, 3, 4});
   live[2].is_eligible = false;
-  const auto next = planner.plan(with_acceptors({1, 2, 3}), live, now);
+  const auto next = members_of(planner.plan(with_acceptors({1, 2, 3}), live, now));
   CHECK_TRUE(next.has_value());
   CHECK_TRUE(next->size() == 3 && has(*next, "c4", "d4") && !has(*next, "c3", "d3"));
   // Nobody is there in its stead: it votes on.
@@ -142,9 +147,9 @@
 // Its disk is gone for good, and with it what it promised: there is nothing to wait for.
 TEST(AcceptorSetPlanning, SameAddressWithAnotherDiskAtOnce) {
   std::vector<LiveController> live = controllers({1, 2});
-  live.push_back({"c3", "new", false, true});
+  live.push_back({{"c3", "new", false}, true});
   live.push_back(controller(4));
-  const auto next = planner.plan(with_acceptors({1, 2, 3}), live, now);
+  const auto next = members_of(planner.plan(with_acceptors({1, 2, 3}), live, now));
   CHECK_TRUE(next.has_value());
   CHECK_TRUE(has(*next, "c3", "new"));
   CHECK_FALSE(has(*next, "c3", "d3") || has(*next, "c4", "d4"));
@@ -162,7 +167,7 @@
 
 TEST(AcceptorSetPlanning, SmallSetGrowsToBearTheLosses) {
   AcceptorSetPlanner of_two(2);
-  const auto next = of_two.plan(with_acceptors({1, 2, 3}), controllers({1, 2, 3, 4, 5, 6}), now);
+  const auto next = members_of(of_two.plan(with_acceptors({1, 2, 3}), controllers({1, 2, 3, 4, 5, 6}), now));
   CHECK_TRUE(next.has_value());
   CHECK_EQUAL(static_cast<std::size_t>(5), next->size());
   // One more alone bears no more: the set stays.
@@ -181,11 +186,67 @@
   for (const Acceptor& a : *got.next) CHECK_FALSE(a.disk.empty());
   // One at a known address, whose disk is not of the first start, is another disk.
   std::vector<LiveController> wiped = controllers({1, 2});
-  wiped.push_back({"c3", "new", false, true});
-  const auto next = planner.plan(value, wiped, now);
+  wiped.push_back({{"c3", "new", false}, true});
+  const auto next = members_of(planner.plan(value, wiped, now));
   CHECK_TRUE(next.has_value() && has(*next, "c3", "new") && has(*next, "c1", "d1") && has(*next, "c2", "d2"));
 }
 
+// The first set, grown while some of its controllers have yet to open for the first time.
+TEST(AcceptorSetPlanning, AChangeWaitsForTheDisksOfTheFirstSet) {
+  AcceptorSetPlanner of_two(2);
+  RegisterValue first;
+  first.epoch = 1;
+  first.acceptors = {{"c1", ""}, {"c2", ""}, {"c3", ""}};
+  CHECK_FALSE(members_of(of_two.plan(first, controllers({1, 3, 4, 5}), now)).has_value());
+  now = now + tick_interval;
+  const auto next = members_of(of_two.plan(first, controllers({1, 2, 3, 4, 5}), now));
+  CHECK_TRUE(next.has_value() && next->size() == 5 && has(*next, "c2", "d2"));
+}
+
+// Waiting ends: the set grows without those that are still missing, and to an odd number.
+TEST(AcceptorSetPlanning, OneThatNeverOpensIsLeftOutAfterItsTime) {
+  for (const bool second_is_missing : {false, true}) {
+    AcceptorSetPlanner of_two(2);
+    RegisterValue first;
+    first.epoch = 1;
+    for (int n = 1; n <= 5; ++n) first.acceptors.push_back({numbered("c", n), ""});
+    std::vector<LiveController> live = controllers({1, 2, 3});
+    if (!second_is_missing) live.push_back(controller(4));
+    live[0] = {{"c1", "new", false}, true};  // the change that cannot wait for ever
+    const Watched got = watch(of_two, first, live, now, Span::ms(20000));
+    CHECK_TRUE(got.next.has_value() && got.after > acceptor_absence_timeout);
+    CHECK_EQUAL(static_cast<std::size_t>(3), got.next->size());
+    CHECK_TRUE(has(*got.next, "c1", "new") && !has(*got.next, "c1", "d1"));
+    for (const Acceptor& member : *got.next) CHECK_FALSE(member.disk.empty());
+    // It comes after all, and the set grows again as soon as that makes it odd.
+    RegisterValue second;
+    second.epoch = 2;
+    second.acceptors = *got.next;
+    live.push_back(controller(4));
+    if (!second_is_missing) live.back() = controller(5);
+    CHECK_TRUE(members_of(of_two.plan(second, live, now)).has_value() == !second_is_missing);
+  }
+}
+
+// As earlier versions have stored it: a later set that names a member by its address alone.
+TEST(AcceptorSetPlanning, AMemberWithoutADiskInALaterSetIsNamedAtOnce) {
+  AcceptorSetPlanner of_two(2);
+  RegisterValue stored = with_acceptors({1, 2, 3, 4, 5});
+  stored.acceptors[1].disk.clear();
+  const auto healed = members_of(of_two.plan(stored, controllers({1, 2, 3, 4, 5}), now));
+  CHECK_TRUE(healed.has_value() && *healed == with_acceptors({1, 2, 3, 4, 5}).acceptors);
+  // Where its controller is not there, a free one takes its place after its time.
+  const Watched got = watch(of_two, stored, controllers({1, 3, 4, 5, 6}), now, Span::ms(20000));
+  CHECK_TRUE(got.next.has_value() && has(*got.next, "c6", "d6") && !has(*got.next, "c2", ""));
+}
+
+// A peer that reports no disk becomes no acceptor.
+TEST(AcceptorSetPlanning, AControllerWithoutADiskIsNotFree) {
+  std::vector<LiveController> live = controllers({1, 2});
+  live.push_back({{"c4", "", true}, true});
+  CHECK_FALSE(watch(planner, with_acceptors({1, 2, 3}), live, now, Span::ms(20000)).next.has_value());
+}
+
 // Days of comings and goings: a set never shrinks, never names one twice, and changes a place only for a
 // cause.
 TEST(AcceptorSetPlanning, ComingsAndGoings) {
@@ -206,9 +267,9 @@
         if (!up[i]) continue;
         seen[i] = now;
         const std::string disk = numbered("d", i) + std::string(static_cast<std::size_t>(disks[i]), 'x');
-        live.push_back({numbered("c", i), disk, disks[i] == 0, true});
+        live.push_back({{numbered("c", i), disk, disks[i] == 0}, true});
       }
-      const auto next = r.plan(value, live, now);
+      const auto next = members_of(r.plan(value, live, now));
       if (!next) continue;
       CHECK_TRUE(next->size() == 3 && *next != value.acceptors);
       for (std::size_t i = 0; i < 3; ++i) {
@@ -237,14 +298,14 @@
     value.epoch = 2;
     for (const char* n : {"1", "2", "3"})
       value.acceptors.push_back({std::string("a") + n, std::string("d") + n});
-    std::vector<LiveController> live{{"a2", "other", false, true}, {"a3", "d3", false, true}};
+    std::vector<LiveController> live{{{"a2", "other", false}, true}, {{"a3", "d3", false}, true}};
     if (order == 1) std::swap(live[0], live[1]);
     // Both others are gone for longer than their time, and none is free; then one comes back with a new disk.
-    const std::vector<LiveController> alone{{"a3", "d3", false, true}};
+    const std::vector<LiveController> alone{{{"a3", "d3", false}, true}};
     for (int i = 0; i < 50; ++i, now = now + Span::ms(100))
-      CHECK_FALSE(watching.plan(value, alone, now).has_value());
+      CHECK_FALSE(members_of(watching.plan(value, alone, now)).has_value());
     for (int i = 0; i < 100; ++i) {
-      if (auto next = watching.plan(value, live, now)) {
+      if (auto next = members_of(watching.plan(value, live, now))) {
         value.acceptors = *next;
         ++value.epoch;
       }
--- a/tests/control/losses_test.cpp
+++ b/tests/control/losses_test.cpp
@@ -186,7 +186,8 @@
   // As ControlPlane::open does it.
   void start(std::size_t i) {
     Machine& m = *machines_[i];
-    m.acceptor = std::make_unique<control::DurableAcceptor>(m.disk, address(i), disk_name(i), i != newcomer);
+    m.acceptor = std::make_unique<control::DurableAcceptor>(
+        m.disk, control::AcceptorIdentity{address(i), disk_name(i), i != newcomer});
     m.up = m.acceptor->open().ok();
     if (m.reg) old_.push_back(std::move(m.reg));  // its timers are still there
     if (m.transport) old_transports_.push_back(std::move(m.transport));
@@ -289,7 +290,7 @@
   for (std::size_t point = 0; point <= steps + 1; ++point) {
     for (std::uint64_t luck = 0; luck < 8; ++luck) {
       common::MemoryDisk disk;
-      control::DurableAcceptor acceptor(disk, "m0", "d0", false);
+      control::DurableAcceptor acceptor(disk, {"m0", "d0", false});
       CHECK_TRUE(acceptor.open().ok());
       const std::size_t before = disk.step_count();
       std::int64_t told = 0;
@@ -299,7 +300,7 @@
       if (point == 0 && luck == 0 && steps == 0) steps = disk.step_count() - before;
       CHECK_EQUAL(answered ? 4 : 0, static_cast<int>(told));
       disk.power_cycle(luck);
-      control::DurableAcceptor again(disk, "m0", "d0", false);
+      control::DurableAcceptor again(disk, {"m0", "d0", false});
       const bool opened = again.open().ok();
       CHECK_WHERE(told == 0 || (opened && again.epoch() == 4),
                   numbered("step ", static_cast<long long>(point)));
--- a/tests/control/quorum_contact_test.cpp
+++ b/tests/control/quorum_contact_test.cpp
@@ -14,6 +14,7 @@
 using chutevane::Span;
 using chutevane::TimePoint;
 using chutevane::common::Acceptor;
+using chutevane::common::RegisterValue;
 using chutevane::control::AcceptorReport;
 using chutevane::control::QuorumContact;
 using chutevane::simulated::RandomSource;
@@ -22,14 +23,15 @@
 
 constexpr std::int64_t incarnation = 77;
 
-std::vector<Acceptor> set_of(int count) {
-  std::vector<Acceptor> out;
-  for (int i = 0; i < count; ++i) out.push_back({numbered("a", i), numbered("d", i)});
+RegisterValue set_of(int count) {
+  RegisterValue out;
+  out.epoch = 2;
+  for (int i = 0; i < count; ++i) out.acceptors.push_back({numbered("a", i), numbered("d", i)});
   return out;
 }
 
 AcceptorReport report(int n, std::int64_t accepted, std::int64_t epoch = 2) {
-  return {{numbered("a", n), numbered("d", n)}, false, epoch, accepted};
+  return {{numbered("a", n), numbered("d", n), false}, epoch, accepted};
 }
 
 TimePoint at(double ms) { return TimePoint::at_ms(ms); }
@@ -37,7 +39,7 @@
 }  // namespace
 
 TEST_GROUP(quorum_contact) {
-  const std::vector<Acceptor> acceptors = set_of(3);
+  const RegisterValue acceptors = set_of(3);
   QuorumContact contact{incarnation};
 };
 
@@ -87,10 +89,11 @@
 }
 
 TEST(quorum_contact, the_first_set_means_disks_that_were_new_with_the_system) {
-  std::vector<Acceptor> first = acceptors;
-  for (Acceptor& a : first) a.disk.clear();
+  RegisterValue first = acceptors;
+  first.epoch = 1;
+  for (Acceptor& a : first.acceptors) a.disk.clear();
   AcceptorReport own = report(0, 5), old = report(1, 5), later = report(1, 5);
-  own.has_initial_disk = old.has_initial_disk = true;
+  own.acceptor.has_initial_disk = old.acceptor.has_initial_disk = true;
   contact.on_report(later, incarnation, at(900));
   CHECK(!contact.confirmed_until(first, own, 5, at(1000)));
   contact.on_report(old, incarnation, at(950));
@@ -104,7 +107,7 @@
 }
 
 TEST(quorum_contact, a_quorum_of_five_is_as_old_as_its_third) {
-  const std::vector<Acceptor> five = set_of(5);
+  const RegisterValue five = set_of(5);
   contact.on_report(report(1, 5), incarnation, at(900));
   CHECK(!contact.confirmed_until(five, report(0, 5), 5, at(1000)));
   contact.on_report(report(2, 5), incarnation, at(700));
@@ -121,7 +124,7 @@
   for (int run = 0; run < runs; ++run) {
     RandomSource luck(static_cast<std::uint64_t>(run) + 1);
     const int count = luck.chance(0.5) ? 3 : 5;
-    const std::vector<Acceptor> set = set_of(count);
+    const RegisterValue set = set_of(count);
     QuorumContact checker(incarnation);
     struct Message {
       TimePoint arrives;
--- a/tests/control/register_test.cpp
+++ b/tests/control/register_test.cpp
@@ -680,7 +680,7 @@
     }
   };
   common::MemoryDisk whole;
-  DurableAcceptor counted(whole, "m0", "d0", true);
+  DurableAcceptor counted(whole, {"m0", "d0", true});
   CHECK_TRUE(counted.open().ok());
   Ballot promised, accepted;
   std::string value;
@@ -691,14 +691,14 @@
     for (std::uint64_t seed = 0; seed < 30; ++seed) {
       const std::string where = numbered("point ", point) + numbered(", luck ", seed);
       common::MemoryDisk disk;
-      DurableAcceptor a(disk, "m0", "d0", true);
+      DurableAcceptor a(disk, {"m0", "d0", true});
       CHECK_TRUE(a.open().ok());
       disk.lose_power_at(point);
       promised = accepted = {};
       value.clear();
       speak(a, promised, accepted, value);
       disk.power_cycle(seed);
-      DurableAcceptor again(disk, "m0", "d0", true);
+      DurableAcceptor again(disk, {"m0", "d0", true});
       const absl::Status opened = again.open();
       if (promised == Ballot{} && !opened.ok()) continue;  // it had said nothing yet
       CHECK_WHERE(opened.ok(), where);
@@ -722,7 +722,7 @@
         const std::string where = numbered("fault ", static_cast<int>(fault)) + numbered(", from ", from) +
                                   numbered(", steps ", length);
         common::MemoryDisk disk;
-        DurableAcceptor a(disk, "m0", "d0", true);
+        DurableAcceptor a(disk, {"m0", "d0", true});
         CHECK_TRUE(a.open().ok());
         disk.inject_fault(fault, from, from + length);
         Ballot promised, accepted;
@@ -732,7 +732,7 @@
           for (std::uint64_t seed = 0; seed < 6; ++seed) {
             common::MemoryDisk dark = disk;
             dark.power_cycle(seed);
-            DurableAcceptor again(dark, "m0", "d0", true);
+            DurableAcceptor again(dark, {"m0", "d0", true});
             if (promised == Ballot{} && !again.open().ok()) continue;
             if (promised != Ballot{}) CHECK_WHERE(again.open().ok(), where);
             const auto got = again.prepare(prepare(initial, 0, 0, true));
@@ -784,7 +784,7 @@
                    a.accept(accept(initial, round, text + std::to_string(round))).ok());
     };
     common::MemoryDisk filled;
-    DurableAcceptor before(filled, "m0", "d0", true);
+    DurableAcceptor before(filled, {"m0", "d0", true});
     CHECK_TRUE(before.open().ok());
     fill(before);
     for (std::size_t point = 0; point < 14; ++point) {
@@ -793,7 +793,7 @@
                                   numbered(", step ", static_cast<long long>(point)) +
                                   numbered(", luck ", static_cast<long long>(seed));
         common::MemoryDisk disk = filled;
-        DurableAcceptor a(disk, "m0", "d0", true);
+        DurableAcceptor a(disk, {"m0", "d0", true});
         CHECK_TRUE(a.open().ok());
         std::int64_t promised = rounds, accepted = rounds, tried = rounds;
         disk.lose_power_at(disk.step_count() + point);
@@ -806,7 +806,7 @@
         }
         if (seed % 2 == 0) disk.power_cycle(seed);
         disk.lose_power_at(common::MemoryDisk::no_step);
-        DurableAcceptor again(disk, "m0", "d0", true);
+        DurableAcceptor again(disk, {"m0", "d0", true});
         CHECK_WHERE(again.open().ok(), where);
         const auto got = again.prepare(prepare(initial, 0, 0, true));
         CHECK_WHERE(got->promised.round >= promised && got->promised.round <= promised + 1, where);
@@ -823,7 +823,7 @@
 // Without a request it takes up again what it has as soon as the disk does.
 TEST(RegisterAcceptor, WritesAgainOnceTheDiskWorks) {
   common::MemoryDisk disk;
-  DurableAcceptor a(disk, "m0", "d0", true);
+  DurableAcceptor a(disk, {"m0", "d0", true});
   CHECK_TRUE(a.open().ok());
   CHECK_TRUE(a.prepare(prepare(initial, 1)).ok());
   CHECK_TRUE(a.accept(accept(initial, 1, "x")).ok());
@@ -833,7 +833,7 @@
   while (!a.retry_write().ok()) CHECK_TRUE(disk.step_count() < 40);
   CHECK_FALSE(a.is_disk_failing());
   disk.power_cycle(1);
-  DurableAcceptor again(disk, "m0", "d0", true);
+  DurableAcceptor again(disk, {"m0", "d0", true});
   CHECK_TRUE(again.open().ok());
   const auto got = again.prepare(prepare(initial, 0, 0, true));
   CHECK_TRUE(got->promised == (Ballot{1, 1}) && got->value.config.data == "x");
@@ -841,7 +841,7 @@
 
 TEST(RegisterAcceptor, EarlierBallotsAreTurnedAway) {
   common::MemoryDisk disk;
-  DurableAcceptor a(disk, "m0", "d0", true);
+  DurableAcceptor a(disk, {"m0", "d0", true});
   CHECK_TRUE(a.open().ok());
   CHECK_TRUE(status_of(a.prepare(prepare(initial, 5))->verdict) == AcceptorStatus::ok);
   CHECK_TRUE(status_of(a.prepare(prepare(initial, 5))->verdict) == AcceptorStatus::ok);  // repeated
@@ -857,7 +857,7 @@
 // Guards the asker's own copy: it stands in for the value of the ballot that it names, and of no other.
 TEST(RegisterAcceptor, ValueIsLeftOutOnlyForTheBallotThatWasNamed) {
   common::MemoryDisk disk;
-  DurableAcceptor a(disk, "m0", "d0", true);
+  DurableAcceptor a(disk, {"m0", "d0", true});
   CHECK_TRUE(a.open().ok());
   Prepare ask = prepare(initial, 5);
   CHECK_FALSE(a.prepare(ask)->value_known);  // accepted under no ballot yet: none can be named
@@ -885,7 +885,7 @@
   for (const bool on_its_base : {true, false}) {
     for (const bool spoilt : {false, true}) {
       common::MemoryDisk disk;
-      DurableAcceptor a(disk, "m0", "d0", true);
+      DurableAcceptor a(disk, {"m0", "d0", true});
       CHECK_TRUE(a.open().ok());
       CHECK_TRUE(a.prepare(prepare(initial, 1)).ok());
       Accept first{1, {1, 1}, on_its_base ? base : other, {}};
@@ -915,7 +915,7 @@
   }();
   for (const RegisterValue& epoch : {initial, named}) {
     common::MemoryDisk disk;
-    DurableAcceptor wiped(disk, "m0", "another", false);
+    DurableAcceptor wiped(disk, {"m0", "another", false});
     CHECK_TRUE(wiped.open().ok());
     CHECK_FALSE(wiped.is_voting());
     CHECK_TRUE(status_of(wiped.prepare(prepare(epoch, 5))->verdict) == AcceptorStatus::not_a_member);
@@ -935,7 +935,7 @@
   RegisterValue second = initial;
   second.epoch = 2;
   common::MemoryDisk disk;
-  DurableAcceptor a(disk, "m0", "d0", true);
+  DurableAcceptor a(disk, {"m0", "d0", true});
   CHECK_TRUE(a.open().ok());
   CHECK_TRUE(status_of(a.prepare(prepare(second, 1))->verdict) == AcceptorStatus::not_a_member);
   CHECK_TRUE(status_of(a.prepare(prepare(initial, 1))->verdict) == AcceptorStatus::ok);
@@ -943,7 +943,7 @@
 
 TEST(RegisterAcceptor, EarlierEpochsAreToldOfTheLater) {
   common::MemoryDisk disk;
-  DurableAcceptor a(disk, "m0", "d0", true);
+  DurableAcceptor a(disk, {"m0", "d0", true});
   CHECK_TRUE(a.open().ok());
   CHECK_TRUE(status_of(a.prepare(prepare(initial, 9))->verdict) == AcceptorStatus::ok);
   RegisterValue second = initial;
@@ -954,7 +954,7 @@
   CHECK_TRUE(status_of(got->verdict) == AcceptorStatus::epoch_ended);
   CHECK_TRUE(got->initial == second);
   CHECK_TRUE(status_of(a.accept(accept(initial, 10, "x"))->verdict) == AcceptorStatus::epoch_ended);
-  DurableAcceptor again(disk, "m0", "d0", true);
+  DurableAcceptor again(disk, {"m0", "d0", true});
   CHECK_TRUE(again.open().ok());
   CHECK_EQUAL(2, static_cast<int>(again.epoch()));
 }
@@ -962,7 +962,7 @@
 // An accept that comes before anybody has prepared this acceptor for the epoch is no vote of that epoch.
 TEST(RegisterAcceptor, AcceptAloneDoesNotOpenAnEpoch) {
   common::MemoryDisk disk;
-  DurableAcceptor a(disk, "m0", "d0", true);
+  DurableAcceptor a(disk, {"m0", "d0", true});
   CHECK_TRUE(a.open().ok());
   CHECK_TRUE(status_of(a.accept(accept(initial, 1, "x"))->verdict) == AcceptorStatus::not_a_member);
 }
@@ -970,7 +970,7 @@
 // Its log is long and is folded into a slot: nothing is lost on the way.
 TEST(RegisterAcceptor, LongLogIsFolded) {
   common::MemoryDisk disk;
-  DurableAcceptor a(disk, "m0", "d0", true);
+  DurableAcceptor a(disk, {"m0", "d0", true});
   CHECK_TRUE(a.open().ok());
   CHECK_TRUE(a.prepare(prepare(initial, 1)).ok());
   const std::string large(60000, 'c');
@@ -978,7 +978,7 @@
     CHECK_TRUE(status_of(a.accept(accept(initial, round, large + std::to_string(round)))->verdict) ==
                AcceptorStatus::ok);
   disk.power_cycle(1);
-  DurableAcceptor again(disk, "m0", "d0", true);
+  DurableAcceptor again(disk, {"m0", "d0", true});
   CHECK_TRUE(again.open().ok());
   const auto got = again.prepare(prepare(initial, 0, 0, true));
   CHECK_TRUE(got->accepted == (Ballot{23, 1}) && got->value.config.data == large + "23");
--- a/tests/control/simulated_register.hpp
+++ b/tests/control/simulated_register.hpp
@@ -77,7 +77,7 @@
   TimePoint frozen_until;  // what comes before is done then
 
   void start() {
-    acceptor = std::make_unique<DurableAcceptor>(*disk, address, disk_id, first);
+    acceptor = std::make_unique<DurableAcceptor>(*disk, control::AcceptorIdentity{address, disk_id, first});
     const absl::Status s = acceptor->open();
     if (absl::IsDataLoss(s)) {  // as the control plane does: it is another disk from here on
       wipe();
@@ -129,6 +129,7 @@
   // A disk that fails ends its machine: nothing is answered.
   template <class Ask>
   auto ask(Machine& m, const Ask& what) {
+    if (on_asked) on_asked();
     auto got = [&] {
       if constexpr (std::is_same_v<Ask, Prepare>) {
         return m.acceptor->prepare(what);
@@ -158,6 +159,7 @@
   std::vector<Machine> all;
   std::function<void(Machine&)> on_machine_failed;
   std::function<void(Machine&)> on_accepted;
+  std::function<void()> on_asked;               // before each request that arrives
   std::map<std::string, ReplyHistory> replies;  // by disk
   std::string broken;                           // the first answer that took one back
   bool counting = false;                        // bytes are counted: each message is encoded for it
--- a/tests/ctl/data_folder_test.cpp
+++ b/tests/ctl/data_folder_test.cpp
@@ -63,7 +63,7 @@
     CHECK(state.append_change(common::encoded(record)).ok());
   }
   void write_acceptor() {
-    control::DurableAcceptor state(disk, "10.0.0.1:1", "d1", true);
+    control::DurableAcceptor state(disk, {"10.0.0.1:1", "d1", true});
     CHECK(state.open().ok());
     common::Prepare prepare;
     prepare.initial = control::first_epoch_value({{"10.0.0.1:1", ""}});
--- a/tests/golden/files_test.cpp
+++ b/tests/golden/files_test.cpp
@@ -147,7 +147,7 @@
 TEST(GoldenFiles, Acceptor) {
   golden::Stored stored("files.txt");
   MemoryDisk disk;
-  control::DurableAcceptor acceptor(disk, seed_address, disk_id, true);
+  control::DurableAcceptor acceptor(disk, {seed_address, disk_id, true});
   ASSERT_TRUE(acceptor.open().ok());
   for (const std::int64_t epoch : {1, 2}) {
     common::Prepare prepare;
@@ -172,7 +172,7 @@
   fill(before, stored, "acceptor_record/");
   const common::AcceptorRecord record = contents_of(before).acceptor;
   EXPECT_EQ(record.promised, (common::Ballot{9, 78}));
-  control::DurableAcceptor opened(before, seed_address, disk_id, true);
+  control::DurableAcceptor opened(before, {seed_address, disk_id, true});
   ASSERT_TRUE(opened.open().ok());
   common::RegisterValue value = value_of_epoch(2);
   EXPECT_EQ(opened.epoch_value(), value);
