Liveness of the register: acceptors that do not vote are found, in service and simulated

Cause: a set with an acceptor that never votes looked sound until its losses came. The simulation asked for an answer at its end only.

Change: control/voting_monitor.* compares gossip's contact with the replies to rounds; a suspect is asked again, without a ballot. A controller tells it by chutevane_acceptors_not_voting, acceptors.not_voting in the log and notVoting in its status.

--- a/model/register.pml
+++ b/model/register.pml
@@ -4,7 +4,8 @@
  *  - of two changes that expect the same version at most one is ever chosen;
  *  - a change that was answered as refused is never chosen;
  *  - what was chosen once is in every value that is chosen later, in its epoch and in all that follow;
- *  - an epoch begins with one value.
+ *  - an epoch begins with one value;
+ *  - after a loss that is borne, a majority of the set in force can vote.
  *
  * Three acceptors of the first epoch at addresses 0 to 2 and a spare at 3. Proposers 0 and 1 have a change each,
  * proposer 2 keeps the set. An Accept that was sent stays on its way: it may come at any time, or never. A
@@ -25,6 +26,9 @@
 #ifndef LOOK /* the first try only looks */
 #define LOOK 1
 #endif
+#ifndef LATE_START /* the acceptor at address 2 opens for the first time at any moment */
+#define LATE_START 0
+#endif
 #define BALLOTS 6
 
 /* An acceptor is an address and a disk, the first or the second there: a bit of a set.
@@ -44,6 +48,8 @@
 
 /* Acceptors, by address: what is on their disks */
 byte disk[4];
+bool opened_late = !LATE_START; /* the acceptor at address 2 is there */
+#define is_open(a) ((a) != 2 || opened_late)
 byte epoch[4], promised[4], accepted[4];
 int val[4], initial[4];
 
@@ -208,6 +214,16 @@
  * address gets two places. */
 #define may_replace(v, a, d, by) ((set_of(v) & member(a, d)) && (SUSPECT || disk[a] != (d)) && \
   ((by) == (a) -> disk[a] != (d) : (set_of(v) & at(by)) == 0))
+/* NamedAcceptorSet: each member of the next set is named with its disk. The one at address 2 has none before it has
+ * opened, so only its own place may change by then. Planted: it is carried over without a disk, which makes it a
+ * member that nobody is, of whom a majority is counted all the same. */
+#ifdef PLANT_UNNAMED_MEMBER
+#define may_name(v, k) true
+#define no_one(k) (at(2) * (!opened_late && (k) != 2))
+#else
+#define may_name(v, k) (opened_late || (k) == 2 || (set_of(v) & at(2)) == 0)
+#define no_one(k) 0
+#endif
 inline any_address(x) { if :: x = 0 :: x = 1 :: x = 2 :: x = 3 fi }
 
 /* decide(): of the value that its own round has found */
@@ -220,8 +236,8 @@
      any_address(k); any_address(by);
      if :: d = 0 :: d = 1 fi;
      if
-     :: may_replace(found[p], k, d, by) ->
-        propose(p, value(change_of(found[p]), set_of(found[p]), (set_of(found[p]) & ~member(k, d)) | there(by)))
+     :: may_replace(found[p], k, d, by) && may_name(found[p], k) && is_open(by) ->
+        propose(p, value(change_of(found[p]), set_of(found[p]), (set_of(found[p]) & ~(member(k, d) | no_one(k))) | there(by)))
      :: else -> propose(p, found[p])
      fi;
      k = 0; d = 0; by = 0
@@ -231,7 +247,8 @@
 /* An address is asked; whichever disk is there answers. */
 #define asks(a) ((set_of(p_initial[p]) & at(a)) && !(got[p] & (1 << a)))
 
-#define may_meet(p, a) ((phase[p] == preparing && asks(a) && of_epoch(a, p_epoch[p]) && promised[a] < ballot[p]) || \
+#define may_meet(p, a) (is_open(a) && may_speak(p, a))
+#define may_speak(p, a) ((phase[p] == preparing && asks(a) && of_epoch(a, p_epoch[p]) && promised[a] < ballot[p]) || \
   (phase[p] == looking && asks(a) && of_epoch(a, p_epoch[p])) || (epoch[a] > p_epoch[p] && !of_epoch(a, p_epoch[p])) || \
   (epoch[a] < p_epoch[p] && (set_of(p_initial[p]) & there(a))))
 
@@ -280,21 +297,26 @@
 #define entered(a) (epoch[a] >= in_force && (set_of(begun[in_force]) & there(a)))
 #define may_lose(a) (losses < LOSSES && disk[a] == 0 && (losses == 0 || \
   ((set_of(begun[in_force]) & lost) == 0 && entered(0) + entered(1) + entered(2) + entered(3) >= 2)))
+#define may_vote(e) (((begun[e] >> 2) & there(0)) != 0) + (((begun[e] >> 2) & there(1)) != 0) + \
+  (((begun[e] >> 2) & there(2)) != 0) + (((begun[e] >> 2) & there(3)) != 0)
 inline lose(a) {
   losses++; lost = there(a);
 #ifndef PLANT_SAME_NAME
   disk[a]++;
 #endif
-  epoch[a] = 0; promised[a] = 0; accepted[a] = 0; val[a] = 0; initial[a] = 0
+  epoch[a] = 0; promised[a] = 0; accepted[a] = 0; val[a] = 0; initial[a] = 0;
+  /* A set of three bears one loss: two can vote, whatever was planned before they opened. */
+  assert(may_vote(in_force) >= 2)
 }
 
 proctype world() {
   byte q, a, b;
 end_world:
   do
-  /* The first three are alike: where one goes in the first epoch it is the third. */
+  :: atomic { !opened_late -> opened_late = true; enter(2, 1, first_value) }
+  /* The first three are alike, unless one opens late: where one goes in the first epoch it is the third. */
   :: atomic { losses < LOSSES -> any_address(a);
-       if :: may_lose(a) && (a == 2 || in_force > 1) -> lose(a); tidy() :: else fi;
+       if :: may_lose(a) && is_open(a) && (a == 2 || in_force > 1 || LATE_START) -> lose(a); tidy() :: else fi;
        a = 0 }
   :: atomic { any_address(a);
        if
@@ -302,13 +324,14 @@
        :: sent[4] != 0 -> b = 4 :: sent[5] != 0 -> b = 5 :: sent[6] != 0 -> b = 6
        :: else
        fi;
-       if :: sent[b] != 0 && may_take(a, b) -> accept(a, b); tidy() :: else fi;
+       if :: sent[b] != 0 && is_open(a) && may_take(a, b) -> accept(a, b); tidy() :: else fi;
        a = 0; b = 0 }
   od
 }
 
 init { atomic {
   begun[1] = first_value;
-  enter(0, 1, first_value); enter(1, 1, first_value); enter(2, 1, first_value);
+  enter(0, 1, first_value); enter(1, 1, first_value);
+  if :: opened_late -> enter(2, 1, first_value) :: else fi;
   run proposer(0); run proposer(1); run proposer(2); run world()
 } }
--- a/src/control/control_plane.cpp
+++ b/src/control/control_plane.cpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <utility>
 
+#include "common/log.hpp"
 #include "control/control_timing.hpp"
 #include "control/value_notification.hpp"
 
@@ -113,10 +114,33 @@
   knowledge_.catch_up();
   send_heartbeats();
   complete_acknowledged();
+  watch_voting();
   run_roles();
   timers_.after(tick_interval, [this] { tick(); });
 }
 
+/// Asks acceptors that seem not to vote again, and logs which do not, whenever that changes.
+void ControlPlane::watch_voting() {
+  const RegisterValue& epoch_value = register_.epoch_value();
+  const std::set<std::string> in_contact = knowledge_.acceptors_in_contact(peer_liveness_timeout);
+  const TimePoint now = timers_.now();
+  if (now - suspects_asked_at_ >= suspect_interval) {
+    suspects_asked_at_ = now;
+    for (const std::string& address : voting_monitor_.suspects()) register_.probe_acceptor(address);
+  }
+  if (!voting_monitor_.update(epoch_value.epoch, in_contact, now)) return;
+  const std::set<std::string>& non_voting = voting_monitor_.non_voting();
+  std::string detail = std::to_string(in_contact.size()) + " of " +
+                       std::to_string(epoch_value.acceptors.size()) + " acceptors of epoch " +
+                       std::to_string(epoch_value.epoch) + " in contact, of these do not vote: ";
+  for (const std::string& address : non_voting) detail += address + " ";
+  if (non_voting.empty()) {
+    common::log_info("acceptors.voting", detail + "none");
+  } else {
+    common::log_warning("acceptors.not_voting", detail);
+  }
+}
+
 void ControlPlane::remove_expired_peers() {
   for (const std::string& address : peers_.remove_expired(register_.epoch_value().acceptors))
     knowledge_.remove_peer(address);
@@ -217,8 +241,9 @@
 }
 
 ControlStatus ControlPlane::status() const {
-  return {settings_.node, knowledge_.age(), led_roles(), endpoint_list_.table().entries().size(),
-          timers_.now()};
+  return {settings_.node, knowledge_.age(),
+          led_roles(),    endpoint_list_.table().entries().size(),
+          timers_.now(),  voting_monitor_.non_voting()};
 }
 
 std::vector<common::HeldRole> ControlPlane::led_roles() const {
--- a/src/control/control_plane.hpp
+++ b/src/control/control_plane.hpp
@@ -38,6 +38,7 @@
 #include "control/platform_client.hpp"
 #include "control/register.hpp"
 #include "control/role_election.hpp"
+#include "control/voting_monitor.hpp"
 
 namespace chutevane::control {
 
@@ -73,6 +74,7 @@
 
   // Loop
   void tick();
+  void watch_voting();
   void run_roles();
   void remove_expired_peers();
   void send_heartbeats();
@@ -128,6 +130,7 @@
   std::optional<DurableAcceptor> acceptor_;  // from open() on
   common::DiskHealth disk_health_;
   Register register_;
+  VotingMonitor voting_monitor_;
   common::RecentValues recent_values_;  // known here: what peers are sent is the difference from one of them
 
   common::RpcServer rpc_server_;
@@ -145,7 +148,8 @@
 
   std::uint64_t full_gossip_digest_ = 0;  // of the long parts of the last full gossip message
   TimePoint full_gossip_sent_at_;
-  TimePoint in_contact_since_;  // with a quorum and with all known peers, without a break
+  TimePoint suspects_asked_at_;  // those of the voting monitor
+  TimePoint in_contact_since_;   // with a quorum and with all known peers, without a break
   bool is_shutting_down_ = false;
   bool is_finished_ = false;
 };
--- a/src/control/control_plane_metrics.cpp
+++ b/src/control/control_plane_metrics.cpp
@@ -11,6 +11,9 @@
   write_role_metrics(out);
   out.gauge("chutevane_acceptor_voting", "", "1 while this controller's disk votes.",
             acceptor_->is_voting() ? 1 : 0);
+  out.gauge("chutevane_acceptors_not_voting", "",
+            "Acceptors in contact that refuse or do not answer requests of the register.",
+            static_cast<double>(voting_monitor_.non_voting().size()));
   out.gauge("chutevane_disk_failing", "", "1 while the disk takes nothing.",
             disk_health_.is_healthy() ? 0 : 1);
 }
--- a/src/control/control_plane_startup.cpp
+++ b/src/control/control_plane_startup.cpp
@@ -75,6 +75,9 @@
   register_.observe_epoch(record_.initial);
   register_.observe_epoch(acceptor_->epoch_value());
   register_.on_chosen([this](const common::RegisterValue& value) { on_value_chosen(value); });
+  register_.on_acceptor_reply([this](std::int64_t epoch, const std::string& address, AcceptorReply reply) {
+    voting_monitor_.on_reply(epoch, address, reply, timers_.now());
+  });
   peers_.on_connected([this](Peer& peer) { greet_peer(peer); });
   add_known_peers();
   in_contact_since_ = timers_.now();
--- a/src/control/control_status.cpp
+++ b/src/control/control_status.cpp
@@ -19,6 +19,12 @@
   out.close(']');
 }
 
+void write_non_voting(json::Writer& out, const std::set<std::string>& addresses) {
+  out.key("notVoting").open('[');
+  for (const std::string& address : addresses) out.text(address);
+  out.close(']');
+}
+
 void write_storage_nodes(json::Writer& out, const std::vector<common::StorageNode>& nodes) {
   out.key("storageNodes").open('[');
   for (const common::StorageNode& node : nodes) {
@@ -66,6 +72,7 @@
   out.key("configVersion").number(unsigned_of(value.config_version));
   out.key("map").number(unsigned_of(value.map_version));
   write_acceptors(out, reg.epoch_value());
+  write_non_voting(out, status.non_voting);
   write_storage_nodes(out, value.storage_nodes);
   write_absent_nodes(out, value.absent_nodes);
   write_led_roles(out, status.led_roles);
--- a/src/control/control_status.hpp
+++ b/src/control/control_status.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -17,7 +18,8 @@
   Span knowledge_age;  // since it was last proven that nothing newer had been chosen
   std::vector<common::HeldRole> led_roles;
   std::size_t endpoint_count = 0;
-  TimePoint now;  // by its steady clock
+  TimePoint now;                     // by its steady clock
+  std::set<std::string> non_voting;  // addresses of acceptors (VotingMonitor)
 };
 
 /// The JSON body of `Status.Retrieve` (api/operators.yaml). `members`: all in contact with any controller.
--- a/src/control/knowledge_tracker.cpp
+++ b/src/control/knowledge_tracker.cpp
@@ -38,6 +38,10 @@
   return last_contact && now - *last_contact < within;
 }
 
+std::set<std::string> KnowledgeTracker::acceptors_in_contact(Span within) const {
+  return contact_.members_in_contact(register_.epoch_value(), own_report(), timers_.now() - within);
+}
+
 Span KnowledgeTracker::age() const {
   return register_.known_value() ? timers_.now() - confirmed_at_ : age_without_value;
 }
--- a/src/control/knowledge_tracker.hpp
+++ b/src/control/knowledge_tracker.hpp
@@ -3,6 +3,8 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
+#include <string>
 
 #include "chutevane/types.hpp"
 #include "common/messages.hpp"
@@ -40,6 +42,8 @@
   /// Whether a quorum of acceptors has exchanged messages with this controller, the first of them sent less
   /// than `within` ago.
   bool has_quorum_contact(Span within) const;
+  /// Addresses of the acceptors with which it has exchanged messages in that time; its own if it is one.
+  std::set<std::string> acceptors_in_contact(Span within) const;
 
  private:
   bool is_behind() const;
--- a/src/control/quorum_contact.cpp
+++ b/src/control/quorum_contact.cpp
@@ -38,6 +38,18 @@
   return newest_of_quorum(epoch_value, own, now, [](const AcceptorReport&) { return true; });
 }
 
+std::set<std::string> QuorumContact::members_in_contact(const RegisterValue& epoch_value,
+                                                        const AcceptorReport& own, TimePoint since) const {
+  std::set<std::string> out;
+  for (const Acceptor& member : epoch_value.acceptors) {
+    const auto peer = peers_.find(member.address);
+    const bool is_peer = peer != peers_.end() && peer->second.echo >= since &&
+                         is_acceptor(peer->second.report.acceptor, member, epoch_value.epoch);
+    if (is_peer || is_acceptor(own.acceptor, member, epoch_value.epoch)) out.insert(member.address);
+  }
+  return out;
+}
+
 std::optional<TimePoint> QuorumContact::confirmed_until(const RegisterValue& epoch_value,
                                                         const AcceptorReport& own, std::int64_t known,
                                                         TimePoint now) const {
--- a/src/control/quorum_contact.hpp
+++ b/src/control/quorum_contact.hpp
@@ -20,6 +20,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -58,6 +59,10 @@
   /// The newest time T such that no value chosen before T has a number above `known`.
   std::optional<TimePoint> confirmed_until(const RegisterValue& epoch_value, const AcceptorReport& own,
                                            std::int64_t known, TimePoint now) const;
+  /// Addresses of the acceptors that have received from this controller, and it from them, what was sent at
+  /// `since` or later; its own if it is one.
+  std::set<std::string> members_in_contact(const RegisterValue& epoch_value, const AcceptorReport& own,
+                                           TimePoint since) const;
 
  private:
   /// The newest report of a peer, and the newest stamp that it has echoed.
--- a/src/control/register.cpp
+++ b/src/control/register.cpp
@@ -164,9 +164,12 @@
   for (std::size_t i = 0; i < operation->acceptor_count(); ++i) {
     const std::string address = operation->epoch_value.acceptors[i].address;
     request.initial = entered_.contains(address) ? RegisterValue{} : operation->epoch_value;
-    transport_.prepare(address, request, [this, operation, i, attempt](absl::StatusOr<Promise> reply) {
-      on_promise(operation, i, attempt, std::move(reply));
-    });
+    transport_.prepare(
+        address, request,
+        [this, operation, i, attempt, epoch = request.epoch, address](absl::StatusOr<Promise> reply) {
+          report_reply(epoch, address, reply);
+          on_promise(operation, i, attempt, std::move(reply));
+        });
     if (!operation->is_current(attempt)) return;
   }
 }
@@ -245,6 +248,25 @@
   start_attempt(operation);
 }
 
+void Register::probe_acceptor(const std::string& address) {
+  const Prepare request{epoch_value_.epoch, {}, epoch_value_, true, {}};
+  transport_.prepare(address, request,
+                     [this, epoch = request.epoch, address](const absl::StatusOr<Promise>& reply) {
+                       report_reply(epoch, address, reply);
+                     });
+}
+
+void Register::report_reply(std::int64_t epoch, const std::string& address,
+                            const absl::StatusOr<Promise>& reply) const {
+  if (!reply_callback_) return;
+  AcceptorReply outcome = AcceptorReply::none;
+  if (reply.ok()) {
+    const bool is_member = static_cast<AcceptorStatus>(reply->verdict) != AcceptorStatus::not_a_member;
+    outcome = is_member ? AcceptorReply::member : AcceptorReply::stranger;
+  }
+  reply_callback_(epoch, address, outcome);
+}
+
 /// An acceptor that has replied in an epoch has its initial value on disk: it need not be sent again.
 void Register::update_entered(const RegisterValue& epoch_value, std::size_t acceptor_index,
                               const Promise& reply) {
--- a/src/control/register.hpp
+++ b/src/control/register.hpp
@@ -30,6 +30,7 @@
 #include "common/messages.hpp"
 #include "control/acceptor_transport.hpp"
 #include "control/register_value.hpp"
+#include "control/voting_monitor.hpp"
 #include "net/timer_queue.hpp"
 
 namespace chutevane::control {
@@ -68,6 +69,14 @@
     chosen_callback_ = std::move(callback);
   }
 
+  /// Asks one acceptor of the newest epoch, without a ballot, so that on_acceptor_reply() tells whether it
+  /// votes.
+  void probe_acceptor(const std::string& address);
+  /// Called when a prepare request of that epoch to the acceptor at that address has come to its end.
+  using ReplyCallback =
+      std::function<void(std::int64_t epoch, const std::string& address, AcceptorReply reply)>;
+  void on_acceptor_reply(ReplyCallback callback) { reply_callback_ = std::move(callback); }
+
   /// The initial value of the newest known epoch: its number and its acceptors. Epoch 0: none is known.
   const RegisterValue& epoch_value() const { return epoch_value_; }
   /// The newest value that this process knows to be chosen.
@@ -108,6 +117,8 @@
                   absl::StatusOr<common::Promise> reply);
   void on_read_quorum(const OperationPtr& operation);
   void propose_next_value(const OperationPtr& operation);
+  void report_reply(std::int64_t epoch, const std::string& address,
+                    const absl::StatusOr<common::Promise>& reply) const;
   void update_entered(const RegisterValue& epoch_value, std::size_t acceptor_index,
                       const common::Promise& reply);
 
@@ -132,6 +143,7 @@
   std::set<std::string> entered_;                  // addresses of acceptors known to be in the newest epoch
   std::optional<RegisterValue> known_value_;
   std::function<void(const RegisterValue&)> chosen_callback_;
+  ReplyCallback reply_callback_;
   // Only one operation of this process proposes at a time, or they would outbid each other. The others wait
   // in the order in which they came. Read-only attempts do not wait.
   OperationPtr proposing_;
--- a/src/ctl/status_commands.cpp
+++ b/src/ctl/status_commands.cpp
@@ -33,6 +33,8 @@
   for (const Value& acceptor : member_items(status, "acceptors"))
     rows.push_back({member_text(acceptor, "address"), member_text(acceptor, "disk")});
   context.print_table(rows);
+  for (const Value& address : member_items(status, "notVoting"))
+    context.out() << "in contact and does not vote: " << address.text << "\n";
   rows = {{"STORAGE", "ZONE", "LEAVING"}};
   for (const Value& node : member_items(status, "storageNodes"))
     rows.push_back({member_text(node, "node"), member_text(node, "zone"), member_text(node, "leaving")});
--- a/src/tier_simulation/deployment.cpp
+++ b/src/tier_simulation/deployment.cpp
@@ -61,6 +61,7 @@
   machines_.push_back(std::make_unique<Machine>(simulator_, role, ip_of(role, number),
                                                 settings_of(role, number), draw_bits(random_)));
   Machine& out = *machines_.back();
+  if (has_started_) disk_since_[&out] = simulator_.now();
   out.on_value = [this](Machine& m, const common::RegisterValue& value) {
     if (on_value) on_value(m, value);
   };
@@ -69,6 +70,7 @@
 }
 
 void Deployment::start_all() {
+  has_started_ = true;
   for (const auto& m : machines_) {
     // All start within 0.3 s of each other, in any order.
     simulator_.run_after(Span::ms(300) * random_.unit(), [this, machine = m.get()] {
@@ -147,6 +149,7 @@
 
 void Deployment::wipe(Machine& machine) {
   record_event(machine);
+  disk_since_[&machine] = simulator_.now();
   machine.wipe();
 }
 
@@ -292,6 +295,23 @@
   });
 }
 
+bool Deployment::is_undisturbed(const Machine& machine, Span span) const {
+  if (!machine.is_running() || machine.is_paused()) return false;
+  if (faulty_.contains(&machine) || leaving_.contains(&machine) || has_slow_link(machine)) return false;
+  const bool is_blocked = std::any_of(blocked_.begin(), blocked_.end(), [&](const auto& one) {
+    const auto& [link, count] = one;
+    return count > 0 && (link.first == machine.number() || link.second == machine.number());
+  });
+  if (is_blocked) return false;
+  const auto last = event_at_.find(&machine);
+  return last == event_at_.end() || simulator_.now() - last->second >= span;
+}
+
+TimePoint Deployment::disk_since(const Machine& machine) const {
+  const auto found = disk_since_.find(&machine);
+  return found == disk_since_.end() ? TimePoint() : found->second;
+}
+
 bool Deployment::has_slow_link(const Machine& machine) const {
   return std::any_of(slow_links_.begin(), slow_links_.end(), [&](const auto& pair) {
     return pair.first == machine.number() || pair.second == machine.number();
--- a/src/tier_simulation/deployment.hpp
+++ b/src/tier_simulation/deployment.hpp
@@ -84,6 +84,12 @@
   [[nodiscard]] bool core_stable() const;
   /// By the rules: this edge has to apply what machines in contact have to apply.
   [[nodiscard]] bool in_touch(const Machine& edge) const;
+  /// Whether the machine runs, and for this time neither it nor its disk nor any of its links had a fault.
+  [[nodiscard]] bool is_undisturbed(const Machine& machine, Span span) const;
+  /// Whether messages get through between the two, both ways.
+  [[nodiscard]] bool connected(const Machine& a, const Machine& b) const;
+  /// Since when the machine has its present disk; the beginning of the run for its first one.
+  [[nodiscard]] TimePoint disk_since(const Machine& machine) const;
   [[nodiscard]] bool has_slow_link(const Machine& machine) const;
   /// Since when no link, process or disk of any machine has had a fault; never: one has now.
   [[nodiscard]] TimePoint calm_since() const;
@@ -98,7 +104,6 @@
   void record_event(const Machine& machine);
   void record_link_event(std::size_t a, std::size_t b);
   bool is_core_machine(std::size_t number) const;
-  bool connected(const Machine& a, const Machine& b) const;
   bool reaches_majority(const Machine& control) const;
   bool blocked(std::size_t from, std::size_t to) const;
   void handle_exit(Machine& machine);
@@ -117,7 +122,9 @@
   std::map<std::pair<std::size_t, std::size_t>, int> blocked_;
   std::set<std::pair<std::size_t, std::size_t>> slow_links_;
   std::map<const Machine*, TimePoint> paused_until_;
-  std::map<const Machine*, TimePoint> event_at_;  // the last fault of a machine or of its links
+  bool has_started_ = false;
+  std::map<const Machine*, TimePoint> disk_since_;  // of those that were wiped or came later
+  std::map<const Machine*, TimePoint> event_at_;    // the last fault of a machine or of its links
   TimePoint core_event_, any_event_;
 };
 
--- a/src/tier_simulation/run.cpp
+++ b/src/tier_simulation/run.cpp
@@ -6,6 +6,7 @@
 #include "tier_simulation/fault_injector.hpp"
 #include "tier_simulation/planned_maintenance.hpp"
 #include "tier_simulation/random.hpp"
+#include "tier_simulation/read_liveness.hpp"
 #include "tier_simulation/session_observers.hpp"
 
 namespace chutevane::tier_simulation {
@@ -45,6 +46,7 @@
         http_client_(deployment_.clients()),
         fault_injector_(deployment_),
         session_observers_(deployment_, http_client_, checker_),
+        read_liveness_(deployment_, http_client_, checker_),
         planned_maintenance_(deployment_, http_client_),
         agent_programs_(deployment_, checker_, plan.programs, seed + 2),
         log_(simulator_, fault_injector_) {
@@ -108,6 +110,7 @@
     simulator_.run_after(clients_start_at, [this] {
       agent_programs_.begin();
       session_observers_.begin();
+      read_liveness_.begin();
     });
   }
 
@@ -144,6 +147,7 @@
     out.reads = checker_.reads();
     out.pushes = checker_.pushes();
     out.checked_samples = checker_.checked_samples();
+    out.liveness_reads = read_liveness_.checked_reads();
     out.turns_found = agent_programs_.turns_found();
     out.faults = fault_injector_.injected_counts();
     out.events = simulator_.events();
@@ -158,6 +162,7 @@
   HttpClient http_client_;
   FaultInjector fault_injector_;
   SessionObservers session_observers_;
+  ReadLiveness read_liveness_;
   PlannedMaintenance planned_maintenance_;
   AgentPrograms agent_programs_;
   LogTracer log_;
--- a/src/tier_simulation/search.cpp
+++ b/src/tier_simulation/search.cpp
@@ -29,6 +29,7 @@
   report.pushes += result.pushes;
   report.turns_found += result.turns_found;
   report.checked_samples += result.checked_samples;
+  report.liveness_reads += result.liveness_reads;
   for (std::size_t i = 0; i < fault_kinds; ++i) report.faults[i] += result.faults[i];
 }
 
@@ -43,7 +44,8 @@
     add(one, result);
     std::ostringstream line;
     line << "sum " << one.submissions << ' ' << one.acknowledged << ' ' << one.rejected << ' ' << one.reads
-         << ' ' << one.pushes << ' ' << one.turns_found << ' ' << one.checked_samples;
+         << ' ' << one.pushes << ' ' << one.turns_found << ' ' << one.checked_samples << ' '
+         << one.liveness_reads;
     for (const std::uint64_t n : one.faults) line << ' ' << n;
     write_line(pipe, line.str());
     const auto v = std::find_if(result.violations.begin(), result.violations.end(),
@@ -65,8 +67,9 @@
     last_seeds[of] = seed;
   } else if (what == "sum") {
     ++report.seeds;
-    for (std::uint64_t* sum : {&report.submissions, &report.acknowledged, &report.rejected, &report.reads,
-                               &report.pushes, &report.turns_found, &report.checked_samples}) {
+    for (std::uint64_t* sum :
+         {&report.submissions, &report.acknowledged, &report.rejected, &report.reads, &report.pushes,
+          &report.turns_found, &report.checked_samples, &report.liveness_reads}) {
       std::uint64_t n = 0;
       in >> n;
       *sum += n;
--- a/tests/control/quorum_contact_test.cpp
+++ b/tests/control/quorum_contact_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -191,3 +192,15 @@
   }
   CHECK(claims > 100000);  // it is no proof that claims nothing
 }
+
+TEST(quorum_contact, members_in_contact_are_those_of_the_set_with_a_new_echo) {
+  AcceptorReport wiped = report(2, 0);
+  wiped.acceptor.disk = "new";
+  contact.on_report(report(1, 5), incarnation, at(900));
+  contact.on_report(wiped, incarnation, at(950));
+  contact.on_report(report(7, 5), incarnation, at(950));  // of no member
+  const auto in_contact = contact.members_in_contact(acceptors, report(0, 5), at(900));
+  CHECK(in_contact == (std::set<std::string>{"a0", "a1"}));
+  CHECK(contact.members_in_contact(acceptors, report(0, 5), at(901)) == std::set<std::string>{"a0"});
+  CHECK(contact.members_in_contact(acceptors, wiped, at(901)).empty());
+}
