Soak: in calm times each controller answers a read, and knows of no acceptor that does not vote

Cause: reads amid a story were judged by what they showed, never by whether they were answered.

Change: the operators' stand-in knows since when no machine and no way has had a fault; 3 s later a read that is not answered, or a status that names an acceptor as not voting, is a breach. Reads that had to be answered are counted in the summary.

--- a/src/lab/tier/fleet.cpp
+++ b/src/lab/tier/fleet.cpp
@@ -274,7 +274,7 @@
 // The story to its end, and until all that it took away is back.
 void Fleet::play_story(TimePoint begin) {
   auditor_.excuse_service();
-  operator_->keep_reading(read_every);
+  operator_->keep_reading(read_every, [this] { return troubles_->calm_since(); });
   troubles_->play(*spec_.story, begin);
   wait(std::max(Span::ms(spec_.seconds * 1000), spec_.story->ends()), [] { return false; });
   if (!wait(end_most, [this] { return troubles_->over(); }) && !told_to_stop_)
@@ -397,6 +397,7 @@
   result.force_ms = force_ms_;
   result.operator_calls = operator_->sent();
   result.operator_reads = operator_->reads();
+  result.operator_calm_reads = operator_->calm_reads();
   result.list_pages = list_.pages();
   result.list_over_rate = list_.over_rate();
   for (std::size_t i = 0; i < trouble_kinds; ++i)
--- a/src/lab/tier/fleet.hpp
+++ b/src/lab/tier/fleet.hpp
@@ -60,8 +60,8 @@
   std::vector<double> change_ms;             // from the operator's first call to the 200
   std::vector<double> force_ms;              // from the 200 to the last edge
   std::vector<double> lateness_ms, sync_ms;  // the lab's own
-  std::uint64_t operator_calls = 0, operator_reads = 0, list_pages = 0, list_over_rate = 0, turned_away = 0,
-                troubles = 0;
+  std::uint64_t operator_calls = 0, operator_reads = 0, operator_calm_reads = 0, list_pages = 0,
+                list_over_rate = 0, turned_away = 0, troubles = 0;
   std::array<std::uint64_t, trouble_kinds> played{};  // of a story
   std::uint64_t excused = 0;                          // misses of service amid a story's troubles
   double resident_mb = 0;                             // of all processes, each at its most
--- a/src/lab/tier/operators.cpp
+++ b/src/lab/tier/operators.cpp
@@ -11,6 +11,11 @@
 
 constexpr Span silent_most = Span::ms(1000);  // then another controller is asked
 constexpr Span pause_first = Span::ms(100), pause_most = Span::ms(800);
+// A majority of the acceptors that was in contact for 2 s answers; a process takes up to a second to start.
+constexpr Span calm_before_judging = Span::ms(3000);
+constexpr Span lab_lateness_limit = Span::ms(200);  // beyond it the lab itself was late, and judges nothing
+constexpr std::size_t reads_per_status = 8;
+constexpr int not_found = 404;
 constexpr int taken = 200, superseded = 412;
 
 }  // namespace
@@ -135,8 +140,9 @@
               });
 }
 
-void OperatorStandIn::keep_reading(Span every) {
+void OperatorStandIn::keep_reading(Span every, std::function<TimePoint()> calm_since) {
   reading_ = true;
+  calm_since_ = std::move(calm_since);
   read_every_ = every;
   read_once();
 }
@@ -144,16 +150,45 @@
 void OperatorStandIn::read_once() {
   if (!reading_) return;
   const std::size_t controller = read_next_++ % controllers_.size();
+  if (read_next_ % reads_per_status == 0) ask_status(controller);
   const sockaddr_in& at = controllers_[controller];
+  if (has_been_calm(calm_before_judging)) ++calm_reads_;
   Errand::run(lines_, timers_, at,
               request_text("GET", "/v1/Configuration.Retrieve", net::text_of(at), {}, ""), silent_most,
-              [this, controller, least = acknowledged_](const Errand::Got& got) {
-                // A 5xx, a 404 before the first one, or silence: it is not sure, which is no breach.
-                if (got.whole && got.status == 200) judge_read(controller, least, got.body);
+              [this, controller, least = acknowledged_, asked = timers_.now()](const Errand::Got& got) {
+                if (got.whole && got.status == 200) return judge_read(controller, least, got.body);
+                // A 5xx or silence: it is not sure, which is no breach amid faults.
+                if (!got.whole || got.status != not_found)
+                  judge_silence(controller, asked, got.whole ? got.status : 0);
               });
   timers_.after(read_every_, [this] { read_once(); });
 }
 
+void OperatorStandIn::judge_silence(std::size_t controller, TimePoint asked, int status) {
+  const Span elapsed = timers_.now() - asked;
+  if (!has_been_calm(calm_before_judging + elapsed) || elapsed > silent_most + lab_lateness_limit) return;
+  auditor_.breach(Check::configuration, "controller " + std::to_string(controller + 1) +
+                                            " answers no read in calm times: " + std::to_string(status));
+}
+
+void OperatorStandIn::ask_status(std::size_t controller) {
+  const sockaddr_in& at = controllers_[controller];
+  Errand::run(lines_, timers_, at, request_text("GET", "/v1/Status.Retrieve", net::text_of(at), {}, ""),
+              silent_most, [this, controller](const Errand::Got& got) {
+                if (got.whole && got.status == taken) judge_status(controller, got.body);
+              });
+}
+
+void OperatorStandIn::judge_status(std::size_t controller, const std::string& body) {
+  if (!has_been_calm(calm_before_judging)) return;
+  const auto status = nlohmann::json::parse(body, nullptr, false);
+  const auto non_voting =
+      status.is_object() ? status.value("notVoting", nlohmann::json::array()) : nlohmann::json();
+  if (non_voting.is_array() && non_voting.empty()) return;
+  auditor_.breach(Check::configuration, "controller " + std::to_string(controller + 1) +
+                                            " says in calm times who does not vote: " + non_voting.dump());
+}
+
 void OperatorStandIn::judge_read(std::size_t controller, std::int64_t least, const std::string& body) {
   ++reads_;
   const auto read = nlohmann::json::parse(body, nullptr, false);
--- a/src/lab/tier/operators.hpp
+++ b/src/lab/tier/operators.hpp
@@ -33,12 +33,15 @@
   void race(std::int64_t version, std::size_t first_to, std::function<void()> over);
   bool busy() const { return busy_; }
   std::int64_t acknowledged() const { return acknowledged_; }
-  std::uint64_t sent() const { return sent_; }    // calls, repeats among them
-  std::uint64_t reads() const { return reads_; }  // that were answered
+  std::uint64_t sent() const { return sent_; }              // calls, repeats among them
+  std::uint64_t reads() const { return reads_; }            // that were answered
+  std::uint64_t calm_reads() const { return calm_reads_; }  // that had to be answered
 
   // Asks one controller after the other all the time: what it answers is no older than what was acknowledged
   // before it was asked.
-  void keep_reading(Span every);
+  // Where nothing has had a fault since `calm_since` and for long enough, it has to answer, and to know of no
+  // acceptor that does not vote.
+  void keep_reading(Span every, std::function<TimePoint()> calm_since);
   void stop_reading() { reading_ = false; }
   // Asks each controller until it answers with what was acknowledged last, or `most` is over, which is a
   // breach.
@@ -56,6 +59,10 @@
   void acknowledge(const Order& order);
   void read(std::size_t controller, TimePoint until, std::function<void()> done);
   void read_once();
+  void ask_status(std::size_t controller);
+  bool has_been_calm(Span span) const { return timers_.now() - calm_since_() >= span; }
+  void judge_silence(std::size_t controller, TimePoint asked, int status);
+  void judge_status(std::size_t controller, const std::string& body);
   void judge_read(std::size_t controller, std::int64_t least, const std::string& body);
   net::TimerQueue& timers_;
   Lines& lines_;
@@ -69,7 +76,8 @@
   std::int64_t acknowledged_ = 0;
   std::string acknowledged_text_;
   std::map<std::int64_t, std::set<std::string>> texts_;  // that were sent, by version
-  std::uint64_t sent_ = 0, reads_ = 0;
+  std::uint64_t sent_ = 0, reads_ = 0, calm_reads_ = 0;
+  std::function<TimePoint()> calm_since_;
 };
 
 }  // namespace chutevane::lab::tier
--- a/src/lab/tier/soak.cpp
+++ b/src/lab/tier/soak.cpp
@@ -41,6 +41,7 @@
   out["heirsWhole"] = r.load.heirs_whole;
   out["orders"] = r.operator_calls;
   out["reads"] = r.operator_reads;
+  out["calmReads"] = r.operator_calm_reads;
   out["excused"] = r.excused;
   out["left"] = r.figures.left;
   out["workedForNobody"] = r.figures.worked_for_nobody;
@@ -81,6 +82,7 @@
   sum.heirs_whole += figure("heirsWhole");
   sum.orders += figure("orders");
   sum.reads += figure("reads");
+  sum.calm_reads += figure("calmReads");
   sum.excused += figure("excused");
   sum.left += figure("left");
   sum.worked_for_nobody += figure("workedForNobody");
@@ -175,12 +177,13 @@
   std::snprintf(line, sizeof line, "%zu seeds, %lld of them with losses beyond the tolerance; %lld broken\n",
                 s.seeds.size(), static_cast<long long>(beyond), static_cast<long long>(broken));
   out += line;
-  std::snprintf(
-      line, sizeof line,
-      "turns answered whole %llu; heirs %llu, answered %llu; orders sent %llu; reads answered %llu\n",
-      static_cast<unsigned long long>(s.turns_whole), static_cast<unsigned long long>(s.heirs),
-      static_cast<unsigned long long>(s.heirs_whole), static_cast<unsigned long long>(s.orders),
-      static_cast<unsigned long long>(s.reads));
+  std::snprintf(line, sizeof line,
+                "turns answered whole %llu; heirs %llu, answered %llu; orders sent %llu; reads answered "
+                "%llu, had to be "
+                "answered %llu\n",
+                static_cast<unsigned long long>(s.turns_whole), static_cast<unsigned long long>(s.heirs),
+                static_cast<unsigned long long>(s.heirs_whole), static_cast<unsigned long long>(s.orders),
+                static_cast<unsigned long long>(s.reads), static_cast<unsigned long long>(s.calm_reads));
   out += line;
   std::snprintf(
       line, sizeof line,
--- a/src/lab/tier/troubles.cpp
+++ b/src/lab/tier/troubles.cpp
@@ -23,8 +23,18 @@
   });
 }
 
+void Troubles::end_fault_after(Span span, std::function<void()> what) {
+  ++open_faults_;
+  after(span, [this, what = std::move(what)] {
+    what();
+    --open_faults_;
+    calm_since_ = timers_.now();
+  });
+}
+
 void Troubles::play(const Story& story, TimePoint begin) {
   operators_.lose_answers(story.manners.operator_loses_answer);
+  calm_since_ = begin;
   for (const Trouble& trouble : story.troubles) {
     ++open_;
     timers_.at(begin + trouble.at, [this, trouble] {
@@ -58,14 +68,14 @@
 void Troubles::pause(const Trouble& trouble) {
   Machines::Machine& m = machine_of(trouble);
   machines_.pause(m);
-  after(trouble.lasts, [this, &m] { machines_.resume(m); });
+  end_fault_after(trouble.lasts, [this, &m] { machines_.resume(m); });
 }
 
 void Troubles::kill(const Trouble& trouble) {
   Machines::Machine& m = machine_of(trouble);
   machines_.kill(m);
   if (trouble.kind == TroubleKind::wipe) machines_.lose_disk(m);
-  after(trouble.lasts, [this, &m] { machines_.start(m, Machines::Start::again); });
+  end_fault_after(trouble.lasts, [this, &m] { machines_.start(m, Machines::Start::again); });
 }
 
 void Troubles::kill_all(const Trouble& trouble) {
@@ -73,7 +83,7 @@
   for (const auto& m : machines_.all()) {
     if (m->plane == MachinePlane::edge) continue;
     machines_.kill(*m);
-    after(back, [this, &m = *m] { machines_.start(m, Machines::Start::again); });
+    end_fault_after(back, [this, &m = *m] { machines_.start(m, Machines::Start::again); });
     back = back + restart_spread;
   }
 }
@@ -82,9 +92,11 @@
   Machines::Machine& m = machine_of(trouble);
   if (!m.process.running()) return;
   ++open_;
+  ++open_faults_;
   machines_.terminate(m, [this, &m](Span) {
-    after(restart_pause, [this, &m] { machines_.start(m, Machines::Start::again); });
+    end_fault_after(restart_pause, [this, &m] { machines_.start(m, Machines::Start::again); });
     --open_;
+    --open_faults_;
   });
 }
 
@@ -94,7 +106,7 @@
       return ills(opener, listener).blocked || ills(listener, opener).blocked;
     });
   const std::uint64_t number = ways_.begin(std::move(ills));
-  after(trouble.lasts, [this, number] { ways_.end(number); });
+  end_fault_after(trouble.lasts, [this, number] { ways_.end(number); });
 }
 
 void Troubles::cut(const Trouble& trouble) {
@@ -134,7 +146,7 @@
   const std::uint64_t number = ways_.begin([node](const std::string& from, const std::string&) {
     return Ways::Ills{from == node, {}};
   });
-  after(trouble.lasts, [this, node, number] {
+  end_fault_after(trouble.lasts, [this, node, number] {
     ways_.reset([node](const std::string&, const std::string& listener) { return listener == node; });
     ways_.end(number);
   });
