Tier simulation: the edge's own DataPlane in place of a plane made for the simulation

Cause: the simulated edges had sessions and storage calls, and neither listener nor upstream pools.

Change: a simulated edge machine runs edge::DataPlane with its listeners; the simulation hears of values in force by a callback.

--- a/src/edge/data_plane.cpp
+++ b/src/edge/data_plane.cpp
@@ -61,7 +61,10 @@
   self.zone = settings_.zone;
   self.counted = settings_.loss_counted;
   sessions_ = std::make_unique<common::ControlSessions>(scheduler_, timers_, settings_, self);
-  sessions_->on_value([this](const common::RegisterValue& value) { on_value(value); });
+  sessions_->on_value([this](const common::RegisterValue& value) {
+    on_value(value);
+    if (value_applied_callback_) value_applied_callback_(value);
+  });
   sessions_->on_endpoints([this](const common::EndpointTable& list) { on_endpoint_list(list); });
   common::log_info("data.open", "front " + net::text_of(*settings_.front));
   return absl::OkStatus();
--- a/src/edge/data_plane.hpp
+++ b/src/edge/data_plane.hpp
@@ -9,6 +9,7 @@
 /// One thread, one event loop (common/process.hpp). Graceful shutdown: begin_shutdown().
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -60,6 +61,10 @@
   bool finished() const override { return is_finished_; }
   void reload(const common::ProcessSettings& settings) override { sessions_->reload(settings); }
   void write_metrics(common::MetricsWriter& out) override;
+  /// Called with each value of the register after it has been put in force; to be set before open().
+  void on_value_applied(std::function<void(const common::RegisterValue&)> callback) {
+    value_applied_callback_ = std::move(callback);
+  }
 
   // ---- for connections and requests
 
@@ -125,6 +130,7 @@
   net::Listener listener_;
   net::TaskGroup<DownstreamConnection> connections_;
   std::unique_ptr<common::ControlSessions> sessions_;
+  std::function<void(const common::RegisterValue&)> value_applied_callback_;
   bool is_shutting_down_ = false;
   bool is_closing_ = false;
   bool is_finished_ = false;
--- a/src/tier_simulation/agent_programs.cpp
+++ b/src/tier_simulation/agent_programs.cpp
@@ -66,7 +66,7 @@
   deployment_.simulator().run_after(attempt_timeout, [this, conversation, number = conversation->attempt] {
     if (conversation->attempt == number) schedule_next(conversation);
   });
-  EdgePlane& plane = *edge.edge();
+  edge::DataPlane& plane = *edge.edge();
   plane.timers().at(
       deployment_.simulator().now(), [this, conversation, at = &edge, number = conversation->attempt] {
         if (conversation->attempt != number) return;
@@ -83,7 +83,7 @@
 }
 
 void AgentPrograms::look_up(const std::shared_ptr<Conversation>& conversation, Machine& edge) {
-  EdgePlane& plane = *edge.edge();
+  edge::DataPlane& plane = *edge.edge();
   const std::uint64_t number = conversation->attempt;
   plane.storage().find_chain(conversation->last_turn, conversation->program->id, "",
                              plane.timers().now() + reply_timeout,
@@ -120,7 +120,7 @@
     if (edges.empty() || conversation->last_turn.empty() || over) continue;
     Machine& edge = *edges[random_.next() % edges.size()];
     conversation->found_again = false;
-    EdgePlane& plane = *edge.edge();
+    edge::DataPlane& plane = *edge.edge();
     plane.storage().find_chain(
         conversation->last_turn, conversation->program->id, "", plane.timers().now() + reply_timeout,
         [this, conversation, at = &edge, wanted = conversation->last_turn](const edge::TurnChain& chain) {
@@ -139,7 +139,7 @@
 }
 
 void AgentPrograms::reserve(const std::shared_ptr<Conversation>& conversation, Machine& edge) {
-  EdgePlane& plane = *edge.edge();
+  edge::DataPlane& plane = *edge.edge();
   const std::uint64_t number = conversation->attempt;
   const std::string id = new_id();
   plane.storage().reserve(conversation->program->id, id, load_.max_tokens, load_.budget,
@@ -179,7 +179,7 @@
 
 void AgentPrograms::store(const std::shared_ptr<Conversation>& conversation, Machine& edge,
                           const common::Turn& turn, std::int64_t used) {
-  EdgePlane& plane = *edge.edge();
+  edge::DataPlane& plane = *edge.edge();
   const std::uint64_t number = conversation->attempt;
   plane.storage().store_turn(turn, used, plane.timers().now() + reply_timeout,
                              [this, conversation, number, id = turn.id](bool kept) {
--- a/src/tier_simulation/machine.cpp
+++ b/src/tier_simulation/machine.cpp
@@ -58,11 +58,13 @@
       return std::make_unique<control::ControlPlane>(incarnation_->scheduler, settings_, std::move(disk));
     case Role::storage:
       return std::make_unique<storage::StoragePlane>(incarnation_->scheduler, settings_, std::move(disk));
-    case Role::edge:
-      return std::make_unique<EdgePlane>(incarnation_->scheduler, settings_,
-                                         [this](const common::RegisterValue& value) {
-                                           if (on_value) on_value(*this, value);
-                                         });
+    case Role::edge: {
+      auto plane = std::make_unique<edge::DataPlane>(incarnation_->scheduler, settings_);
+      plane->on_value_applied([this](const common::RegisterValue& value) {
+        if (on_value) on_value(*this, value);
+      });
+      return plane;
+    }
   }
   return nullptr;
 }
@@ -127,8 +129,9 @@
   process_.schedule_if_ready();
 }
 
-EdgePlane* Machine::edge() {
-  return role_ == Role::edge && is_running() ? static_cast<EdgePlane*>(incarnation_->plane.get()) : nullptr;
+edge::DataPlane* Machine::edge() {
+  return role_ == Role::edge && is_running() ? static_cast<edge::DataPlane*>(incarnation_->plane.get())
+                                             : nullptr;
 }
 
 }  // namespace chutevane::tier_simulation
--- a/src/tier_simulation/machine.hpp
+++ b/src/tier_simulation/machine.hpp
@@ -8,9 +8,9 @@
 #include <vector>
 
 #include "common/process.hpp"
+#include "edge/data_plane.hpp"
 #include "net/timer_queue.hpp"
 #include "network_simulation/simulator.hpp"
-#include "tier_simulation/edge_plane.hpp"
 #include "tier_simulation/machine_disk.hpp"
 
 namespace chutevane::tier_simulation {
@@ -54,7 +54,7 @@
   [[nodiscard]] MachineDisk& disk() { return *disk_; }
   [[nodiscard]] const common::ProcessSettings& settings() const { return settings_; }
   /// Null if it does not run or is no edge.
-  [[nodiscard]] EdgePlane* edge();
+  [[nodiscard]] edge::DataPlane* edge();
 
   /// Called when a value has come into force at an edge.
   std::function<void(Machine&, const common::RegisterValue&)> on_value;
