Tier simulation: clients, endpoints and the platform, with the lab's stand-ins and auditor

Cause: the simulated tier had no requests. Change: scenario calm-traffic plays the lab's agent programs, endpoints, platform list, front and auditor in three simulated processes, through the edges' listeners and upstream pools; what the auditor finds is a violation of the run. The lab's endpoint set takes its addresses from a function.

--- a/src/lab/tier/endpoint_set.cpp
+++ b/src/lab/tier/endpoint_set.cpp
@@ -5,19 +5,17 @@
 namespace chutevane::lab::tier {
 namespace {
 
-constexpr std::uint16_t endpoint_port = 8100;
-constexpr int group = 40;  // of addresses
 constexpr const char* zones[] = {"north", "middle", "south"};
 constexpr Span list_behind = Span::ms(800);  // the list has one that crashed for so long
 constexpr Span drain_end = Span::ms(2600);   // one that drains serves on for its bound and a little longer
 
 }  // namespace
 
-EndpointSet::EndpointSet(net::Scheduler& scheduler, net::TimerQueue& timers, const AddressBlock& addresses,
+EndpointSet::EndpointSet(net::Scheduler& scheduler, net::TimerQueue& timers, AddressOf address_of,
                          Auditor& auditor, ListStandIn& list, std::uint64_t seed, double spoilt_part)
     : scheduler_(scheduler),
       timers_(timers),
-      addresses_(addresses),
+      address_of_(std::move(address_of)),
       auditor_(auditor),
       list_(list),
       seed_(seed),
@@ -28,7 +26,7 @@
   e.id = id;
   e.service = streams ? "words" : "tools";
   e.zone = zones[(endpoints_.size() + 1) % 3];
-  e.at = addresses_.at(group, ++addresses_used_, endpoint_port);
+  e.at = address_of_(++addresses_used_);
   e.streams = streams;
   e.capacity = streams ? 5 : 16;  // few enough that turns find them full at times
   e.queue = streams ? 1 : 4;
@@ -66,7 +64,7 @@
 std::string EndpointSet::drain(EndpointStandIn& old) {
   EndpointSpec e = old.spec();
   e.id = next_id(old);
-  e.at = addresses_.at(group, ++addresses_used_, endpoint_port);
+  e.at = address_of_(++addresses_used_);
   list_.add(add(e));
   old.drain();
   timers_.after(drain_end, [this, &old] {
@@ -91,7 +89,7 @@
 std::string EndpointSet::lose(EndpointStandIn& old) {
   EndpointSpec e = old.spec();
   e.id = next_id(old);
-  e.at = addresses_.at(group, ++addresses_used_, endpoint_port);
+  e.at = address_of_(++addresses_used_);
   old.end();
   EndpointStandIn& now = add(e);
   timers_.after(list_behind, [this, &old, &now] {
--- a/src/lab/tier/endpoint_set.hpp
+++ b/src/lab/tier/endpoint_set.hpp
@@ -1,11 +1,11 @@
 // The stand-in endpoints of a run, and the list that names them: they drain, are replaced, or end.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
-#include "lab/loopback.hpp"
 #include "lab/tier/endpoint.hpp"
 #include "lab/tier/platform.hpp"
 
@@ -13,8 +13,10 @@
 
 class EndpointSet {
  public:
-  EndpointSet(net::Scheduler& scheduler, net::TimerQueue& timers, const AddressBlock& addresses,
-              Auditor& auditor, ListStandIn& list, std::uint64_t seed, double spoilt_part);
+  // Where the endpoint of that number, from 1 on, listens.
+  using AddressOf = std::function<sockaddr_in(std::size_t number)>;
+  EndpointSet(net::Scheduler& scheduler, net::TimerQueue& timers, AddressOf address_of, Auditor& auditor,
+              ListStandIn& list, std::uint64_t seed, double spoilt_part);
   // Of `words` where it streams, else of `tools`.
   void add(const std::string& id, bool streams);
   std::size_t size() const { return endpoints_.size(); }
@@ -37,7 +39,7 @@
 
   net::Scheduler& scheduler_;
   net::TimerQueue& timers_;
-  const AddressBlock& addresses_;
+  const AddressOf address_of_;
   Auditor& auditor_;
   ListStandIn& list_;
   const std::uint64_t seed_;
--- a/src/lab/tier/fleet.cpp
+++ b/src/lab/tier/fleet.cpp
@@ -18,7 +18,9 @@
 constexpr int platform = 50;  // group of addresses
 constexpr const char* zones[] = {"north", "middle", "south"};
 constexpr std::size_t controllers = 3, storage_nodes = 4, edges = 3;
-constexpr double list_rate = 40;                       // pages a second
+constexpr double list_rate = 40;  // pages a second
+constexpr std::uint16_t endpoint_port = 8100;
+constexpr int endpoint_group = 40;                     // of addresses
 constexpr Span drain = Span::ms(1500);                 // of an endpoint that leaves
 constexpr Span down = Span::ms(400);                   // before a process that ended is started again
 constexpr Span in_force_most = Span::ms(2000 + 1000);  // configApplyMs and settleMs
@@ -66,8 +68,10 @@
             [this](const sockaddr_in& end, const sockaddr_in& own_end) {
               return machines_.node_of_connection(end, own_end);
             }),
-      endpoints_(scheduler_, timers_, addresses_, auditor_, list_, spec.seed,
-                 spec.story ? spec.story->manners.endpoint_spoils : trouble_part),
+      endpoints_(
+          scheduler_, timers_,
+          [this](std::size_t number) { return addresses_.at(endpoint_group, number, endpoint_port); },
+          auditor_, list_, spec.seed, spec.story ? spec.story->manners.endpoint_spoils : trouble_part),
       lines_(scheduler_, timers_),
       front_(lines_, timers_) {
   std::signal(SIGPIPE, SIG_IGN);
--- a/src/tier_simulation/deployment.cpp
+++ b/src/tier_simulation/deployment.cpp
@@ -31,6 +31,8 @@
 
 }  // namespace
 
+const sockaddr_in platform_address = address_of(network | 10U << 8U | 1U, 8090);
+
 Deployment::Deployment(network_simulation::Simulator& simulator, const Shape& shape, std::uint64_t seed)
     : simulator_(simulator),
       shape_(shape),
@@ -56,6 +58,10 @@
   out.loss_counted = role != Role::edge;
   out.machine_losses = shape_.tolerated_losses;
   if (role == Role::control) out.control = at;
+  if (shape_.has_platform) {
+    out.platform = platform_address;
+    out.platform_rate = platform_rate;
+  }
   if (role == Role::edge) {
     out.front = address_of(ip_of(role, number), front_port);
     out.readiness = address_of(ip_of(role, number), readiness_port);
--- a/src/tier_simulation/deployment.hpp
+++ b/src/tier_simulation/deployment.hpp
@@ -26,10 +26,15 @@
 /// A machine that is back counts as lost for so long.
 inline constexpr Span catch_up_duration = Span::ms(4000);
 
+/// The platform's API, on the simulated network, and how many calls a second it grants.
+extern const sockaddr_in platform_address;
+inline constexpr double platform_rate = 10;
+
 /// How many machines of each role there are.
 struct Shape {
   std::size_t controls = 3, storages = 3, edges = 2;
   std::size_t tolerated_losses = 1;  ///< machines of control and storage that may be lost at once
+  bool has_platform = false;         ///< control machines ask it for the endpoints
 };
 
 class Deployment {
--- a/src/tier_simulation/main.cpp
+++ b/src/tier_simulation/main.cpp
@@ -15,14 +15,16 @@
 void print_report(const std::string& scenario, const SearchReport& report) {
   std::printf(
       "%s: %llu seeds, %zu broken; orders %llu, acknowledged %llu, refused %llu, reads %llu, pushes %llu, "
-      "turns found %llu, samples in touch %llu, reads that had to be answered %llu\n",
+      "turns found %llu, samples in touch %llu, reads that had to be answered %llu, turns "
+      "completed %llu\n",
       scenario.c_str(), static_cast<unsigned long long>(report.seeds), report.broken.size(),
       static_cast<unsigned long long>(report.submissions),
       static_cast<unsigned long long>(report.acknowledged), static_cast<unsigned long long>(report.rejected),
       static_cast<unsigned long long>(report.reads), static_cast<unsigned long long>(report.pushes),
       static_cast<unsigned long long>(report.turns_found),
       static_cast<unsigned long long>(report.checked_samples),
-      static_cast<unsigned long long>(report.liveness_reads));
+      static_cast<unsigned long long>(report.liveness_reads),
+      static_cast<unsigned long long>(report.turns_completed));
   std::printf("faults:");
   for (std::size_t i = 0; i < fault_kinds; ++i) {
     if (report.faults[i] > 0)
--- a/src/tier_simulation/operators.cpp
+++ b/src/tier_simulation/operators.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "lab/tier/operators.hpp"
+
 namespace chutevane::tier_simulation {
 namespace {
 
@@ -9,6 +11,13 @@
 constexpr Span min_retry_delay = Span::ms(40);  // before the next attempt; doubles
 constexpr Span max_retry_delay = Span::ms(500);
 
+// With the routes of the clients' load.
+std::string configuration_with_traffic(std::int64_t version, const std::string& mark, std::size_t filler) {
+  std::string out = lab::tier::configuration_text(version);
+  out.pop_back();  // the closing brace
+  return out + R"(,"filler":")" + mark + std::string(filler, 'x') + "\"}";
+}
+
 // A configuration that no other submission has, with one route and one service.
 std::string configuration(std::int64_t version, const std::string& mark, std::size_t filler) {
   std::string out = R"({"version":)" + std::to_string(version);
@@ -59,8 +68,9 @@
   const std::int64_t step = random_.unit() < load_.next_number_probability ? 1 : 1 + random_.next() % 3;
   const std::int64_t version = base_ + step;
   const std::string mark = name_ + "-" + std::to_string(++last_number_);
-  submission_ =
-      &checker_.begin_submission(name_, base_, version, configuration(version, mark, load_.filler_size));
+  std::string body = load_.has_traffic_routes ? configuration_with_traffic(version, mark, load_.filler_size)
+                                              : configuration(version, mark, load_.filler_size);
+  submission_ = &checker_.begin_submission(name_, base_, version, std::move(body));
   attempts_ = 0;
   send_attempt();
 }
--- a/src/tier_simulation/operators.hpp
+++ b/src/tier_simulation/operators.hpp
@@ -19,6 +19,7 @@
   double duplicate_probability = 0.05;   ///< a call is sent a second time at once
   double preferred_probability = 0.0;    ///< a call goes to the preferred machine
   std::size_t filler_size = 0;           ///< bytes added to each configuration
+  bool has_traffic_routes = false;       ///< each configuration has the routes that clients call
 };
 
 /// The control machine that the newest fault was done to: calls that go there meet it. Null: none.
--- a/src/tier_simulation/plan.hpp
+++ b/src/tier_simulation/plan.hpp
@@ -10,6 +10,7 @@
 #include "tier_simulation/deployment.hpp"
 #include "tier_simulation/fault.hpp"
 #include "tier_simulation/operators.hpp"
+#include "tier_simulation/traffic.hpp"
 
 namespace chutevane::tier_simulation {
 
@@ -21,6 +22,7 @@
   network_simulation::NetworkConditions network;
   OperatorLoad operators;
   ProgramLoad programs;
+  TrafficLoad traffic;
   Span active_duration = Span::ms(30000);  ///< then there are no more faults and submissions
   Span quiet_duration = Span::ms(12000);   ///< within it the tier has to recover
   std::vector<Fault> faults;               ///< by time
--- a/src/tier_simulation/run.cpp
+++ b/src/tier_simulation/run.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr Span clients_start_at = Span::ms(600);
+constexpr Span traffic_starts_at = Span::ms(2000);
+constexpr Span continuation_time = Span::ms(14000);  // a client asks again for as long as recovery may take
 constexpr Span sample_interval = Span::ms(200);
 constexpr std::uint64_t max_events = 30'000'000;  // a run with more does not come to its end
 
@@ -50,6 +52,8 @@
         planned_maintenance_(deployment_, http_client_),
         agent_programs_(deployment_, checker_, plan.programs, seed + 2),
         log_(simulator_, fault_injector_) {
+    if (plan.traffic.is_on)
+      traffic_ = std::make_unique<Traffic>(deployment_, checker_, plan.traffic, seed + 3);
     if (plan.losses_overlap) checker_.suspend_availability_rules();
     deployment_.on_value = [this](Machine& m, const common::RegisterValue& value) {
       simulator_.trace().record(simulator_.now(), "%s has version %lld, number %lld", m.name().c_str(),
@@ -70,6 +74,7 @@
 
   RunResult run() {
     deployment_.start_all();
+    start_traffic();
     add_operators();
     for (const Fault& fault : plan_.faults)
       simulator_.run_after(fault.at, [this, &fault] { fault_injector_.inject(fault); });
@@ -77,6 +82,7 @@
     run_for(plan_.active_duration);
     for (const auto& one : operators_) one->stop();
     agent_programs_.stop();
+    if (traffic_) traffic_->stop();
     planned_maintenance_.stop();
     fault_injector_.stop();
     run_for(plan_.quiet_duration);
@@ -86,6 +92,7 @@
     if (final_reads_ < deployment_.machines_of(Role::control).size())
       checker_.report_violation("no-read", "not all control machines answer a read at the end");
     agent_programs_.finish();
+    finish_traffic();
     checker_.finish();
     return result();
   }
@@ -114,6 +121,24 @@
     });
   }
 
+  void start_traffic() {
+    if (!traffic_) return;
+    traffic_->start_endpoints();
+    simulator_.schedule_ready_processes();
+    simulator_.run_after(traffic_starts_at, [this] {
+      traffic_->begin();
+      simulator_.schedule_ready_processes();
+    });
+  }
+
+  void finish_traffic() {
+    if (!traffic_) return;
+    traffic_->continue_old_conversations();
+    simulator_.schedule_ready_processes();
+    run_for(continuation_time);
+    traffic_->finish();
+  }
+
   void sample() {
     checker_.sample();
     simulator_.run_after(sample_interval, [this] { sample(); });
@@ -148,6 +173,7 @@
     out.pushes = checker_.pushes();
     out.checked_samples = checker_.checked_samples();
     out.liveness_reads = read_liveness_.checked_reads();
+    out.turns_completed = traffic_ ? traffic_->turns_completed() : 0;
     out.turns_found = agent_programs_.turns_found();
     out.faults = fault_injector_.injected_counts();
     out.events = simulator_.events();
@@ -166,6 +192,7 @@
   PlannedMaintenance planned_maintenance_;
   AgentPrograms agent_programs_;
   LogTracer log_;
+  std::unique_ptr<Traffic> traffic_;  // null: the plan has none
   std::vector<std::unique_ptr<Operator>> operators_;
   std::vector<std::unique_ptr<Reader>> readers_;
   std::size_t final_reads_ = 0;
--- a/src/tier_simulation/scenarios.cpp
+++ b/src/tier_simulation/scenarios.cpp
@@ -303,6 +303,17 @@
   return out;
 }
 
+// Clients, endpoints and the platform as well, without faults.
+Plan calm_traffic(RandomGenerator& random) {
+  Plan out = draw_base_plan(random);
+  out.shape.has_platform = true;
+  out.operators.has_traffic_routes = true;
+  out.traffic.is_on = true;
+  out.active_duration = Span::ms(14000);
+  out.quiet_duration = Span::ms(6000);
+  return out;
+}
+
 struct Scenario {
   const char* name;
   Plan (*make)(RandomGenerator&);
@@ -313,7 +324,8 @@
                                       {"planned-work", planned_work},
                                       {"many-changes", many_changes},
                                       {"everything", everything},
-                                      {"overlapping-losses", overlapping_losses}};
+                                      {"overlapping-losses", overlapping_losses},
+                                      {"calm-traffic", calm_traffic}};
 
 }  // namespace
 
--- /dev/null
+++ b/src/tier_simulation/traffic.cpp
@@ -0,0 +1,135 @@
+#include "tier_simulation/traffic.hpp"
+
+#include <algorithm>
+
+#include "net/socket.hpp"
+
+namespace chutevane::tier_simulation {
+namespace {
+
+constexpr std::size_t max_descriptors = 65536;
+constexpr std::uint32_t service_network = 127U << 24U | 2U << 16U | 10U << 8U;
+constexpr std::uint32_t endpoint_ip = service_network | 2U, client_ip = service_network | 3U;
+constexpr std::uint16_t first_endpoint_port = 8100;
+constexpr Span drain_limit = Span::ms(1500);         // of an endpoint that leaves
+constexpr Span readiness_interval = Span::ms(1000);  // of the platform's probes
+constexpr Span expectation_interval = Span::ms(100);
+constexpr std::size_t streaming_endpoints = 4, plain_endpoints = 2;
+constexpr std::size_t continued_conversations = 40;
+
+sockaddr_in address_of(std::uint32_t ip, std::uint16_t port) {
+  sockaddr_in out{};
+  out.sin_family = AF_INET;
+  out.sin_port = htons(port);
+  out.sin_addr.s_addr = htonl(ip);
+  return out;
+}
+
+lab::tier::Load::Spec load_spec(const TrafficLoad& load, std::uint64_t seed) {
+  lab::tier::Load::Spec out;
+  out.seed = seed;
+  out.programs_per_s = load.programs_per_s;
+  out.manners = load.manners;
+  out.judge_given_up = false;  // clients wait for machines that are down, and some leave
+  return out;
+}
+
+/// A rule's name in reports.
+std::string rule_of(lab::tier::Check check) {
+  std::string out = std::string("traffic-") + lab::tier::name_of(check);
+  std::replace(out.begin(), out.end(), ' ', '-');
+  return out;
+}
+
+}  // namespace
+
+Traffic::Host::Host(network_simulation::Simulator& simulator, const char* name, std::uint32_t ip)
+    : process(simulator.process(name, ip)), scheduler(process), timers(scheduler) {}
+
+void Traffic::Host::run() {
+  process.run(
+      scheduler,
+      [this] {
+        scheduler.turn();
+        return true;
+      },
+      max_descriptors);
+}
+
+Traffic::Traffic(Deployment& deployment, Checker& checker, const TrafficLoad& load, std::uint64_t seed)
+    : deployment_(deployment),
+      checker_(checker),
+      load_spec_(load),
+      platform_(deployment.simulator(), "platform", ntohl(platform_address.sin_addr.s_addr)),
+      endpoint_host_(deployment.simulator(), "endpoints", endpoint_ip),
+      clients_(deployment.simulator(), "agents", client_ip),
+      list_(platform_.scheduler, platform_.timers, platform_rate, drain_limit),
+      endpoints_(
+          endpoint_host_.scheduler, endpoint_host_.timers,
+          [](std::size_t number) {
+            return address_of(endpoint_ip, static_cast<std::uint16_t>(first_endpoint_port + number));
+          },
+          auditor_, list_, seed, load.manners.endpoint_spoils),
+      lines_(clients_.scheduler, clients_.timers),
+      front_(lines_, clients_.timers),
+      load_(clients_.scheduler, clients_.timers, lines_, front_, auditor_, load_spec(load, seed)) {
+  auditor_.excuse_service();
+}
+
+Traffic::~Traffic() {
+  for (Host* host : {&platform_, &endpoint_host_, &clients_}) host->process.kill();
+}
+
+void Traffic::start_endpoints() {
+  for (Host* host : {&platform_, &endpoint_host_, &clients_}) host->run();
+  list_.listen(platform_address);
+  for (std::size_t i = 1; i <= streaming_endpoints; ++i) endpoints_.add("i-w" + std::to_string(i), true);
+  for (std::size_t i = 1; i <= plain_endpoints; ++i) endpoints_.add("i-t" + std::to_string(i), false);
+  for (const Machine* edge : deployment_.machines_of(Role::edge))
+    front_.add(edge->name(), *edge->settings().front, *edge->settings().readiness);
+  update_expectations();
+}
+
+void Traffic::begin() {
+  front_.begin(readiness_interval);
+  load_.begin();
+}
+
+void Traffic::stop() { load_.stop(); }
+
+void Traffic::continue_old_conversations() { load_.go_on_from_old(continued_conversations); }
+
+void Traffic::change_endpoint(EndpointChange change, std::uint64_t random_bits) {
+  lab::tier::EndpointStandIn* const endpoint = endpoints_.one_that_may_go(random_bits);
+  if (endpoint == nullptr) return;
+  switch (change) {
+    case EndpointChange::drain: endpoints_.drain(*endpoint); return;
+    case EndpointChange::replace: endpoints_.replace(*endpoint); return;
+    case EndpointChange::crash: endpoints_.lose(*endpoint); return;
+  }
+}
+
+/// What depends on machines in contact is expected where there was no fault for long enough.
+void Traffic::update_expectations() {
+  const TimePoint calm_since = deployment_.calm_since();
+  const bool is_calm = calm_since != TimePoint::never() &&
+                       deployment_.simulator().now() - calm_since >= contact_window + max_apply_delay;
+  is_calm ? auditor_.expect_service() : auditor_.excuse_service();
+  collect_violations();
+  clients_.timers.after(expectation_interval, [this] { update_expectations(); });
+}
+
+void Traffic::collect_violations() {
+  for (; reported_ < auditor_.breaches().size(); ++reported_) {
+    const lab::tier::Breach& breach = auditor_.breaches()[reported_];
+    checker_.report_violation(rule_of(breach.check), breach.what);
+  }
+}
+
+void Traffic::finish() {
+  if (load_.open() > 0)
+    checker_.report_violation("traffic-endless", std::to_string(load_.open()) + " programs have no end");
+  collect_violations();
+}
+
+}  // namespace chutevane::tier_simulation
--- /dev/null
+++ b/src/tier_simulation/traffic.hpp
@@ -0,0 +1,84 @@
+/// \file
+/// Clients and endpoints of a simulated tier, and the platform that lists the endpoints: agent programs call
+/// through the edges over HTTP, and an auditor judges what clients and endpoints have seen.
+///
+/// All of them are those of the lab (lab/tier), here on the simulated network and clock. The platform, the
+/// endpoints and the clients have a simulated process each.
+#pragma once
+
+#include <cstdint>
+
+#include "lab/tier/endpoint_set.hpp"
+#include "lab/tier/load.hpp"
+#include "net/timer_queue.hpp"
+#include "tier_simulation/checker.hpp"
+#include "tier_simulation/deployment.hpp"
+
+namespace chutevane::tier_simulation {
+
+/// The clients' load, and how clients and endpoints misbehave.
+struct TrafficLoad {
+  bool is_on = false;
+  double programs_per_s = 3;
+  lab::tier::Manners manners;
+};
+
+/// What may happen to an endpoint.
+enum class EndpointChange : std::uint8_t {
+  drain,    ///< it drains and another one starts
+  replace,  ///< another process takes its address
+  crash,    ///< it ends without notice, and another one starts elsewhere
+};
+
+class Traffic {
+ public:
+  /// `deployment` and `checker` must outlive this object.
+  Traffic(Deployment& deployment, Checker& checker, const TrafficLoad& load, std::uint64_t seed);
+  ~Traffic();
+  Traffic(const Traffic&) = delete;
+  Traffic& operator=(const Traffic&) = delete;
+
+  /// Starts the platform and the endpoints.
+  void start_endpoints();
+  /// Begins with requests.
+  void begin();
+  /// Begins no new programs.
+  void stop();
+  /// Long after the last fault: new programs continue the conversations of old ones, which must be there.
+  void continue_old_conversations();
+  /// Reports what has not come to its end.
+  void finish();
+  /// `random_bits` choose the endpoint, among those that another one can stand in for.
+  void change_endpoint(EndpointChange change, std::uint64_t random_bits);
+
+  /// Of the platform's process, for faults of its links.
+  [[nodiscard]] std::size_t platform_number() const { return platform_.process.number(); }
+  /// Turns that a client got completely.
+  [[nodiscard]] std::uint64_t turns_completed() const { return auditor_.figures().turns_whole; }
+
+ private:
+  /// A simulated process that runs nothing but an event loop.
+  struct Host {
+    Host(network_simulation::Simulator& simulator, const char* name, std::uint32_t ip);
+    void run();
+    network_simulation::Process& process;
+    net::Scheduler scheduler;
+    net::TimerQueue timers;
+  };
+  void collect_violations();
+  void update_expectations();
+
+  Deployment& deployment_;
+  Checker& checker_;
+  const TrafficLoad load_spec_;
+  lab::tier::Auditor auditor_;
+  Host platform_, endpoint_host_, clients_;
+  lab::tier::ListStandIn list_;
+  lab::tier::EndpointSet endpoints_;
+  lab::tier::Lines lines_;
+  lab::tier::Front front_;
+  lab::tier::Load load_;
+  std::size_t reported_ = 0;  // of the auditor's violations
+};
+
+}  // namespace chutevane::tier_simulation
