Tier simulation: scenario traffic, with faults of machines, edges, endpoints and the platform's list

Cause: with clients and endpoints there, no fault met them. Change: endpoints drain, are replaced and crash; the platform is cut off from one control machine, answers 503, shows an old list, or is slow; clients leave, half-close and stall; endpoints spoil answers.

The auditor's check of a budget was wrong: it counted all tokens that endpoints generate, and the promise is on those handed to clients. An edge can't know what is generated for a client that has left, or lost with its endpoint. Now such a try counts what was handed; all others what was generated, as before.

--- a/src/lab/tier/auditor.cpp
+++ b/src/lab/tier/auditor.cpp
@@ -2,6 +2,7 @@
 
 #include <cstdio>
 #include <numeric>
+#include <utility>
 
 namespace chutevane::lab::tier {
 namespace {
@@ -130,10 +131,19 @@
   const auto found = tries_.find(at.id);
   if (found == tries_.end() || tokens == 0) return;
   found->second.tokens = tokens;
+  if (found->second.loses_output) return;
+  found->second.generated += tokens;
   programs_[found->second.ask.program].generated += tokens;
   check_budget(found->second.ask.program);
 }
 
+void Auditor::loses_output(const std::string& id) {
+  const auto found = tries_.find(id);
+  if (found == tries_.end() || std::exchange(found->second.loses_output, true)) return;
+  Try& at = found->second;
+  programs_[at.ask.program].generated -= at.generated - at.handed;
+}
+
 void Auditor::at_work(const std::string& id, TimePoint now) {
   const auto found = left_.find(id);
   if (found == left_.end() || now - found->second < gone_most) return;
@@ -161,7 +171,10 @@
   at.output += data;
   // Tokens of an event are those of the endpoint that ran it, the same in each of its events.
   figures_.tokens_handed += static_cast<std::uint64_t>(at.tokens);
-  programs_[at.ask.program].handed += at.tokens;
+  at.handed += at.tokens;
+  Program& program = programs_[at.ask.program];
+  program.handed += at.tokens;
+  if (at.loses_output) program.generated += at.tokens;
   check_budget(at.ask.program);
 }
 
--- a/src/lab/tier/auditor.hpp
+++ b/src/lab/tier/auditor.hpp
@@ -67,7 +67,11 @@
   void left(const std::string& id, TimePoint at) {
     ++figures_.left;
     left_[id] = at;
+    loses_output(id);
   }
+  // Its client reads no more of the answer, or its endpoint breaks off: what was generated may not reach the
+  // client, nor the edge. The budget is on the tokens handed to clients, and of this try only these count.
+  void loses_output(const std::string& id);
 
   // ---- endpoints
   // Begins to run; which run it is.
@@ -77,7 +81,10 @@
   // An endpoint is at work on it now.
   void at_work(const std::string& id, TimePoint now);
   // The endpoint is about to spoil it: what its client sees is not the tier's doing.
-  void troubled(const std::string& id) { troubled_.insert(id); }
+  void troubled(const std::string& id) {
+    troubled_.insert(id);
+    loses_output(id);
+  }
   bool was_troubled(const std::string& id) const { return troubled_.contains(id); }
   static std::string seal_of(std::uint64_t run);
 
@@ -113,7 +120,8 @@
     std::string output;  // as the client has it
     std::optional<std::int64_t> last_event;
     std::int64_t tokens = 0;
-    bool ended = false, whole = false, promised = false;
+    std::int64_t generated = 0, handed = 0;  // tokens; of output that may be lost `handed` alone
+    bool ended = false, whole = false, promised = false, loses_output = false;
   };
   struct Program {
     std::int64_t budget = 0, generated = 0, handed = 0, asked = 0;
--- a/src/lab/tier/platform.hpp
+++ b/src/lab/tier/platform.hpp
@@ -11,22 +11,44 @@
 
 namespace chutevane::lab::tier {
 
+/// How the platform's list fails.
+enum class ListFault : std::uint8_t {
+  none,
+  unavailable,  ///< each call is answered 503
+  stale,        ///< each page shows the list as it was when the fault began
+  slow,         ///< each answer comes after slow_list_delay
+};
+constexpr Span slow_list_delay = Span::ms(700);
+
 class ListStandIn {
  public:
   ListStandIn(net::Scheduler& scheduler, net::TimerQueue& later, double rate_per_s, Span drain);
   void listen(const sockaddr_in& at) { port_.listen(at); }
   void add(EndpointStandIn& endpoint) { endpoints_.push_back(&endpoint); }
   void remove(const EndpointStandIn& endpoint) { std::erase(endpoints_, &endpoint); }
+  void set_fault(ListFault fault);
   std::uint64_t pages() const { return pages_; }
   std::uint64_t over_rate() const { return over_rate_; }
 
  private:
+  /// An endpoint as it stands on the list.
+  struct Entry {
+    EndpointSpec spec;
+    bool is_draining = false;
+    EndpointStandIn* endpoint = nullptr;
+  };
+  std::vector<Entry> current_entries() const;
+  /// Whether the rate leaves room for one more call.
+  bool admit();
+  std::string page_text(const std::string& zone, std::size_t first);
   void take(Port::Visit& visit);
   net::TimerQueue& timers_;
   const double rate_;
   const Span drain_;
   Port port_;
   std::vector<EndpointStandIn*> endpoints_;
+  ListFault fault_ = ListFault::none;
+  std::vector<Entry> stale_entries_;
   TimePoint at_;
   double allowed_;
   std::uint64_t pages_ = 0, over_rate_ = 0;
--- a/src/tier_simulation/deployment.cpp
+++ b/src/tier_simulation/deployment.cpp
@@ -37,7 +37,8 @@
     : simulator_(simulator),
       shape_(shape),
       random_(seed),
-      clients_(&simulator.process("clients", clients_ip)) {
+      clients_(&simulator.process("clients", clients_ip)),
+      platform_(&simulator.process("platform", ntohl(platform_address.sin_addr.s_addr))) {
   for (std::size_t i = 1; i <= std::min(shape.controls, max_seeds); ++i)
     seeds_.push_back(address_of(ip_of(Role::control, i), control_port));
   for (std::size_t i = 0; i < shape.controls; ++i) add_machine(Role::control);
--- a/src/tier_simulation/deployment.hpp
+++ b/src/tier_simulation/deployment.hpp
@@ -49,6 +49,8 @@
   [[nodiscard]] const network_simulation::Simulator& simulator() const { return simulator_; }
   /// The process that all clients share.
   [[nodiscard]] network_simulation::Process& clients() { return *clients_; }
+  /// Of the platform's process.
+  [[nodiscard]] std::size_t platform_number() const { return platform_->number(); }
   /// Machines that were not removed, in the order in which they were added.
   [[nodiscard]] std::vector<Machine*> machines_of(Role role) const;
   [[nodiscard]] std::vector<Machine*> machines() const;
@@ -118,6 +120,7 @@
   const Shape shape_;
   Pcg random_;
   network_simulation::Process* clients_;
+  network_simulation::Process* platform_;
   std::vector<std::unique_ptr<Machine>> machines_;
   std::map<Role, std::size_t> last_number_;
   std::set<const Machine*> removed_;
--- a/src/tier_simulation/fault.hpp
+++ b/src/tier_simulation/fault.hpp
@@ -32,8 +32,15 @@
   kill_all,         ///< all processes of control and storage at once
   power_all,        ///< all machines of control and storage at once
   halves,           ///< control and storage partitioned in two; edges and clients reach both halves
+  endpoint_drain,   ///< an endpoint drains, and another comes
+  endpoint_replace,  ///< another process takes an endpoint's address
+  endpoint_crash,    ///< an endpoint ends without notice, and another comes
+  platform_cut,      ///< the platform's API is partitioned from one control machine
+  platform_unavailable,
+  platform_stale,  ///< it shows the endpoints as they were when the fault began
+  platform_slow,
 };
-inline constexpr std::size_t fault_kinds = static_cast<std::size_t>(FaultKind::halves) + 1;
+inline constexpr std::size_t fault_kinds = static_cast<std::size_t>(FaultKind::platform_slow) + 1;
 const char* name_of(FaultKind kind);
 
 /// From whom a machine is partitioned.
@@ -56,6 +63,8 @@
 
 /// One line for people and traces.
 std::string describe(const Fault& fault);
+/// Whether it is a fault of endpoints or of the platform, for plans with traffic.
+bool is_traffic_fault(const Fault& fault);
 /// Whether it is the loss of one machine of those that the tier tolerates.
 bool is_counted_loss(const Fault& fault);
 
--- a/src/tier_simulation/fault_injector.hpp
+++ b/src/tier_simulation/fault_injector.hpp
@@ -40,6 +40,8 @@
 
   /// Carries out planned maintenance, FaultKind::planned_replace and FaultKind::retire.
   std::function<void(const Fault&, Machine&)> on_planned_maintenance;
+  /// Carries out a fault of endpoints or of the platform; returns what ends it, or nothing.
+  std::function<std::function<void()>(const Fault&)> on_traffic_fault;
 
  private:
   Machine* find_target(const Fault& fault) const;
@@ -47,6 +49,7 @@
   void partition(const Fault& fault, Machine& machine);
   void break_connections(const Fault& fault, Machine& machine);
   void lose_answers(const Fault& fault, Machine& machine);
+  void cut_from_platform(const Fault& fault, Machine& machine);
   void take_down(const Fault& fault, Machine& machine);
   void replace(const Fault& fault, Machine& machine);
   void slow_links(const Fault& fault, Machine& machine);
--- a/src/tier_simulation/run.cpp
+++ b/src/tier_simulation/run.cpp
@@ -61,6 +61,7 @@
                                 static_cast<long long>(value.number));
       checker_.record_push(m, value);
     };
+    fault_injector_.on_traffic_fault = [this](const Fault& fault) { return begin_traffic_fault(fault); };
     fault_injector_.on_planned_maintenance = [this](const Fault& fault, Machine& m) {
       planned_maintenance_.begin(fault, m);
     };
@@ -85,6 +86,7 @@
     if (traffic_) traffic_->stop();
     planned_maintenance_.stop();
     fault_injector_.stop();
+    if (traffic_) traffic_->set_platform_fault(lab::tier::ListFault::none);
     run_for(plan_.quiet_duration);
     read_back();
     agent_programs_.look_up_all();
@@ -131,6 +133,32 @@
     });
   }
 
+  /// Returns what ends the fault; nothing: it ends by itself.
+  std::function<void()> begin_traffic_fault(const Fault& fault) {
+    if (!traffic_) return {};
+    const auto with_platform_fault = [this](lab::tier::ListFault list_fault) -> std::function<void()> {
+      traffic_->set_platform_fault(list_fault);
+      return [this] { traffic_->set_platform_fault(lab::tier::ListFault::none); };
+    };
+    switch (fault.kind) {
+      case FaultKind::endpoint_drain:
+        traffic_->change_endpoint(EndpointChange::drain, fault.random_bits);
+        break;
+      case FaultKind::endpoint_replace:
+        traffic_->change_endpoint(EndpointChange::replace, fault.random_bits);
+        break;
+      case FaultKind::endpoint_crash:
+        traffic_->change_endpoint(EndpointChange::crash, fault.random_bits);
+        break;
+      case FaultKind::platform_unavailable: return with_platform_fault(lab::tier::ListFault::unavailable);
+      case FaultKind::platform_stale: return with_platform_fault(lab::tier::ListFault::stale);
+      case FaultKind::platform_slow: return with_platform_fault(lab::tier::ListFault::slow);
+      default: break;
+    }
+    simulator_.schedule_ready_processes();
+    return {};
+  }
+
   void finish_traffic() {
     if (!traffic_) return;
     traffic_->continue_old_conversations();
--- a/src/tier_simulation/scenarios.cpp
+++ b/src/tier_simulation/scenarios.cpp
@@ -314,6 +314,31 @@
   return out;
 }
 
+// All of the above at once: losses of machines, faults of edges, endpoints and the platform.
+Plan traffic(RandomGenerator& random) {
+  Plan out = everything(random);
+  out.shape.has_platform = true;
+  out.operators.has_traffic_routes = true;
+  out.traffic.is_on = true;
+  lab::tier::Manners& manners = out.traffic.manners;
+  manners.client_leaves = random.choose({0.0, 0.01, 0.05});
+  manners.client_half_closes = random.choose({0.0, 0.01});
+  manners.client_stalls = random.choose({0.0, 0.01});
+  manners.endpoint_spoils = random.choose({0.0, 0.02, 0.08});
+  for (std::size_t i = 2 + random.below(8); i > 0; --i) {
+    const FaultKind kind =
+        random.choose({FaultKind::endpoint_drain, FaultKind::endpoint_drain, FaultKind::endpoint_replace,
+                       FaultKind::endpoint_crash, FaultKind::platform_cut, FaultKind::platform_unavailable,
+                       FaultKind::platform_stale, FaultKind::platform_slow});
+    Fault fault = draw_fault(random, kind, Role::control, out.shape);
+    if (kind == FaultKind::platform_cut && random.happens(0.7)) fault.target = Target::role_holder;
+    fault.at = first_fault_at + (out.active_duration - first_fault_at) * random.unit();
+    fault.duration = random.log_uniform(200, 8000);
+    out.faults.push_back(fault);
+  }
+  return out;
+}
+
 struct Scenario {
   const char* name;
   Plan (*make)(RandomGenerator&);
@@ -325,7 +350,8 @@
                                       {"many-changes", many_changes},
                                       {"everything", everything},
                                       {"overlapping-losses", overlapping_losses},
-                                      {"calm-traffic", calm_traffic}};
+                                      {"calm-traffic", calm_traffic},
+                                      {"traffic", traffic}};
 
 }  // namespace
 
--- a/src/tier_simulation/traffic.hpp
+++ b/src/tier_simulation/traffic.hpp
@@ -50,9 +50,9 @@
   void finish();
   /// `random_bits` choose the endpoint, among those that another one can stand in for.
   void change_endpoint(EndpointChange change, std::uint64_t random_bits);
+  /// `none` ends a fault of the platform's list.
+  void set_platform_fault(lab::tier::ListFault fault) { list_.set_fault(fault); }
 
-  /// Of the platform's process, for faults of its links.
-  [[nodiscard]] std::size_t platform_number() const { return platform_.process.number(); }
   /// Turns that a client got completely.
   [[nodiscard]] std::uint64_t turns_completed() const { return auditor_.figures().turns_whole; }
 
--- a/tests/tier_fleet_test.cpp
+++ b/tests/tier_fleet_test.cpp
@@ -101,6 +101,29 @@
   expect_only(Check::overrun);
 }
 
+// The budget is on what is handed to clients. What is generated for one that has left is none of it, before
+// and after; all that is generated for others is.
+TEST_F(Auditing, BudgetIsOfClientsThatAreThere) {
+  first_turn();
+  const std::int64_t handed_before = auditor.figures().tokens_handed;
+  auditor.asked(ask("b", "a"));
+  const std::uint64_t abandoned = auditor.ran("b", "i-1", chain);
+  auditor.generated(abandoned, "x\n", 4);
+  auditor.generated(abandoned, "y\n", 4);
+  auditor.came("b", 1, "x\n");
+  auditor.left("b", TimePoint());
+  for (int i = 0; i < 10; ++i) auditor.generated(abandoned, "z\n", 4);
+  EXPECT_EQ(auditor.all(), 0U);
+  EXPECT_EQ(static_cast<std::int64_t>(auditor.figures().tokens_handed) - handed_before, 4);
+  auditor.asked(ask("c", "a"));
+  const std::uint64_t run = auditor.ran("c", "i-1", "in-aone of a\ntwo of a\nin-c");
+  const std::int64_t rest = 40 - static_cast<std::int64_t>(auditor.figures().tokens_handed);
+  for (std::int64_t i = 0; i < rest / 4; ++i) auditor.generated(run, "x\n", 4);
+  EXPECT_EQ(auditor.all(), 0U);
+  auditor.generated(run, "x\n", 4);
+  expect_only(Check::overrun);
+}
+
 TEST_F(Auditing, FindsAnAnswerOfTwoRuns) {
   auditor.asked(ask("a"));
   const std::uint64_t run = auditor.ran("a", "i-1", "in-a");
