Control: a holder of list that does not reach the platform gives way to one that does

Cause: the holder kept its role while it was in contact with a quorum, whether it reached the platform or not: no drain was read any more.

Change: after 2 s of failed fetches it asks one peer after the other whether that one can fetch the list (records Platform_check and Platform_checked, new kinds; an older controller does not answer, which counts as no). If one can, the holder steps down and does not stand for the role for 10 s; fencing tokens rise as with every election. If none can, it stays and asks ever less often (1 to 16 s apart). Decisions in control/platform_reachability.*; chutevane_endpoint_list_age_seconds and list.given_up tell it.

--- a/src/common/messages/controllers.hpp
+++ b/src/common/messages/controllers.hpp
@@ -131,4 +131,27 @@
   }
 };
 
+/// From the leader of the role `list` to another control sidecar: whether that one can fetch the platform's
+/// list. Answered by a PlatformCheckReply, once it has tried.
+struct PlatformCheckRequest {
+  static constexpr const char* record = "Platform_check";
+  static constexpr std::uint8_t kind = 39;
+  std::string node;  ///< name of the leader
+  template <class Visitor>
+  void each(Visitor& v) {
+    v("node", node);
+  }
+};
+
+/// The reply to a PlatformCheckRequest.
+struct PlatformCheckReply {
+  static constexpr const char* record = "Platform_checked";
+  static constexpr std::uint8_t kind = 40;
+  bool is_reachable = false;  ///< the sender has just fetched the complete list
+  template <class Visitor>
+  void each(Visitor& v) {
+    v("reachable", is_reachable);
+  }
+};
+
 }  // namespace chutevane::common
--- a/src/control/control_plane_metrics.cpp
+++ b/src/control/control_plane_metrics.cpp
@@ -48,6 +48,9 @@
             static_cast<double>(peers_.live_count()));
   out.gauge("chutevane_sessions", "", "Sessions of edges and storage nodes here.",
             static_cast<double>(sessions_.size()));
+  out.gauge("chutevane_endpoint_list_age_seconds", "seconds",
+            "Since this controller, as the holder of list, last read all of it; 0: it does not hold list.",
+            endpoint_list_election_.is_leader() ? endpoint_list_.age().as_ms() / 1000 : 0);
   out.gauge("chutevane_endpoints", "", "Endpoints on the list held here.",
             static_cast<double>(endpoint_list_.table().entries().size()));
 }
--- a/src/control/control_plane_startup.cpp
+++ b/src/control/control_plane_startup.cpp
@@ -48,12 +48,12 @@
                               peers_, {settings.node, address_, incarnation_},
                               [this] {
                                 send_gossip();
-                                endpoint_list_.fetch();
+                                endpoint_list_.on_elected();
                               }),
       membership_election_("roster", seed_of(settings.node + "roster", scheduler.now()), timers_, register_,
                            peers_, {settings.node, address_, incarnation_}, [this] { send_gossip(); }),
       platform_(scheduler, timers_, settings.platform, settings.platform_rate),
-      endpoint_list_(timers_, platform_, endpoint_list_election_, peers_,
+      endpoint_list_(timers_, platform_, endpoint_list_election_, peers_, settings.node,
                      [this] { sessions_.on_endpoint_list_changed(); }),
       membership_(register_, settings.machine_losses,
                   [this](const common::RegisterValue& chosen, bool acceptors_changed) {
@@ -159,6 +159,13 @@
         RoleElection& election = is_for_list ? endpoint_list_election_ : membership_election_;
         connection.reply(request_id, election.on_vote_request(request));
       });
+  rpc_server_.on<common::PlatformCheckRequest>(
+      [this](Connection& connection, std::uint64_t request_id, common::PlatformCheckRequest&) {
+        endpoint_list_.check_platform([this, id = connection.id(), request_id](bool is_reachable) {
+          Connection* const asker = rpc_server_.find(id);
+          if (asker != nullptr) asker->reply(request_id, common::PlatformCheckReply{is_reachable});
+        });
+      });
   rpc_server_.on<common::EndpointList>([this](Connection&, std::uint64_t, common::EndpointList& change) {
     endpoint_list_.on_endpoint_list(change);
   });
--- a/src/control/endpoint_list_publisher.cpp
+++ b/src/control/endpoint_list_publisher.cpp
@@ -4,37 +4,83 @@
 #include <optional>
 #include <utility>
 
+#include "common/log.hpp"
+
 namespace chutevane::control {
 namespace {
 
 // A fifth of the time that an endpoint has to drain; each call of the platform has its price.
 constexpr Span poll_interval = Span::ms(600);
+// A peer's whole fetch: a page takes up to 0.8 s, and pages are spaced by the platform's rate.
+constexpr Span platform_check_timeout = Span::ms(2500);
 
 }  // namespace
 
 EndpointListPublisher::EndpointListPublisher(net::TimerQueue& timers, PlatformClient& platform,
-                                             RoleElection& election, PeerTable& peers,
+                                             RoleElection& election, PeerTable& peers, std::string node,
                                              std::function<void()> on_changed)
     : timers_(timers),
       platform_(platform),
       election_(election),
       peers_(peers),
+      node_(std::move(node)),
       on_changed_(std::move(on_changed)) {}
 
 void EndpointListPublisher::start_polling() { poll(); }
 
+void EndpointListPublisher::on_elected() {
+  reachability_.on_reached(timers_.now());
+  fetch();
+}
+
 void EndpointListPublisher::poll() {
   fetch();
+  const TimePoint now = timers_.now();
+  if (reachability_.should_ask_peer(election_.is_leader(), now)) ask_peer();
   timers_.after(poll_interval, [this] { poll(); });
 }
 
 void EndpointListPublisher::fetch() {
   if (!election_.is_leader() || platform_.is_fetching()) return;
   platform_.fetch_endpoints([this](std::optional<std::vector<common::EndpointEntry>> entries) {
-    if (entries && election_.is_leader()) publish(std::move(*entries));
+    if (!entries || !election_.is_leader()) return;
+    reachability_.on_reached(timers_.now());
+    publish(std::move(*entries));
+  });
+}
+
+void EndpointListPublisher::check_platform(const std::function<void(bool is_reachable)>& callback) {
+  if (platform_.is_fetching()) return callback(false);
+  platform_.fetch_endpoints([callback](const std::optional<std::vector<common::EndpointEntry>>& entries) {
+    callback(entries.has_value());
   });
 }
 
+/// Asks the next peer whether it reaches the platform, which this controller, the leader, does not.
+void EndpointListPublisher::ask_peer() {
+  std::vector<const std::pair<const std::string, Peer>*> live;
+  for (const auto& entry : peers_) {
+    const bool may_lead = peers_.is_live(entry.second) && !entry.second.last_gossip->draining;
+    if (may_lead) live.push_back(&entry);
+  }
+  if (live.empty()) return;
+  const auto& [address, peer] = *live[reachability_.next_peer(live.size(), timers_.now())];
+  peer.connection->call<common::PlatformCheckReply>(
+      common::PlatformCheckRequest{node_}, platform_check_timeout,
+      [this, address = address](const absl::StatusOr<common::PlatformCheckReply>& reply) {
+        on_peer_reply(address, reply.ok() && reply->is_reachable);
+      });
+}
+
+void EndpointListPublisher::on_peer_reply(const std::string& address, bool is_reachable) {
+  const bool should_give_way = reachability_.on_reply(is_reachable, timers_.now());
+  if (!should_give_way || !election_.is_leader()) return;
+  common::log_warning("list.given_up", "the platform was not reached for " +
+                                           std::to_string(static_cast<long>(age().as_ms())) + " ms, by " +
+                                           address + " it is");
+  election_.abstain(list_abstention);
+}
+
 void EndpointListPublisher::publish(std::vector<common::EndpointEntry> entries) {
   // The remaining time falls with each fetch, which alone is no change.
   for (common::EndpointEntry& entry : entries) entry.slow_start_ms = entry.slow_start_ms > 0 ? 1 : 0;
--- a/src/control/endpoint_list_publisher.hpp
+++ b/src/control/endpoint_list_publisher.hpp
@@ -5,12 +5,14 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <string>
 #include <vector>
 
 #include "common/endpoint_table.hpp"
 #include "common/messages.hpp"
 #include "control/peer_table.hpp"
 #include "control/platform_client.hpp"
+#include "control/platform_reachability.hpp"
 #include "control/role_election.hpp"
 #include "net/timer_queue.hpp"
 
@@ -29,13 +31,18 @@
 class EndpointListPublisher {
  public:
   /// `on_changed`: called whenever the list has changed here. The references must outlive this object.
+  /// `node`: name of this controller.
   EndpointListPublisher(net::TimerQueue& timers, PlatformClient& platform, RoleElection& election,
-                        PeerTable& peers, std::function<void()> on_changed);
+                        PeerTable& peers, std::string node, std::function<void()> on_changed);
 
   /// Begins to fetch the list at a fixed interval, whenever this controller leads.
   void start_polling();
-  /// Fetches now, where this controller leads and no fetch is under way.
-  void fetch();
+  /// This controller has become the leader: fetches now.
+  void on_elected();
+
+  /// Fetches the list for another controller, which leads: whether that succeeded. Calls back at once, with
+  /// false, while a fetch is under way.
+  void check_platform(const std::function<void(bool is_reachable)>& callback);
 
   /// A leader's change of the list has come.
   void on_endpoint_list(const common::EndpointList& change);
@@ -49,19 +56,27 @@
   /// What to report to peers. Where a member here follows the list of a later leader than this controller
   /// does, that leader's token with number 0: the leader has to learn that it is followed, and sends all.
   EndpointListPosition reported_position() const;
+  /// How old the list is, as its leader knows it: since its last complete fetch, or its election.
+  Span age() const { return reachability_.silence(timers_.now()); }
 
  private:
   void poll();
+  /// Where this controller leads and no fetch is under way.
+  void fetch();
   void publish(std::vector<common::EndpointEntry> entries);
+  void ask_peer();
+  void on_peer_reply(const std::string& address, bool is_reachable);
   void step_down_if_overtaken(FencingToken token);
 
   net::TimerQueue& timers_;
   PlatformClient& platform_;
   RoleElection& election_;
   PeerTable& peers_;
+  const std::string node_;
   const std::function<void()> on_changed_;
   common::EndpointTable table_;
   FencingToken newest_member_token_ = 0;
+  PlatformReachability reachability_;
 };
 
 }  // namespace chutevane::control
--- a/src/control/role_election.cpp
+++ b/src/control/role_election.cpp
@@ -54,6 +54,11 @@
   return reply;
 }
 
+void RoleElection::abstain(Span duration) {
+  abstains_until_ = timers_.now() + duration;
+  election_.step_down(timers_.now());
+}
+
 void RoleElection::withdraw() {
   is_withdrawn_ = true;
   election_.step_down(timers_.now());
@@ -62,6 +67,7 @@
 void RoleElection::campaign() {
   if (is_withdrawn_ || register_.epoch_value().epoch == 0) return;
   const TimePoint now = timers_.now();
+  if (now < abstains_until_) return;
   if (const std::optional<Term> term = election_.start_campaign(now)) return request_votes(*term);
   const std::optional<TimePoint> next = election_.next_campaign_at();
   if (!next || *next <= now) return;
--- a/src/control/role_election.hpp
+++ b/src/control/role_election.hpp
@@ -46,6 +46,8 @@
   void observe_fencing_token(FencingToken token) {
     election_.observe_fencing_token(token, candidate_.incarnation);
   }
+  /// Gives up leadership, if any, and does not campaign for this long. It votes on.
+  void abstain(Span duration);
   /// The process shuts down: gives up leadership, and neither campaigns nor votes any more.
   void withdraw();
 
@@ -61,6 +63,7 @@
   PeerTable& peers_;
   const Candidate candidate_;
   const std::function<void()> on_elected_;
+  TimePoint abstains_until_;
   bool is_withdrawn_ = false;
 };
 
--- a/src/lab/tier/platform.cpp
+++ b/src/lab/tier/platform.cpp
@@ -87,6 +87,7 @@
     to.answer(200, {{"Content-Type", "application/json"}}, page);
   };
   const std::string page = page_text(asked.query("zone"), first);
+  if (page.find(R"("nextToken":null)") != std::string::npos) last_read_at_ = timers_.now();
   if (fault_ != ListFault::slow) return answer(visit, page);
   timers_.after(slow_list_delay, [this, id = visit.id(), page, answer] {
     if (Port::Visit* const waiting = port_.find(id)) answer(*waiting, page);
--- a/src/lab/tier/platform.hpp
+++ b/src/lab/tier/platform.hpp
@@ -27,6 +27,9 @@
   void add(EndpointStandIn& endpoint) { endpoints_.push_back(&endpoint); }
   void remove(const EndpointStandIn& endpoint) { std::erase(endpoints_, &endpoint); }
   void set_fault(ListFault fault);
+  ListFault fault() const { return fault_; }
+  /// When the last page of the list was last answered.
+  TimePoint last_read_at() const { return last_read_at_; }
   std::uint64_t pages() const { return pages_; }
   std::uint64_t over_rate() const { return over_rate_; }
 
@@ -49,6 +52,7 @@
   std::vector<EndpointStandIn*> endpoints_;
   ListFault fault_ = ListFault::none;
   std::vector<Entry> stale_entries_;
+  TimePoint last_read_at_;
   TimePoint at_;
   double allowed_;
   std::uint64_t pages_ = 0, over_rate_ = 0;
--- a/src/tier_simulation/fault.cpp
+++ b/src/tier_simulation/fault.cpp
@@ -55,7 +55,8 @@
 std::string describe(const Fault& fault) {
   static constexpr const char* reaches[] = {"everything", "control", "data"};
   static constexpr const char* directions[] = {"both ways", "towards it", "from it"};
-  static constexpr const char* targets[] = {"", " that holds a duty", " that acknowledged last"};
+  static constexpr const char* targets[] = {"", " that holds a duty", " that acknowledged last",
+                                            " that reads the platform's list"};
   char head[64];
   std::snprintf(head, sizeof head, "at %.3f s for %.3f s: ", fault.at.as_ms() / 1000,
                 fault.duration.as_ms() / 1000);
--- a/src/tier_simulation/fault.hpp
+++ b/src/tier_simulation/fault.hpp
@@ -47,7 +47,7 @@
 enum class PartitionScope : std::uint8_t { everything, control_only, data_only };
 enum class Direction : std::uint8_t { both, to_it, from_it };
 /// How the machine is chosen: by its index, or by what it does when the fault begins.
-enum class Target : std::uint8_t { by_index, role_holder, last_acknowledger };
+enum class Target : std::uint8_t { by_index, role_holder, last_acknowledger, list_holder };
 
 struct Fault {
   FaultKind kind = FaultKind::cut_off;
--- a/src/tier_simulation/fault_injector.cpp
+++ b/src/tier_simulation/fault_injector.cpp
@@ -35,6 +35,7 @@
 Machine* FaultInjector::find_target(const Fault& fault) const {
   Machine* named = nullptr;
   if (fault.target == Target::role_holder) named = deployment_.find(role_holder_);
+  if (fault.target == Target::list_holder) named = deployment_.find(list_holder_);
   if (fault.target == Target::last_acknowledger) named = deployment_.find(last_acknowledger_);
   if (named != nullptr && named->role() == fault.role) return named;
   const std::vector<Machine*> all = deployment_.machines_of(fault.role);
--- a/src/tier_simulation/fault_injector.hpp
+++ b/src/tier_simulation/fault_injector.hpp
@@ -24,8 +24,12 @@
   /// Ends every fault; later calls of inject() do nothing.
   void stop();
 
-  /// To be called when a control machine has won a singleton role: Target::role_holder is that machine.
-  void on_role_won(const Machine& machine) { role_holder_ = machine.name(); }
+  /// To be called when a control machine has won a singleton role: Target::role_holder is that machine,
+  /// whatever its role. `detail`: of the log line, which begins with the role's name.
+  void on_role_won(const Machine& machine, std::string_view detail) {
+    role_holder_ = machine.name();
+    if (detail.starts_with("list")) list_holder_ = machine.name();
+  }
   /// To be called when a control machine has acknowledged a submission: Target::last_acknowledger is that
   /// machine.
   void on_acknowledged_by(const sockaddr_in& control);
@@ -61,7 +65,7 @@
   void schedule(Span delay, std::function<void()> action);
 
   Deployment& deployment_;
-  std::string role_holder_, last_acknowledger_;  // names of machines
+  std::string role_holder_, list_holder_, last_acknowledger_;  // names of machines
   PreferredMachine preferred_machine_;
   std::map<const Machine*, TimePoint> disk_faulty_until_;
   std::array<std::size_t, fault_kinds> injected_counts_{};
--- a/src/tier_simulation/traffic.hpp
+++ b/src/tier_simulation/traffic.hpp
@@ -23,6 +23,10 @@
   lab::tier::Manners manners;
 };
 
+/// Where the platform's list can be read by a control machine, it is read at least so often: the holder of
+/// the role that reads it may have to notice that it does not reach the platform, and another to be elected.
+inline constexpr Span max_list_silence = Span::ms(9000);
+
 /// What may happen to an endpoint.
 enum class EndpointChange : std::uint8_t {
   drain,    ///< it drains and another one starts
@@ -66,6 +70,9 @@
     net::TimerQueue timers;
   };
   void collect_violations();
+  /// Whether some control machine in contact with a majority reaches the platform, and that has no fault.
+  [[nodiscard]] bool is_list_readable() const;
+  void check_list_reads();
   void update_expectations();
 
   Deployment& deployment_;
@@ -78,7 +85,9 @@
   lab::tier::Lines lines_;
   lab::tier::Front front_;
   lab::tier::Load load_;
-  std::size_t reported_ = 0;  // of the auditor's violations
+  std::size_t reported_ = 0;     // of the auditor's violations
+  TimePoint unreadable_at_;      // when the list could last not be read
+  TimePoint platform_fault_at_;  // when the platform last had a fault
 };
 
 }  // namespace chutevane::tier_simulation
