Edge: usage that a storage node may have missed is sent again over its next connection

Cause: CommitUsage has no answer and was dropped while a connection was down.

Found by a new check of the auditor: a 402 though completed turns at what they used, refused ones at nothing and all others at their most leave room (402 with budget left).

--- a/src/edge/storage_client.cpp
+++ b/src/edge/storage_client.cpp
@@ -38,10 +38,19 @@
     connection =
         std::make_unique<common::RpcClient>(scheduler_, timers_, socket_address.value_or(sockaddr_in{}),
                                             seed_ ^ std::hash<std::string>()(address));
+    connection->on_up([this, address, connection = connection.get()] {
+      for (const common::CommitUsage& message : usage_outboxes_[address].recent(timers_.now()))
+        connection->send(message);
+    });
   }
   return *connection;
 }
 
+void StorageClient::send_usage(std::size_t index, const common::CommitUsage& message) {
+  node(index).send(message);
+  usage_outboxes_[storage_nodes_[index].address].add(message, timers_.now());
+}
+
 std::vector<std::size_t> StorageClient::replica_group(const std::string& program) const {
   return storage::replica_group(program, storage_nodes_, tolerated_losses_);
 }
--- a/src/edge/storage_client.hpp
+++ b/src/edge/storage_client.hpp
@@ -21,6 +21,7 @@
 #include "common/messages.hpp"
 #include "common/rpc.hpp"
 #include "edge/turn_cache.hpp"
+#include "edge/usage_outbox.hpp"
 
 namespace chutevane::edge {
 
@@ -62,8 +63,8 @@
   /// Reserves `tokens` of the program's `budget` for the attempt, unless others have too much of it.
   void reserve(const std::string& program, const std::string& attempt_id, std::int64_t tokens,
                std::int64_t budget, TimePoint deadline, std::function<void(ReservationResult)> done);
-  /// The attempt has used so many of the reserved tokens. Sent once to each node of the group, without an
-  /// answer.
+  /// The attempt has used so many of the reserved tokens. Sent to each node of the group, without an answer,
+  /// and again over the node's next connection (usage_outbox.hpp).
   void commit_usage(const std::string& program, const std::string& attempt_id, std::int64_t tokens);
   /// The attempt has not run and will not.
   void release(const std::string& program, const std::string& attempt_id) {
@@ -117,6 +118,8 @@
   // Nodes of a group of that size that must have a write.
   std::size_t required_replicas(std::size_t group_size) const;
   common::RpcClient& connection_to(const std::string& address);
+  // To the node at that index: now, and once more over its next connection.
+  void send_usage(std::size_t index, const common::CommitUsage& message);
   common::RpcClient& node(std::size_t index) { return connection_to(storage_nodes_[index].address); }
 
   net::Scheduler& scheduler_;
@@ -127,6 +130,7 @@
   std::int64_t map_version_ = 0;
   std::vector<common::StorageNode> storage_nodes_;
   std::map<std::string, std::unique_ptr<common::RpcClient>> connections_;  // by address
+  std::map<std::string, UsageOutbox> usage_outboxes_;                      // by address
   TurnCache cache_;
 };
 
--- a/src/edge/storage_client_reservations.cpp
+++ b/src/edge/storage_client_reservations.cpp
@@ -131,8 +131,7 @@
 
 void StorageClient::commit_usage(const std::string& program, const std::string& attempt_id,
                                  std::int64_t tokens) {
-  for (const std::size_t i : replica_group(program))
-    node(i).send(common::CommitUsage{program, attempt_id, tokens});
+  for (const std::size_t i : replica_group(program)) send_usage(i, {program, attempt_id, tokens});
 }
 
 }  // namespace chutevane::edge
--- a/src/edge/storage_client_writes.cpp
+++ b/src/edge/storage_client_writes.cpp
@@ -68,8 +68,7 @@
   // The others get the use without the turn: else they would count the reservation in full.
   for (std::size_t rest = write->required; rest < write->group.size(); ++rest) {
     if (write->used_tokens >= 0)
-      node(write->group[rest])
-          .send(common::CommitUsage{write->turn.program, write->turn.id, write->used_tokens});
+      send_usage(write->group[rest], {write->turn.program, write->turn.id, write->used_tokens});
   }
   write->hedge_timer = timers_.after(hedge_delay, [this, write] { hedge_write(write); });
 }
--- a/src/lab/tier/auditor.cpp
+++ b/src/lab/tier/auditor.cpp
@@ -37,7 +37,8 @@
                                                             "configuration",
                                                             "unserved",
                                                             "crashed",
-                                                            "at work for nobody"};
+                                                            "at work for nobody",
+                                                            "402 with budget left"};
   return names[static_cast<std::size_t>(check)];
 }
 
@@ -55,7 +56,7 @@
   return std::accumulate(counts_.begin(), counts_.end(), std::uint64_t{0});
 }
 
-void Auditor::asked(Ask ask) {
+void Auditor::asked(Ask ask, TimePoint now) {
   ++figures_.tries;
   if (ask.sort == Sort::turn) ++figures_.turns_asked;
   if (ask.budget) {
@@ -65,6 +66,7 @@
     p.asked += ask.most;
   }
   const std::string id = ask.id;
+  tries_[id].asked_at = now;
   tries_[id].ask = std::move(ask);
 }
 
@@ -196,9 +198,31 @@
                             std::to_string(at.runs.size()) + " runs has");
 }
 
-void Auditor::answered(const std::string& id, Ended how, const std::string& seal) {
+std::int64_t Auditor::most_counted(const Try& of, TimePoint began) const {
+  if (of.whole && of.ended_at < began) return of.handed;
+  if (of.promised && of.ended_at + budget_return_time < began) return 0;
+  return of.ask.most;
+}
+
+// All that others of its program may count, and still room for it.
+void Auditor::check_refusal(const Try& at) {
+  std::int64_t counted = at.ask.most;
+  for (const auto& [id, other] : tries_) {
+    if (&other != &at && other.ask.program == at.ask.program && other.ask.sort == Sort::turn)
+      counted += most_counted(other, at.asked_at);
+  }
+  const Program& program = programs_[at.ask.program];
+  if (counted <= program.budget)
+    breach(Check::budget_left, at.ask.id + ": 402, and program " + at.ask.program + " has used " +
+                                   std::to_string(counted - at.ask.most) + " of " +
+                                   std::to_string(program.budget) + ", it asked for " +
+                                   std::to_string(at.ask.most));
+}
+
+void Auditor::answered(const std::string& id, Ended how, const std::string& seal, TimePoint now) {
   Try& at = tries_.at(id);
   at.ended = true;
+  at.ended_at = now;
   const bool turn = at.ask.sort == Sort::turn;
   const Program& program = programs_[at.ask.program];
   switch (how) {
@@ -214,9 +238,12 @@
     case Ended::spent:
       ++figures_.spent;
       // All that it ever asked for, at its most, and still within the budget.
-      if (!program.has_budget || program.asked <= program.budget)
+      if (!program.has_budget || program.asked <= program.budget) {
         breach(Check::denied, id + ": 402, and all of program " + at.ask.program + " comes to " +
                                   std::to_string(program.asked) + " of " + std::to_string(program.budget));
+      } else {
+        check_refusal(at);
+      }
       [[fallthrough]];
     case Ended::promised:
       if (how == Ended::promised) ++figures_.promised;
--- a/src/lab/tier/auditor.hpp
+++ b/src/lab/tier/auditor.hpp
@@ -40,8 +40,11 @@
   unserved,       // a program that was given up, where none should be
   crashed,        // a process that ended by itself
   gone,           // an endpoint at work for a client that had left
+  budget_left,    // 402, though the budget holds that turn
 };
-constexpr std::size_t checks = 13;
+constexpr std::size_t checks = 14;
+// A request that is refused gives its part of the budget back within this time.
+constexpr Span budget_return_time = Span::ms(1000);
 const char* name_of(Check check);
 
 struct Breach {
@@ -59,10 +62,10 @@
     std::int64_t most = 0;  // tokens that it may generate
     std::optional<std::int64_t> budget;
   };
-  void asked(Ask ask);
+  void asked(Ask ask, TimePoint now = {});
   void came(const std::string& id, std::int64_t event, const std::string& data);  // with its line feed
   void came_plain(const std::string& id, const std::string& body);
-  void answered(const std::string& id, Ended how, const std::string& seal);
+  void answered(const std::string& id, Ended how, const std::string& seal, TimePoint now = {});
   // Its client has closed its connection.
   void left(const std::string& id, TimePoint at) {
     ++figures_.left;
@@ -120,6 +123,7 @@
     std::string output;  // as the client has it
     std::optional<std::int64_t> last_event;
     std::int64_t tokens = 0;
+    TimePoint asked_at, ended_at;
     std::int64_t generated = 0, handed = 0;  // tokens; of output that may be lost `handed` alone
     bool ended = false, whole = false, promised = false, loses_output = false;
   };
@@ -130,6 +134,9 @@
   // Nothing where the chain has a turn that never ended whole.
   std::optional<std::string> chain_before(const Try& of, std::size_t& length) const;
   void check_budget(const std::string& program);
+  void check_refusal(const Try& at);
+  // The most that it may count against its program's budget for a request that began then.
+  std::int64_t most_counted(const Try& of, TimePoint began) const;
   void check_answer(Try& at, const std::string& seal);
 
   std::map<std::string, Try> tries_;
--- a/src/lab/tier/load.cpp
+++ b/src/lab/tier/load.cpp
@@ -47,7 +47,7 @@
     heard_ = false;
     began_ = load_.timers_.now();
     load_.auditor_.asked(
-        {id_, want_.sort, want_.program, want_.previous, want_.input, want_.most, want_.budget});
+        {id_, want_.sort, want_.program, want_.previous, want_.input, want_.most, want_.budget}, began_);
     Fields fields{
         {"X-Chutevane-Attempt-Id", id_},
         {"X-Chutevane-Time-Remaining", std::to_string(static_cast<long>((until_ - began_).as_ms()))}};
@@ -154,7 +154,7 @@
     load_.timers_.cancel(due_);
     load_.timers_.cancel(leaves_);
     const TimePoint now = load_.timers_.now();
-    load_.auditor_.answered(id_, how, seal_);
+    load_.auditor_.answered(id_, how, seal_, now);
     // A try that its endpoint spoilt tells nothing of the tier.
     const bool good = how == Ended::whole || how == Ended::spent;
     if (want_.counted && (good || !load_.auditor_.was_troubled(id_)))
--- a/tests/tier_fleet_test.cpp
+++ b/tests/tier_fleet_test.cpp
@@ -101,6 +101,23 @@
   expect_only(Check::overrun);
 }
 
+// What completed turns used and no more counts, and nothing of those that were refused a while ago.
+TEST_F(Auditing, FindsARefusalWithBudgetLeft) {
+  const auto at = [](double ms) { return TimePoint::at_ms(ms); };
+  first_turn();  // 8 of 40
+  for (int i = 0; i < 5; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    auditor.asked(ask(id, "a"), at(1000 + i));
+    auditor.answered(id, Ended::promised, "", at(1500));
+  }
+  auditor.asked(ask("soon", "a"), at(1900));  // what they had set aside may be on its way back
+  auditor.answered("soon", Ended::spent, "", at(1950));
+  EXPECT_EQ(auditor.all(), 0U);
+  auditor.asked(ask("later", "a"), at(4000));
+  auditor.answered("later", Ended::spent, "", at(4050));
+  expect_only(Check::budget_left);
+}
+
 // The budget is on what is handed to clients. What is generated for one that has left is none of it, before
 // and after; all that is generated for others is.
 TEST_F(Auditing, BudgetIsOfClientsThatAreThere) {
