--- a/src/edge/proxied_request.cpp
+++ b/src/edge/proxied_request.cpp
@@ -11,8 +11,10 @@
 
 constexpr Span response_reserve = Span::ms(2);    // of the client's time, for the way back
 constexpr Span storage_timeout = Span::ms(1500);  // a longer fail-over is answered with Retry-After
-constexpr Span startup_wait = Span::ms(700);   // for what a process that has just started does not know yet
-constexpr double startup_wait_fraction = 0.5;  // of the client's time, at most, for the same
+constexpr Span startup_wait = Span::ms(700);  // for what a process that has just started does not know yet
+// ... where not even the routes are known: an answer is due half a second after any route's timeout.
+constexpr Span unknown_route_wait = Span::ms(400);
+constexpr double startup_wait_fraction = 0.5;  // of the client's and the route's time, at most, for the same
 constexpr Span startup_poll_interval = Span::ms(20);
 constexpr Span unlimited = Span::ms(600000);  // where neither client nor route states a time
 
@@ -51,12 +53,19 @@
 
 // ---- route
 
+Span ProxiedRequest::startup_wait_limit() const {
+  const Span by_client = request_.time_remaining.value_or(unlimited) * startup_wait_fraction;
+  const std::string_view path = std::string_view(request_.target).substr(0, request_.target.find('?'));
+  const auto& configuration = plane_.configuration();
+  const common::Route* const route = configuration ? configuration->route_of(request_.host, path) : nullptr;
+  if (route == nullptr) return std::min(unknown_route_wait, by_client);
+  return std::min({startup_wait, by_client, route->timeout * startup_wait_fraction});
+}
+
 void ProxiedRequest::choose_route() {
   // A process that has just started knows routes and endpoints within a moment: waiting is sooner than a
   // retry of the client.
-  const Span wait =
-      std::min(startup_wait, request_.time_remaining.value_or(unlimited) * startup_wait_fraction);
-  if (!plane_.has_routing_state() && plane_.timers().now() - received_at_ < wait) {
+  if (!plane_.has_routing_state() && plane_.timers().now() - received_at_ < startup_wait_limit()) {
     timer_ = plane_.timers().after(startup_poll_interval, guarded([this] { choose_route(); }));
     return;
   }
--- a/src/edge/proxied_request.hpp
+++ b/src/edge/proxied_request.hpp
@@ -96,6 +96,8 @@
   };
 
   // ---- preparation
+  // For how long the request waits for what a process that has just started does not know yet.
+  Span startup_wait_limit() const;
   void choose_route();
   void load_previous_turns();
   void on_previous_turns(const TurnChain& chain);
--- a/tests/edge/endpoint_fault_test.cpp
+++ b/tests/edge/endpoint_fault_test.cpp
@@ -380,6 +380,19 @@
   EXPECT_LT(scene.loop.later.now() - began, Span::ms(options.time_remaining_ms));
 }
 
+// The client has time, and no configuration says how long the route may take: an answer is due half a second
+// after the shortest timeout that there may be.
+TEST(Bounds, EdgeThatKnowsNoRouteAnswersBeforeAnyRoutesTimeIsOver) {
+  Scene scene(1, {}, {}, Scene::Informed::no);
+  RequestOptions options = request_of(Kind::non_idempotent);
+  options.time_remaining_ms = 20000;
+  const TimePoint began = scene.loop.later.now();
+  const Answer got = scene.ask("a", options);
+  EXPECT_EQ(got.status, 503);
+  EXPECT_NE(got.field("Retry-After"), "");
+  EXPECT_LT(scene.loop.later.now() - began, Span::ms(500));
+}
+
 // The route's timeout counts from the whole request on, also where storage is silent.
 TEST(Bounds, SilentStorageIsNotWaitedForBeyondTheTimeout) {
   Scene scene(1, {.timeout_ms = timeout_ms, .max_attempts = 2});
