--- a/src/lab/tier/auditor.cpp
+++ b/src/lab/tier/auditor.cpp
@@ -38,12 +38,14 @@
                                                             "unserved",
                                                             "crashed",
                                                             "at work for nobody",
-                                                            "402 with budget left"};
+                                                            "402 with budget left",
+                                                            "answered late"};
   return names[static_cast<std::size_t>(check)];
 }
 
 void Auditor::breach(Check check, std::string what) {
-  const bool of_service = check == Check::unserved || check == Check::drained || check == Check::gone;
+  const bool of_service =
+      check == Check::unserved || check == Check::drained || check == Check::gone || check == Check::late;
   if (service_excused_ && of_service) {
     ++excused_;
     return;
--- a/src/lab/tier/auditor.hpp
+++ b/src/lab/tier/auditor.hpp
@@ -41,8 +41,9 @@
   crashed,        // a process that ended by itself
   gone,           // an endpoint at work for a client that had left
   budget_left,    // 402, though the budget holds that turn
+  late,           // no answer half a second after the time that its client gave
 };
-constexpr std::size_t checks = 14;
+constexpr std::size_t checks = 15;
 // A request that is refused gives its part of the budget back within this time.
 constexpr Span budget_return_time = Span::ms(1000);
 const char* name_of(Check check);
--- a/src/lab/tier/load.cpp
+++ b/src/lab/tier/load.cpp
@@ -9,9 +9,10 @@
 namespace chutevane::lab::tier {
 namespace {
 
-constexpr Span silence_most = Span::ms(2000);  // four times the objective, and eight pauses are less
-constexpr std::size_t tries_most = 6;          // of one request, inside its time
-constexpr int anew_most = 2;                   // a turn is sent from its start so often again
+constexpr Span silence_most = Span::ms(2000);      // four times the objective, and eight pauses are less
+constexpr Span answer_late = Span::ms(500 + 100);  // an answer is due by then, and a way to the client
+constexpr std::size_t tries_most = 6;              // of one request, inside its time
+constexpr int anew_most = 2;                       // a turn is sent from its start so often again
 constexpr Span stall_least = Span::ms(50), stall_spread = Span::ms(600);  // of a client that sends slowly
 constexpr Span leave_spread = Span::ms(300);  // after which one that leaves does so
 constexpr Span heirs_ask = Span::ms(12000);   // as long as a deployment has to recover
@@ -97,7 +98,12 @@
   void wait() {
     load_.timers_.cancel(due_);
     const TimePoint silent = load_.timers_.now() + silence_most;
-    due_ = load_.timers_.at(want_.sort == Sort::turn ? std::min(until_, silent) : until_, [this] {
+    const TimePoint until = load_.spec_.judge_late ? until_ + answer_late : until_;
+    const bool by_silence = want_.sort == Sort::turn && silent < until;
+    due_ = load_.timers_.at(by_silence ? silent : until, [this, by_silence] {
+      if (load_.spec_.judge_late && !by_silence)
+        load_.auditor_.breach(Check::late, id_ + " has no answer " + std::to_string(answer_late.as_ms()) +
+                                               " ms after its time");
       line_->close();
       load_.auditor_.loses_output(id_);
       over(Ended::broken);
--- a/src/lab/tier/load.hpp
+++ b/src/lab/tier/load.hpp
@@ -51,6 +51,7 @@
     double programs_per_s = 12;
     Manners manners = {};
     bool judge_given_up = true;  // a program that is given up is a breach
+    bool judge_late = false;     // a client waits on after its time, and no answer by then is a breach
   };
   Load(net::Scheduler& scheduler, net::TimerQueue& later, Lines& lines, Front& front, Auditor& auditor,
        const Spec& spec);
--- a/src/tier_simulation/traffic.cpp
+++ b/src/tier_simulation/traffic.cpp
@@ -32,6 +32,7 @@
   out.manners = load.manners;
   // Amid faults clients wait for machines that are down, and some leave.
   out.judge_given_up = load.expects_all_served;
+  out.judge_late = true;
   return out;
 }
 
