--- a/src/lab/tier/fleet.cpp
+++ b/src/lab/tier/fleet.cpp
@@ -133,7 +133,7 @@
   machines_.lose_disk(m);
   ++orders_open_;
   timers_.after(down, [this, &m, record] {
-    std::ofstream(m.log, std::ios::trunc);
+    std::ofstream emptied(m.log, std::ios::trunc);
     machines_.start(m, Machines::Start::again);
     look_whole(record, m.log, faults_[record].at);
   });
@@ -202,7 +202,7 @@
     --probes_open_;
     force_ms_.push_back((timers_.now() - since).as_ms());
   };
-  const auto ask = [this, edge](std::int64_t of, std::function<void(int)> done) {
+  const auto ask = [this, edge](std::int64_t of, const std::function<void(int)>& done) {
     const std::uint64_t high = chance_();
     const std::string id = "probe" + std::to_string(high) + std::to_string(chance_());
     auditor_.asked({id, Sort::idempotent, "", "", "", 0, std::nullopt});
@@ -421,19 +421,22 @@
           {t.id, (t.began - begin).as_ms(), (t.ended - t.began).as_ms(), t.first_ms, t.status, t.turn});
   }
   for (std::size_t i = 0; i < faults_.size(); ++i) {
-    FaultRecord& f = faults_[i];
-    f.at_ms = (f.at - begin).as_ms();
-    const TimePoint next = i + 1 < faults_.size() ? faults_[i + 1].at : end;
-    for (const TryRecord& t : load_->records()) {
-      if (t.ended < f.at || t.began >= next) continue;
-      ++f.tries;
-      if (t.good && t.first_ms <= objective.as_ms()) continue;
-      ++f.bad_tries;
-      f.full_service = std::max(f.full_service, t.ended - f.at);
-      if (t.ended >= next) f.back = false;
-    }
+    faults_[i].at_ms = (faults_[i].at - begin).as_ms();
+    judge_fault(faults_[i], i + 1 < faults_.size() ? faults_[i + 1].at : end);
   }
   result.faults = faults_;
 }
 
+// `next`: when the next fault began.
+void Fleet::judge_fault(FaultRecord& fault, TimePoint next) const {
+  for (const TryRecord& attempt : load_->records()) {
+    if (attempt.ended < fault.at || attempt.began >= next) continue;
+    ++fault.tries;
+    if (attempt.good && attempt.first_ms <= objective.as_ms()) continue;
+    ++fault.bad_tries;
+    fault.full_service = std::max(fault.full_service, attempt.ended - fault.at);
+    if (attempt.ended >= next) fault.back = false;
+  }
+}
+
 }  // namespace chutevane::lab::tier
--- a/src/lab/tier/fleet.hpp
+++ b/src/lab/tier/fleet.hpp
@@ -101,6 +101,7 @@
   void ask_figures(Machine& machine, const std::shared_ptr<FiguresDue>& due);
   void judge_figures(const Machine& machine, const std::string& figures);
   void judge_faults(FleetResult& result, TimePoint begin, TimePoint end);
+  void judge_fault(FaultRecord& fault, TimePoint next) const;
 
   FleetSpec spec_;
   volatile bool told_to_stop_ = false;
--- a/src/lab/tier/machines.cpp
+++ b/src/lab/tier/machines.cpp
@@ -87,7 +87,7 @@
   const std::string stem = (fs::path(spec_.folder) / m->node).string();
   m->settings = stem + ".conf";
   m->log = stem + ".log";
-  std::ofstream(m->log, std::ios::trunc);
+  std::ofstream emptied(m->log, std::ios::trunc);
   if (plane != MachinePlane::edge) {
     m->data = stem + ".data";
     for (const auto& entry : fs::directory_iterator(spec_.folder)) {
--- a/src/lab/tier/operators.cpp
+++ b/src/lab/tier/operators.cpp
@@ -82,7 +82,7 @@
   send(std::move(order));
 }
 
-void OperatorStandIn::race(std::int64_t version, std::size_t first_to, std::function<void()> over) {
+void OperatorStandIn::race(std::int64_t version, std::size_t first_to, const std::function<void()>& over) {
   busy_ = true;
   struct Race {
     std::size_t open = 2, won = 0;
@@ -200,7 +200,7 @@
                                             " was acknowledged");
 }
 
-void OperatorStandIn::read_back(Span most, std::function<void()> done) {
+void OperatorStandIn::read_back(Span most, const std::function<void()>& done) {
   const auto left = std::make_shared<std::size_t>(controllers_.size());
   for (std::size_t i = 0; i < controllers_.size(); ++i) {
     read(i, timers_.now() + most, [left, done] {
@@ -209,7 +209,7 @@
   }
 }
 
-void OperatorStandIn::read(std::size_t controller, TimePoint until, std::function<void()> done) {
+void OperatorStandIn::read(std::size_t controller, TimePoint until, const std::function<void()>& done) {
   const sockaddr_in& at = controllers_[controller];
   Errand::run(
       lines_, timers_, at, request_text("GET", "/v1/Configuration.Retrieve", net::text_of(at), {}, ""),
--- a/src/lab/tier/operators.hpp
+++ b/src/lab/tier/operators.hpp
@@ -30,7 +30,7 @@
   // took.
   void change(std::int64_t version, std::size_t first_to, std::function<void(Span)> taken);
   // Two documents of one version on the same base, to two controllers at once: one of them is taken.
-  void race(std::int64_t version, std::size_t first_to, std::function<void()> over);
+  void race(std::int64_t version, std::size_t first_to, const std::function<void()>& over);
   bool busy() const { return busy_; }
   std::int64_t acknowledged() const { return acknowledged_; }
   std::uint64_t sent() const { return sent_; }              // calls, repeats among them
@@ -45,7 +45,7 @@
   void stop_reading() { reading_ = false; }
   // Asks each controller until it answers with what was acknowledged last, or `most` is over, which is a
   // breach.
-  void read_back(Span most, std::function<void()> done);
+  void read_back(Span most, const std::function<void()>& done);
 
  private:
   struct Order {
@@ -57,7 +57,7 @@
   };
   void send(Order order);
   void acknowledge(const Order& order);
-  void read(std::size_t controller, TimePoint until, std::function<void()> done);
+  void read(std::size_t controller, TimePoint until, const std::function<void()>& done);
   void read_once();
   void ask_status(std::size_t controller);
   bool has_been_calm(Span span) const { return timers_.now() - calm_since_() >= span; }
--- a/src/lab/tier/soak.cpp
+++ b/src/lab/tier/soak.cpp
@@ -110,7 +110,7 @@
   write_file(fs::path(folder) / story_file, "seed " + std::to_string(seed) + "\n" + describe(*spec.story));
   Fleet fleet(spec);
   running = &fleet;
-  const FleetResult result = fleet.run();
+  FleetResult result = fleet.run();
   running = nullptr;
   write_file(fs::path(folder) / report_file, report_of(result, *spec.story));
   write_file(fs::path(folder) / "tier.json", json_of(result));
--- a/src/lab/tier/web.cpp
+++ b/src/lab/tier/web.cpp
@@ -35,7 +35,7 @@
                          const Fields& fields, std::string_view body) {
   std::string out =
       std::string(method) + " " + std::string(target) + " HTTP/1.1\r\nHost: " + std::string(host) + "\r\n";
-  for (const auto& [name, value] : fields) out += name + ": " + value + "\r\n";
+  for (const auto& [name, value] : fields) out.append(name).append(": ").append(value).append("\r\n");
   if (!body.empty() || method != "GET") out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
   return out.append("\r\n").append(body);
 }
@@ -211,36 +211,44 @@
 }
 
 void Line::look() {
-  while (!left_ && sink_ != nullptr) {
-    const std::span<char> bytes = channel_.in().bytes();
-    if (bytes.empty()) return;
-    if (!head_seen_) {
-      const http::Progress progress = parser_.feed(bytes);
-      if (progress == http::Progress::failed) return fail(false);
-      if (!parser_.head_done()) return;
-      head_seen_ = true;
-      keep_ = parser_.keep_alive();
-      sink_->line_head(parser_);
-      if (sink_ == nullptr) return;
-      if (!parser_.body().empty()) sink_->line_piece(parser_.body());
-      if (sink_ == nullptr) return;
-      channel_.in().consume(parser_.size());
-      parser_.detach(nullptr);
-      if (progress == http::Progress::complete) return done();
-      continue;
-    }
-    std::size_t taken = 0;
-    std::string_view piece;
-    const http::Progress progress = parser_.more(bytes, taken, piece);
-    if (progress == http::Progress::failed) return fail(false);
-    if (!piece.empty()) sink_->line_piece(piece);
-    if (sink_ == nullptr) return;
-    channel_.in().consume(taken);
-    if (progress == http::Progress::complete) return done();
-    if (taken == 0) return;
+  while (!left_ && sink_ != nullptr && !channel_.in().bytes().empty()) {
+    if (!(head_seen_ ? read_body() : read_head())) return;
   }
 }
 
+bool Line::read_head() {
+  const http::Progress progress = parser_.feed(channel_.in().bytes());
+  if (progress == http::Progress::failed) {
+    fail(false);
+    return false;
+  }
+  if (!parser_.head_done()) return false;
+  head_seen_ = true;
+  keep_ = parser_.keep_alive();
+  sink_->line_head(parser_);
+  if (sink_ != nullptr && !parser_.body().empty()) sink_->line_piece(parser_.body());
+  if (sink_ == nullptr) return false;
+  channel_.in().consume(parser_.size());
+  parser_.detach(nullptr);
+  if (progress == http::Progress::complete) done();
+  return progress != http::Progress::complete;
+}
+
+bool Line::read_body() {
+  std::size_t taken = 0;
+  std::string_view piece;
+  const http::Progress progress = parser_.more(channel_.in().bytes(), taken, piece);
+  if (progress == http::Progress::failed) {
+    fail(false);
+    return false;
+  }
+  if (!piece.empty()) sink_->line_piece(piece);
+  if (sink_ == nullptr) return false;
+  channel_.in().consume(taken);
+  if (progress == http::Progress::complete) done();
+  return progress != http::Progress::complete && taken > 0;
+}
+
 // ---- an errand
 
 void Errand::run(Lines& lines, net::TimerQueue& later, const sockaddr_in& to, std::string request, Span most,
--- a/src/lab/tier/web.hpp
+++ b/src/lab/tier/web.hpp
@@ -115,6 +115,9 @@
  private:
   friend class Lines;
   void look();
+  // Whether there may be more to read at once.
+  bool read_head();
+  bool read_body();
   void fail(bool unsent);
   void done();
   void on_channel_open(net::Channel&) override;
--- a/src/tier_simulation/scenarios.cpp
+++ b/src/tier_simulation/scenarios.cpp
@@ -343,6 +343,34 @@
   return out;
 }
 
+// Endpoints and the platform alone: what depends on machines in contact is judged nearly all the time.
+Plan endpoint_changes(RandomGenerator& random) {
+  Plan out = calm_traffic(random);
+  out.traffic.expects_all_served = false;
+  out.active_duration = Span::ms(30000);
+  out.traffic.manners.client_leaves = random.choose({0.0, 0.03});
+  out.traffic.manners.endpoint_spoils = random.choose({0.0, 0.02, 0.08});
+  Span at = Span::ms(7000);
+  while (at < out.active_duration) {
+    const FaultKind kind =
+        random.choose({FaultKind::endpoint_drain, FaultKind::endpoint_drain, FaultKind::endpoint_drain,
+                       FaultKind::endpoint_replace, FaultKind::endpoint_crash, FaultKind::platform_stale});
+    Fault fault = draw_fault(random, kind, Role::control, out.shape);
+    fault.at = at;
+    fault.duration = random.log_uniform(200, 3000);
+    out.faults.push_back(fault);
+    at = at + random.log_uniform(300, 4000);
+  }
+  if (random.happens(0.5)) {
+    Fault cut = draw_fault(random, FaultKind::platform_cut, Role::control, out.shape);
+    cut.target = Target::list_holder;
+    cut.at = Span::ms(8000);
+    cut.duration = random.uniform(14000, 24000);
+    out.faults.push_back(cut);
+  }
+  return out;
+}
+
 struct Scenario {
   const char* name;
   Plan (*make)(RandomGenerator&);
@@ -355,6 +383,7 @@
                                       {"everything", everything},
                                       {"overlapping-losses", overlapping_losses},
                                       {"calm-traffic", calm_traffic},
+                                      {"endpoint-changes", endpoint_changes},
                                       {"traffic", traffic}};
 
 }  // namespace
