--- a/src/lab/tier/auditor.cpp
+++ b/src/lab/tier/auditor.cpp
@@ -7,7 +7,7 @@
 namespace chutevane::lab::tier {
 namespace {
 
-constexpr std::size_t breaches_kept = 100;
+constexpr std::size_t max_kept_violations = 100;
 constexpr Span gone_most = Span::ms(500);  // after a client has left its endpoint stops work
 constexpr std::uint64_t gone_excused = 3;  // a few may come later
 constexpr std::size_t chain_most = 10000;  // turns: guards against names that go round in a ring
@@ -24,34 +24,34 @@
 
 }  // namespace
 
-const char* name_of(Check check) {
-  static constexpr std::array<const char*, checks> names = {"lost",
-                                                            "run twice",
-                                                            "budget overrun",
-                                                            "chain not exact",
-                                                            "joined or short answer",
-                                                            "refused and run",
-                                                            "refused without a cause",
-                                                            "invented turn",
-                                                            "sent to one that left",
-                                                            "configuration",
-                                                            "unserved",
-                                                            "crashed",
-                                                            "at work for nobody",
-                                                            "402 with budget left",
-                                                            "answered late"};
-  return names[static_cast<std::size_t>(check)];
+const char* name_of(Rule rule) {
+  static constexpr std::array<const char*, rule_count> names = {"lost",
+                                                                "run twice",
+                                                                "budget overrun",
+                                                                "chain not exact",
+                                                                "joined or short answer",
+                                                                "refused and run",
+                                                                "refused without a cause",
+                                                                "invented turn",
+                                                                "sent to one that left",
+                                                                "configuration",
+                                                                "unserved",
+                                                                "crashed",
+                                                                "at work for nobody",
+                                                                "402 with budget left",
+                                                                "answered late"};
+  return names[static_cast<std::size_t>(rule)];
 }
 
-void Auditor::breach(Check check, std::string what) {
+void Auditor::report_violation(Rule rule, std::string what) {
   const bool of_service =
-      check == Check::unserved || check == Check::drained || check == Check::gone || check == Check::late;
+      rule == Rule::unserved || rule == Rule::drained || rule == Rule::gone || rule == Rule::late;
   if (service_excused_ && of_service) {
     ++excused_;
     return;
   }
-  ++counts_[static_cast<std::size_t>(check)];
-  if (breaches_.size() < breaches_kept) breaches_.push_back({check, std::move(what)});
+  ++counts_[static_cast<std::size_t>(rule)];
+  if (violations_.size() < max_kept_violations) violations_.push_back({rule, std::move(what)});
 }
 
 std::uint64_t Auditor::all() const {
@@ -60,7 +60,7 @@
 
 void Auditor::asked(Ask ask, TimePoint now) {
   ++figures_.tries;
-  if (ask.sort == Sort::turn) ++figures_.turns_asked;
+  if (ask.sort == RequestKind::turn) ++figures_.turns_asked;
   if (ask.budget) {
     Program& p = programs_[ask.program];
     p.has_budget = true;
@@ -92,31 +92,32 @@
   const std::uint64_t run = runs_.size();
   const auto found = tries_.find(id);
   if (found == tries_.end()) {
-    breach(Check::invented, endpoint + " ran " + id + ", which nobody asked for");
+    report_violation(Rule::invented, endpoint + " ran " + id + ", which nobody asked for");
     return run;
   }
   Try& at = found->second;
   at.runs.push_back(run);
-  if (at.ask.sort != Sort::idempotent && at.runs.size() > 1)
-    breach(Check::twice, id + " ran at " + runs_[at.runs.front() - 1].endpoint + " and again at " + endpoint);
-  if (at.promised) breach(Check::promised, id + " ran at " + endpoint + " after it was refused");
-  if (at.ask.sort != Sort::turn) {
+  if (at.ask.sort != RequestKind::idempotent && at.runs.size() > 1)
+    report_violation(Rule::twice,
+                     id + " ran at " + runs_[at.runs.front() - 1].endpoint + " and again at " + endpoint);
+  if (at.promised) report_violation(Rule::promised, id + " ran at " + endpoint + " after it was refused");
+  if (at.ask.sort != RequestKind::turn) {
     if (body != at.ask.input)
-      breach(Check::chain, id + " at " + endpoint + ": " + difference(at.ask.input, body));
+      report_violation(Rule::chain, id + " at " + endpoint + ": " + difference(at.ask.input, body));
     return run;
   }
   std::size_t length = 0;
   const auto before = chain_before(at, length);
   if (!before) {
-    breach(Check::invented,
-           id + " ran at " + endpoint + ", on from " + at.ask.previous + ", which never ended");
+    report_violation(Rule::invented,
+                     id + " ran at " + endpoint + ", on from " + at.ask.previous + ", which never ended");
     return run;
   }
   ++figures_.chains_checked;
   figures_.longest_chain = std::max<std::uint64_t>(figures_.longest_chain, length + 1);
   if (const std::string due = *before + at.ask.input; due != body)
-    breach(Check::chain,
-           id + " at " + endpoint + ", turn " + std::to_string(length + 1) + ": " + difference(due, body));
+    report_violation(Rule::chain, id + " at " + endpoint + ", turn " + std::to_string(length + 1) + ": " +
+                                      difference(due, body));
   return run;
 }
 
@@ -124,8 +125,9 @@
   Program& p = programs_[program];
   if (!p.has_budget || p.told || (p.generated <= p.budget && p.handed <= p.budget)) return;
   p.told = true;
-  breach(Check::overrun, "program " + program + ": " + std::to_string(p.generated) + " tokens generated, " +
-                             std::to_string(p.handed) + " handed over, budget " + std::to_string(p.budget));
+  report_violation(Rule::overrun, "program " + program + ": " + std::to_string(p.generated) +
+                                      " tokens generated, " + std::to_string(p.handed) +
+                                      " handed over, budget " + std::to_string(p.budget));
 }
 
 void Auditor::generated(std::uint64_t run, const std::string& data, std::int64_t tokens) {
@@ -153,8 +155,8 @@
   if (found == left_.end() || now - found->second < gone_most) return;
   left_.erase(found);  // once each
   if (++figures_.worked_for_nobody > gone_excused)
-    breach(Check::gone,
-           id + " is worked on " + std::to_string(gone_most.as_ms()) + " ms after its client left");
+    report_violation(Rule::gone,
+                     id + " is worked on " + std::to_string(gone_most.as_ms()) + " ms after its client left");
 }
 
 void Auditor::run_whole(std::uint64_t run) { runs_.at(run - 1).whole = true; }
@@ -169,8 +171,8 @@
 void Auditor::came(const std::string& id, std::int64_t event, const std::string& data) {
   Try& at = tries_.at(id);
   if (at.last_event && event <= *at.last_event)
-    breach(Check::joined,
-           id + ": event " + std::to_string(event) + " after " + std::to_string(*at.last_event));
+    report_violation(Rule::joined,
+                     id + ": event " + std::to_string(event) + " after " + std::to_string(*at.last_event));
   at.last_event = event;
   at.output += data;
   // Tokens of an event are those of the endpoint that ran it, the same in each of its events.
@@ -190,14 +192,15 @@
     const Run& run = runs_[n - 1];
     if (seal_of(n) != seal) continue;
     if (run.output != at.output) {
-      breach(Check::joined, at.ask.id + " from " + run.endpoint + ": " + difference(run.output, at.output));
+      report_violation(Rule::joined,
+                       at.ask.id + " from " + run.endpoint + ": " + difference(run.output, at.output));
     } else if (!run.whole) {
-      breach(Check::joined, at.ask.id + ": whole at its client, and broken off at " + run.endpoint);
+      report_violation(Rule::joined, at.ask.id + ": whole at its client, and broken off at " + run.endpoint);
     }
     return;
   }
-  breach(Check::joined, at.ask.id + ": whole with the seal '" + seal + "', which none of its " +
-                            std::to_string(at.runs.size()) + " runs has");
+  report_violation(Rule::joined, at.ask.id + ": whole with the seal '" + seal + "', which none of its " +
+                                     std::to_string(at.runs.size()) + " runs has");
 }
 
 std::int64_t Auditor::most_counted(const Try& of, TimePoint began) const {
@@ -210,59 +213,62 @@
 void Auditor::check_refusal(const Try& at) {
   std::int64_t counted = at.ask.most;
   for (const auto& [id, other] : tries_) {
-    if (&other != &at && other.ask.program == at.ask.program && other.ask.sort == Sort::turn)
+    if (&other != &at && other.ask.program == at.ask.program && other.ask.sort == RequestKind::turn)
       counted += most_counted(other, at.asked_at);
   }
   const Program& program = programs_[at.ask.program];
   if (counted <= program.budget)
-    breach(Check::budget_left, at.ask.id + ": 402, and program " + at.ask.program + " has used " +
-                                   std::to_string(counted - at.ask.most) + " of " +
-                                   std::to_string(program.budget) + ", it asked for " +
-                                   std::to_string(at.ask.most));
+    report_violation(Rule::budget_left, at.ask.id + ": 402, and program " + at.ask.program + " has used " +
+                                            std::to_string(counted - at.ask.most) + " of " +
+                                            std::to_string(program.budget) + ", it asked for " +
+                                            std::to_string(at.ask.most));
 }
 
-void Auditor::answered(const std::string& id, Ended how, const std::string& seal, TimePoint now) {
+void Auditor::answered(const std::string& id, AttemptOutcome how, const std::string& seal, TimePoint now) {
   Try& at = tries_.at(id);
   at.ended = true;
   at.ended_at = now;
-  const bool turn = at.ask.sort == Sort::turn;
+  const bool turn = at.ask.sort == RequestKind::turn;
   const Program& program = programs_[at.ask.program];
   switch (how) {
-    case Ended::whole: {
+    case AttemptOutcome::whole: {
       at.whole = true;
       if (turn) ++figures_.turns_whole;
       check_answer(at, seal);
       std::size_t length = 0;
       if (turn && !chain_before(at, length))
-        breach(Check::invented, id + " was answered, on from " + at.ask.previous + ", which never ended");
+        report_violation(Rule::invented,
+                         id + " was answered, on from " + at.ask.previous + ", which never ended");
       break;
     }
-    case Ended::spent:
+    case AttemptOutcome::spent:
       ++figures_.spent;
       // All that it ever asked for, at its most, and still within the budget.
       if (!program.has_budget || program.asked <= program.budget) {
-        breach(Check::denied, id + ": 402, and all of program " + at.ask.program + " comes to " +
-                                  std::to_string(program.asked) + " of " + std::to_string(program.budget));
+        report_violation(Rule::denied, id + ": 402, and all of program " + at.ask.program + " comes to " +
+                                           std::to_string(program.asked) + " of " +
+                                           std::to_string(program.budget));
       } else {
         check_refusal(at);
       }
       [[fallthrough]];
-    case Ended::promised:
-      if (how == Ended::promised) ++figures_.promised;
+    case AttemptOutcome::promised:
+      if (how == AttemptOutcome::promised) ++figures_.promised;
       at.promised = true;
       if (!at.runs.empty())
-        breach(Check::promised, id + ": refused, and it ran at " + runs_[at.runs.back() - 1].endpoint);
+        report_violation(Rule::promised,
+                         id + ": refused, and it ran at " + runs_[at.runs.back() - 1].endpoint);
       break;
-    case Ended::unknown:
+    case AttemptOutcome::unknown:
       if (!turn || at.ask.previous.empty()) {
-        breach(Check::denied, id + ": 404, and its route is there");
+        report_violation(Rule::denied, id + ": 404, and its route is there");
       } else if (is_whole(at.ask.previous)) {
-        breach(Check::lost, at.ask.previous + " was answered whole; then 404 to " + id);
+        report_violation(Rule::lost, at.ask.previous + " was answered whole; then 404 to " + id);
       }
-      if (!at.runs.empty()) breach(Check::promised, id + ": 404, and it ran");
+      if (!at.runs.empty()) report_violation(Rule::promised, id + ": 404, and it ran");
       break;
-    case Ended::denied: breach(Check::denied, id + ": another 4xx"); break;
-    case Ended::broken: ++figures_.broken; break;
+    case AttemptOutcome::denied: report_violation(Rule::denied, id + ": another 4xx"); break;
+    case AttemptOutcome::broken: ++figures_.broken; break;
   }
 }
 
--- a/src/lab/tier/auditor.hpp
+++ b/src/lab/tier/auditor.hpp
@@ -14,10 +14,10 @@
 
 namespace chutevane::lab::tier {
 
-enum class Sort : std::uint8_t { idempotent, once, turn };
+enum class RequestKind : std::uint8_t { idempotent, once, turn };
 
 // How one try of a client ended.
-enum class Ended : std::uint8_t {
+enum class AttemptOutcome : std::uint8_t {
   whole,
   promised,  // it has not run and will not: 503, 429, 408, 421
   spent,     // 402
@@ -26,7 +26,7 @@
   broken,    // nothing is promised
 };
 
-enum class Check : std::uint8_t {
+enum class Rule : std::uint8_t {
   lost,           // answered whole, and later no such turn
   twice,          // what may run once ran again
   overrun,        // more tokens than the program's budget
@@ -43,13 +43,13 @@
   budget_left,    // 402, though the budget holds that turn
   late,           // no answer half a second after the time that its client gave
 };
-constexpr std::size_t checks = 15;
+constexpr std::size_t rule_count = 15;
 // A request that is refused gives its part of the budget back within this time.
 constexpr Span budget_return_time = Span::ms(1000);
-const char* name_of(Check check);
+const char* name_of(Rule rule);
 
-struct Breach {
-  Check check = Check::lost;
+struct Violation {
+  Rule rule = Rule::lost;
   std::string what;
 };
 
@@ -58,7 +58,7 @@
   // ---- clients
   struct Ask {
     std::string id;
-    Sort sort = Sort::turn;
+    RequestKind sort = RequestKind::turn;
     std::string program, previous, input;
     std::int64_t most = 0;  // tokens that it may generate
     std::optional<std::int64_t> budget;
@@ -66,7 +66,7 @@
   void asked(Ask ask, TimePoint now = {});
   void came(const std::string& id, std::int64_t event, const std::string& data);  // with its line feed
   void came_plain(const std::string& id, const std::string& body);
-  void answered(const std::string& id, Ended how, const std::string& seal, TimePoint now = {});
+  void answered(const std::string& id, AttemptOutcome how, const std::string& seal, TimePoint now = {});
   // Its client has closed its connection.
   void left(const std::string& id, TimePoint at) {
     ++figures_.left;
@@ -93,7 +93,7 @@
   static std::string seal_of(std::uint64_t run);
 
   // ---- whatever else is found
-  void breach(Check check, std::string what);
+  void report_violation(Rule rule, std::string what);
   // What depends on machines being in touch is counted and breaks nothing: troubles are under way.
   void excuse_service() { service_excused_ = true; }
   void expect_service() { service_excused_ = false; }
@@ -101,9 +101,9 @@
 
   // Whether an answer to it came to a client whole.
   bool is_whole(const std::string& id) const;
-  std::uint64_t count(Check check) const { return counts_[static_cast<std::size_t>(check)]; }
+  std::uint64_t count(Rule rule) const { return counts_[static_cast<std::size_t>(rule)]; }
   std::uint64_t all() const;
-  const std::vector<Breach>& breaches() const { return breaches_; }
+  const std::vector<Violation>& violations() const { return violations_; }
 
   struct Figures {
     std::uint64_t turns_asked = 0, turns_whole = 0, tries = 0, runs = 0, tokens_generated = 0,
@@ -143,12 +143,12 @@
   std::map<std::string, Try> tries_;
   std::vector<Run> runs_;
   std::map<std::string, Program> programs_;
-  std::array<std::uint64_t, checks> counts_{};
+  std::array<std::uint64_t, rule_count> counts_{};
   std::set<std::string> troubled_;
   std::map<std::string, TimePoint> left_;  // clients' closes, by id
   bool service_excused_ = false;
   std::uint64_t excused_ = 0;
-  std::vector<Breach> breaches_;
+  std::vector<Violation> violations_;
   Figures figures_;
 };
 
--- a/src/lab/tier/endpoint.cpp
+++ b/src/lab/tier/endpoint.cpp
@@ -21,8 +21,8 @@
       spec_(spec),
       chance_(seed, "endpoint " + spec.id),
       port_(
-          scheduler, [this](Port::Visit& visit) { take(visit); },
-          [this](Port::Visit& visit) { left(visit); }) {
+          scheduler, [this](HttpPort::Exchange& visit) { take(visit); },
+          [this](HttpPort::Exchange& visit) { left(visit); }) {
   port_.listen(spec.at);
 }
 
@@ -34,7 +34,7 @@
   if (std::exchange(ended_, true)) return;
   for (auto& [visit, job] : jobs_) {
     timers_.cancel(job.next);
-    if (Port::Visit* const at = port_.find(visit))
+    if (HttpPort::Exchange* const at = port_.find(visit))
       auditor_.troubled(at->asked().find("X-Chutevane-Attempt-Id"));
   }
   jobs_.clear();
@@ -47,9 +47,9 @@
          std::to_string(spec_.capacity);
 }
 
-Fields EndpointStandIn::fields_for(const Asked& asked, std::uint64_t run) const {
-  Fields out{{"Content-Type", spec_.streams && run != 0 ? "text/event-stream" : "text/plain"},
-             {"X-Chutevane-Server-Load", load()}};
+HeaderFields EndpointStandIn::fields_for(const ReceivedRequest& asked, std::uint64_t run) const {
+  HeaderFields out{{"Content-Type", spec_.streams && run != 0 ? "text/event-stream" : "text/plain"},
+                   {"X-Chutevane-Server-Load", load()}};
   if (const std::string id = asked.find("X-Chutevane-Attempt-Id"); !id.empty())
     out.emplace_back("X-Chutevane-Attempt-Id", id);
   if (run != 0) out.emplace_back("X-Chutevane-Server-Seal", Auditor::seal_of(run));
@@ -57,15 +57,15 @@
   return out;
 }
 
-void EndpointStandIn::refuse(Port::Visit& visit, int status) {
+void EndpointStandIn::refuse(HttpPort::Exchange& visit, int status) {
   ++turned_away_;
-  Fields fields = fields_for(visit.asked(), 0);
+  HeaderFields fields = fields_for(visit.asked(), 0);
   fields.emplace_back("X-Chutevane-Not-Executed", "1");
   visit.answer(status, fields, "");
 }
 
-void EndpointStandIn::take(Port::Visit& visit) {
-  const Asked& asked = visit.asked();
+void EndpointStandIn::take(HttpPort::Exchange& visit) {
+  const ReceivedRequest& asked = visit.asked();
   if (asked.path() == "/health")
     return visit.answer(draining_ ? 503 : 200,
                         {{"X-Chutevane-Serving-Instance", spec_.id}, {"X-Chutevane-Server-Load", load()}},
@@ -82,9 +82,9 @@
   if (!target.empty() && target != spec_.id) return refuse(visit, 421);
   if (id.empty()) return refuse(visit, 400);
   if (closed_from_ && timers_.now() > *closed_from_)
-    auditor_.breach(Check::drained, id + " came to " + spec_.id + " " +
-                                        std::to_string((timers_.now() - *closed_from_).as_ms()) +
-                                        " ms too late");
+    auditor_.report_violation(Rule::drained, id + " came to " + spec_.id + " " +
+                                                 std::to_string((timers_.now() - *closed_from_).as_ms()) +
+                                                 " ms too late");
   port_.each_answer_ends(draining_);
   if (jobs_.size() < spec_.capacity) return start(visit.id());
   if (queue_.size() >= spec_.queue) return refuse(visit, 503);
@@ -92,9 +92,9 @@
 }
 
 void EndpointStandIn::start(std::uint64_t visit) {
-  Port::Visit* const at = port_.find(visit);
+  HttpPort::Exchange* const at = port_.find(visit);
   if (at == nullptr) return;
-  const Asked& asked = at->asked();
+  const ReceivedRequest& asked = at->asked();
   const Span left =
       Span::ms(static_cast<double>(number_in(asked.find("X-Chutevane-Time-Remaining"), 600000)));
   Job& job = jobs_[visit];
@@ -107,8 +107,8 @@
   job.events = static_cast<std::size_t>(std::max<std::int64_t>(most / tokens_per_event, 1));
   if (job.events > 2) job.events -= chance_.below(job.events / 2);  // it may say less than it might
   if (chance_.one_in(spec_.trouble)) {
-    ++troubles_;
-    job.trouble = static_cast<Trouble>(1 + chance_.below(troubles_drawn));
+    ++fault_player_;
+    job.trouble = static_cast<Fault>(1 + chance_.below(troubles_drawn));
     auditor_.troubled(asked.find("X-Chutevane-Attempt-Id"));
   }
   const double wait = spec_.streams ? spec_.first_ms : spec_.work_ms;
@@ -117,7 +117,7 @@
 
 // The next event of a stream, or the whole of a plain answer.
 void EndpointStandIn::go_on(std::uint64_t visit) {
-  Port::Visit* const at = port_.find(visit);
+  HttpPort::Exchange* const at = port_.find(visit);
   const auto found = jobs_.find(visit);
   if (at == nullptr || found == jobs_.end()) return;
   Job& job = found->second;
@@ -129,16 +129,16 @@
     }
     return over(visit);
   }
-  if (job.trouble == Trouble::silent) {  // until its caller leaves, or waits no more
+  if (job.trouble == Fault::silent) {  // until its caller leaves, or waits no more
     job.next = timers_.at(job.until + Span::ms(1), [this, visit] { go_on(visit); });
     return;
   }
-  if (job.trouble == Trouble::garbled) {
+  if (job.trouble == Fault::garbled) {
     at->answer_bytes("no answer of any protocol\r\n\r\n");
     return over(visit);
   }
   auditor_.at_work(at->asked().find("X-Chutevane-Attempt-Id"), timers_.now());
-  if (job.trouble == Trouble::mute || (job.trouble == Trouble::half && job.told * 2 >= job.events)) {
+  if (job.trouble == Fault::mute || (job.trouble == Fault::half && job.told * 2 >= job.events)) {
     at->reset();
     return over(visit);
   }
@@ -147,7 +147,7 @@
     const std::string body = mark + " of " + spec_.id;
     auditor_.generated(job.run, body, 0);
     auditor_.run_whole(job.run);
-    if (job.trouble == Trouble::surplus)
+    if (job.trouble == Fault::surplus)
       at->add_behind("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nnobody's\n");
     at->answer(200, fields_for(at->asked(), job.run), body);
     return over(visit);
@@ -172,7 +172,7 @@
     return;
   }
   auditor_.run_whole(job.run);
-  if (job.trouble == Trouble::surplus) at->add_behind("id: 1\ndata: of nobody\n\n");
+  if (job.trouble == Fault::surplus) at->add_behind("id: 1\ndata: of nobody\n\n");
   at->finish();
   over(visit);
 }
@@ -191,7 +191,7 @@
 }
 
 // Nobody waits for it any more: it is dropped.
-void EndpointStandIn::left(Port::Visit& visit) {
+void EndpointStandIn::left(HttpPort::Exchange& visit) {
   std::erase(queue_, visit.id());
   over(visit.id());
 }
--- a/src/lab/tier/endpoint.hpp
+++ b/src/lab/tier/endpoint.hpp
@@ -8,7 +8,7 @@
 
 #include "lab/draw.hpp"
 #include "lab/tier/auditor.hpp"
-#include "lab/tier/web.hpp"
+#include "lab/tier/http_exchange.hpp"
 
 namespace chutevane::lab::tier {
 
@@ -35,40 +35,40 @@
   void read_as_draining(TimePoint at, Span most);
   void end();  // it is gone, whatever it ran
   std::uint64_t turned_away() const { return turned_away_; }
-  std::uint64_t troubles() const { return troubles_; }
+  std::uint64_t troubles() const { return fault_player_; }
 
  private:
   // Broken off before anything was said, in the middle, or followed by more that belongs to no request; bytes
   // that are no answer; or no answer at all.
-  enum class Trouble : std::uint8_t { none, mute, half, surplus, garbled, silent };
+  enum class Fault : std::uint8_t { none, mute, half, surplus, garbled, silent };
   static constexpr std::size_t troubles_drawn = 5;
   struct Job {
-    Trouble trouble = Trouble::none;
+    Fault trouble = Fault::none;
     std::uint64_t visit = 0, run = 0;
     std::size_t events = 0, told = 0;  // events in all, and so far
     std::int64_t last_id = 0;
     TimePoint until;
     net::TimerQueue::Handle next;
   };
-  void take(Port::Visit& visit);
-  void left(Port::Visit& visit);
+  void take(HttpPort::Exchange& visit);
+  void left(HttpPort::Exchange& visit);
   void start(std::uint64_t visit);
   void go_on(std::uint64_t visit);
   void over(std::uint64_t visit);
-  void refuse(Port::Visit& visit, int status);
+  void refuse(HttpPort::Exchange& visit, int status);
   std::string load() const;
-  Fields fields_for(const Asked& asked, std::uint64_t run) const;
+  HeaderFields fields_for(const ReceivedRequest& asked, std::uint64_t run) const;
 
   net::TimerQueue& timers_;
   Auditor& auditor_;
   EndpointSpec spec_;
   Chance chance_;
-  Port port_;
+  HttpPort port_;
   std::map<std::uint64_t, Job> jobs_;  // by visit
   std::deque<std::uint64_t> queue_;    // visits
   bool draining_ = false, ended_ = false;
   std::optional<TimePoint> closed_from_;
-  std::uint64_t turned_away_ = 0, troubles_ = 0;
+  std::uint64_t turned_away_ = 0, fault_player_ = 0;
 };
 
 }  // namespace chutevane::lab::tier
--- a/src/lab/tier/story.cpp
+++ b/src/lab/tier/fault_plan.cpp
@@ -1,4 +1,4 @@
-#include "lab/tier/story.hpp"
+#include "lab/tier/fault_plan.hpp"
 
 #include <algorithm>
 #include <array>
@@ -23,9 +23,9 @@
 
 class Drawer {
  public:
-  Drawer(std::uint64_t seed, const StoryBounds& bounds) : bounds_(bounds), chance_(seed, "story") {}
+  Drawer(std::uint64_t seed, const FaultPlanBounds& bounds) : bounds_(bounds), chance_(seed, "story") {}
 
-  Story draw() {
+  FaultPlan draw() {
     story_.beyond_tolerance = chance_.below(stories_beyond) == 0;
     draw_manners();
     if (story_.beyond_tolerance) {
@@ -35,7 +35,7 @@
     }
     draw_beside();
     std::stable_sort(story_.troubles.begin(), story_.troubles.end(),
-                     [](const Trouble& a, const Trouble& b) { return a.at < b.at; });
+                     [](const Fault& a, const Fault& b) { return a.at < b.at; });
     return std::move(story_);
   }
 
@@ -55,52 +55,52 @@
     return 0;
   }
   void draw_manners() {
-    story_.manners.client_leaves = 0.04 * chance_.unit();
-    story_.manners.client_half_closes = 0.02 * chance_.unit();
-    story_.manners.client_stalls = 0.04 * chance_.unit();
-    story_.manners.endpoint_spoils = 0.03 * chance_.unit();
-    story_.manners.operator_loses_answer = chance_.one_in(0.5) ? 0.4 : 0;
+    story_.misbehavior.client_leaves = 0.04 * chance_.unit();
+    story_.misbehavior.client_half_closes = 0.02 * chance_.unit();
+    story_.misbehavior.client_stalls = 0.04 * chance_.unit();
+    story_.misbehavior.endpoint_spoils = 0.03 * chance_.unit();
+    story_.misbehavior.operator_loses_answer = chance_.one_in(0.5) ? 0.4 : 0;
   }
   // How long it lasts, and what else the kind needs.
-  void fill(Trouble& trouble) {
+  void fill(Fault& trouble) {
     switch (trouble.kind) {
-      case TroubleKind::pause: trouble.lasts = pause(); break;
-      case TroubleKind::kill:
-      case TroubleKind::wipe:
-      case TroubleKind::kill_all: trouble.lasts = between(down_least, down_spread); break;
-      case TroubleKind::cut:
+      case FaultKind::pause: trouble.lasts = pause(); break;
+      case FaultKind::kill:
+      case FaultKind::wipe:
+      case FaultKind::kill_all: trouble.lasts = between(down_least, down_spread); break;
+      case FaultKind::cut:
         trouble.lasts = between(cut_least, cut_spread);
         trouble.direction = static_cast<CutDirection>(chance_.below(3));
         trouble.resets = chance_.one_in(0.4);
         break;
-      case TroubleKind::halves:
+      case FaultKind::halves:
         trouble.lasts = between(halves_least, halves_spread);
         trouble.resets = chance_.one_in(0.4);
         break;
-      case TroubleKind::slow_way:
+      case FaultKind::slow_way:
         trouble.lasts = between(cut_least, cut_spread);
         trouble.delay = between(delay_least, delay_spread);
         break;
-      case TroubleKind::lose_answers: trouble.lasts = between(answers_lost_least, answers_lost_spread); break;
-      case TroubleKind::terminate:
-      case TroubleKind::reload:
-      case TroubleKind::change:
-      case TroubleKind::race:
-      case TroubleKind::drain_endpoint:
-      case TroubleKind::replace_endpoint:
-      case TroubleKind::endpoint_dies: break;
+      case FaultKind::lose_answers: trouble.lasts = between(answers_lost_least, answers_lost_spread); break;
+      case FaultKind::terminate:
+      case FaultKind::reload:
+      case FaultKind::change:
+      case FaultKind::race:
+      case FaultKind::drain_endpoint:
+      case FaultKind::replace_endpoint:
+      case FaultKind::endpoint_dies: break;
     }
     trouble.lasts = std::min(trouble.lasts, bounds_.active - trouble.at);
   }
-  Trouble loss_at(Span at, bool may_wipe) {
-    constexpr std::array kinds = {TroubleKind::wipe,     TroubleKind::wipe,     TroubleKind::pause,
-                                  TroubleKind::pause,    TroubleKind::kill,     TroubleKind::cut,
-                                  TroubleKind::slow_way, TroubleKind::terminate};
-    Trouble out;
+  Fault loss_at(Span at, bool may_wipe) {
+    constexpr std::array kinds = {FaultKind::wipe,     FaultKind::wipe,     FaultKind::pause,
+                                  FaultKind::pause,    FaultKind::kill,     FaultKind::cut,
+                                  FaultKind::slow_way, FaultKind::terminate};
+    Fault out;
     out.at = at;
     do {
       out.kind = kinds[chance_.below(kinds.size())];
-    } while (out.kind == TroubleKind::wipe && !may_wipe);
+    } while (out.kind == FaultKind::wipe && !may_wipe);
     out.plane = chance_.one_in(0.6) ? MachinePlane::storage : MachinePlane::control;
     out.place = chance_.below(size_of(out.plane));
     fill(out);
@@ -110,19 +110,19 @@
     for (Span at = between(first_at, beside_spread); at < bounds_.active;) {
       story_.troubles.push_back(loss_at(at, true));
       // One that is told to end is away until its grace is over, at the most.
-      const Span away = story_.troubles.back().kind == TroubleKind::terminate ? Span::ms(8000)
-                                                                              : story_.troubles.back().lasts;
+      const Span away =
+          story_.troubles.back().kind == FaultKind::terminate ? Span::ms(8000) : story_.troubles.back().lasts;
       at = at + away + bounds_.catch_up + Span::ms(600) * chance_.unit();
     }
   }
   // Another machine of the plane is away over the moment at which one comes back with an empty disk.
   void draw_wipe_beside_an_absence() {
-    constexpr std::array kinds = {TroubleKind::pause, TroubleKind::cut, TroubleKind::kill};
-    Trouble absence, wipe;
+    constexpr std::array kinds = {FaultKind::pause, FaultKind::cut, FaultKind::kill};
+    Fault absence, wipe;
     absence.kind = kinds[chance_.below(kinds.size())];
     absence.plane = wipe.plane = chance_.one_in(0.7) ? MachinePlane::storage : MachinePlane::control;
     absence.place = chance_.below(size_of(absence.plane));
-    wipe.kind = TroubleKind::wipe;
+    wipe.kind = FaultKind::wipe;
     wipe.place = (absence.place + 1 + chance_.below(size_of(wipe.plane) - 1)) % size_of(wipe.plane);
     // Late enough that turns lie at both.
     absence.at = bounds_.active * (0.2 + 0.2 * chance_.unit());
@@ -140,48 +140,48 @@
     for (Span at = between(first_at, beside_spread); at < bounds_.active * 0.8;
          at = at + beside_spread * chance_.unit()) {
       if (chance_.one_in(0.1)) {
-        Trouble all;
-        all.kind = chance_.one_in(0.5) ? TroubleKind::kill_all : TroubleKind::halves;
+        Fault all;
+        all.kind = chance_.one_in(0.5) ? FaultKind::kill_all : FaultKind::halves;
         all.at = at;
         fill(all);
-        if (all.kind == TroubleKind::halves || nobody_busy(at)) story_.troubles.push_back(all);
+        if (all.kind == FaultKind::halves || nobody_busy(at)) story_.troubles.push_back(all);
         continue;
       }
-      const Trouble one = loss_at(at, !wiped);
+      const Fault one = loss_at(at, !wiped);
       if (busy(one)) continue;
-      wiped = wiped || one.kind == TroubleKind::wipe;
+      wiped = wiped || one.kind == FaultKind::wipe;
       story_.troubles.push_back(one);
     }
   }
-  static Span until(const Trouble& trouble) {
-    return trouble.at + (trouble.kind == TroubleKind::terminate ? Span::ms(10000) : trouble.lasts) +
+  static Span until(const Fault& trouble) {
+    return trouble.at + (trouble.kind == FaultKind::terminate ? Span::ms(10000) : trouble.lasts) +
            Span::ms(100);
   }
-  bool busy(const Trouble& wanted) const {
-    return std::any_of(story_.troubles.begin(), story_.troubles.end(), [&](const Trouble& t) {
+  bool busy(const Fault& wanted) const {
+    return std::any_of(story_.troubles.begin(), story_.troubles.end(), [&](const Fault& t) {
       const bool same = t.plane == wanted.plane && t.place == wanted.place;
-      return until(t) > wanted.at && t.at < until(wanted) && (same || t.kind == TroubleKind::kill_all);
+      return until(t) > wanted.at && t.at < until(wanted) && (same || t.kind == FaultKind::kill_all);
     });
   }
   bool nobody_busy(Span at) const {
     return std::all_of(story_.troubles.begin(), story_.troubles.end(),
-                       [&](const Trouble& t) { return until(t) <= at || t.kind == TroubleKind::halves; });
+                       [&](const Fault& t) { return until(t) <= at || t.kind == FaultKind::halves; });
   }
   // What may come at any time: edges, endpoints, operators, connections.
   void draw_beside() {
-    constexpr std::array kinds = {TroubleKind::pause,          TroubleKind::kill,
-                                  TroubleKind::terminate,      TroubleKind::reload,
-                                  TroubleKind::lose_answers,   TroubleKind::change,
-                                  TroubleKind::change,         TroubleKind::race,
-                                  TroubleKind::drain_endpoint, TroubleKind::replace_endpoint,
-                                  TroubleKind::endpoint_dies,  TroubleKind::cut};
+    constexpr std::array kinds = {FaultKind::pause,          FaultKind::kill,
+                                  FaultKind::terminate,      FaultKind::reload,
+                                  FaultKind::lose_answers,   FaultKind::change,
+                                  FaultKind::change,         FaultKind::race,
+                                  FaultKind::drain_endpoint, FaultKind::replace_endpoint,
+                                  FaultKind::endpoint_dies,  FaultKind::cut};
     for (Span at = between(first_at, beside_spread); at < bounds_.active * 0.85;
          at = at + beside_spread * chance_.unit()) {
-      Trouble one;
+      Fault one;
       one.kind = kinds[chance_.below(kinds.size())];
       one.at = at;
       one.plane = MachinePlane::edge;
-      const bool any_machine = one.kind == TroubleKind::reload || one.kind == TroubleKind::lose_answers;
+      const bool any_machine = one.kind == FaultKind::reload || one.kind == FaultKind::lose_answers;
       if (any_machine) one.plane = static_cast<MachinePlane>(chance_.below(3));
       one.place = chance_.below(size_of(one.plane));
       fill(one);
@@ -189,21 +189,21 @@
     }
   }
 
-  const StoryBounds bounds_;
+  const FaultPlanBounds bounds_;
   Chance chance_;
-  Story story_;
+  FaultPlan story_;
 };
 
-bool of_one_machine(TroubleKind kind) {
+bool of_one_machine(FaultKind kind) {
   switch (kind) {
-    case TroubleKind::pause:
-    case TroubleKind::kill:
-    case TroubleKind::wipe:
-    case TroubleKind::terminate:
-    case TroubleKind::reload:
-    case TroubleKind::cut:
-    case TroubleKind::slow_way:
-    case TroubleKind::lose_answers: return true;
+    case FaultKind::pause:
+    case FaultKind::kill:
+    case FaultKind::wipe:
+    case FaultKind::terminate:
+    case FaultKind::reload:
+    case FaultKind::cut:
+    case FaultKind::slow_way:
+    case FaultKind::lose_answers: return true;
     default: return false;
   }
 }
@@ -212,8 +212,8 @@
 
 }  // namespace
 
-const char* name_of(TroubleKind kind) {
-  constexpr std::array<const char*, trouble_kinds> names = {
+const char* name_of(FaultKind kind) {
+  constexpr std::array<const char*, fault_kinds> names = {
       "pause",  "kill", "wipe",           "kill_all",         "terminate",
       "reload", "cut",  "halves",         "slow_way",         "lose_answers",
       "change", "race", "drain_endpoint", "replace_endpoint", "endpoint_dies"};
@@ -229,39 +229,42 @@
   return "";
 }
 
-std::string describe(const Trouble& trouble) {
+std::string describe(const Fault& trouble) {
   char at[24];
   std::snprintf(at, sizeof at, "%7.2f s  ", trouble.at.as_ms() / 1000);
   std::string out = std::string(at) + name_of(trouble.kind);
   if (of_one_machine(trouble.kind))
     out += std::string(" ") + name_of(trouble.plane) + "-" + std::to_string(trouble.place + 1);
   if (trouble.lasts > Span()) out += ", " + milliseconds(trouble.lasts);
-  if (trouble.kind == TroubleKind::cut && trouble.direction != CutDirection::both)
+  if (trouble.kind == FaultKind::cut && trouble.direction != CutDirection::both)
     out += trouble.direction == CutDirection::to_it ? ", to it" : ", from it";
   if (trouble.resets) out += ", with resets";
   if (trouble.delay > Span()) out += ", late by " + milliseconds(trouble.delay);
   return out;
 }
 
-Span Story::ends() const {
+Span FaultPlan::ends() const {
   Span out;
-  for (const Trouble& t : troubles) out = std::max(out, t.at + t.lasts);
+  for (const Fault& t : troubles) out = std::max(out, t.at + t.lasts);
   return out;
 }
 
-std::string describe(const Story& story) {
-  char manners[200];
-  std::snprintf(manners, sizeof manners,
+std::string describe(const FaultPlan& story) {
+  char misbehavior[200];
+  std::snprintf(misbehavior, sizeof misbehavior,
                 "clients leave %.3f, half-close %.3f, stall %.3f; endpoints spoil %.3f; operators lose %.1f "
                 "of their answers\n",
-                story.manners.client_leaves, story.manners.client_half_closes, story.manners.client_stalls,
-                story.manners.endpoint_spoils, story.manners.operator_loses_answer);
+                story.misbehavior.client_leaves, story.misbehavior.client_half_closes,
+                story.misbehavior.client_stalls, story.misbehavior.endpoint_spoils,
+                story.misbehavior.operator_loses_answer);
   std::string out = story.beyond_tolerance ? "losses overlap beyond the tolerance, one disk at most\n" : "";
-  out += manners;
-  for (const Trouble& t : story.troubles) out += describe(t) + "\n";
+  out += misbehavior;
+  for (const Fault& t : story.troubles) out += describe(t) + "\n";
   return out;
 }
 
-Story draw_story(std::uint64_t seed, const StoryBounds& bounds) { return Drawer(seed, bounds).draw(); }
+FaultPlan draw_fault_plan(std::uint64_t seed, const FaultPlanBounds& bounds) {
+  return Drawer(seed, bounds).draw();
+}
 
 }  // namespace chutevane::lab::tier
--- a/src/lab/tier/story.hpp
+++ b/src/lab/tier/fault_plan.hpp
@@ -10,7 +10,7 @@
 
 namespace chutevane::lab::tier {
 
-enum class TroubleKind : std::uint8_t {
+enum class FaultKind : std::uint8_t {
   pause,             // SIGSTOP, and SIGCONT after `lasts`
   kill,              // SIGKILL, and a start after `lasts` with the disk as it was
   wipe,              // the same, with an empty disk
@@ -27,16 +27,16 @@
   replace_endpoint,  // another process is at its address
   endpoint_dies,     // one ends without a word
 };
-constexpr std::size_t trouble_kinds = static_cast<std::size_t>(TroubleKind::endpoint_dies) + 1;
-const char* name_of(TroubleKind kind);
+constexpr std::size_t fault_kinds = static_cast<std::size_t>(FaultKind::endpoint_dies) + 1;
+const char* name_of(FaultKind kind);
 
 enum class CutDirection : std::uint8_t { both, to_it, from_it };
 
 enum class MachinePlane : std::uint8_t { edge, control, storage };
 const char* name_of(MachinePlane plane);
 
-struct Trouble {
-  TroubleKind kind = TroubleKind::pause;
+struct Fault {
+  FaultKind kind = FaultKind::pause;
   Span at, lasts;  // from the begin of the load
   MachinePlane plane = MachinePlane::storage;
   std::size_t place = 0;  // of the machine in its plane, from 0 on
@@ -44,31 +44,31 @@
   bool resets = false;  // a cut: connections that stand are reset, else nothing more is heard on them
   Span delay;           // of a slow way
 };
-std::string describe(const Trouble& trouble);
+std::string describe(const Fault& trouble);
 
 // How clients and endpoints behave for the whole of it: parts of all requests.
-struct Manners {
+struct Misbehavior {
   double client_leaves = 0, client_half_closes = 0, client_stalls = 0;
   double endpoint_spoils = 0;
   double operator_loses_answer = 0;
 };
 
-struct Story {
-  std::vector<Trouble> troubles;  // in order of time
-  Manners manners;
+struct FaultPlan {
+  std::vector<Fault> troubles;  // in order of time
+  Misbehavior misbehavior;
   // More machines are away at once than may be lost, though no more disks: service may rest meanwhile.
   bool beyond_tolerance = false;
   Span ends() const;
 };
-std::string describe(const Story& story);
+std::string describe(const FaultPlan& story);
 
 // `active`: for how long troubles begin. One machine with a disk may be lost at a time, `catch_up` after it
 // is back the next one; in every third story machines are away together, and one disk is lost at most.
-struct StoryBounds {
+struct FaultPlanBounds {
   Span active = Span::ms(10000);
   Span catch_up = Span::ms(4200);
   std::size_t edges = 3, controllers = 3, storage_nodes = 4;
 };
-Story draw_story(std::uint64_t seed, const StoryBounds& bounds);
+FaultPlan draw_fault_plan(std::uint64_t seed, const FaultPlanBounds& bounds);
 
 }  // namespace chutevane::lab::tier
--- a/src/lab/tier/troubles.cpp
+++ b/src/lab/tier/fault_player.cpp
@@ -1,4 +1,4 @@
-#include "lab/tier/troubles.hpp"
+#include "lab/tier/fault_player.hpp"
 
 #include <algorithm>
 
@@ -11,11 +11,11 @@
 
 }  // namespace
 
-Troubles::Troubles(net::TimerQueue& timers, Machines& machines, Ways& ways, EndpointSet& endpoints,
-                   OperatorStandIn& operators)
-    : timers_(timers), machines_(machines), ways_(ways), endpoints_(endpoints), operators_(operators) {}
+FaultPlayer::FaultPlayer(net::TimerQueue& timers, Machines& machines, LinkRelays& ways,
+                         EndpointSet& endpoints, OperatorStandIn& operators)
+    : timers_(timers), machines_(machines), relays_(ways), endpoints_(endpoints), operators_(operators) {}
 
-void Troubles::after(Span span, std::function<void()> what) {
+void FaultPlayer::after(Span span, std::function<void()> what) {
   ++open_;
   timers_.after(span, [this, what = std::move(what)] {
     what();
@@ -23,7 +23,7 @@
   });
 }
 
-void Troubles::end_fault_after(Span span, std::function<void()> what) {
+void FaultPlayer::end_fault_after(Span span, std::function<void()> what) {
   ++open_faults_;
   after(span, [this, what = std::move(what)] {
     what();
@@ -32,10 +32,10 @@
   });
 }
 
-void Troubles::play(const Story& story, TimePoint begin) {
-  operators_.lose_answers(story.manners.operator_loses_answer);
+void FaultPlayer::play(const FaultPlan& story, TimePoint begin) {
+  operators_.lose_answers(story.misbehavior.operator_loses_answer);
   calm_since_ = begin;
-  for (const Trouble& trouble : story.troubles) {
+  for (const Fault& trouble : story.troubles) {
     ++open_;
     timers_.at(begin + trouble.at, [this, trouble] {
       ++played_[static_cast<std::size_t>(trouble.kind)];
@@ -45,40 +45,40 @@
   }
 }
 
-void Troubles::strike(const Trouble& trouble) {
+void FaultPlayer::strike(const Fault& trouble) {
   switch (trouble.kind) {
-    case TroubleKind::pause: return pause(trouble);
-    case TroubleKind::kill:
-    case TroubleKind::wipe: return kill(trouble);
-    case TroubleKind::kill_all: return kill_all(trouble);
-    case TroubleKind::terminate: return terminate(trouble);
-    case TroubleKind::reload: return machines_.reload(machine_of(trouble));
-    case TroubleKind::cut: return cut(trouble);
-    case TroubleKind::halves: return halves(trouble);
-    case TroubleKind::slow_way: return slow_way(trouble);
-    case TroubleKind::lose_answers: return lose_answers(trouble);
-    case TroubleKind::change: return change(false);
-    case TroubleKind::race: return change(true);
-    case TroubleKind::drain_endpoint:
-    case TroubleKind::replace_endpoint:
-    case TroubleKind::endpoint_dies: return change_endpoint(trouble);
+    case FaultKind::pause: return pause(trouble);
+    case FaultKind::kill:
+    case FaultKind::wipe: return kill(trouble);
+    case FaultKind::kill_all: return kill_all(trouble);
+    case FaultKind::terminate: return terminate(trouble);
+    case FaultKind::reload: return machines_.reload(machine_of(trouble));
+    case FaultKind::cut: return cut(trouble);
+    case FaultKind::halves: return halves(trouble);
+    case FaultKind::slow_way: return slow_way(trouble);
+    case FaultKind::lose_answers: return lose_answers(trouble);
+    case FaultKind::change: return change(false);
+    case FaultKind::race: return change(true);
+    case FaultKind::drain_endpoint:
+    case FaultKind::replace_endpoint:
+    case FaultKind::endpoint_dies: return change_endpoint(trouble);
   }
 }
 
-void Troubles::pause(const Trouble& trouble) {
+void FaultPlayer::pause(const Fault& trouble) {
   Machines::Machine& m = machine_of(trouble);
   machines_.pause(m);
   end_fault_after(trouble.lasts, [this, &m] { machines_.resume(m); });
 }
 
-void Troubles::kill(const Trouble& trouble) {
+void FaultPlayer::kill(const Fault& trouble) {
   Machines::Machine& m = machine_of(trouble);
   machines_.kill(m);
-  if (trouble.kind == TroubleKind::wipe) machines_.lose_disk(m);
+  if (trouble.kind == FaultKind::wipe) machines_.lose_disk(m);
   end_fault_after(trouble.lasts, [this, &m] { machines_.start(m, Machines::Start::again); });
 }
 
-void Troubles::kill_all(const Trouble& trouble) {
+void FaultPlayer::kill_all(const Fault& trouble) {
   Span back = trouble.lasts;
   for (const auto& m : machines_.all()) {
     if (m->plane == MachinePlane::edge) continue;
@@ -88,7 +88,7 @@
   }
 }
 
-void Troubles::terminate(const Trouble& trouble) {
+void FaultPlayer::terminate(const Fault& trouble) {
   Machines::Machine& m = machine_of(trouble);
   if (!m.process.running()) return;
   ++open_;
@@ -100,26 +100,26 @@
   });
 }
 
-void Troubles::ill_ways(const Trouble& trouble, Ways::IllsOf ills) {
+void FaultPlayer::begin_link_fault(const Fault& trouble, LinkRelays::LinkFaultOf fault_of) {
   if (trouble.resets)
-    ways_.reset([ills](const std::string& opener, const std::string& listener) {
-      return ills(opener, listener).blocked || ills(listener, opener).blocked;
+    relays_.reset([fault_of](const std::string& opener, const std::string& listener) {
+      return fault_of(opener, listener).blocked || fault_of(listener, opener).blocked;
     });
-  const std::uint64_t number = ways_.begin(std::move(ills));
-  end_fault_after(trouble.lasts, [this, number] { ways_.end(number); });
+  const std::uint64_t number = relays_.begin(std::move(fault_of));
+  end_fault_after(trouble.lasts, [this, number] { relays_.end(number); });
 }
 
-void Troubles::cut(const Trouble& trouble) {
+void FaultPlayer::cut(const Fault& trouble) {
   const std::string node = machine_of(trouble).node;
   const bool to_it = trouble.direction != CutDirection::from_it,
              from_it = trouble.direction != CutDirection::to_it;
-  ill_ways(trouble, [=](const std::string& from, const std::string& to) {
-    return Ways::Ills{(to_it && to == node) || (from_it && from == node), {}};
+  begin_link_fault(trouble, [=](const std::string& from, const std::string& to) {
+    return LinkRelays::LinkFault{(to_it && to == node) || (from_it && from == node), {}};
   });
 }
 
 // Every second machine of each plane on one side; edges, clients and operators reach both.
-void Troubles::halves(const Trouble& trouble) {
+void FaultPlayer::halves(const Fault& trouble) {
   std::vector<std::string> one, other;
   for (const MachinePlane plane : {MachinePlane::control, MachinePlane::storage}) {
     const auto machines = machines_.of(plane);
@@ -128,43 +128,43 @@
   const auto in = [](const std::vector<std::string>& half, const std::string& node) {
     return std::find(half.begin(), half.end(), node) != half.end();
   };
-  ill_ways(trouble, [=](const std::string& from, const std::string& to) {
-    return Ways::Ills{(in(one, from) && in(other, to)) || (in(other, from) && in(one, to)), {}};
+  begin_link_fault(trouble, [=](const std::string& from, const std::string& to) {
+    return LinkRelays::LinkFault{(in(one, from) && in(other, to)) || (in(other, from) && in(one, to)), {}};
   });
 }
 
-void Troubles::slow_way(const Trouble& trouble) {
+void FaultPlayer::slow_way(const Fault& trouble) {
   const std::string node = machine_of(trouble).node;
-  ill_ways(trouble, [node, delay = trouble.delay](const std::string& from, const std::string& to) {
-    return Ways::Ills{false, from == node || to == node ? delay : Span()};
+  begin_link_fault(trouble, [node, delay = trouble.delay](const std::string& from, const std::string& to) {
+    return LinkRelays::LinkFault{false, from == node || to == node ? delay : Span()};
   });
 }
 
 // What it is asked arrives; what it answers meanwhile is lost with the connections.
-void Troubles::lose_answers(const Trouble& trouble) {
+void FaultPlayer::lose_answers(const Fault& trouble) {
   const std::string node = machine_of(trouble).node;
-  const std::uint64_t number = ways_.begin([node](const std::string& from, const std::string&) {
-    return Ways::Ills{from == node, {}};
+  const std::uint64_t number = relays_.begin([node](const std::string& from, const std::string&) {
+    return LinkRelays::LinkFault{from == node, {}};
   });
   end_fault_after(trouble.lasts, [this, node, number] {
-    ways_.reset([node](const std::string&, const std::string& listener) { return listener == node; });
-    ways_.end(number);
+    relays_.reset([node](const std::string&, const std::string& listener) { return listener == node; });
+    relays_.end(number);
   });
 }
 
-void Troubles::change_endpoint(const Trouble& trouble) {
+void FaultPlayer::change_endpoint(const Fault& trouble) {
   EndpointStandIn* const old = endpoints_.one_that_may_go(static_cast<std::size_t>(trouble.at.as_us()));
   if (old == nullptr) return;
-  if (trouble.kind == TroubleKind::drain_endpoint) {
+  if (trouble.kind == FaultKind::drain_endpoint) {
     endpoints_.drain(*old);
-  } else if (trouble.kind == TroubleKind::replace_endpoint) {
+  } else if (trouble.kind == FaultKind::replace_endpoint) {
     endpoints_.replace(*old);
   } else {
     endpoints_.lose(*old);
   }
 }
 
-void Troubles::change(bool race) {
+void FaultPlayer::change(bool race) {
   if (operators_.busy()) return after(order_again, [this, race] { change(race); });
   const std::int64_t version = operators_.acknowledged() + 1;
   const auto first_to = static_cast<std::size_t>(version);
--- a/src/lab/tier/troubles.hpp
+++ b/src/lab/tier/fault_player.hpp
@@ -7,51 +7,51 @@
 #include <string>
 
 #include "lab/tier/endpoint_set.hpp"
+#include "lab/tier/fault_plan.hpp"
+#include "lab/tier/link_relays.hpp"
 #include "lab/tier/machines.hpp"
 #include "lab/tier/operators.hpp"
-#include "lab/tier/story.hpp"
-#include "lab/tier/ways.hpp"
 
 namespace chutevane::lab::tier {
 
-class Troubles {
+class FaultPlayer {
  public:
-  Troubles(net::TimerQueue& timers, Machines& machines, Ways& ways, EndpointSet& endpoints,
-           OperatorStandIn& operators);
-  void play(const Story& story, TimePoint begin);
+  FaultPlayer(net::TimerQueue& timers, Machines& machines, LinkRelays& ways, EndpointSet& endpoints,
+              OperatorStandIn& operators);
+  void play(const FaultPlan& story, TimePoint begin);
   // All that was taken away is back, and no order is under way.
   bool over() const { return open_ == 0; }
   /// Since when no machine and no way between machines has had a fault; never: one has now.
   TimePoint calm_since() const { return open_faults_ > 0 ? TimePoint::never() : calm_since_; }
-  std::uint64_t played(TroubleKind kind) const { return played_[static_cast<std::size_t>(kind)]; }
+  std::uint64_t played(FaultKind kind) const { return played_[static_cast<std::size_t>(kind)]; }
 
  private:
-  void strike(const Trouble& trouble);
-  void pause(const Trouble& trouble);
-  void kill(const Trouble& trouble);
-  void kill_all(const Trouble& trouble);
-  void terminate(const Trouble& trouble);
-  void cut(const Trouble& trouble);
-  void halves(const Trouble& trouble);
-  void slow_way(const Trouble& trouble);
-  void lose_answers(const Trouble& trouble);
-  void change_endpoint(const Trouble& trouble);
+  void strike(const Fault& trouble);
+  void pause(const Fault& trouble);
+  void kill(const Fault& trouble);
+  void kill_all(const Fault& trouble);
+  void terminate(const Fault& trouble);
+  void cut(const Fault& trouble);
+  void halves(const Fault& trouble);
+  void slow_way(const Fault& trouble);
+  void lose_answers(const Fault& trouble);
+  void change_endpoint(const Fault& trouble);
   void change(bool race);
   // The ways are ill for the trouble's time.
-  void ill_ways(const Trouble& trouble, Ways::IllsOf ills);
-  Machines::Machine& machine_of(const Trouble& trouble) { return machines_.at(trouble.plane, trouble.place); }
+  void begin_link_fault(const Fault& trouble, LinkRelays::LinkFaultOf fault_of);
+  Machines::Machine& machine_of(const Fault& trouble) { return machines_.at(trouble.plane, trouble.place); }
   void after(Span span, std::function<void()> what);  // what is under way until then
   /// The same, where what is under way is a fault of a machine or of the ways between machines.
   void end_fault_after(Span span, std::function<void()> what);
 
   net::TimerQueue& timers_;
   Machines& machines_;
-  Ways& ways_;
+  LinkRelays& relays_;
   EndpointSet& endpoints_;
   OperatorStandIn& operators_;
   std::size_t open_ = 0, open_faults_ = 0;
   TimePoint calm_since_;
-  std::array<std::uint64_t, trouble_kinds> played_{};
+  std::array<std::uint64_t, fault_kinds> played_{};
 };
 
 }  // namespace chutevane::lab::tier
--- a/src/lab/tier/fleet.cpp
+++ b/src/lab/tier/fleet.cpp
@@ -64,14 +64,14 @@
       timers_(scheduler_),
       list_(scheduler_, timers_, list_rate, drain),
       machines_(timers_, addresses_, auditor_, machines_spec(spec, addresses_.at(platform, 1, list_port))),
-      ways_(scheduler_, spec.seed,
-            [this](const sockaddr_in& end, const sockaddr_in& own_end) {
-              return machines_.node_of_connection(end, own_end);
-            }),
+      relays_(scheduler_, spec.seed,
+              [this](const sockaddr_in& end, const sockaddr_in& own_end) {
+                return machines_.node_of_connection(end, own_end);
+              }),
       endpoints_(
           scheduler_, timers_,
           [this](std::size_t number) { return addresses_.at(endpoint_group, number, endpoint_port); },
-          auditor_, list_, spec.seed, spec.story ? spec.story->manners.endpoint_spoils : trouble_part),
+          auditor_, list_, spec.seed, spec.story ? spec.story->misbehavior.endpoint_spoils : trouble_part),
       lines_(scheduler_, timers_),
       front_(lines_, timers_) {
   std::signal(SIGPIPE, SIG_IGN);
@@ -90,17 +90,17 @@
   if (spec_.story) {
     for (const auto& m : machines_.all()) {
       if (m->plane != MachinePlane::edge)
-        ways_.add(m->node, Machines::announced_to_peers(*m), Machines::bound_for_peers(*m));
+        relays_.add(m->node, Machines::announced_to_peers(*m), Machines::bound_for_peers(*m));
     }
   }
   operator_ =
       std::make_unique<OperatorStandIn>(scheduler_, timers_, lines_, auditor_, operators_see, spec_.seed);
-  troubles_ = std::make_unique<Troubles>(timers_, machines_, ways_, endpoints_, *operator_);
+  fault_player_ = std::make_unique<FaultPlayer>(timers_, machines_, relays_, endpoints_, *operator_);
   Load::Spec load;
   load.seed = spec_.seed;
   load.programs_per_s = spec_.programs_per_s;
   if (spec_.story) {
-    load.manners = spec_.story->manners;
+    load.misbehavior = spec_.story->misbehavior;
     load.judge_given_up = false;  // clients wait on machines that stand still, and some leave
   }
   load_ = std::make_unique<Load>(scheduler_, timers_, lines_, front_, auditor_, load);
@@ -205,20 +205,22 @@
   const auto ask = [this, edge](std::int64_t of, const std::function<void(int)>& done) {
     const std::uint64_t high = chance_();
     const std::string id = "probe" + std::to_string(high) + std::to_string(chance_());
-    auditor_.asked({id, Sort::idempotent, "", "", "", 0, std::nullopt});
-    Errand::run(lines_, timers_, front_.address(edge),
-                request_text("GET", mark_of(of) + "x", host,
-                             {{"X-Chutevane-Attempt-Id", id}, {"X-Chutevane-Time-Remaining", "900"}}, ""),
-                Span::ms(1000), [done](const Errand::Got& got) { done(got.whole ? got.status : 0); });
+    auditor_.asked({id, RequestKind::idempotent, "", "", "", 0, std::nullopt});
+    BufferedRequest::run(
+        lines_, timers_, front_.address(edge),
+        request_text("GET", mark_of(of) + "x", host,
+                     {{"X-Chutevane-Attempt-Id", id}, {"X-Chutevane-Time-Remaining", "900"}}, ""),
+        Span::ms(1000), [done](const BufferedRequest::Result& got) { done(got.whole ? got.status : 0); });
   };
   const Machine* const machine = &machines_.at(MachinePlane::edge, edge);
   if (machine->down_by_order) return over();  // one that is leaving need not take it
   const auto again = [=, this](const std::string& what) {
     if (timers_.now() - since > in_force_most) {
       if (!machine->down_by_order)
-        auditor_.breach(Check::configuration,
-                        "version " + std::to_string(version) + " not in force at " + machine->node +
-                            " after " + std::to_string((timers_.now() - since).as_ms()) + " ms: " + what);
+        auditor_.report_violation(Rule::configuration, "version " + std::to_string(version) +
+                                                           " not in force at " + machine->node + " after " +
+                                                           std::to_string((timers_.now() - since).as_ms()) +
+                                                           " ms: " + what);
       return over();
     }
     timers_.after(Span::ms(20), [=, this] { probe(version, before, edge, since, left); });
@@ -269,28 +271,28 @@
   operator_->change(1, 0, [this](Span) {});
   wait(up_most, [this] {
     return (front_.in() == front_.size() && operator_->acknowledged() == 1) ||
-           auditor_.count(Check::crashed) > 0;
+           auditor_.count(Rule::crashed) > 0;
   });
-  return front_.in() == front_.size() && operator_->acknowledged() == 1 &&
-         auditor_.count(Check::crashed) == 0;
+  return front_.in() == front_.size() && operator_->acknowledged() == 1 && auditor_.count(Rule::crashed) == 0;
 }
 
 // The story to its end, and until all that it took away is back.
 void Fleet::play_story(TimePoint begin) {
   auditor_.excuse_service();
-  operator_->keep_reading(read_every, [this] { return troubles_->calm_since(); });
-  troubles_->play(*spec_.story, begin);
+  operator_->keep_reading(read_every, [this] { return fault_player_->calm_since(); });
+  fault_player_->play(*spec_.story, begin);
   wait(std::max(Span::ms(spec_.seconds * 1000), spec_.story->ends()), [] { return false; });
-  if (!wait(end_most, [this] { return troubles_->over(); }) && !told_to_stop_)
-    auditor_.breach(Check::configuration,
-                    "troubles have no end: an order that is never clear, or a process that does not end");
+  if (!wait(end_most, [this] { return fault_player_->over(); }) && !told_to_stop_)
+    auditor_.report_violation(
+        Rule::configuration,
+        "troubles have no end: an order that is never clear, or a process that does not end");
   operator_->lose_answers(0);
   restart_edges();
   // From here on service is to be whole again, within its time to recover.
   const bool ready = wait(recovery, [this] { return front_.in() == front_.size(); });
   auditor_.expect_service();
   if (!ready && !told_to_stop_)
-    auditor_.breach(Check::unserved, "an edge is not ready after the time to recover");
+    auditor_.report_violation(Rule::unserved, "an edge is not ready after the time to recover");
 }
 
 // What they remember is gone: what is asked for from here on has to be in storage.
@@ -322,9 +324,11 @@
   });
   if (!all_over && !told_to_stop_) {
     if (load_->open() > 0)
-      auditor_.breach(Check::unserved, std::to_string(load_->open()) + " programs have no end");
-    if (orders_open_ > 0) auditor_.breach(Check::unserved, "a process did not come back to its work");
-    if (operator_->busy() || probes_open_ > 0) auditor_.breach(Check::configuration, "a change has no end");
+      auditor_.report_violation(Rule::unserved, std::to_string(load_->open()) + " programs have no end");
+    if (orders_open_ > 0)
+      auditor_.report_violation(Rule::unserved, "a process did not come back to its work");
+    if (operator_->busy() || probes_open_ > 0)
+      auditor_.report_violation(Rule::configuration, "a change has no end");
   }
   operator_->stop_reading();
   bool read = false;
@@ -345,20 +349,21 @@
   for (const auto& m : machines_.all()) due->open.insert(m.get());
   for (const auto& m : machines_.all()) ask_figures(*m, due);
   wait(figures_most, [due] { return due->open.empty(); });
-  for (const Machine* m : due->open) auditor_.breach(Check::crashed, m->node + " does not tell its figures");
+  for (const Machine* m : due->open)
+    auditor_.report_violation(Rule::crashed, m->node + " does not tell its figures");
 }
 
 void Fleet::ask_figures(Machine& machine, const std::shared_ptr<FiguresDue>& due) {
   const sockaddr_in at = Machines::metrics_of(machine);
-  Errand::run(lines_, timers_, at, request_text("GET", "/metrics", net::text_of(at), {}, ""),
-              figures_answer_most, [this, &machine, due](const Errand::Got& got) {
-                if (got.body.find("# EOF") != std::string::npos) {
-                  due->open.erase(&machine);
-                  judge_figures(machine, got.body);
-                } else if (timers_.now() < due->until) {
-                  timers_.after(figures_again, [this, &machine, due] { ask_figures(machine, due); });
-                }
-              });
+  BufferedRequest::run(lines_, timers_, at, request_text("GET", "/metrics", net::text_of(at), {}, ""),
+                       figures_answer_most, [this, &machine, due](const BufferedRequest::Result& got) {
+                         if (got.body.find("# EOF") != std::string::npos) {
+                           due->open.erase(&machine);
+                           judge_figures(machine, got.body);
+                         } else if (timers_.now() < due->until) {
+                           timers_.after(figures_again, [this, &machine, due] { ask_figures(machine, due); });
+                         }
+                       });
 }
 
 void Fleet::judge_figures(const Machine& machine, const std::string& figures) {
@@ -366,7 +371,7 @@
   std::istringstream lines(figures);
   for (std::string line; std::getline(lines, line);) {
     if (line.starts_with("chutevane_invariant_violations_total") && !line.ends_with(" 0"))
-      auditor_.breach(Check::crashed, machine.node + ": " + line);
+      auditor_.report_violation(Rule::crashed, machine.node + ": " + line);
   }
 }
 
@@ -383,7 +388,7 @@
   result.resident_mb = machines_.resident_mb();
   // In order only without a story: stories have ends of their own, and the last storage node takes its whole
   // grace.
-  const bool at_once = spec_.story || told_to_stop_ || auditor_.count(Check::crashed) > 0;
+  const bool at_once = spec_.story || told_to_stop_ || auditor_.count(Rule::crashed) > 0;
   machines_.end_all(at_once,
                     [this](Span most, const std::function<bool()>& what) { return wait(most, what); });
   result.stopped = told_to_stop_;
@@ -394,8 +399,8 @@
 void Fleet::collect(FleetResult& result) {
   result.load = load_->figures();
   result.figures = auditor_.figures();
-  for (std::size_t i = 0; i < checks; ++i) result.counts[i] = auditor_.count(static_cast<Check>(i));
-  result.breaches = auditor_.breaches();
+  for (std::size_t i = 0; i < rule_count; ++i) result.counts[i] = auditor_.count(static_cast<Rule>(i));
+  result.violations = auditor_.violations();
   result.excused = auditor_.excused();
   result.change_ms = change_ms_;
   result.force_ms = force_ms_;
@@ -404,8 +409,8 @@
   result.operator_calm_reads = operator_->calm_reads();
   result.list_pages = list_.pages();
   result.list_over_rate = list_.over_rate();
-  for (std::size_t i = 0; i < trouble_kinds; ++i)
-    result.played[i] = troubles_->played(static_cast<TroubleKind>(i));
+  for (std::size_t i = 0; i < fault_kinds; ++i)
+    result.played[i] = fault_player_->played(static_cast<FaultKind>(i));
   for (const auto& e : endpoints_.all()) {
     result.turned_away += e->turned_away();
     result.troubles += e->troubles();
--- a/src/lab/tier/fleet.hpp
+++ b/src/lab/tier/fleet.hpp
@@ -11,12 +11,12 @@
 
 #include "lab/loopback.hpp"
 #include "lab/tier/endpoint_set.hpp"
+#include "lab/tier/fault_player.hpp"
+#include "lab/tier/link_relays.hpp"
 #include "lab/tier/load.hpp"
 #include "lab/tier/machines.hpp"
 #include "lab/tier/operators.hpp"
 #include "lab/tier/own_delays.hpp"
-#include "lab/tier/troubles.hpp"
-#include "lab/tier/ways.hpp"
 
 namespace chutevane::lab::tier {
 
@@ -27,7 +27,7 @@
   double seconds = 20;  // of load, with what follows it
   double programs_per_s = 12;
   // Played in place of the stated faults; `seconds` is then of load alone.
-  std::optional<Story> story;
+  std::optional<FaultPlan> story;
 };
 
 struct FaultRecord {
@@ -46,8 +46,8 @@
   Span up;              // from the first start to a ready tier
   Load::Figures load;
   Auditor::Figures figures;
-  std::array<std::uint64_t, checks> counts{};
-  std::vector<Breach> breaches;
+  std::array<std::uint64_t, rule_count> counts{};
+  std::vector<Violation> violations;
   std::vector<FaultRecord> faults;
   std::vector<double> first_event_ms, tool_ms;
   struct BadTry {
@@ -62,9 +62,9 @@
   std::vector<double> lateness_ms, sync_ms;  // the lab's own
   std::uint64_t operator_calls = 0, operator_reads = 0, operator_calm_reads = 0, list_pages = 0,
                 list_over_rate = 0, turned_away = 0, troubles = 0;
-  std::array<std::uint64_t, trouble_kinds> played{};  // of a story
-  std::uint64_t excused = 0;                          // misses of service amid a story's troubles
-  double resident_mb = 0;                             // of all processes, each at its most
+  std::array<std::uint64_t, fault_kinds> played{};  // of a story
+  std::uint64_t excused = 0;                        // misses of service amid a story's troubles
+  double resident_mb = 0;                           // of all processes, each at its most
   bool broken() const;
 };
 
@@ -112,12 +112,12 @@
   Auditor auditor_;
   ListStandIn list_;
   Machines machines_;
-  Ways ways_;
+  LinkRelays relays_;
   EndpointSet endpoints_;
-  Lines lines_;
+  HttpConnector lines_;
   Front front_;
   std::unique_ptr<OperatorStandIn> operator_;
-  std::unique_ptr<Troubles> troubles_;
+  std::unique_ptr<FaultPlayer> fault_player_;
   std::unique_ptr<Load> load_;
   std::unique_ptr<OwnDelays> delays_;
   std::vector<FaultRecord> faults_;
--- a/src/lab/tier/fleet_report.cpp
+++ b/src/lab/tier/fleet_report.cpp
@@ -37,20 +37,20 @@
 std::string table_of(const FleetResult& r) {
   if (!r.started) return "the tier did not come up; its last words:\n" + r.trouble;
   const auto n = [](std::uint64_t v) { return std::to_string(v); };
-  const auto count = [&](Check c) { return r.counts[static_cast<std::size_t>(c)]; };
+  const auto count = [&](Rule c) { return r.counts[static_cast<std::size_t>(c)]; };
   std::string out =
       "tier: 3 controllers, 4 storage nodes, 3 edges, up after " + filled("%.0f ms\n", r.up.as_ms());
   out += line("turns asked", n(r.figures.turns_asked));
   out += line("answered whole", n(r.figures.turns_whole));
-  out += line("lost (0)", n(count(Check::lost)));
-  out += line("run twice (0)", n(count(Check::twice)));
-  out += line("budgets overrun (0)", n(count(Check::overrun)));
-  out += line("joined or short answers (0)", n(count(Check::joined)));
-  out += line("chains checked, wrong (0)", n(r.figures.chains_checked) + ", " + n(count(Check::chain)) +
+  out += line("lost (0)", n(count(Rule::lost)));
+  out += line("run twice (0)", n(count(Rule::twice)));
+  out += line("budgets overrun (0)", n(count(Rule::overrun)));
+  out += line("joined or short answers (0)", n(count(Rule::joined)));
+  out += line("chains checked, wrong (0)", n(r.figures.chains_checked) + ", " + n(count(Rule::chain)) +
                                                ", the longest of " + n(r.figures.longest_chain));
-  out += line("refused and run (0)", n(count(Check::promised)));
-  for (const Check c : {Check::denied, Check::invented, Check::drained, Check::configuration, Check::unserved,
-                        Check::crashed}) {
+  out += line("refused and run (0)", n(count(Rule::promised)));
+  for (const Rule c :
+       {Rule::denied, Rule::invented, Rule::drained, Rule::configuration, Rule::unserved, Rule::crashed}) {
     if (count(c) > 0) out += line(name_of(c), n(count(c)) + " (0)");
   }
   out += line("programs, given up (0)", n(r.load.programs) + ", " + n(r.load.given_up));
@@ -79,8 +79,8 @@
   for (const FaultRecord& f : r.faults)
     out += filled("  %-42s %8.0f ms%-8s %5zu of %-6zu %s\n", f.name.c_str(), f.full_service.as_ms(),
                   f.back ? "" : " (not)", f.bad_tries, f.tries, f.note.c_str());
-  for (std::size_t i = 0; i < std::min<std::size_t>(r.breaches.size(), 20); ++i)
-    out += std::string("BROKEN, ") + name_of(r.breaches[i].check) + ": " + r.breaches[i].what + "\n";
+  for (std::size_t i = 0; i < std::min<std::size_t>(r.violations.size(), 20); ++i)
+    out += std::string("BROKEN, ") + name_of(r.violations[i].rule) + ": " + r.violations[i].what + "\n";
   out += r.broken() ? "a check failed\n" : "every check held\n";
   return out;
 }
@@ -89,7 +89,7 @@
   nlohmann::json out;
   out["started"] = r.started;
   out["upMs"] = r.up.as_ms();
-  for (std::size_t i = 0; i < checks; ++i) out["checks"][name_of(static_cast<Check>(i))] = r.counts[i];
+  for (std::size_t i = 0; i < rule_count; ++i) out["checks"][name_of(static_cast<Rule>(i))] = r.counts[i];
   out["turns"] = {{"asked", r.figures.turns_asked}, {"whole", r.figures.turns_whole}};
   out["programs"] = {{"all", r.load.programs}, {"done", r.load.done}, {"givenUp", r.load.given_up}};
   out["firstEventMs"] = {{"p50", quantile(r.first_event_ms, 0.5)}, {"p99", quantile(r.first_event_ms, 0.99)}};
@@ -118,8 +118,8 @@
                                {"status", t.status},
                                {"turn", t.turn}});
   out["breaches"] = nlohmann::json::array();
-  for (const Breach& b : r.breaches)
-    out["breaches"].push_back({{"check", name_of(b.check)}, {"what", b.what}});
+  for (const Violation& b : r.violations)
+    out["breaches"].push_back({{"check", name_of(b.rule)}, {"what", b.what}});
   return out.dump(1) + "\n";
 }
 
--- a/src/lab/tier/web.cpp
+++ b/src/lab/tier/http_exchange.cpp
@@ -1,4 +1,4 @@
-#include "lab/tier/web.hpp"
+#include "lab/tier/http_exchange.hpp"
 
 #include <cstdio>
 
@@ -12,14 +12,14 @@
 
 }  // namespace
 
-std::string Asked::find(std::string_view name) const {
+std::string ReceivedRequest::find(std::string_view name) const {
   for (const auto& [n, value] : fields) {
     if (http::same_name(n, name)) return value;
   }
   return "";
 }
 
-std::string Asked::query(std::string_view name) const {
+std::string ReceivedRequest::query(std::string_view name) const {
   const std::string wanted = std::string(name) + "=";
   std::size_t at = target.find('?');
   while (at != std::string::npos) {
@@ -32,7 +32,7 @@
 }
 
 std::string request_text(std::string_view method, std::string_view target, std::string_view host,
-                         const Fields& fields, std::string_view body) {
+                         const HeaderFields& fields, std::string_view body) {
   std::string out =
       std::string(method) + " " + std::string(target) + " HTTP/1.1\r\nHost: " + std::string(host) + "\r\n";
   for (const auto& [name, value] : fields) out.append(name).append(": ").append(value).append("\r\n");
@@ -42,24 +42,25 @@
 
 // ---- a port
 
-Port::Port(net::Scheduler& scheduler, Handler handler, Handler gone)
+HttpPort::HttpPort(net::Scheduler& scheduler, Handler handler, Handler gone)
     : scheduler_(scheduler),
       handler_(std::move(handler)),
       gone_(std::move(gone)),
-      listener_(scheduler, [this](int fd) { tasks_.add(std::make_unique<Visit>(*this)).channel_.adopt(fd); }),
+      listener_(scheduler,
+                [this](int fd) { tasks_.add(std::make_unique<Exchange>(*this)).channel_.adopt(fd); }),
       tasks_(scheduler) {}
 
-Port::Visit* Port::find(std::uint64_t id) {
+HttpPort::Exchange* HttpPort::find(std::uint64_t id) {
   const auto found = visits_.find(id);
   return found == visits_.end() ? nullptr : found->second;
 }
 
-void Port::close() {
+void HttpPort::close() {
   listener_.close();
   while (tasks_.size() > 0) tasks_[tasks_.size() - 1].reset();
 }
 
-Port::Visit::Visit(Port& port)
+HttpPort::Exchange::Exchange(HttpPort& port)
     : port_(port),
       channel_(port.scheduler_, static_cast<net::Channel::Observer&>(*this)),
       parser_(http::Side::request, bounds),
@@ -67,25 +68,25 @@
   port.visits_.emplace(id_, this);
 }
 
-void Port::Visit::leave() {
+void HttpPort::Exchange::leave() {
   if (std::exchange(left_, true)) return;
   port_.visits_.erase(id_);
   if (std::exchange(in_hand_, false) && port_.gone_) port_.gone_(*this);
   port_.tasks_.retire(*this);
 }
 
-void Port::Visit::reset() {
+void HttpPort::Exchange::reset() {
   channel_.reset();
   leave();
 }
 
-void Port::Visit::answer_bytes(std::string_view bytes) {
+void HttpPort::Exchange::answer_bytes(std::string_view bytes) {
   keep_ = false;
   channel_.out().append(bytes);
   over();
 }
 
-void Port::Visit::look() {
+void HttpPort::Exchange::look() {
   if (in_hand_ || !channel_.open() || channel_.in().empty()) return;
   const http::Progress progress = parser_.feed(channel_.in().bytes());
   if (progress == http::Progress::more) return;
@@ -100,7 +101,7 @@
   port_.handler_(*this);
 }
 
-void Port::Visit::begin(int status, const Fields& fields) {
+void HttpPort::Exchange::begin(int status, const HeaderFields& fields) {
   if (port_.ends_) keep_ = false;
   http::Writer out(channel_.out());
   out.status_line(status);
@@ -109,7 +110,7 @@
   channel_.out().append("Transfer-Encoding: chunked\r\n\r\n");
 }
 
-void Port::Visit::piece(std::string_view bytes) {
+void HttpPort::Exchange::piece(std::string_view bytes) {
   char line[24];
   const int n = std::snprintf(line, sizeof line, "%zx\r\n", bytes.size());
   channel_.out().append({line, static_cast<std::size_t>(n)});
@@ -118,12 +119,12 @@
   channel_.flush();
 }
 
-void Port::Visit::finish() {
+void HttpPort::Exchange::finish() {
   channel_.out().append("0\r\n\r\n");
   over();
 }
 
-void Port::Visit::answer(int status, const Fields& fields, std::string_view body) {
+void HttpPort::Exchange::answer(int status, const HeaderFields& fields, std::string_view body) {
   if (port_.ends_) keep_ = false;
   http::Writer out(channel_.out());
   out.status_line(status);
@@ -133,7 +134,7 @@
   over();
 }
 
-void Port::Visit::over() {
+void HttpPort::Exchange::over() {
   in_hand_ = false;
   channel_.out().append(std::exchange(behind_, {}));
   channel_.flush();
@@ -146,13 +147,13 @@
 
 // ---- a line
 
-Line::Line(Lines& all)
+HttpConnection::HttpConnection(HttpConnector& all)
     : all_(all),
       channel_(all.scheduler_, static_cast<net::Channel::Observer&>(*this)),
       parser_(http::Side::response, bounds) {}
 
-Line& Lines::open(const sockaddr_in& to) {
-  Line& line = tasks_.add(std::make_unique<Line>(*this));
+HttpConnection& HttpConnector::open(const sockaddr_in& to) {
+  HttpConnection& line = tasks_.add(std::make_unique<HttpConnection>(*this));
   const bool begun = line.channel_.connect(to);
   // Not from inside the call that opens it.
   line.due_ = timers_.after(begun ? comes_up : Span(), [&line] {
@@ -161,7 +162,7 @@
   return line;
 }
 
-void Line::ask(Sink& sink, std::string request) {
+void HttpConnection::ask(ResponseHandler& sink, std::string request) {
   sink_ = &sink;
   request_ = std::move(request);
   head_seen_ = false;
@@ -170,7 +171,7 @@
   channel_.write(request_);
 }
 
-void Line::on_channel_open(net::Channel&) {
+void HttpConnection::on_channel_open(net::Channel&) {
   came_up_ = true;
   all_.timers_.cancel(due_);
   if (sink_ == nullptr) return;
@@ -178,14 +179,15 @@
   if (ends_writing_) channel_.shutdown_write_when_flushed();
 }
 
-void Line::ask_slowly(Sink& sink, const std::string& request, std::size_t first_part, Span pause) {
+void HttpConnection::send_in_two_parts(ResponseHandler& sink, const std::string& request,
+                                       std::size_t first_part, Span pause) {
   ask(sink, request.substr(0, first_part));
   rest_due_ = all_.timers_.after(pause, [this, rest = request.substr(std::min(first_part, request.size()))] {
     if (channel_.up() && sink_ != nullptr) channel_.write(rest);
   });
 }
 
-void Line::close() {
+void HttpConnection::close() {
   sink_ = nullptr;
   if (std::exchange(left_, true)) return;
   all_.timers_.cancel(due_);
@@ -195,28 +197,28 @@
   all_.tasks_.retire(*this);
 }
 
-void Line::fail(bool unsent) {
-  Sink* const told = std::exchange(sink_, nullptr);
+void HttpConnection::fail(bool unsent) {
+  ResponseHandler* const told = std::exchange(sink_, nullptr);
   close();
-  if (told != nullptr) told->line_failed(unsent);
+  if (told != nullptr) told->on_failed(unsent);
 }
 
-void Line::on_channel_closed(net::Channel&) { fail(!came_up_); }
+void HttpConnection::on_channel_closed(net::Channel&) { fail(!came_up_); }
 
-void Line::done() {
-  Sink* const told = std::exchange(sink_, nullptr);
+void HttpConnection::done() {
+  ResponseHandler* const told = std::exchange(sink_, nullptr);
   if (!channel_.in().empty()) keep_ = false;
   if (!keep_) close();
-  if (told != nullptr) told->line_whole();
+  if (told != nullptr) told->on_complete();
 }
 
-void Line::look() {
+void HttpConnection::look() {
   while (!left_ && sink_ != nullptr && !channel_.in().bytes().empty()) {
     if (!(head_seen_ ? read_body() : read_head())) return;
   }
 }
 
-bool Line::read_head() {
+bool HttpConnection::read_head() {
   const http::Progress progress = parser_.feed(channel_.in().bytes());
   if (progress == http::Progress::failed) {
     fail(false);
@@ -225,8 +227,8 @@
   if (!parser_.head_done()) return false;
   head_seen_ = true;
   keep_ = parser_.keep_alive();
-  sink_->line_head(parser_);
-  if (sink_ != nullptr && !parser_.body().empty()) sink_->line_piece(parser_.body());
+  sink_->on_head(parser_);
+  if (sink_ != nullptr && !parser_.body().empty()) sink_->on_body(parser_.body());
   if (sink_ == nullptr) return false;
   channel_.in().consume(parser_.size());
   parser_.detach(nullptr);
@@ -234,7 +236,7 @@
   return progress != http::Progress::complete;
 }
 
-bool Line::read_body() {
+bool HttpConnection::read_body() {
   std::size_t taken = 0;
   std::string_view piece;
   const http::Progress progress = parser_.more(channel_.in().bytes(), taken, piece);
@@ -242,7 +244,7 @@
     fail(false);
     return false;
   }
-  if (!piece.empty()) sink_->line_piece(piece);
+  if (!piece.empty()) sink_->on_body(piece);
   if (sink_ == nullptr) return false;
   channel_.in().consume(taken);
   if (progress == http::Progress::complete) done();
@@ -251,21 +253,21 @@
 
 // ---- an errand
 
-void Errand::run(Lines& lines, net::TimerQueue& later, const sockaddr_in& to, std::string request, Span most,
-                 Done done) {
-  const auto one = std::make_shared<Errand>(Key{}, later, std::move(done));
+void BufferedRequest::run(HttpConnector& lines, net::TimerQueue& later, const sockaddr_in& to,
+                          std::string request, Span most, Done done) {
+  const auto one = std::make_shared<BufferedRequest>(Key{}, later, std::move(done));
   one->due_ = later.after(most, [one] { one->end(false); });
   one->line_ = &lines.open(to);
   one->line_->ask(*one, std::move(request));
 }
 
-void Errand::line_head(const http::Parser& answer) {
+void BufferedRequest::on_head(const http::Parser& answer) {
   got_.status = answer.status();
   for (std::size_t i = 0; i < answer.fields(); ++i)
     got_.fields.emplace_back(answer.field(i).name, answer.field(i).value);
 }
 
-void Errand::end(bool whole) {
+void BufferedRequest::end(bool whole) {
   const auto self = shared_from_this();
   timers_.cancel(due_);
   line_->close();
--- a/src/lab/tier/web.hpp
+++ b/src/lab/tier/http_exchange.hpp
@@ -17,27 +17,27 @@
 
 namespace chutevane::lab::tier {
 
-using Fields = std::vector<std::pair<std::string, std::string>>;
+using HeaderFields = std::vector<std::pair<std::string, std::string>>;
 
 // A request, copied from the bytes that it came in.
-struct Asked {
+struct ReceivedRequest {
   std::string method, target, body;
-  Fields fields;
+  HeaderFields fields;
   // The first of that name, empty where there is none.
   std::string find(std::string_view name) const;
   std::string path() const { return target.substr(0, target.find('?')); }
   std::string query(std::string_view name) const;
 };
 
-class Port {
+class HttpPort {
  public:
-  class Visit final : net::Channel::Observer {
+  class Exchange final : net::Channel::Observer {
    public:
-    explicit Visit(Port& port);
+    explicit Exchange(HttpPort& port);
     std::uint64_t id() const { return id_; }
-    const Asked& asked() const { return asked_; }
-    void answer(int status, const Fields& fields, std::string_view body);
-    void begin(int status, const Fields& fields);  // then pieces, in chunks, and an end
+    const ReceivedRequest& asked() const { return asked_; }
+    void answer(int status, const HeaderFields& fields, std::string_view body);
+    void begin(int status, const HeaderFields& fields);  // then pieces, in chunks, and an end
     void piece(std::string_view bytes);
     void finish();
     void add_behind(std::string bytes) {
@@ -48,29 +48,29 @@
     std::size_t group_index = 0;
 
    private:
-    friend class Port;
+    friend class HttpPort;
     void look();
     void over();
     void leave();
     void on_channel_data(net::Channel&) override { look(); }
     void on_channel_closed(net::Channel&) override { leave(); }
-    Port& port_;
+    HttpPort& port_;
     net::Channel channel_;
     http::Parser parser_;
     std::uint64_t id_;
-    Asked asked_;
+    ReceivedRequest asked_;
     std::string behind_;
     bool in_hand_ = false, keep_ = true, left_ = false;
   };
-  using Handler = std::function<void(Visit&)>;
+  using Handler = std::function<void(Exchange&)>;
 
   // `gone`: its visitor left while a request was in hand.
-  Port(net::Scheduler& scheduler, Handler handler, Handler gone = {});
+  HttpPort(net::Scheduler& scheduler, Handler handler, Handler gone = {});
   void listen(const sockaddr_in& at) { listener_.listen(at); }
   void close();  // the listener and every connection
   // While `ends` each answer ends its connection.
   void each_answer_ends(bool ends) { ends_ = ends; }
-  Visit* find(std::uint64_t id);
+  Exchange* find(std::uint64_t id);
 
  private:
   net::Scheduler& scheduler_;
@@ -78,29 +78,30 @@
   net::Listener listener_;
   bool ends_ = false;
   std::uint64_t last_ = 0;
-  std::unordered_map<std::uint64_t, Visit*> visits_;
-  net::TaskGroup<Visit> tasks_;
+  std::unordered_map<std::uint64_t, Exchange*> visits_;
+  net::TaskGroup<Exchange> tasks_;
 };
 
-class Lines;
+class HttpConnector;
 
-class Line final : net::Channel::Observer {
+class HttpConnection final : net::Channel::Observer {
  public:
-  class Sink {
+  class ResponseHandler {
    public:
-    virtual void line_head(const http::Parser& answer) = 0;
-    virtual void line_piece(std::string_view piece) = 0;
-    virtual void line_whole() = 0;
+    virtual void on_head(const http::Parser& answer) = 0;
+    virtual void on_body(std::string_view piece) = 0;
+    virtual void on_complete() = 0;
     // `unsent`: the connection never stood.
-    virtual void line_failed(bool unsent) = 0;
+    virtual void on_failed(bool unsent) = 0;
 
    protected:
-    ~Sink() = default;
+    ~ResponseHandler() = default;
   };
-  explicit Line(Lines& all);
-  void ask(Sink& sink, std::string request);
+  explicit HttpConnection(HttpConnector& all);
+  void ask(ResponseHandler& sink, std::string request);
   // In two parts, with a pause between.
-  void ask_slowly(Sink& sink, const std::string& request, std::size_t first_part, Span pause);
+  void send_in_two_parts(ResponseHandler& sink, const std::string& request, std::size_t first_part,
+                         Span pause);
   // Ends the writing side once the request is out.
   void end_writing() {
     ends_writing_ = true, channel_.up() ? channel_.shutdown_write_when_flushed() : void();
@@ -108,12 +109,12 @@
   void close();  // whatever is in hand; its sink hears no more
   // A next request may be sent here.
   // Told once, when it is no more.
-  void on_gone(std::function<void(Line&)> told) { told_gone_ = std::move(told); }
+  void on_gone(std::function<void(HttpConnection&)> told) { told_gone_ = std::move(told); }
   bool reusable() const { return keep_ && sink_ == nullptr && channel_.up() && channel_.quiet(); }
   std::size_t group_index = 0;
 
  private:
-  friend class Lines;
+  friend class HttpConnector;
   void look();
   // Whether there may be more to read at once.
   bool read_head();
@@ -123,65 +124,66 @@
   void on_channel_open(net::Channel&) override;
   void on_channel_data(net::Channel&) override { look(); }
   void on_channel_closed(net::Channel&) override;
-  Lines& all_;
+  HttpConnector& all_;
   net::Channel channel_;
   http::Parser parser_;
-  Sink* sink_ = nullptr;
+  ResponseHandler* sink_ = nullptr;
   std::string request_;
-  std::function<void(Line&)> told_gone_;
+  std::function<void(HttpConnection&)> told_gone_;
   net::TimerQueue::Handle due_, rest_due_;
   bool head_seen_ = false, keep_ = true, left_ = false, came_up_ = false, ends_writing_ = false;
 };
 
 // Owns the lines.
-class Lines {
+class HttpConnector {
  public:
-  Lines(net::Scheduler& scheduler, net::TimerQueue& later)
+  HttpConnector(net::Scheduler& scheduler, net::TimerQueue& later)
       : scheduler_(scheduler), timers_(later), tasks_(scheduler) {}
   // A new connection; it has a second to come up.
-  Line& open(const sockaddr_in& to);
+  HttpConnection& open(const sockaddr_in& to);
 
  private:
-  friend class Line;
+  friend class HttpConnection;
   net::Scheduler& scheduler_;
   net::TimerQueue& timers_;
-  net::TaskGroup<Line> tasks_;
+  net::TaskGroup<HttpConnection> tasks_;
 };
 
 // One request, its answer held whole.
-class Errand final : Line::Sink, public std::enable_shared_from_this<Errand> {
+class BufferedRequest final : HttpConnection::ResponseHandler,
+                              public std::enable_shared_from_this<BufferedRequest> {
  public:
-  struct Got {
+  struct Result {
     bool whole = false;
     int status = 0;
     std::string body;
-    Fields fields;
+    HeaderFields fields;
   };
-  using Done = std::function<void(const Got&)>;
+  using Done = std::function<void(const Result&)>;
   // Calls back once, `most` later at the latest. Its timer owns it.
-  static void run(Lines& lines, net::TimerQueue& later, const sockaddr_in& to, std::string request, Span most,
-                  Done done);
+  static void run(HttpConnector& lines, net::TimerQueue& later, const sockaddr_in& to, std::string request,
+                  Span most, Done done);
 
  private:
   struct Key {};
 
  public:
-  Errand(Key, net::TimerQueue& later, Done done) : timers_(later), done_(std::move(done)) {}
+  BufferedRequest(Key, net::TimerQueue& later, Done done) : timers_(later), done_(std::move(done)) {}
 
  private:
   void end(bool whole);
-  void line_head(const http::Parser& answer) override;
-  void line_piece(std::string_view piece) override { got_.body += piece; }
-  void line_whole() override { end(true); }
-  void line_failed(bool) override { end(false); }
+  void on_head(const http::Parser& answer) override;
+  void on_body(std::string_view piece) override { got_.body += piece; }
+  void on_complete() override { end(true); }
+  void on_failed(bool) override { end(false); }
   net::TimerQueue& timers_;
   Done done_;
-  Line* line_ = nullptr;
-  Got got_;
+  HttpConnection* line_ = nullptr;
+  Result got_;
   net::TimerQueue::Handle due_;
 };
 
 std::string request_text(std::string_view method, std::string_view target, std::string_view host,
-                         const Fields& fields, std::string_view body);
+                         const HeaderFields& fields, std::string_view body);
 
 }  // namespace chutevane::lab::tier
--- a/src/lab/tier/load.cpp
+++ b/src/lab/tier/load.cpp
@@ -27,13 +27,14 @@
 
 // ---- one request, in as many tries as its kind and its time allow
 
-class Load::Asking final : public Line::Sink {
+class Load::RequestInProgress final : public HttpConnection::ResponseHandler {
  public:
-  Asking(Load& load, Want want, std::function<void(const Got&)> done, std::uint64_t place)
-      : load_(load), want_(std::move(want)), done_(std::move(done)), place_(place) {
-    until_ = load_.timers_.now() + want_.lasts;
+  RequestInProgress(Load& load, RequestSpec want, std::function<void(const RequestResult&)> done,
+                    std::uint64_t place)
+      : load_(load), request_spec_(std::move(want)), done_(std::move(done)), place_(place) {
+    until_ = load_.timers_.now() + request_spec_.lasts;
   }
-  ~Asking() {
+  ~RequestInProgress() {
     load_.timers_.cancel(leaves_);
     load_.timers_.cancel(due_);
     load_.timers_.cancel(again_);
@@ -47,79 +48,81 @@
     bytes_.clear();
     heard_ = false;
     began_ = load_.timers_.now();
-    load_.auditor_.asked(
-        {id_, want_.sort, want_.program, want_.previous, want_.input, want_.most, want_.budget}, began_);
-    Fields fields{
+    load_.auditor_.asked({id_, request_spec_.sort, request_spec_.program, request_spec_.previous,
+                          request_spec_.input, request_spec_.most, request_spec_.budget},
+                         began_);
+    HeaderFields fields{
         {"X-Chutevane-Attempt-Id", id_},
         {"X-Chutevane-Time-Remaining", std::to_string(static_cast<long>((until_ - began_).as_ms()))}};
     const auto put = [&](const char* name, const std::string& value) {
       if (!value.empty()) fields.emplace_back(name, value);
     };
-    put("Program", want_.program);
-    put("Session", want_.session);
-    put("Finish-Ms", want_.program.empty() ? "" : "20000");
-    put("Previous", want_.previous);
-    if (want_.budget) put("Budget", std::to_string(*want_.budget));
-    if (want_.sort == Sort::turn) {
+    put("Program", request_spec_.program);
+    put("Session", request_spec_.session);
+    put("Finish-Ms", request_spec_.program.empty() ? "" : "20000");
+    put("Previous", request_spec_.previous);
+    if (request_spec_.budget) put("Budget", std::to_string(*request_spec_.budget));
+    if (request_spec_.sort == RequestKind::turn) {
       put("X-Chutevane-Model", "m");
       put("X-Chutevane-Token-Count",
-          std::to_string(want_.input.size() / 4 + 1) + "," + std::to_string(want_.most));
-      put("X-Chutevane-Prompt-Prefix", want_.parts);
+          std::to_string(request_spec_.input.size() / 4 + 1) + "," + std::to_string(request_spec_.most));
+      put("X-Chutevane-Prompt-Prefix", request_spec_.parts);
     }
-    line_ = &load_.line_for(want_.client, tries_ - 1);
+    line_ = &load_.line_for(request_spec_.client, tries_ - 1);
     wait();
-    send(
-        request_text(want_.sort == Sort::idempotent ? "GET" : "POST", want_.path, host, fields, want_.input));
+    send(request_text(request_spec_.sort == RequestKind::idempotent ? "GET" : "POST", request_spec_.path,
+                      host, fields, request_spec_.input));
   }
 
  private:
   // As its client's manners have it.
   void send(const std::string& request) {
-    const Manners& manners = load_.spec_.manners;
+    const Misbehavior& misbehavior = load_.spec_.misbehavior;
     Chance& habits = load_.habits_;
-    if (habits.one_in(manners.client_stalls)) {
-      line_->ask_slowly(*this, request, habits.below(request.size()),
-                        stall_least + stall_spread * habits.unit());
+    if (habits.one_in(misbehavior.client_stalls)) {
+      line_->send_in_two_parts(*this, request, habits.below(request.size()),
+                               stall_least + stall_spread * habits.unit());
     } else {
       line_->ask(*this, request);
     }
-    if (habits.one_in(manners.client_half_closes)) {
+    if (habits.one_in(misbehavior.client_half_closes)) {
       line_->end_writing();
       load_.auditor_.loses_output(id_);  // an end of the stream counts as leaving
     }
-    if (habits.one_in(manners.client_leaves))
+    if (habits.one_in(misbehavior.client_leaves))
       leaves_ = load_.timers_.after(leave_spread * habits.unit(), [this] { leave(); });
   }
   void leave() {
     line_->close();
     load_.auditor_.left(id_, load_.timers_.now());
-    over(Ended::broken);
+    over(AttemptOutcome::broken);
   }
   void wait() {
     load_.timers_.cancel(due_);
     const TimePoint silent = load_.timers_.now() + silence_most;
     const TimePoint until = load_.spec_.judge_late ? until_ + answer_late : until_;
-    const bool by_silence = want_.sort == Sort::turn && silent < until;
+    const bool by_silence = request_spec_.sort == RequestKind::turn && silent < until;
     due_ = load_.timers_.at(by_silence ? silent : until, [this, by_silence] {
       if (load_.spec_.judge_late && !by_silence)
-        load_.auditor_.breach(Check::late, id_ + " has no answer " + std::to_string(answer_late.as_ms()) +
-                                               " ms after its time");
+        load_.auditor_.report_violation(
+            Rule::late, id_ + " has no answer " + std::to_string(answer_late.as_ms()) + " ms after its time");
       line_->close();
       load_.auditor_.loses_output(id_);
-      over(Ended::broken);
+      over(AttemptOutcome::broken);
     });
   }
-  void line_head(const http::Parser& answer) override {
+  void on_head(const http::Parser& answer) override {
     status_ = answer.status();
     seal_ = answer.find("X-Chutevane-Server-Seal").value_or("");
     const std::string wait(answer.find("Retry-After").value_or(""));
     retry_after_ = Span::ms(std::strtod(wait.c_str(), nullptr) * 1000);
     if (const auto id = answer.find("X-Chutevane-Attempt-Id"); status_ == 200 && id != id_)
-      load_.auditor_.breach(Check::joined, id_ + " got the answer to " + std::string(id.value_or("nothing")));
+      load_.auditor_.report_violation(Rule::joined,
+                                      id_ + " got the answer to " + std::string(id.value_or("nothing")));
   }
-  void line_piece(std::string_view piece) override {
+  void on_body(std::string_view piece) override {
     bytes_ += piece;
-    if (want_.sort != Sort::turn || status_ != 200) return;
+    if (request_spec_.sort != RequestKind::turn || status_ != 200) return;
     wait();
     for (std::size_t end = bytes_.find("\n\n"); end != std::string::npos; end = bytes_.find("\n\n")) {
       event(std::string_view(bytes_).substr(0, end + 1));
@@ -139,48 +142,50 @@
     if (!std::exchange(heard_, true)) first_ = load_.timers_.now();
     load_.auditor_.came(id_, number, data);
   }
-  void line_whole() override {
-    if (line_->reusable()) load_.idle(want_.client, *line_);
+  void on_complete() override {
+    if (line_->reusable()) load_.idle(request_spec_.client, *line_);
     if (status_ == 200) {
       if (!heard_) first_ = load_.timers_.now();
-      if (want_.sort != Sort::turn) load_.auditor_.came_plain(id_, bytes_);
-      if (want_.sort == Sort::turn && !bytes_.empty())
-        load_.auditor_.breach(Check::joined, id_ + ": a part of an event at its end");
-      return over(Ended::whole);
+      if (request_spec_.sort != RequestKind::turn) load_.auditor_.came_plain(id_, bytes_);
+      if (request_spec_.sort == RequestKind::turn && !bytes_.empty())
+        load_.auditor_.report_violation(Rule::joined, id_ + ": a part of an event at its end");
+      return over(AttemptOutcome::whole);
     }
-    if (status_ == 503 || status_ == 429 || status_ == 408 || status_ == 421) return over(Ended::promised);
-    if (status_ == 402) return over(Ended::spent);
-    if (status_ == 404) return over(Ended::unknown);
-    over(status_ >= 400 && status_ < 500 ? Ended::denied : Ended::broken);
+    if (status_ == 503 || status_ == 429 || status_ == 408 || status_ == 421)
+      return over(AttemptOutcome::promised);
+    if (status_ == 402) return over(AttemptOutcome::spent);
+    if (status_ == 404) return over(AttemptOutcome::unknown);
+    over(status_ >= 400 && status_ < 500 ? AttemptOutcome::denied : AttemptOutcome::broken);
   }
-  void line_failed(bool unsent) override { over(unsent ? Ended::promised : Ended::broken); }
+  void on_failed(bool unsent) override { over(unsent ? AttemptOutcome::promised : AttemptOutcome::broken); }
 
-  void over(Ended how) {
-    const auto self = load_.asking_.at(place_);
+  void over(AttemptOutcome how) {
+    const auto self = load_.requests_.at(place_);
     load_.timers_.cancel(due_);
     load_.timers_.cancel(leaves_);
     const TimePoint now = load_.timers_.now();
     load_.auditor_.answered(id_, how, seal_, now);
     // A try that its endpoint spoilt tells nothing of the tier.
-    const bool good = how == Ended::whole || how == Ended::spent;
-    if (want_.counted && (good || !load_.auditor_.was_troubled(id_)))
-      load_.records_.push_back({began_, now, good, want_.sort == Sort::turn,
-                                how == Ended::whole ? (first_ - began_).as_ms() : 0, id_, status_});
-    const bool may = how == Ended::promised || (how == Ended::broken && want_.sort == Sort::idempotent);
+    const bool good = how == AttemptOutcome::whole || how == AttemptOutcome::spent;
+    if (request_spec_.counted && (good || !load_.auditor_.was_troubled(id_)))
+      load_.records_.push_back({began_, now, good, request_spec_.sort == RequestKind::turn,
+                                how == AttemptOutcome::whole ? (first_ - began_).as_ms() : 0, id_, status_});
+    const bool may = how == AttemptOutcome::promised ||
+                     (how == AttemptOutcome::broken && request_spec_.sort == RequestKind::idempotent);
     const Span pause = std::max(retry_after_, Span::ms(20));
     if (may && tries_ < tries_most && pause * 3 < until_ - now) {
       again_ = load_.timers_.after(pause, [this] { go(); });
       return;
     }
-    const Got got{how, id_};
+    const RequestResult got{how, id_};
     const auto done = std::move(done_);
-    load_.asking_.erase(place_);
+    load_.requests_.erase(place_);
     done(got);
   }
 
   Load& load_;
-  const Want want_;
-  std::function<void(const Got&)> done_;
+  const RequestSpec request_spec_;
+  std::function<void(const RequestResult&)> done_;
   const std::uint64_t place_;
   TimePoint until_, began_, first_;
   std::size_t tries_ = 0;
@@ -188,7 +193,7 @@
   int status_ = 0;
   Span retry_after_;
   bool heard_ = false;
-  Line* line_ = nullptr;
+  HttpConnection* line_ = nullptr;
   net::TimerQueue::Handle due_, again_, leaves_;
 };
 
@@ -203,7 +208,7 @@
     Span pause;
     std::vector<Step> sub_agent;  // its steps; none: no sub-agent
   };
-  struct Talk {  // a line of turns
+  struct Conversation {  // a line of turns
     std::string session, previous;
     std::vector<Step> steps;
     std::size_t at = 0;
@@ -219,7 +224,7 @@
     name_ = hex(word()).substr(4);
     loops_ = !heir_ && number % 8 == 3;
     const std::size_t steps = heir_ ? 1 : loops_ ? 1 : 3 + chance_.below(4);
-    main_ = std::make_shared<Talk>();
+    main_ = std::make_shared<Conversation>();
     main_->main = true;
     main_->session = hex(word()).substr(10);
     main_->previous = std::move(from);
@@ -256,31 +261,31 @@
     return s;
   }
 
-  void turn(const std::shared_ptr<Talk>& talk) {
-    const Step& step = talk->steps[talk->at];
-    Want want;
+  void turn(const std::shared_ptr<Conversation>& conversation) {
+    const Step& step = conversation->steps[conversation->at];
+    RequestSpec want;
     want.path = "/turns/say";
     want.program = name_;
-    want.session = talk->session;
-    want.previous = talk->previous;
+    want.session = conversation->session;
+    want.previous = conversation->previous;
     want.input = step.input;
     want.parts = parts_;
     want.budget = budget_;
     want.most = step.most;
     want.client = client_;
-    load_.ask(want, [this, talk](const Got& got) { turned(talk, got); });
+    load_.ask(want, [this, conversation](const RequestResult& got) { turned(conversation, got); });
   }
 
-  void turned(const std::shared_ptr<Talk>& talk, const Got& got) {
-    const Step step = talk->steps[talk->at];
+  void turned(const std::shared_ptr<Conversation>& conversation, const RequestResult& got) {
+    const Step step = conversation->steps[conversation->at];
     switch (got.how) {
-      case Ended::whole: {
-        talk->previous = got.id;
-        talk->anew = 0;
-        if (talk->main) last_ = got.id;
+      case AttemptOutcome::whole: {
+        conversation->previous = got.id;
+        conversation->anew = 0;
+        if (conversation->main) last_ = got.id;
         auto open = std::make_shared<std::size_t>(step.tools + step.acts + (step.sub_agent.empty() ? 0 : 1));
-        const auto one_over = [this, talk, open, pause = step.pause] {
-          if (--*open == 0) load_.timers_.after(pause, [this, talk] { next(talk); });
+        const auto one_over = [this, conversation, open, pause = step.pause] {
+          if (--*open == 0) load_.timers_.after(pause, [this, conversation] { next(conversation); });
         };
         if (*open == 0) {
           *open = 1;
@@ -288,38 +293,40 @@
           return;
         }
         for (std::size_t i = 0; i < step.tools + step.acts; ++i) tool(i >= step.tools, one_over);
-        if (!step.sub_agent.empty()) sub_agent(step, talk->previous, one_over);
+        if (!step.sub_agent.empty()) sub_agent(step, conversation->previous, one_over);
         return;
       }
-      case Ended::spent:
+      case AttemptOutcome::spent:
         if (loops_) {
           spent_ = true;
-          if (talk->main && talk->anew++ < anew_most) return again(talk);
-          return end(talk, true);
+          if (conversation->main && conversation->anew++ < anew_most) return again(conversation);
+          return end(conversation, true);
         }
-        return end(talk, false);
-      case Ended::unknown:
-      case Ended::denied: return end(talk, false);
-      case Ended::promised:
-      case Ended::broken:
-        if (heir_ ? load_.timers_.now() < last_possible_ : talk->anew++ < anew_most) return again(talk);
-        return end(talk, false);
+        return end(conversation, false);
+      case AttemptOutcome::unknown:
+      case AttemptOutcome::denied: return end(conversation, false);
+      case AttemptOutcome::promised:
+      case AttemptOutcome::broken:
+        if (heir_ ? load_.timers_.now() < last_possible_ : conversation->anew++ < anew_most)
+          return again(conversation);
+        return end(conversation, false);
     }
   }
-  void again(const std::shared_ptr<Talk>& talk) {
+  void again(const std::shared_ptr<Conversation>& conversation) {
     ++load_.figures_.sent_anew;
-    load_.timers_.after(Span::ms(100 + 300 * load_.habits_.unit()), [this, talk] { turn(talk); });
+    load_.timers_.after(Span::ms(100 + 300 * load_.habits_.unit()),
+                        [this, conversation] { turn(conversation); });
   }
-  void next(const std::shared_ptr<Talk>& talk) {
+  void next(const std::shared_ptr<Conversation>& conversation) {
     if (over_) return;
-    if (loops_ && talk->main) return turn(talk);  // the same step, round by round
-    if (++talk->at < talk->steps.size()) return turn(talk);
-    end(talk, true);
+    if (loops_ && conversation->main) return turn(conversation);  // the same step, round by round
+    if (++conversation->at < conversation->steps.size()) return turn(conversation);
+    end(conversation, true);
   }
 
   void tool(bool act, const std::function<void()>& over) {
-    Want want;
-    want.sort = act ? Sort::once : Sort::idempotent;
+    RequestSpec want;
+    want.sort = act ? RequestKind::once : RequestKind::idempotent;
     want.path = act ? "/acts/do" : "/tools/look?for=it";
     want.program = name_;
     want.session = main_->session;
@@ -327,24 +334,24 @@
     want.lasts = Span::ms(3000);
     want.client = client_;
     ++load_.figures_.tools;
-    load_.ask(want, [this, over](const Got& got) {
-      if (got.how == Ended::whole) ++load_.figures_.tools_whole;
+    load_.ask(want, [this, over](const RequestResult& got) {
+      if (got.how == AttemptOutcome::whole) ++load_.figures_.tools_whole;
       over();
     });
   }
   // Its turns begin with its parent's; side by side with what else follows that turn.
   void sub_agent(const Step& step, const std::string& from, const std::function<void()>& over) {
-    const auto talk = std::make_shared<Talk>();
-    talk->session = main_->session + "." + std::to_string(++sub_agents_);
-    talk->previous = from;
-    talk->steps = step.sub_agent;
-    talk->done = over;
-    turn(talk);
+    const auto conversation = std::make_shared<Conversation>();
+    conversation->session = main_->session + "." + std::to_string(++sub_agents_);
+    conversation->previous = from;
+    conversation->steps = step.sub_agent;
+    conversation->done = over;
+    turn(conversation);
   }
 
-  void end(const std::shared_ptr<Talk>& talk, bool well) {
+  void end(const std::shared_ptr<Conversation>& conversation, bool well) {
     if (!well) failed_ = true;
-    if (!talk->main) return talk->done();
+    if (!conversation->main) return conversation->done();
     if (std::exchange(over_, true)) return;
     --load_.open_;
     load_.part(client_);
@@ -352,15 +359,16 @@
     if (heir_) {
       f.heirs_whole += failed_ ? 0 : 1;
       if (failed_)
-        load_.auditor_.breach(
-            Check::unserved, "an heir, program " + name_ + ", got no whole answer on from " + talk->previous);
+        load_.auditor_.report_violation(
+            Rule::unserved,
+            "an heir, program " + name_ + ", got no whole answer on from " + conversation->previous);
       return;
     }
     if (loops_ && spent_) ++f.loops_spent;
     if (failed_) {
       ++f.given_up;
       if (load_.spec_.judge_given_up)
-        load_.auditor_.breach(Check::unserved, "program " + name_ + " was given up");
+        load_.auditor_.report_violation(Rule::unserved, "program " + name_ + " was given up");
     } else {
       ++f.done;
     }
@@ -374,14 +382,14 @@
   std::uint64_t client_ = 0, acts_ = 0, sub_agents_ = 0;
   std::string name_, parts_, last_;
   std::int64_t budget_ = 0;
-  std::shared_ptr<Talk> main_;
+  std::shared_ptr<Conversation> main_;
   TimePoint last_possible_;
 };
 
 // ---- all of them
 
-Load::Load(net::Scheduler& scheduler, net::TimerQueue& later, Lines& lines, Front& front, Auditor& auditor,
-           const Spec& spec)
+Load::Load(net::Scheduler& scheduler, net::TimerQueue& later, HttpConnector& lines, Front& front,
+           Auditor& auditor, const Spec& spec)
     : scheduler_(scheduler),
       timers_(later),
       lines_(lines),
@@ -399,10 +407,10 @@
   return hex(high << 32U | ids_());
 }
 
-void Load::ask(const Want& want, std::function<void(const Got&)> done) {
-  const std::uint64_t place = ++last_asking_;
-  const auto asking = std::make_shared<Asking>(*this, want, std::move(done), place);
-  asking_[place] = asking;
+void Load::ask(const RequestSpec& want, std::function<void(const RequestResult&)> done) {
+  const std::uint64_t place = ++last_request_;
+  const auto asking = std::make_shared<RequestInProgress>(*this, want, std::move(done), place);
+  requests_[place] = asking;
   asking->go();
 }
 
@@ -425,7 +433,7 @@
 // Asks for what never was: 404, or 503 while that is not certain.
 void Load::next_stranger() {
   if (stopped_) return;
-  Want want;
+  RequestSpec want;
   want.path = "/turns/say";
   want.program = "dead" + new_id().substr(12);
   want.session = "beef";
@@ -436,8 +444,9 @@
   want.client = 7;
   want.counted = false;
   ++figures_.strangers;
-  ask(want, [this](const Got& got) {
-    if (got.how == Ended::unknown || got.how == Ended::promised) ++figures_.strangers_refused;
+  ask(want, [this](const RequestResult& got) {
+    if (got.how == AttemptOutcome::unknown || got.how == AttemptOutcome::promised)
+      ++figures_.strangers_refused;
   });
   timers_.after(Span::ms(700), [this] { next_stranger(); });
 }
@@ -456,10 +465,10 @@
 
 // ---- connections
 
-Line& Load::line_for(std::uint64_t client, std::size_t again) {
+HttpConnection& Load::line_for(std::uint64_t client, std::size_t again) {
   auto& idle = idle_[client];
   while (again == 0 && !idle.empty()) {
-    Line* const line = idle.back();
+    HttpConnection* const line = idle.back();
     idle.pop_back();
     line->on_gone({});
     if (line->reusable()) return *line;
@@ -468,15 +477,15 @@
   return lines_.open(front_.pick(client, again));
 }
 
-void Load::idle(std::uint64_t client, Line& line) {
+void Load::idle(std::uint64_t client, HttpConnection& line) {
   idle_[client].push_back(&line);
-  line.on_gone([this, client](Line& gone) { std::erase(idle_[client], &gone); });
+  line.on_gone([this, client](HttpConnection& gone) { std::erase(idle_[client], &gone); });
 }
 
 void Load::part(std::uint64_t client) {
   auto& idle = idle_[client];
   while (!idle.empty()) {
-    Line* const line = idle.back();
+    HttpConnection* const line = idle.back();
     idle.pop_back();
     line->on_gone({});
     line->close();
--- a/src/lab/tier/load.hpp
+++ b/src/lab/tier/load.hpp
@@ -10,9 +10,9 @@
 
 #include "lab/draw.hpp"
 #include "lab/tier/auditor.hpp"
+#include "lab/tier/fault_plan.hpp"
+#include "lab/tier/http_exchange.hpp"
 #include "lab/tier/platform.hpp"
-#include "lab/tier/story.hpp"
-#include "lab/tier/web.hpp"
 
 namespace chutevane::lab::tier {
 
@@ -29,8 +29,8 @@
   int status = 0;  // 0: no answer
 };
 
-struct Want {
-  Sort sort = Sort::turn;
+struct RequestSpec {
+  RequestKind sort = RequestKind::turn;
   std::string path, program, session, previous, input, parts;
   std::optional<std::int64_t> budget;
   std::int64_t most = 0;
@@ -39,8 +39,8 @@
   bool counted = true;  // in the records
 };
 
-struct Got {
-  Ended how = Ended::broken;
+struct RequestResult {
+  AttemptOutcome how = AttemptOutcome::broken;
   std::string id;  // of the try that ended it
 };
 
@@ -49,19 +49,19 @@
   struct Spec {
     std::uint64_t seed = 1;
     double programs_per_s = 12;
-    Manners manners = {};
+    Misbehavior misbehavior = {};
     bool judge_given_up = true;  // a program that is given up is a breach
     bool judge_late = false;     // a client waits on after its time, and no answer by then is a breach
   };
-  Load(net::Scheduler& scheduler, net::TimerQueue& later, Lines& lines, Front& front, Auditor& auditor,
-       const Spec& spec);
+  Load(net::Scheduler& scheduler, net::TimerQueue& later, HttpConnector& lines, Front& front,
+       Auditor& auditor, const Spec& spec);
   ~Load();
 
   void begin();
   // No new programs, and clients that are there behave from now on.
   void stop() {
     stopped_ = true;
-    spec_.manners = {};
+    spec_.misbehavior = {};
   }
   // New programs that go on from the last turns of those that are over, `from` the oldest on.
   void go_on_from_old(std::size_t most);
@@ -76,19 +76,19 @@
   const Figures& figures() const { return figures_; }
 
  private:
-  class Asking;
+  class RequestInProgress;
   class Program;
-  void ask(const Want& want, std::function<void(const Got&)> done);
+  void ask(const RequestSpec& want, std::function<void(const RequestResult&)> done);
   void next_program();
   void next_stranger();
   std::string new_id();
-  Line& line_for(std::uint64_t client, std::size_t again);
-  void idle(std::uint64_t client, Line& line);
+  HttpConnection& line_for(std::uint64_t client, std::size_t again);
+  void idle(std::uint64_t client, HttpConnection& line);
   void part(std::uint64_t client);
 
   net::Scheduler& scheduler_;
   net::TimerQueue& timers_;
-  Lines& lines_;
+  HttpConnector& lines_;
   Front& front_;
   Auditor& auditor_;
   Spec spec_;
@@ -97,9 +97,9 @@
   std::size_t open_ = 0;
   std::vector<std::unique_ptr<Program>> programs_;
   std::vector<std::string> last_turns_;  // of programs that are over
-  std::map<std::uint64_t, std::vector<Line*>> idle_;
-  std::map<std::uint64_t, std::shared_ptr<Asking>> asking_;
-  std::uint64_t last_asking_ = 0;
+  std::map<std::uint64_t, std::vector<HttpConnection*>> idle_;
+  std::map<std::uint64_t, std::shared_ptr<RequestInProgress>> requests_;
+  std::uint64_t last_request_ = 0;
   std::vector<TryRecord> records_;
   Figures figures_;
 };
--- a/src/lab/tier/machines.cpp
+++ b/src/lab/tier/machines.cpp
@@ -156,8 +156,9 @@
 
 void Machines::judge_end(const Machine& m, const std::optional<std::string>& how) {
   if (how == "exit status 0") return;
-  auditor_.breach(Check::crashed, m.node + ", told to end: " + how.value_or("still there after its grace") +
-                                      "\n" + last_lines(m.log, 6));
+  auditor_.report_violation(
+      Rule::crashed,
+      m.node + ", told to end: " + how.value_or("still there after its grace") + "\n" + last_lines(m.log, 6));
 }
 
 void Machines::terminate(Machine& m, std::function<void(Span)> ended) {
@@ -188,7 +189,7 @@
   for (const auto& m : machines_) {
     if (m->down_by_order) continue;
     if (const auto how = m->process.ended())
-      auditor_.breach(Check::crashed, m->node + ": " + *how + "\n" + last_lines(m->log, 6));
+      auditor_.report_violation(Rule::crashed, m->node + ": " + *how + "\n" + last_lines(m->log, 6));
   }
   timers_.after(watch_every, [this] { watch(); });
 }
--- a/src/lab/tier/machines.hpp
+++ b/src/lab/tier/machines.hpp
@@ -11,7 +11,7 @@
 #include "lab/loopback.hpp"
 #include "lab/process.hpp"
 #include "lab/tier/auditor.hpp"
-#include "lab/tier/story.hpp"
+#include "lab/tier/fault_plan.hpp"
 #include "net/timer_queue.hpp"
 
 namespace chutevane::lab::tier {
--- a/src/lab/tier/operators.cpp
+++ b/src/lab/tier/operators.cpp
@@ -59,8 +59,8 @@
   return all.dump();
 }
 
-OperatorStandIn::OperatorStandIn(net::Scheduler&, net::TimerQueue& later, Lines& lines, Auditor& auditor,
-                                 std::vector<sockaddr_in> controllers, std::uint64_t seed)
+OperatorStandIn::OperatorStandIn(net::Scheduler&, net::TimerQueue& later, HttpConnector& lines,
+                                 Auditor& auditor, std::vector<sockaddr_in> controllers, std::uint64_t seed)
     : timers_(later),
       lines_(lines),
       auditor_(auditor),
@@ -74,8 +74,8 @@
     busy_ = false;
     // Nobody else changes it: nothing but 200 is right.
     if (status != taken)
-      auditor_.breach(Check::configuration,
-                      "version " + std::to_string(order.version) + ": " + std::to_string(status));
+      auditor_.report_violation(Rule::configuration,
+                                "version " + std::to_string(order.version) + ": " + std::to_string(status));
     if (status == taken) acknowledge(order);
     done(timers_.now() - since);
   };
@@ -101,9 +101,10 @@
       if (--race->open > 0) return;
       busy_ = false;
       if (race->won != 1)
-        auditor_.breach(Check::configuration, "of two orders of version " + std::to_string(order.version) +
-                                                  " on " + std::to_string(order.base) + " " +
-                                                  std::to_string(race->won) + " were taken");
+        auditor_.report_violation(Rule::configuration, "of two orders of version " +
+                                                           std::to_string(order.version) + " on " +
+                                                           std::to_string(order.base) + " " +
+                                                           std::to_string(race->won) + " were taken");
       over();
     };
     send(std::move(order));
@@ -123,21 +124,22 @@
       "POST", "/v1/Configuration.Replace", net::text_of(at),
       {{"X-Chutevane-Base-Version", std::to_string(order.base)}, {"Content-Type", "application/json"}},
       order.text);
-  Errand::run(lines_, timers_, at, std::move(text), silent_most,
-              [this, order = std::move(order)](const Errand::Got& got) mutable {
-                const bool lost = chance_.one_in(lost_part_);
-                if (got.whole && !lost && (got.status == taken || got.status == superseded))
-                  return order.done(got.status);
-                if (got.whole && got.status / 100 == 4 && got.status != superseded && got.status != 408 &&
-                    got.status != 429)
-                  auditor_.breach(Check::configuration, "version " + std::to_string(order.version) + ": " +
-                                                            std::to_string(got.status) + " " + got.body);
-                const Span pause =
-                    std::min(pause_most, pause_first * static_cast<double>(1 << std::min(order.times, 4)));
-                ++order.to;
-                ++order.times;
-                timers_.after(pause, [this, order = std::move(order)]() mutable { send(std::move(order)); });
-              });
+  BufferedRequest::run(
+      lines_, timers_, at, std::move(text), silent_most,
+      [this, order = std::move(order)](const BufferedRequest::Result& got) mutable {
+        const bool lost = chance_.one_in(lost_part_);
+        if (got.whole && !lost && (got.status == taken || got.status == superseded))
+          return order.done(got.status);
+        if (got.whole && got.status / 100 == 4 && got.status != superseded && got.status != 408 &&
+            got.status != 429)
+          auditor_.report_violation(Rule::configuration, "version " + std::to_string(order.version) + ": " +
+                                                             std::to_string(got.status) + " " + got.body);
+        const Span pause =
+            std::min(pause_most, pause_first * static_cast<double>(1 << std::min(order.times, 4)));
+        ++order.to;
+        ++order.times;
+        timers_.after(pause, [this, order = std::move(order)]() mutable { send(std::move(order)); });
+      });
 }
 
 void OperatorStandIn::keep_reading(Span every, std::function<TimePoint()> calm_since) {
@@ -153,30 +155,33 @@
   if (read_next_ % reads_per_status == 0) ask_status(controller);
   const sockaddr_in& at = controllers_[controller];
   if (has_been_calm(calm_before_judging)) ++calm_reads_;
-  Errand::run(lines_, timers_, at,
-              request_text("GET", "/v1/Configuration.Retrieve", net::text_of(at), {}, ""), silent_most,
-              [this, controller, least = acknowledged_, asked = timers_.now()](const Errand::Got& got) {
-                if (got.whole && got.status == 200) return judge_read(controller, least, got.body);
-                // A 5xx or silence: it is not sure, which is no breach amid faults.
-                if (!got.whole || got.status != not_found)
-                  judge_silence(controller, asked, got.whole ? got.status : 0);
-              });
+  BufferedRequest::run(
+      lines_, timers_, at, request_text("GET", "/v1/Configuration.Retrieve", net::text_of(at), {}, ""),
+      silent_most,
+      [this, controller, least = acknowledged_, asked = timers_.now()](const BufferedRequest::Result& got) {
+        if (got.whole && got.status == 200) return judge_read(controller, least, got.body);
+        // A 5xx or silence: it is not sure, which is no breach amid faults.
+        if (!got.whole || got.status != not_found)
+          judge_silence(controller, asked, got.whole ? got.status : 0);
+      });
   timers_.after(read_every_, [this] { read_once(); });
 }
 
 void OperatorStandIn::judge_silence(std::size_t controller, TimePoint asked, int status) {
   const Span elapsed = timers_.now() - asked;
   if (!has_been_calm(calm_before_judging + elapsed) || elapsed > silent_most + lab_lateness_limit) return;
-  auditor_.breach(Check::configuration, "controller " + std::to_string(controller + 1) +
-                                            " answers no read in calm times: " + std::to_string(status));
+  auditor_.report_violation(Rule::configuration,
+                            "controller " + std::to_string(controller + 1) +
+                                " answers no read in calm times: " + std::to_string(status));
 }
 
 void OperatorStandIn::ask_status(std::size_t controller) {
   const sockaddr_in& at = controllers_[controller];
-  Errand::run(lines_, timers_, at, request_text("GET", "/v1/Status.Retrieve", net::text_of(at), {}, ""),
-              silent_most, [this, controller](const Errand::Got& got) {
-                if (got.whole && got.status == taken) judge_status(controller, got.body);
-              });
+  BufferedRequest::run(lines_, timers_, at,
+                       request_text("GET", "/v1/Status.Retrieve", net::text_of(at), {}, ""), silent_most,
+                       [this, controller](const BufferedRequest::Result& got) {
+                         if (got.whole && got.status == taken) judge_status(controller, got.body);
+                       });
 }
 
 void OperatorStandIn::judge_status(std::size_t controller, const std::string& body) {
@@ -185,8 +190,9 @@
   const auto non_voting =
       status.is_object() ? status.value("notVoting", nlohmann::json::array()) : nlohmann::json();
   if (non_voting.is_array() && non_voting.empty()) return;
-  auditor_.breach(Check::configuration, "controller " + std::to_string(controller + 1) +
-                                            " says in calm times who does not vote: " + non_voting.dump());
+  auditor_.report_violation(Rule::configuration,
+                            "controller " + std::to_string(controller + 1) +
+                                " says in calm times who does not vote: " + non_voting.dump());
 }
 
 void OperatorStandIn::judge_read(std::size_t controller, std::int64_t least, const std::string& body) {
@@ -195,9 +201,9 @@
   const std::int64_t version = read.is_object() ? read.value("version", std::int64_t{0}) : 0;
   const auto sent = texts_.find(version);
   if (sent != texts_.end() && sent->second.contains(body) && version >= least) return;
-  auditor_.breach(Check::configuration, "controller " + std::to_string(controller + 1) + " shows version " +
-                                            std::to_string(version) + " after " + std::to_string(least) +
-                                            " was acknowledged");
+  auditor_.report_violation(Rule::configuration, "controller " + std::to_string(controller + 1) +
+                                                     " shows version " + std::to_string(version) + " after " +
+                                                     std::to_string(least) + " was acknowledged");
 }
 
 void OperatorStandIn::read_back(Span most, const std::function<void()>& done) {
@@ -211,25 +217,28 @@
 
 void OperatorStandIn::read(std::size_t controller, TimePoint until, const std::function<void()>& done) {
   const sockaddr_in& at = controllers_[controller];
-  Errand::run(
-      lines_, timers_, at, request_text("GET", "/v1/Configuration.Retrieve", net::text_of(at), {}, ""),
-      silent_most, [=, this](const Errand::Got& got) {
-        if (got.whole && got.status == 200 && got.body == acknowledged_text_) return done();
-        // A controller that answers has to answer with the newest: no second chance for an older one.
-        if (got.whole && got.status == 200) {
-          auditor_.breach(Check::configuration, "read back from controller " + std::to_string(controller) +
-                                                    ", not version " + std::to_string(acknowledged_) + ": " +
-                                                    got.body.substr(0, 60));
-          return done();
-        }
-        if (timers_.now() > until) {
-          auditor_.breach(Check::configuration,
-                          "controller " + std::to_string(controller) + " does not give back version " +
-                              std::to_string(acknowledged_) + ": " + std::to_string(got.status));
-          return done();
-        }
-        timers_.after(pause_first, [=, this] { read(controller, until, done); });
-      });
+  BufferedRequest::run(lines_, timers_, at,
+                       request_text("GET", "/v1/Configuration.Retrieve", net::text_of(at), {}, ""),
+                       silent_most, [=, this](const BufferedRequest::Result& got) {
+                         if (got.whole && got.status == 200 && got.body == acknowledged_text_) return done();
+                         // A controller that answers has to answer with the newest: no second chance for an
+                         // older one.
+                         if (got.whole && got.status == 200) {
+                           auditor_.report_violation(
+                               Rule::configuration,
+                               "read back from controller " + std::to_string(controller) + ", not version " +
+                                   std::to_string(acknowledged_) + ": " + got.body.substr(0, 60));
+                           return done();
+                         }
+                         if (timers_.now() > until) {
+                           auditor_.report_violation(
+                               Rule::configuration,
+                               "controller " + std::to_string(controller) + " does not give back version " +
+                                   std::to_string(acknowledged_) + ": " + std::to_string(got.status));
+                           return done();
+                         }
+                         timers_.after(pause_first, [=, this] { read(controller, until, done); });
+                       });
 }
 
 }  // namespace chutevane::lab::tier
--- a/src/lab/tier/operators.hpp
+++ b/src/lab/tier/operators.hpp
@@ -10,7 +10,7 @@
 
 #include "lab/draw.hpp"
 #include "lab/tier/auditor.hpp"
-#include "lab/tier/web.hpp"
+#include "lab/tier/http_exchange.hpp"
 
 namespace chutevane::lab::tier {
 
@@ -21,7 +21,7 @@
 
 class OperatorStandIn {
  public:
-  OperatorStandIn(net::Scheduler& scheduler, net::TimerQueue& later, Lines& lines, Auditor& auditor,
+  OperatorStandIn(net::Scheduler& scheduler, net::TimerQueue& later, HttpConnector& lines, Auditor& auditor,
                   std::vector<sockaddr_in> controllers, std::uint64_t seed);
 
   // So many answers are lost on their way: the order is sent again.
@@ -65,7 +65,7 @@
   void judge_status(std::size_t controller, const std::string& body);
   void judge_read(std::size_t controller, std::int64_t least, const std::string& body);
   net::TimerQueue& timers_;
-  Lines& lines_;
+  HttpConnector& lines_;
   Auditor& auditor_;
   std::vector<sockaddr_in> controllers_;
   Chance chance_;
--- a/src/lab/tier/platform.cpp
+++ b/src/lab/tier/platform.cpp
@@ -16,7 +16,7 @@
     : timers_(later),
       rate_(rate_per_s),
       drain_(drain),
-      port_(scheduler, [this](Port::Visit& visit) { take(visit); }),
+      port_(scheduler, [this](HttpPort::Exchange& visit) { take(visit); }),
       at_(later.now()),
       allowed_(rate_per_s) {}
 
@@ -70,8 +70,8 @@
   return page.dump();
 }
 
-void ListStandIn::take(Port::Visit& visit) {
-  const Asked& asked = visit.asked();
+void ListStandIn::take(HttpPort::Exchange& visit) {
+  const ReceivedRequest& asked = visit.asked();
   if (asked.path() != "/instances" || asked.method != "GET") return visit.answer(404, {}, "");
   if (!admit()) {
     ++over_rate_;
@@ -83,14 +83,14 @@
   const std::size_t first =
       token.empty() ? 0
                     : std::strtoul(token.substr(std::min<std::size_t>(2, token.size())).c_str(), nullptr, 10);
-  const auto answer = [](Port::Visit& to, const std::string& page) {
+  const auto answer = [](HttpPort::Exchange& to, const std::string& page) {
     to.answer(200, {{"Content-Type", "application/json"}}, page);
   };
   const std::string page = page_text(asked.query("zone"), first);
   if (page.find(R"("nextToken":null)") != std::string::npos) last_read_at_ = timers_.now();
   if (fault_ != ListFault::slow) return answer(visit, page);
   timers_.after(slow_list_delay, [this, id = visit.id(), page, answer] {
-    if (Port::Visit* const waiting = port_.find(id)) answer(*waiting, page);
+    if (HttpPort::Exchange* const waiting = port_.find(id)) answer(*waiting, page);
   });
 }
 
@@ -104,17 +104,17 @@
 }
 
 void Front::look(std::size_t which) {
-  Errand::run(lines_, timers_, edges_[which].readiness,
-              request_text("GET", "/v1/readiness", net::text_of(edges_[which].readiness), {}, ""),
-              readiness_most, [this, which](const Errand::Got& got) {
-                Edge& s = edges_[which];
-                if (got.whole && got.status == 200) {
-                  s.misses = 0;
-                  s.in = true;
-                } else if (++s.misses >= 2) {
-                  s.in = false;
-                }
-              });
+  BufferedRequest::run(lines_, timers_, edges_[which].readiness,
+                       request_text("GET", "/v1/readiness", net::text_of(edges_[which].readiness), {}, ""),
+                       readiness_most, [this, which](const BufferedRequest::Result& got) {
+                         Edge& s = edges_[which];
+                         if (got.whole && got.status == 200) {
+                           s.misses = 0;
+                           s.in = true;
+                         } else if (++s.misses >= 2) {
+                           s.in = false;
+                         }
+                       });
   timers_.after(every_, [this, which] { look(which); });
 }
 
--- a/src/lab/tier/platform.hpp
+++ b/src/lab/tier/platform.hpp
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "lab/tier/endpoint.hpp"
-#include "lab/tier/web.hpp"
+#include "lab/tier/http_exchange.hpp"
 
 namespace chutevane::lab::tier {
 
@@ -44,11 +44,11 @@
   /// Whether the rate leaves room for one more call.
   bool admit();
   std::string page_text(const std::string& zone, std::size_t first);
-  void take(Port::Visit& visit);
+  void take(HttpPort::Exchange& visit);
   net::TimerQueue& timers_;
   const double rate_;
   const Span drain_;
-  Port port_;
+  HttpPort port_;
   std::vector<EndpointStandIn*> endpoints_;
   ListFault fault_ = ListFault::none;
   std::vector<Entry> stale_entries_;
@@ -62,7 +62,7 @@
 // connections go to those that are in, or to all while fewer than half are.
 class Front {
  public:
-  Front(Lines& lines, net::TimerQueue& later) : lines_(lines), timers_(later) {}
+  Front(HttpConnector& lines, net::TimerQueue& later) : lines_(lines), timers_(later) {}
   void add(const std::string& name, const sockaddr_in& front, const sockaddr_in& readiness);
   void begin(Span every);
   void every(Span span) { every_ = span; }
@@ -85,7 +85,7 @@
     int misses = 0;
   };
   void look(std::size_t which);
-  Lines& lines_;
+  HttpConnector& lines_;
   net::TimerQueue& timers_;
   Span every_ = Span::ms(1000);
   std::vector<Edge> edges_;
--- a/src/lab/tier/soak.cpp
+++ b/src/lab/tier/soak.cpp
@@ -27,15 +27,16 @@
   return (fs::path(folder) / ("seed-" + std::to_string(seed))).string();
 }
 
-std::string report_of(const FleetResult& r, const Story& story) {
+std::string report_of(const FleetResult& r, const FaultPlan& story) {
   nlohmann::json out;
   out["started"] = r.started;
   out["beyondTolerance"] = story.beyond_tolerance;
-  for (std::size_t i = 0; i < checks; ++i) out["checks"][name_of(static_cast<Check>(i))] = r.counts[i];
-  for (std::size_t i = 0; i < trouble_kinds; ++i)
-    out["played"][name_of(static_cast<TroubleKind>(i))] = r.played[i];
+  for (std::size_t i = 0; i < rule_count; ++i) out["checks"][name_of(static_cast<Rule>(i))] = r.counts[i];
+  for (std::size_t i = 0; i < fault_kinds; ++i)
+    out["played"][name_of(static_cast<FaultKind>(i))] = r.played[i];
   out["breaches"] = nlohmann::json::array();
-  for (const Breach& b : r.breaches) out["breaches"].push_back(std::string(name_of(b.check)) + ": " + b.what);
+  for (const Violation& b : r.violations)
+    out["breaches"].push_back(std::string(name_of(b.rule)) + ": " + b.what);
   out["turnsWhole"] = r.figures.turns_whole;
   out["heirs"] = r.load.heirs;
   out["heirsWhole"] = r.load.heirs_whole;
@@ -58,21 +59,22 @@
   const auto report = nlohmann::json::parse(in, nullptr, false);
   if (!report.is_object()) {
     seed.broken = true;
-    seed.breaches.push_back("no report: its lab has ended before");
+    seed.violations.push_back("no report: its lab has ended before");
     return;
   }
   seed.whole = report.at("started").get<bool>();
   seed.beyond_tolerance = report.at("beyondTolerance").get<bool>();
-  for (std::size_t i = 0; i < checks; ++i) {
-    const auto count = report.at("checks").at(name_of(static_cast<Check>(i))).get<std::uint64_t>();
+  for (std::size_t i = 0; i < rule_count; ++i) {
+    const auto count = report.at("checks").at(name_of(static_cast<Rule>(i))).get<std::uint64_t>();
     sum.counts[i] += count;
     seed.broken = seed.broken || count > 0;
   }
   seed.broken = seed.broken || !seed.whole;
-  for (const auto& breach : report.at("breaches")) seed.breaches.push_back(breach.get<std::string>());
-  if (!seed.whole) seed.breaches.push_back("did not start: " + report.at("trouble").get<std::string>());
-  for (std::size_t i = 0; i < trouble_kinds; ++i) {
-    const auto count = report.at("played").at(name_of(static_cast<TroubleKind>(i))).get<std::uint64_t>();
+  for (const auto& report_violation : report.at("breaches"))
+    seed.violations.push_back(report_violation.get<std::string>());
+  if (!seed.whole) seed.violations.push_back("did not start: " + report.at("trouble").get<std::string>());
+  for (std::size_t i = 0; i < fault_kinds; ++i) {
+    const auto count = report.at("played").at(name_of(static_cast<FaultKind>(i))).get<std::uint64_t>();
     sum.played[i] += count;
     if (seed.broken) sum.in_broken_seeds[i] += count;
   }
@@ -99,14 +101,14 @@
 
 FleetResult play_seed(std::uint64_t seed, double seconds, const std::string& programs,
                       const std::string& folder, Fleet*& running) {
-  StoryBounds bounds;
+  FaultPlanBounds bounds;
   bounds.active = Span::ms(seconds * 1000);
   FleetSpec spec;
   spec.programs = programs;
   spec.folder = folder;
   spec.seed = seed;
   spec.seconds = seconds;
-  spec.story = draw_story(seed, bounds);
+  spec.story = draw_fault_plan(seed, bounds);
   write_file(fs::path(folder) / story_file, "seed " + std::to_string(seed) + "\n" + describe(*spec.story));
   Fleet fleet(spec);
   running = &fleet;
@@ -151,7 +153,7 @@
       SoakSummary::Seed& seed = out.seeds[job.seed];
       add(out, seed);
       std::fprintf(stderr, "seed %llu: %s\n", static_cast<unsigned long long>(seed.number),
-                   seed.broken ? seed.breaches.front().c_str() : "held");
+                   seed.broken ? seed.violations.front().c_str() : "held");
       return true;
     });
     const timespec pause{0, 50'000'000};
@@ -164,8 +166,8 @@
 std::string table_of(const SoakSummary& s) {
   std::string out = "trouble              played   in broken seeds\n";
   char line[200];
-  for (std::size_t i = 0; i < trouble_kinds; ++i) {
-    std::snprintf(line, sizeof line, "%-18s %8llu %17llu\n", name_of(static_cast<TroubleKind>(i)),
+  for (std::size_t i = 0; i < fault_kinds; ++i) {
+    std::snprintf(line, sizeof line, "%-18s %8llu %17llu\n", name_of(static_cast<FaultKind>(i)),
                   static_cast<unsigned long long>(s.played[i]),
                   static_cast<unsigned long long>(s.in_broken_seeds[i]));
     out += line;
@@ -198,8 +200,8 @@
   for (const SoakSummary::Seed& seed : s.seeds) {
     if (!seed.broken) continue;
     out += "BROKEN, seed " + std::to_string(seed.number) + " (" + seed.folder + ")\n";
-    for (std::size_t i = 0; i < std::min<std::size_t>(seed.breaches.size(), 3); ++i)
-      out += "  " + seed.breaches[i] + "\n";
+    for (std::size_t i = 0; i < std::min<std::size_t>(seed.violations.size(), 3); ++i)
+      out += "  " + seed.violations[i] + "\n";
     std::ifstream story(fs::path(seed.folder) / story_file);
     for (std::string text; std::getline(story, text);) out += "    " + text + "\n";
   }
--- a/src/lab/tier/soak.hpp
+++ b/src/lab/tier/soak.hpp
@@ -29,11 +29,11 @@
     bool whole = false;  // it came to its end and told what it found
     bool broken = false, beyond_tolerance = false;
     std::string folder;
-    std::vector<std::string> breaches;
+    std::vector<std::string> violations;
   };
   std::vector<Seed> seeds;
-  std::array<std::uint64_t, trouble_kinds> played{}, in_broken_seeds{};
-  std::array<std::uint64_t, checks> counts{};
+  std::array<std::uint64_t, fault_kinds> played{}, in_broken_seeds{};
+  std::array<std::uint64_t, rule_count> counts{};
   std::uint64_t turns_whole = 0, heirs = 0, heirs_whole = 0, orders = 0, reads = 0, calm_reads = 0,
                 excused = 0, left = 0, worked_for_nobody = 0;
   double resident_mb = 0;     // of one seed's processes, at the most
--- a/src/tier_simulation/scenarios.cpp
+++ b/src/tier_simulation/scenarios.cpp
@@ -321,11 +321,11 @@
   out.shape.has_platform = true;
   out.operators.has_traffic_routes = true;
   out.traffic.is_on = true;
-  lab::tier::Manners& manners = out.traffic.manners;
-  manners.client_leaves = random.choose({0.0, 0.01, 0.05});
-  manners.client_half_closes = random.choose({0.0, 0.01});
-  manners.client_stalls = random.choose({0.0, 0.01});
-  manners.endpoint_spoils = random.choose({0.0, 0.02, 0.08});
+  lab::tier::Misbehavior& misbehavior = out.traffic.misbehavior;
+  misbehavior.client_leaves = random.choose({0.0, 0.01, 0.05});
+  misbehavior.client_half_closes = random.choose({0.0, 0.01});
+  misbehavior.client_stalls = random.choose({0.0, 0.01});
+  misbehavior.endpoint_spoils = random.choose({0.0, 0.02, 0.08});
   for (std::size_t i = 2 + random.below(8); i > 0; --i) {
     const FaultKind kind =
         random.choose({FaultKind::endpoint_drain, FaultKind::endpoint_drain, FaultKind::endpoint_replace,
@@ -348,8 +348,8 @@
   Plan out = calm_traffic(random);
   out.traffic.expects_all_served = false;
   out.active_duration = Span::ms(30000);
-  out.traffic.manners.client_leaves = random.choose({0.0, 0.03});
-  out.traffic.manners.endpoint_spoils = random.choose({0.0, 0.02, 0.08});
+  out.traffic.misbehavior.client_leaves = random.choose({0.0, 0.03});
+  out.traffic.misbehavior.endpoint_spoils = random.choose({0.0, 0.02, 0.08});
   Span at = Span::ms(7000);
   while (at < out.active_duration) {
     const FaultKind kind =
--- a/src/tier_simulation/traffic.cpp
+++ b/src/tier_simulation/traffic.cpp
@@ -29,7 +29,7 @@
   lab::tier::Load::Spec out;
   out.seed = seed;
   out.programs_per_s = load.programs_per_s;
-  out.manners = load.manners;
+  out.misbehavior = load.misbehavior;
   // Amid faults clients wait for machines that are down, and some leave.
   out.judge_given_up = load.expects_all_served;
   out.judge_late = true;
@@ -37,8 +37,8 @@
 }
 
 /// A rule's name in reports.
-std::string rule_of(lab::tier::Check check) {
-  std::string out = std::string("traffic-") + lab::tier::name_of(check);
+std::string rule_of(lab::tier::Rule rule) {
+  std::string out = std::string("traffic-") + lab::tier::name_of(rule);
   std::replace(out.begin(), out.end(), ' ', '-');
   return out;
 }
@@ -71,7 +71,7 @@
           [](std::size_t number) {
             return address_of(endpoint_ip, static_cast<std::uint16_t>(first_endpoint_port + number));
           },
-          auditor_, list_, seed, load.manners.endpoint_spoils),
+          auditor_, list_, seed, load.misbehavior.endpoint_spoils),
       lines_(clients_.scheduler, clients_.timers),
       front_(lines_, clients_.timers),
       load_(clients_.scheduler, clients_.timers, lines_, front_, auditor_, load_spec(load, seed)) {
@@ -143,9 +143,9 @@
 }
 
 void Traffic::collect_violations() {
-  for (; reported_ < auditor_.breaches().size(); ++reported_) {
-    const lab::tier::Breach& breach = auditor_.breaches()[reported_];
-    checker_.report_violation(rule_of(breach.check), breach.what);
+  for (; reported_ < auditor_.violations().size(); ++reported_) {
+    const lab::tier::Violation& violation = auditor_.violations()[reported_];
+    checker_.report_violation(rule_of(violation.rule), violation.what);
   }
 }
 
--- a/src/tier_simulation/traffic.hpp
+++ b/src/tier_simulation/traffic.hpp
@@ -21,7 +21,7 @@
   bool is_on = false;
   double programs_per_s = 3;
   bool expects_all_served = false;  ///< no program is given up, as nothing fails
-  lab::tier::Manners manners;
+  lab::tier::Misbehavior misbehavior;
 };
 
 /// Where the platform's list can be read by a control machine, it is read at least so often: the holder of
@@ -83,7 +83,7 @@
   Host platform_, endpoint_host_, clients_;
   lab::tier::ListStandIn list_;
   lab::tier::EndpointSet endpoints_;
-  lab::tier::Lines lines_;
+  lab::tier::HttpConnector lines_;
   lab::tier::Front front_;
   lab::tier::Load load_;
   std::size_t reported_ = 0;     // of the auditor's violations
--- a/tests/story_test.cpp
+++ b/tests/fault_plan_test.cpp
@@ -1,5 +1,5 @@
 // Stories of troubles: the same for the same seed, within the tolerance unless they say otherwise.
-#include "lab/tier/story.hpp"
+#include "lab/tier/fault_plan.hpp"
 
 #include <gtest/gtest.h>
 
@@ -13,40 +13,40 @@
 constexpr std::uint64_t seeds = 500;
 constexpr Span grace = Span::ms(8000);
 
-bool is_loss(const Trouble& t) {
+bool is_loss(const Fault& t) {
   const bool counted = t.plane != MachinePlane::edge;
   switch (t.kind) {
-    case TroubleKind::pause:
-    case TroubleKind::kill:
-    case TroubleKind::wipe:
-    case TroubleKind::terminate:
-    case TroubleKind::cut:
-    case TroubleKind::slow_way: return counted;
-    case TroubleKind::kill_all:
-    case TroubleKind::halves: return true;
+    case FaultKind::pause:
+    case FaultKind::kill:
+    case FaultKind::wipe:
+    case FaultKind::terminate:
+    case FaultKind::cut:
+    case FaultKind::slow_way: return counted;
+    case FaultKind::kill_all:
+    case FaultKind::halves: return true;
     default: return false;
   }
 }
 
-Span away_until(const Trouble& t) { return t.at + (t.kind == TroubleKind::terminate ? grace : t.lasts); }
+Span away_until(const Fault& t) { return t.at + (t.kind == FaultKind::terminate ? grace : t.lasts); }
 
 TEST(Stories, TheSameSeedIsTheSameStory) {
   std::set<std::string> all;
   for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-    const std::string story = describe(draw_story(seed, {}));
-    EXPECT_EQ(story, describe(draw_story(seed, {})));
+    const std::string story = describe(draw_fault_plan(seed, {}));
+    EXPECT_EQ(story, describe(draw_fault_plan(seed, {})));
     all.insert(story);
   }
   EXPECT_EQ(all.size(), seeds);
 }
 
 TEST(Stories, WithinTheToleranceOneMachineIsAwayAtATime) {
-  const StoryBounds bounds;
+  const FaultPlanBounds bounds;
   for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-    const Story story = draw_story(seed, bounds);
+    const FaultPlan story = draw_fault_plan(seed, bounds);
     if (story.beyond_tolerance) continue;
     Span free_from;
-    for (const Trouble& t : story.troubles) {
+    for (const Fault& t : story.troubles) {
       if (!is_loss(t)) continue;
       EXPECT_GE(t.at, free_from) << "seed " << seed << "\n" << describe(story);
       free_from = away_until(t) + bounds.catch_up;
@@ -57,13 +57,13 @@
 TEST(Stories, BeyondItNoMoreDisksAreLost) {
   std::size_t overlapping = 0, beyond = 0;
   for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-    const Story story = draw_story(seed, {});
+    const FaultPlan story = draw_fault_plan(seed, {});
     if (!story.beyond_tolerance) continue;
     ++beyond;
     std::size_t disks = 0, away = 0;
     Span until;
-    for (const Trouble& t : story.troubles) {
-      disks += t.kind == TroubleKind::wipe ? 1 : 0;
+    for (const Fault& t : story.troubles) {
+      disks += t.kind == FaultKind::wipe ? 1 : 0;
       if (!is_loss(t)) continue;
       away += t.at < until ? 1 : 0;
       until = std::max(until, away_until(t));
@@ -76,16 +76,16 @@
 }
 
 TEST(Stories, EveryKindIsDrawnAndEndsInTime) {
-  std::map<TroubleKind, std::size_t> drawn;
-  const StoryBounds bounds;
+  std::map<FaultKind, std::size_t> drawn;
+  const FaultPlanBounds bounds;
   for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-    for (const Trouble& t : draw_story(seed, bounds).troubles) {
+    for (const Fault& t : draw_fault_plan(seed, bounds).troubles) {
       ++drawn[t.kind];
       EXPECT_LE(t.at + t.lasts, bounds.active) << "seed " << seed;
       EXPECT_GE(t.lasts, Span()) << "seed " << seed;
     }
   }
-  EXPECT_EQ(drawn.size(), trouble_kinds);
+  EXPECT_EQ(drawn.size(), fault_kinds);
 }
 
 }  // namespace
--- a/tests/tier_fleet_test.cpp
+++ b/tests/tier_fleet_test.cpp
@@ -17,7 +17,7 @@
 class Auditing : public ::testing::Test {
  protected:
   Auditor::Ask ask(const std::string& id, const std::string& previous = "") {
-    return {id, Sort::turn, "p", previous, "in-" + id, 8, 40};
+    return {id, RequestKind::turn, "p", previous, "in-" + id, 8, 40};
   }
   std::uint64_t run(const std::string& id, const std::string& body) {
     const std::uint64_t run = auditor.ran(id, "i-1", body);
@@ -29,16 +29,16 @@
   void client(const std::string& id, std::uint64_t run) {
     auditor.came(id, 1, "one of " + id + "\n");
     auditor.came(id, 3, "two of " + id + "\n");
-    auditor.answered(id, Ended::whole, Auditor::seal_of(run));
+    auditor.answered(id, AttemptOutcome::whole, Auditor::seal_of(run));
   }
   void first_turn() {
     auditor.asked(ask("a"));
     client("a", run("a", "in-a"));
   }
   // That breach and no other.
-  void expect_only(Check check) {
-    EXPECT_EQ(auditor.count(check), 1U) << name_of(check);
-    EXPECT_EQ(auditor.all(), 1U) << (auditor.breaches().empty() ? "" : auditor.breaches().front().what);
+  void expect_only(Rule rule) {
+    EXPECT_EQ(auditor.count(rule), 1U) << name_of(rule);
+    EXPECT_EQ(auditor.all(), 1U) << (auditor.violations().empty() ? "" : auditor.violations().front().what);
   }
   Auditor auditor;
 };
@@ -49,14 +49,14 @@
   first_turn();
   auditor.asked(ask("b", "a"));
   client("b", run("b", chain));
-  auditor.asked({"t", Sort::idempotent, "p", "", "", 0, std::nullopt});
+  auditor.asked({"t", RequestKind::idempotent, "p", "", "", 0, std::nullopt});
   auditor.ran("t", "i-2", "");
   const std::uint64_t again = auditor.ran("t", "i-3", "");
   auditor.generated(again, "plain", 0);
   auditor.run_whole(again);
   auditor.came_plain("t", "plain");
-  auditor.answered("t", Ended::whole, Auditor::seal_of(again));
-  EXPECT_EQ(auditor.all(), 0U) << auditor.breaches().front().what;
+  auditor.answered("t", AttemptOutcome::whole, Auditor::seal_of(again));
+  EXPECT_EQ(auditor.all(), 0U) << auditor.violations().front().what;
   EXPECT_EQ(auditor.figures().turns_whole, 2U);
   EXPECT_EQ(auditor.figures().longest_chain, 2U);
 }
@@ -65,14 +65,14 @@
   auditor.asked(ask("a"));
   client("a", run("a", "in-a"));
   auditor.ran("a", "i-2", "in-a");
-  expect_only(Check::twice);
+  expect_only(Rule::twice);
 }
 
 TEST_F(Auditing, FindsADoubledActOfATool) {
-  auditor.asked({"t", Sort::once, "p", "", "act", 0, std::nullopt});
+  auditor.asked({"t", RequestKind::once, "p", "", "act", 0, std::nullopt});
   auditor.ran("t", "i-1", "act");
   auditor.ran("t", "i-1", "act");
-  expect_only(Check::twice);
+  expect_only(Rule::twice);
 }
 
 TEST_F(Auditing, FindsAShortChain) {
@@ -82,15 +82,15 @@
     first_turn();
     auditor.asked(ask("b", "a"));
     auditor.ran("b", "i-1", body);
-    expect_only(Check::chain);
+    expect_only(Rule::chain);
   }
 }
 
 TEST_F(Auditing, FindsALostTurn) {
   first_turn();
   auditor.asked(ask("b", "a"));
-  auditor.answered("b", Ended::unknown, "");
-  expect_only(Check::lost);
+  auditor.answered("b", AttemptOutcome::unknown, "");
+  expect_only(Rule::lost);
 }
 
 TEST_F(Auditing, FindsAnOverrunBudget) {
@@ -98,7 +98,7 @@
   auditor.asked(ask("b", "a"));
   const std::uint64_t run = auditor.ran("b", "i-1", chain);
   for (int i = 0; i < 10; ++i) auditor.generated(run, "x\n", 4);  // 48 of 40 in all
-  expect_only(Check::overrun);
+  expect_only(Rule::overrun);
 }
 
 // What completed turns used and no more counts, and nothing of those that were refused a while ago.
@@ -108,14 +108,14 @@
   for (int i = 0; i < 5; ++i) {
     const std::string id = "r" + std::to_string(i);
     auditor.asked(ask(id, "a"), at(1000 + i));
-    auditor.answered(id, Ended::promised, "", at(1500));
+    auditor.answered(id, AttemptOutcome::promised, "", at(1500));
   }
   auditor.asked(ask("soon", "a"), at(1900));  // what they had set aside may be on its way back
-  auditor.answered("soon", Ended::spent, "", at(1950));
+  auditor.answered("soon", AttemptOutcome::spent, "", at(1950));
   EXPECT_EQ(auditor.all(), 0U);
   auditor.asked(ask("later", "a"), at(4000));
-  auditor.answered("later", Ended::spent, "", at(4050));
-  expect_only(Check::budget_left);
+  auditor.answered("later", AttemptOutcome::spent, "", at(4050));
+  expect_only(Rule::budget_left);
 }
 
 // The budget is on what is handed to clients. What is generated for one that has left is none of it, before
@@ -138,7 +138,7 @@
   for (std::int64_t i = 0; i < rest / 4; ++i) auditor.generated(run, "x\n", 4);
   EXPECT_EQ(auditor.all(), 0U);
   auditor.generated(run, "x\n", 4);
-  expect_only(Check::overrun);
+  expect_only(Rule::overrun);
 }
 
 TEST_F(Auditing, FindsAnAnswerOfTwoRuns) {
@@ -149,8 +149,8 @@
   auditor.run_whole(run);
   auditor.came("a", 1, "one of a\n");
   auditor.came("a", 2, "two of another\n");
-  auditor.answered("a", Ended::whole, Auditor::seal_of(run));
-  expect_only(Check::joined);
+  auditor.answered("a", AttemptOutcome::whole, Auditor::seal_of(run));
+  expect_only(Rule::joined);
 }
 
 TEST_F(Auditing, FindsAHalfAnswerThatLooksWhole) {
@@ -158,8 +158,8 @@
   const std::uint64_t run = auditor.ran("a", "i-1", "in-a");
   auditor.generated(run, "one of a\n", 4);
   auditor.came("a", 1, "one of a\n");
-  auditor.answered("a", Ended::whole, Auditor::seal_of(run));
-  expect_only(Check::joined);
+  auditor.answered("a", AttemptOutcome::whole, Auditor::seal_of(run));
+  expect_only(Rule::joined);
 }
 
 TEST_F(Auditing, FindsEventsOutOfOrder) {
@@ -169,31 +169,31 @@
   auditor.run_whole(run);
   auditor.came("a", 2, "one\n");
   auditor.came("a", 2, "two\n");
-  auditor.answered("a", Ended::whole, Auditor::seal_of(run));
-  expect_only(Check::joined);
+  auditor.answered("a", AttemptOutcome::whole, Auditor::seal_of(run));
+  expect_only(Rule::joined);
 }
 
 TEST_F(Auditing, FindsARefusalThatRan) {
   auditor.asked(ask("a"));
-  auditor.answered("a", Ended::promised, "");
+  auditor.answered("a", AttemptOutcome::promised, "");
   auditor.ran("a", "i-1", "in-a");
-  expect_only(Check::promised);
+  expect_only(Rule::promised);
 }
 
 TEST_F(Auditing, FindsABudgetThatIsSaidToBeSpentTooSoon) {
   first_turn();
   auditor.asked(ask("b", "a"));
-  auditor.answered("b", Ended::spent, "");  // 16 of 40
-  expect_only(Check::denied);
+  auditor.answered("b", AttemptOutcome::spent, "");  // 16 of 40
+  expect_only(Rule::denied);
 }
 
 TEST_F(Auditing, FindsATurnOnFromOneThatNeverEnded) {
   auditor.asked(ask("a"));
   run("a", "in-a");
-  auditor.answered("a", Ended::broken, "");
+  auditor.answered("a", AttemptOutcome::broken, "");
   auditor.asked(ask("b", "a"));
   auditor.ran("b", "i-1", chain);
-  expect_only(Check::invented);
+  expect_only(Rule::invented);
 }
 
 // --- the tier ---------------------------------------------------------------------------------------
@@ -210,7 +210,7 @@
   std::string path;
 };
 
-std::uint64_t count(const FleetResult& r, Check check) { return r.counts[static_cast<std::size_t>(check)]; }
+std::uint64_t count(const FleetResult& r, Rule rule) { return r.counts[static_cast<std::size_t>(rule)]; }
 
 // A storage node with its disk, a controller with a change in flight, and an edge, one after the other.
 TEST(TierFleet, LosesNothingThroughFaults) {
@@ -223,9 +223,9 @@
   Fleet fleet(spec);
   const FleetResult r = fleet.run();
   ASSERT_TRUE(r.started) << table_of(r);
-  for (std::size_t i = 0; i < checks; ++i)
-    EXPECT_EQ(r.counts[i], 0U) << name_of(static_cast<Check>(i)) << "\n" << table_of(r);
-  EXPECT_EQ(count(r, Check::lost) + count(r, Check::twice) + count(r, Check::overrun), 0U);
+  for (std::size_t i = 0; i < rule_count; ++i)
+    EXPECT_EQ(r.counts[i], 0U) << name_of(static_cast<Rule>(i)) << "\n" << table_of(r);
+  EXPECT_EQ(count(r, Rule::lost) + count(r, Rule::twice) + count(r, Rule::overrun), 0U);
   // That the run has tried what it judges.
   EXPECT_GT(r.figures.turns_whole, 50U) << table_of(r);
   EXPECT_GE(r.figures.longest_chain, 3U) << table_of(r);
@@ -243,8 +243,8 @@
 
 // --- stories ----------------------------------------------------------------------------------------
 
-Trouble storage_trouble(TroubleKind kind, std::size_t number, double at_ms, double lasts_ms) {
-  Trouble out;
+Fault storage_trouble(FaultKind kind, std::size_t number, double at_ms, double lasts_ms) {
+  Fault out;
   out.kind = kind;
   out.plane = MachinePlane::storage;
   out.place = number - 1;
@@ -253,7 +253,7 @@
   return out;
 }
 
-FleetResult play(const Story& story, double seconds) {
+FleetResult play(const FaultPlan& story, double seconds) {
   QuietFolder folder;
   FleetSpec spec;
   spec.programs = PROGRAMS;
@@ -267,8 +267,8 @@
 
 void expect_all_held(const FleetResult& r) {
   ASSERT_TRUE(r.started) << table_of(r);
-  for (std::size_t i = 0; i < checks; ++i)
-    EXPECT_EQ(r.counts[i], 0U) << name_of(static_cast<Check>(i)) << "\n" << table_of(r);
+  for (std::size_t i = 0; i < rule_count; ++i)
+    EXPECT_EQ(r.counts[i], 0U) << name_of(static_cast<Rule>(i)) << "\n" << table_of(r);
   EXPECT_GT(r.load.heirs, 0U) << table_of(r);
   EXPECT_EQ(r.load.heirs_whole, r.load.heirs) << table_of(r);
 }
@@ -276,10 +276,10 @@
 // One storage node stands still over the moment at which another comes back with an empty disk: one disk is
 // lost, and what lay at these two alone is on the one that stood still.
 TEST(TierFleet, AKeptTurnOutlivesAPauseBesideALostDisk) {
-  Story story;
+  FaultPlan story;
   story.beyond_tolerance = true;
-  story.troubles = {storage_trouble(TroubleKind::pause, 4, 2500, 4500),
-                    storage_trouble(TroubleKind::wipe, 2, 2600, 2200)};
+  story.troubles = {storage_trouble(FaultKind::pause, 4, 2500, 4500),
+                    storage_trouble(FaultKind::wipe, 2, 2600, 2200)};
   expect_all_held(play(story, 7));
 }
 
