Operators' API: calls that a controller does not have are counted and logged

Cause: a call that is not there was answered 404 without a sign, so calls that do not exist could not be told from state that was lost. Change: metric chutevane_control_unknown_calls_total, log event call.unknown (method and target, ten lines a second at most).

--- a/src/control/operator_api.cpp
+++ b/src/control/operator_api.cpp
@@ -104,6 +104,13 @@
     return retrieve_retirement(node_after(retrieve_retire), reply);
   if (is_get && path == "/v1/Status.Retrieve")
     return reply({200, status_json(host_.status(), register_, host_.members()), {}});
+  reject_unknown_call(request, reply);
+}
+
+void OperatorApi::reject_unknown_call(const http::Parser& request, const HttpServer::Reply& reply) {
+  ++unknown_calls_;
+  if (unknown_call_log_.admits(host_.status().now))
+    unknown_call_log_.line(std::string(request.method()) + " " + std::string(request.target()));
   reply(error_response(404, "no such call"));
 }
 
@@ -273,6 +280,8 @@
             "Configurations and reads of operators, by what became of them.");
   for (std::size_t i = 0; i < outcome_count; ++i)
     out.sample(static_cast<double>(outcomes_[i]), {{"outcome", label_of(static_cast<Outcome>(i))}});
+  out.counter("chutevane_control_unknown_calls", "",
+              "Calls that this controller does not have: answered 404.", static_cast<double>(unknown_calls_));
 }
 
 }  // namespace chutevane::control
--- a/src/control/operator_api.hpp
+++ b/src/control/operator_api.hpp
@@ -60,6 +60,8 @@
   static std::string_view label_of(Outcome outcome);
   /// Counts the outcome. Rejections and undetermined outcomes are logged with all that the decision rests on.
   void record(Outcome outcome, const ConfigurationSubmission& submission, std::string_view cause);
+  /// Counts and logs a call that this API does not have, and answers it with 404.
+  void reject_unknown_call(const http::Parser& request, const common::HttpServer::Reply& reply);
 
   void replace_configuration(const http::Parser& request, common::HttpServer::Reply reply);
   void submit(ConfigurationSubmission submission, common::HttpServer::Reply reply);
@@ -80,7 +82,9 @@
   const std::size_t history_limit_;
   static constexpr int max_log_lines_per_second = 10;
   std::array<std::uint64_t, outcome_count> outcomes_{};
+  std::uint64_t unknown_calls_ = 0;
   common::RateLimitedLog rejection_log_{"order.not_taken", max_log_lines_per_second};
+  common::RateLimitedLog unknown_call_log_{"call.unknown", max_log_lines_per_second};
 };
 
 }  // namespace chutevane::control
