Messages: records of the coordination register, its calls, and an acceptor's change

Cause: locks, numbers and keys need a register of their own beside the one of control state, and its messages.

--- a/src/common/messages.hpp
+++ b/src/common/messages.hpp
@@ -10,6 +10,7 @@
 #pragma once
 
 #include "common/messages/controllers.hpp"
+#include "common/messages/coordination.hpp"
 #include "common/messages/endpoints.hpp"
 #include "common/messages/register.hpp"
 #include "common/messages/sessions.hpp"
--- /dev/null
+++ b/src/common/messages/coordination.hpp
@@ -0,0 +1,125 @@
+/// Records of the coordination service: calls for locks, numbers and keys between controllers, and the
+/// messages of the register that holds its state (control/coordination/).
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "common/messages/register.hpp"
+
+namespace chutevane::common {
+
+/// A Prepare of the coordination register. Answered by a Promise.
+struct CoordinationPrepare {
+  static constexpr const char* record = "Coordination_prepare";
+  static constexpr std::uint8_t kind = 41;
+  Prepare request;
+  template <class Visitor>
+  void each(Visitor& v) {
+    v("request", request);
+  }
+};
+
+/// An Accept of the coordination register. Answered by an Accepted.
+struct CoordinationAccept {
+  static constexpr const char* record = "Coordination_accept";
+  static constexpr std::uint8_t kind = 42;
+  Accept request;
+  template <class Visitor>
+  void each(Visitor& v) {
+    v("request", request);
+  }
+};
+
+/// A value of the coordination register was chosen.
+struct CoordinationChosen {
+  static constexpr const char* record = "Coordination_chosen";
+  static constexpr std::uint8_t kind = 43;
+  Chosen chosen;
+  template <class Visitor>
+  void each(Visitor& v) {
+    v("chosen", chosen);
+  }
+};
+
+/// How far the sender knows the coordination register; from each controller to every other one.
+struct CoordinationReport {
+  static constexpr const char* record = "Coordination_report";
+  static constexpr std::uint8_t kind = 44;
+  std::string address;      ///< `ADDRESS:PORT` of the sender's internal control port
+  std::int64_t epoch = 0;   ///< of the newest set of acceptors that it knows
+  std::int64_t number = 0;  ///< of the newest chosen value that it knows; 0: none
+  template <class Visitor>
+  void each(Visitor& v) {
+    v("address", address);
+    v("epoch", epoch);
+    v("number", number);
+  }
+};
+
+/// A client's call, passed on to the controller that proposes. Answered by a CoordinationAnswer.
+struct CoordinationCall {
+  static constexpr const char* record = "Coordination_call";
+  static constexpr std::uint8_t kind = 45;
+  std::int64_t operation = 0;  ///< a control::coordination::Operation
+  std::int64_t id = 0;         ///< drawn at random for each call
+  std::string name;            ///< of the lock, number, key or group
+  std::string holder;
+  std::int64_t fence = 0;
+  std::int64_t hold_ms = 0;
+  std::string value;
+  std::int64_t applies_to = 0;    ///< revision that the key must have
+  std::int64_t time_left_ms = 0;  ///< then nobody waits for the answer
+  /// The receiver's newest stamp that the sender has received: the call was sent after it.
+  std::int64_t echo_incarnation = 0;
+  std::int64_t echo_stamp = 0;  ///< of the receiver's steady clock, in microseconds
+  template <class Visitor>
+  void each(Visitor& v) {
+    v("operation", operation);
+    v("id", id);
+    v("name", name);
+    v("holder", holder);
+    v("fence", fence);
+    v("hold_ms", hold_ms);
+    v("value", value);
+    v("applies_to", applies_to);
+    v("time_left_ms", time_left_ms);
+    v("echo_incarnation", echo_incarnation);
+    v("echo_stamp", echo_stamp);
+  }
+};
+
+/// The reply to a CoordinationCall.
+struct CoordinationAnswer {
+  static constexpr const char* record = "Coordination_answer";
+  static constexpr std::uint8_t kind = 46;
+  std::int64_t outcome = 0;  ///< a control::coordination::Outcome
+  std::int64_t number = 0;   ///< fencing token, number or revision
+  std::string value;         ///< of a key
+  template <class Visitor>
+  void each(Visitor& v) {
+    v("outcome", outcome);
+    v("number", number);
+    v("value", value);
+  }
+};
+
+/// What changed at an acceptor, as it stands in the log between two checkpoints: what it promised, and the
+/// value that it accepted, if it did.
+struct AcceptorChange {
+  static constexpr const char* record = "Acceptor_change";
+  static constexpr std::uint8_t kind = 47;
+  Ballot promised;
+  Ballot accepted;             ///< round 0: nothing was accepted by this change
+  RegisterValue value;         ///< that was accepted, where there is no difference
+  ValueDifference difference;  ///< of the accepted value from the one accepted before
+  template <class Visitor>
+  void each(Visitor& v) {
+    v("promised", promised);
+    v("accepted", accepted);
+    v("value", value);
+    v("difference", difference);
+  }
+};
+
+}  // namespace chutevane::common
