Acceptor: a log of changes; register: a first attempt that proposes

Cause: a register whose value changes many times a second cannot write all of it with each promise, nor spend a round on reading what it will change anyway. Register::FirstAttempt::propose begins with a ballot. reset() begins a disk of a new identity above what is left on it.

--- a/src/control/acceptor.cpp
+++ b/src/control/acceptor.cpp
@@ -21,8 +21,9 @@
 
 }  // namespace
 
-DurableAcceptor::DurableAcceptor(common::Disk& disk, AcceptorIdentity identity)
-    : storage_(disk, "acceptor"), identity_(std::move(identity)) {}
+DurableAcceptor::DurableAcceptor(common::Disk& disk, AcceptorIdentity identity, std::string file_name,
+                                 AcceptorLogForm log_form)
+    : storage_(disk, std::move(file_name)), identity_(std::move(identity)), log_form_(log_form) {}
 
 absl::Status DurableAcceptor::open() {
   const auto recovered = storage_.recover();
@@ -30,21 +31,47 @@
   if (!recovered.ok()) return recovered.status();
   if (!common::decode(recovered->checkpoint, state_)) return absl::DataLossError("acceptor: slot not read");
   for (const std::string& change : recovered->changes) {
-    if (!common::decode(change, state_)) return absl::DataLossError("acceptor: log not read");
+    if (absl::Status applied = apply_log_record(change); !applied.ok()) return applied;
   }
   return absl::OkStatus();
 }
 
-absl::Status DurableAcceptor::persist(WriteForm form) {
+absl::Status DurableAcceptor::reset() {
+  const auto recovered = storage_.recover();  // so that the new checkpoint's number is above all on the disk
+  const bool is_readable_disk =
+      recovered.ok() || absl::IsNotFound(recovered.status()) || absl::IsDataLoss(recovered.status());
+  if (!is_readable_disk) return recovered.status();
+  state_ = {};
+  return persist({}, WriteForm::checkpoint);
+}
+
+absl::Status DurableAcceptor::apply_log_record(const std::string& record) {
+  const absl::Status unreadable = absl::DataLossError("acceptor: log not read");
+  if (log_form_ == AcceptorLogForm::full_state)
+    return common::decode(record, state_) ? absl::OkStatus() : unreadable;
+  common::AcceptorChange change;
+  if (!common::decode(record, change)) return unreadable;
+  state_.promised = change.promised;
+  if (change.accepted.round == 0) return absl::OkStatus();
+  absl::StatusOr<RegisterValue> value = value_after(change.value, change.difference);
+  if (!value.ok()) return unreadable;
+  state_.accepted = change.accepted;
+  state_.value = *std::move(value);
+  return absl::OkStatus();
+}
+
+/// `change`: what has led to the present state, for the log.
+absl::Status DurableAcceptor::persist(const common::AcceptorChange& change, WriteForm form) {
   common::check_invariant(common::Invariant::accepted_not_above_promised,
                           !(state_.promised < state_.accepted), [&] {
                             return "promised round " + std::to_string(state_.promised.round) + ", accepted " +
                                    std::to_string(state_.accepted.round);
                           });
-  const std::string record = common::encoded(state_);
   const bool as_checkpoint =
       form == WriteForm::checkpoint || storage_.is_log_full() || storage_.needs_checkpoint();
-  return as_checkpoint ? storage_.write_checkpoint(record) : storage_.append_change(record);
+  if (as_checkpoint) return storage_.write_checkpoint(common::encoded(state_));
+  const bool as_change = log_form_ == AcceptorLogForm::changes;
+  return storage_.append_change(as_change ? common::encoded(change) : common::encoded(state_));
 }
 
 /// Begins a later epoch, if this acceptor is a member of it. In memory: the caller persists it.
@@ -70,7 +97,9 @@
   const bool promises = !request.read_only && state_.promised < request.ballot;
   if (promises) state_.promised = request.ballot;
   if (promises || enters_epoch) {
-    const absl::Status stored = persist(enters_epoch ? WriteForm::checkpoint : WriteForm::log_record);
+    common::AcceptorChange change;
+    change.promised = state_.promised;
+    const absl::Status stored = persist(change, enters_epoch ? WriteForm::checkpoint : WriteForm::log_record);
     if (!stored.ok()) {
       state_ = before;
       return stored;
@@ -88,10 +117,11 @@
   return reply;
 }
 
-/// The value of the request, rebuilt from the accepted one where the request carries a difference.
-absl::StatusOr<RegisterValue> DurableAcceptor::requested_value(const Accept& request) const {
-  if (!common::is_difference(request.difference)) return request.value;
-  return common::apply_value_difference(request.difference, common::encoded(state_.value));
+/// `full`, or the value that the difference makes of the accepted one.
+absl::StatusOr<RegisterValue> DurableAcceptor::value_after(const RegisterValue& full,
+                                                           const common::ValueDifference& difference) const {
+  if (!common::is_difference(difference)) return full;
+  return common::apply_value_difference(difference, common::encoded(state_.value));
 }
 
 absl::StatusOr<Accepted> DurableAcceptor::accept(const Accept& request) {
@@ -110,7 +140,7 @@
   reply.verdict = wire(AcceptorStatus::ok);
   const bool is_repeat = request.ballot.round > 0 && request.ballot == state_.accepted;
   if (is_repeat) return reply;  // it is on disk already
-  absl::StatusOr<RegisterValue> value = requested_value(request);
+  absl::StatusOr<RegisterValue> value = value_after(request.value, request.difference);
   if (!value.ok()) {
     reply.verdict = wire(AcceptorStatus::full_value_required);
     return reply;
@@ -118,7 +148,8 @@
   const common::AcceptorRecord before = state_;
   state_.promised = state_.accepted = request.ballot;
   state_.value = *std::move(value);
-  if (absl::Status stored = persist(WriteForm::log_record); !stored.ok()) {
+  const common::AcceptorChange change{request.ballot, request.ballot, request.value, request.difference};
+  if (absl::Status stored = persist(change, WriteForm::log_record); !stored.ok()) {
     state_ = before;
     return stored;
   }
--- a/src/control/register.cpp
+++ b/src/control/register.cpp
@@ -97,8 +97,9 @@
 
 // ---- Operations and their attempts
 
-void Register::change(Change change, Span timeout, Callback callback) {
+void Register::change(Change change, Span timeout, Callback callback, FirstAttempt first_attempt) {
   auto operation = std::make_shared<Operation>();
+  operation->is_read_only = first_attempt == FirstAttempt::read_only;
   operation->change = std::move(change);
   operation->callback = std::move(callback);
   operation->deadline = timers_.now() + timeout;
--- a/src/control/register.hpp
+++ b/src/control/register.hpp
@@ -51,8 +51,15 @@
   /// `proposer`: drawn anew at each start of the process; breaks ties between ballots of one round.
   Register(net::TimerQueue& timers, AcceptorTransport& transport, std::uint64_t proposer);
 
+  /// What the first attempt of an operation does. The result is the same.
+  enum class FirstAttempt : std::uint8_t {
+    read_only,  ///< it only reads: where the current value stands, nothing is written
+    propose,    ///< it prepares a ballot: one round trip less where the value will be changed
+  };
+
   /// Carries out a change; `callback` runs exactly once, within `timeout`.
-  void change(Change change, Span timeout, Callback callback);
+  void change(Change change, Span timeout, Callback callback,
+              FirstAttempt first_attempt = FirstAttempt::read_only);
   /// Reads the value that is chosen at some time after this call.
   void read(Span timeout, Callback callback) {
     change([](const RegisterValue&) { return std::nullopt; }, timeout, std::move(callback));
