Coordination: replicated locks, numbers, keys and watches, as a library

Cause: nothing of the applications' calls existed (docs/incidents/coordination-calls-unanswered.md). Change: src/control/coordination/. The state is the value of a second register with the protocol and the acceptors of the first: no leader whose loss stops it, no lease that safety rests on. Calls of all controllers are passed to one that proposes them in batches. Holds end by each controller's own steady clock, counted from when it came to know the grant. A put that is sent again is found in the history. Watchers are served from the chosen state that each controller knows.

--- a/src/control/acceptor.cpp
+++ b/src/control/acceptor.cpp
@@ -46,7 +46,7 @@
 }
 
 absl::Status DurableAcceptor::apply_log_record(const std::string& record) {
-  const absl::Status unreadable = absl::DataLossError("acceptor: log not read");
+  absl::Status unreadable = absl::DataLossError("acceptor: log not read");
   if (log_form_ == AcceptorLogForm::full_state)
     return common::decode(record, state_) ? absl::OkStatus() : unreadable;
   common::AcceptorChange change;
--- /dev/null
+++ b/src/control/coordination/local_times.cpp
@@ -0,0 +1,51 @@
+#include "control/coordination/local_times.hpp"
+
+#include <algorithm>
+
+namespace chutevane::control::coordination {
+namespace {
+
+/// Steady clocks of two machines do not run at exactly the same rate: 1 ms in a second, and 10 ms at least.
+constexpr double clock_rate_margin = 0.001;
+constexpr Span min_expiry_margin = Span::ms(10);
+
+}  // namespace
+
+void LocalTimes::observe(const State& state, TimePoint now) {
+  for (const auto& [name, lock] : state.locks) {
+    KnownGrant& known = grants_[name];
+    if (known.id == lock.grant_id && known.holder == lock.holder) continue;
+    known = {lock.grant_id, lock.holder, now};
+  }
+  for (const auto& [prefix, group] : state.groups) observe_group(prefix, group, now);
+}
+
+void LocalTimes::observe_group(const std::string& prefix, const KeyGroup& group, TimePoint now) {
+  std::deque<KnownRevision>& known = revisions_[prefix];
+  if (known.empty() || known.back().revision < group.revision) known.push_back({group.revision, now});
+  const std::int64_t oldest = group.history.empty() ? group.revision : group.history.front().revision;
+  while (known.size() > 1 && known.front().revision < oldest) known.pop_front();
+}
+
+bool LocalTimes::has_expired(const std::string& name, const Lock& lock, TimePoint now) const {
+  const auto found = grants_.find(name);
+  const bool is_known =
+      found != grants_.end() && found->second.id == lock.grant_id && found->second.holder == lock.holder;
+  if (!is_known) return false;
+  const Span hold = Span::ms(static_cast<double>(lock.hold_ms));
+  const Span margin = std::max(min_expiry_margin, hold * clock_rate_margin);
+  return now - found->second.since > hold + margin;
+}
+
+std::int64_t LocalTimes::droppable_revision(const std::string& group, TimePoint now) const {
+  const auto found = revisions_.find(group);
+  if (found == revisions_.end()) return 0;
+  std::int64_t out = 0;
+  for (const KnownRevision& known : found->second) {
+    if (now - known.since <= history_retention_) break;
+    out = known.revision;
+  }
+  return out;
+}
+
+}  // namespace chutevane::control::coordination
--- /dev/null
+++ b/src/control/coordination/state_machine.cpp
@@ -0,0 +1,138 @@
+#include "control/coordination/state_machine.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace chutevane::control::coordination {
+
+StateMachine::StateMachine(State state, const LocalTimes& times, TimePoint now, const Limits& limits)
+    : state_(std::move(state)), times_(times), now_(now), limits_(limits) {}
+
+Answer StateMachine::apply(const Call& call) {
+  switch (call.operation) {
+    case Operation::acquire_lock: return acquire_lock(call);
+    case Operation::renew_lock: return renew_lock(call);
+    case Operation::release_lock: return release_lock(call);
+    case Operation::next_number: return next_number(call);
+    case Operation::put_key: return put_key(call);
+    case Operation::get_key: return get_key(call);
+    case Operation::get_group_revision: return get_group_revision(call);
+  }
+  return {Outcome::unavailable, 0, ""};
+}
+
+bool StateMachine::are_names_full() const {
+  return state_.locks.size() + state_.numbers.size() >= limits_.max_names;
+}
+
+bool StateMachine::are_keys_full() const {
+  std::size_t keys = 0;
+  for (const auto& [prefix, group] : state_.groups) keys += group.keys.size();
+  return keys >= limits_.max_names;
+}
+
+/// Each acquisition has a new fencing token, also one by the present holder: a late release or renewal of an
+/// earlier hold must not act on this one. The same call carried out again keeps its token.
+Answer StateMachine::acquire_lock(const Call& call) {
+  const auto found = state_.locks.find(call.name);
+  if (found == state_.locks.end() && are_names_full()) return {Outcome::limit_reached, 0, ""};
+  if (found != state_.locks.end() && !found->second.holder.empty()) {
+    const Lock& held = found->second;
+    if (held.grant_id == call.id && held.holder == call.holder) return {Outcome::done, held.fence, ""};
+    const bool is_free = held.holder == call.holder || times_.has_expired(call.name, held, now_);
+    if (!is_free) return {Outcome::held_by_other, 0, ""};
+  }
+  Lock& lock = state_.locks[call.name];
+  lock.holder = call.holder;
+  ++lock.fence;
+  lock.hold_ms = static_cast<std::int64_t>(call.hold.as_ms());
+  lock.grant_id = call.id;
+  has_changed_ = true;
+  return {Outcome::done, lock.fence, ""};
+}
+
+/// A hold that has expired is not renewed, even where nobody has taken the lock yet: its holder has given it
+/// up, and would keep it from others without knowing.
+Answer StateMachine::renew_lock(const Call& call) {
+  const auto found = state_.locks.find(call.name);
+  if (found == state_.locks.end()) return {Outcome::held_by_other, 0, ""};
+  Lock& lock = found->second;
+  if (lock.holder != call.holder || lock.fence != call.fence) return {Outcome::held_by_other, 0, ""};
+  if (lock.grant_id == call.id) return {Outcome::done, lock.fence, ""};
+  if (times_.has_expired(call.name, lock, now_)) return {Outcome::held_by_other, 0, ""};
+  lock.hold_ms = static_cast<std::int64_t>(call.hold.as_ms());
+  lock.grant_id = call.id;
+  has_changed_ = true;
+  return {Outcome::done, lock.fence, ""};
+}
+
+Answer StateMachine::release_lock(const Call& call) {
+  const auto found = state_.locks.find(call.name);
+  if (found == state_.locks.end()) return {Outcome::done, 0, ""};
+  Lock& lock = found->second;
+  if (lock.holder != call.holder || lock.fence != call.fence) return {Outcome::done, 0, ""};
+  lock.holder.clear();
+  lock.grant_id = call.id;
+  has_changed_ = true;
+  return {Outcome::done, 0, ""};
+}
+
+Answer StateMachine::next_number(const Call& call) {
+  const auto found = state_.numbers.find(call.name);
+  if (found == state_.numbers.end() && are_names_full()) return {Outcome::limit_reached, 0, ""};
+  const std::int64_t number = ++state_.numbers[call.name];
+  has_changed_ = true;
+  return {Outcome::done, number, ""};
+}
+
+/// A put whose value the history has under that key was carried out before: it gets its first revision,
+/// although the key may have moved on.
+Answer StateMachine::put_key(const Call& call) {
+  const std::optional<std::string> prefix = group_of(call.name);
+  if (!prefix) return {Outcome::not_found, 0, ""};
+  KeyGroup& group = state_.groups[*prefix];
+  const auto current = group.keys.find(call.name);
+  const std::int64_t revision = current == group.keys.end() ? 0 : current->second.revision;
+  if (current != group.keys.end() && current->second.value == call.value)
+    return {Outcome::done, revision, ""};
+  const auto earlier = std::find_if(group.history.begin(), group.history.end(), [&](const PutEvent& event) {
+    return event.key == call.name && event.value == call.value;
+  });
+  if (earlier != group.history.end()) return {Outcome::done, earlier->revision, ""};
+  if (call.applies_to != any_revision && revision != call.applies_to)
+    return {Outcome::revision_mismatch, revision, ""};
+  const bool is_new_key = current == group.keys.end();
+  if (group.history.size() >= limits_.max_history_events || (is_new_key && are_keys_full()))
+    return {Outcome::limit_reached, 0, ""};
+  ++group.revision;
+  group.keys[call.name] = {call.value, group.revision};
+  group.history.push_back({call.name, call.value, group.revision});
+  changed_groups_.insert(*prefix);
+  has_changed_ = true;
+  return {Outcome::done, group.revision, ""};
+}
+
+Answer StateMachine::get_key(const Call& call) const {
+  const std::optional<std::string> prefix = group_of(call.name);
+  if (!prefix) return {Outcome::not_found, 0, ""};
+  const auto group = state_.groups.find(*prefix);
+  if (group == state_.groups.end()) return {Outcome::not_found, 0, ""};
+  const auto found = group->second.keys.find(call.name);
+  if (found == group->second.keys.end()) return {Outcome::not_found, 0, ""};
+  return {Outcome::done, found->second.revision, found->second.value};
+}
+
+Answer StateMachine::get_group_revision(const Call& call) const {
+  const auto group = state_.groups.find(call.name);
+  return {Outcome::done, group == state_.groups.end() ? 0 : group->second.revision, ""};
+}
+
+void StateMachine::truncate_history() {
+  for (const std::string& prefix : changed_groups_) {
+    KeyGroup& group = state_.groups[prefix];
+    const std::int64_t droppable = times_.droppable_revision(prefix, now_);
+    while (!group.history.empty() && group.history.front().revision <= droppable) group.history.pop_front();
+  }
+}
+
+}  // namespace chutevane::control::coordination
--- /dev/null
+++ b/src/control/coordination/state_machine.hpp
@@ -0,0 +1,60 @@
+/// Carries out calls on the state of the coordination service. No I/O.
+///
+/// The result of a call depends on the state and on which holds have expired by the proposing controller's
+/// own clock. It is computed once, by the proposer, and what is agreed on is the state that results: no other
+/// controller decides it again by a clock of its own.
+#pragma once
+
+#include <cstddef>
+#include <set>
+#include <string>
+
+#include "chutevane/types.hpp"
+#include "control/coordination/call.hpp"
+#include "control/coordination/local_times.hpp"
+#include "control/coordination/state.hpp"
+
+namespace chutevane::control::coordination {
+
+/// Bounds on the tables. A call that would exceed one is answered with `limit_reached`.
+struct Limits {
+  std::size_t max_names = 10'000;          ///< locks and numbers together, and keys of all groups
+  std::size_t max_history_events = 5'000;  ///< of one group
+};
+
+/// The state of one proposal, on which a batch of calls is carried out in order.
+class StateMachine {
+ public:
+  /// `state`: as it was found; it must have been observed by `times`, which must outlive this object.
+  StateMachine(State state, const LocalTimes& times, TimePoint now, const Limits& limits = {});
+
+  /// Carries out one call. What is answered holds once the resulting state has been chosen.
+  Answer apply(const Call& call);
+  /// Drops history that watchers no longer need; of groups that apply() has changed only, so that truncation
+  /// alone never makes a new state.
+  void truncate_history();
+
+  /// Whether state() differs from the state that was given.
+  bool has_changed() const { return has_changed_; }
+  const State& state() const { return state_; }
+
+ private:
+  Answer acquire_lock(const Call& call);
+  Answer renew_lock(const Call& call);
+  Answer release_lock(const Call& call);
+  Answer next_number(const Call& call);
+  Answer put_key(const Call& call);
+  Answer get_key(const Call& call) const;
+  Answer get_group_revision(const Call& call) const;
+  bool are_names_full() const;
+  bool are_keys_full() const;
+
+  State state_;
+  const LocalTimes& times_;
+  const TimePoint now_;
+  const Limits limits_;
+  bool has_changed_ = false;
+  std::set<std::string> changed_groups_;
+};
+
+}  // namespace chutevane::control::coordination
