Controller: serves locks, numbers, keys and watches

Change: the controller opens the coordination service on its disk, moves its acceptors with those of the control state, serves its calls at the operators' address, and sends watchers away when it shuts down or is out of contact. bounds.historyS is read.

--- a/src/common/settings.cpp
+++ b/src/common/settings.cpp
@@ -187,6 +187,7 @@
   in.duration("bounds.configApplyMs", out.config_apply, 1);
   in.duration("bounds.settleMs", out.settle, 1);
   in.duration("bounds.ackMs", out.ack, 1);
+  in.duration("bounds.historyS", out.history, 1000);
 }
 
 }  // namespace
--- a/src/common/settings.hpp
+++ b/src/common/settings.hpp
@@ -42,6 +42,7 @@
   sockaddr_in platform{};       ///< API of the platform, which lists the endpoints
   double platform_rate = 0;     ///< calls a second to it, of all sidecars together
   Span grace = Span::ms(8000);  ///< from SIGTERM to the end of the process, at most
+  Span history = Span::ms(20000);  ///< for how long watchers of keys may resume from a revision that they got
   // Read and checked, not used yet.
   std::string role, machine_class, serves, region;
   std::map<std::string, std::string> zones;  ///< region by zone
--- a/src/control/control_plane.cpp
+++ b/src/control/control_plane.cpp
@@ -115,6 +115,8 @@
   send_heartbeats();
   complete_acknowledged();
   watch_voting();
+  coordination_.tick();
+  coordination_api_.tick();
   run_roles();
   timers_.after(tick_interval, [this] { tick(); });
 }
@@ -152,14 +154,15 @@
     election->tick(knowledge_.has_quorum_contact(leader_lease_duration));
   const bool is_leading = membership_election_.is_leader();
   membership_.set_leading(is_leading);
-  if (is_leading && knowledge_.has_quorum_contact(leader_lease_duration))
-    membership_.reconcile(live_controllers(), members(), timers_.now());
+  if (!is_leading || !knowledge_.has_quorum_contact(leader_lease_duration)) return;
+  membership_.reconcile(live_controllers(), members(), timers_.now());
+  coordination_.align_acceptors(register_.epoch_value());
 }
 
 /// This controller and its live peers, without those whose disk fails: they can't vote and count as gone.
 std::vector<LiveController> ControlPlane::live_controllers() const {
   std::vector<LiveController> out;
-  if (!acceptor_->is_disk_failing()) out.push_back({acceptor_->identity(), !is_shutting_down_});
+  if (!is_disk_failing()) out.push_back({acceptor_->identity(), !is_shutting_down_});
   for (const auto& [address, peer] : peers_) {
     if (!peers_.is_live(peer) || peer.last_gossip->disk_failing) continue;
     const common::Gossip& gossip = *peer.last_gossip;
@@ -261,6 +264,7 @@
   is_shutting_down_ = true;
   endpoint_list_election_.withdraw();
   membership_election_.withdraw();
+  coordination_api_.begin_shutdown();
   send_gossip();
   // Operators' requests that are under way come to their end.
   const TimePoint deadline = timers_.now() + settings_.grace - shutdown_reserve;
@@ -272,7 +276,8 @@
 /// it votes until another acceptor has its place.
 bool ControlPlane::may_exit() const {
   const std::vector<common::Acceptor>& acceptors = register_.epoch_value().acceptors;
-  if (!contains_address(acceptors, address_)) return register_.is_released(address_) || acceptors.empty();
+  if (!contains_address(acceptors, address_))
+    return acceptors.empty() || (register_.is_released(address_) && coordination_.is_released());
   return std::none_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
     const auto& [address, peer] = entry;
     const bool may_replace = peers_.is_live(peer) && !peer.last_gossip->draining;
--- a/src/control/control_plane.hpp
+++ b/src/control/control_plane.hpp
@@ -28,6 +28,8 @@
 #include "common/value_update.hpp"
 #include "control/acceptor.hpp"
 #include "control/acceptor_transport.hpp"
+#include "control/coordination/coordination_api.hpp"
+#include "control/coordination/coordination_service.hpp"
 #include "control/endpoint_list_publisher.hpp"
 #include "control/knowledge_tracker.hpp"
 #include "control/member_sessions.hpp"
@@ -61,7 +63,11 @@
  private:
   // Start
   absl::Status load_record();
-  absl::Status open_acceptor();
+  absl::Status open_acceptors();
+  absl::Status open_acceptors_as(const AcceptorIdentity& identity, Unreadable unreadable);
+  common::RegisterValue first_set() const;
+  coordination::ServiceSettings coordination_settings();
+  void serve(const http::Parser& request, common::HttpServer::Reply reply);
   void add_known_peers();
   void add_seeds(const common::ProcessSettings& settings);
   void register_rpc_handlers();
@@ -84,6 +90,8 @@
   void store_record();
   void record_disk_outcome(const absl::Status& outcome);
   void retry_failed_writes();
+  /// An acceptor of this process cannot write.
+  bool is_disk_failing() const { return acceptor_->is_disk_failing() || coordination_.is_disk_failing(); }
 
   // Gossip
   common::Gossip make_short_gossip();
@@ -135,8 +143,10 @@
 
   common::RpcServer rpc_server_;
   OperatorApi operator_api_;
-  common::HttpServer operator_server_;
   PeerTable peers_;
+  coordination::CoordinationService coordination_;
+  coordination::CoordinationApi coordination_api_;
+  common::HttpServer operator_server_;
   KnowledgeTracker knowledge_;
   RoleElection endpoint_list_election_;
   RoleElection membership_election_;
--- a/src/control/control_plane_gossip.cpp
+++ b/src/control/control_plane_gossip.cpp
@@ -60,7 +60,7 @@
   out.accepted = report.accepted;
   out.voting = acceptor_->is_voting();
   out.first = record_.first;
-  out.disk_failing = acceptor_->is_disk_failing();
+  out.disk_failing = is_disk_failing();
   out.list_term = list_position.token;
   out.list_number = list_position.number;
   out.incarnation = static_cast<std::int64_t>(incarnation_);
--- a/src/control/control_plane_metrics.cpp
+++ b/src/control/control_plane_metrics.cpp
@@ -6,6 +6,7 @@
 
 void ControlPlane::write_metrics(common::MetricsWriter& out) {
   operator_api_.write_metrics(out);
+  coordination_api_.write_metrics(out);
   write_register_metrics(out);
   write_peer_metrics(out);
   write_role_metrics(out);
--- a/src/control/control_plane_startup.cpp
+++ b/src/control/control_plane_startup.cpp
@@ -13,6 +13,9 @@
 namespace {
 
 constexpr std::size_t max_configuration_bytes = 8U << 20U;
+/// History of keys is kept for so many times what watchers are promised: a controller that serves them may be
+/// behind by as much as that promise, and a put may be repeated later than that.
+constexpr double history_retention_factor = 3;
 
 std::string address_of_seed(const common::ProcessSettings& settings, const sockaddr_in& seed) {
   const auto port = static_cast<std::uint16_t>(settings.first_port + common::control_plane_port);
@@ -38,11 +41,13 @@
       register_(timers_, *this, seed_of(settings.node, scheduler.now()) >> 1U),
       rpc_server_(scheduler),
       operator_api_(register_, *this, settings.machine_losses),
+      peers_(scheduler, timers_, address_),
+      coordination_(timers_, *disk_, peers_, rpc_server_, coordination_settings()),
+      coordination_api_(timers_, coordination_, seed_of(settings.node + "call", scheduler.now())),
       operator_server_(scheduler, max_configuration_bytes,
                        [this](const http::Parser& request, common::HttpServer::Reply reply) {
-                         operator_api_.serve(request, std::move(reply));
+                         serve(request, std::move(reply));
                        }),
-      peers_(scheduler, timers_, address_),
       knowledge_(timers_, register_, acceptor_, peers_, *this, static_cast<std::int64_t>(incarnation_)),
       endpoint_list_election_("list", seed_of(settings.node + "list", scheduler.now()), timers_, register_,
                               peers_, {settings.node, address_, incarnation_},
@@ -67,9 +72,27 @@
                   }),
       sessions_(timers_, rpc_server_, endpoint_list_.table()) {}
 
+coordination::ServiceSettings ControlPlane::coordination_settings() {
+  coordination::ServiceSettings out;
+  out.address = address_;
+  out.proposer = seed_of(settings_.node + "coordination", scheduler_.now()) >> 1U;
+  out.incarnation = static_cast<std::int64_t>(incarnation_);
+  out.history_retention = settings_.history * history_retention_factor;
+  out.has_quorum_contact = [this] { return knowledge_.has_quorum_contact(peer_liveness_timeout); };
+  return out;
+}
+
+void ControlPlane::serve(const http::Parser& request, common::HttpServer::Reply reply) {
+  if (coordination::is_coordination_target(request.target())) {
+    coordination_api_.serve(request, reply);
+  } else {
+    operator_api_.serve(request, std::move(reply));
+  }
+}
+
 absl::Status ControlPlane::open() {
   if (absl::Status loaded = load_record(); !loaded.ok()) return loaded;
-  if (absl::Status opened = open_acceptor(); !opened.ok()) return opened;
+  if (absl::Status opened = open_acceptors(); !opened.ok()) return opened;
   acceptor_->on_epoch_entered(
       [this](const common::RegisterValue& epoch_value) { register_.observe_epoch(epoch_value); });
   register_.observe_epoch(record_.initial);
@@ -78,10 +101,14 @@
   register_.on_acceptor_reply([this](std::int64_t epoch, const std::string& address, AcceptorReply reply) {
     voting_monitor_.on_reply(epoch, address, reply, timers_.now());
   });
-  peers_.on_connected([this](Peer& peer) { greet_peer(peer); });
+  peers_.on_connected([this](Peer& peer) {
+    greet_peer(peer);
+    coordination_.on_peer_connected(net::text_of(peer.connection->to()));
+  });
   add_known_peers();
   in_contact_since_ = timers_.now();
   register_rpc_handlers();
+  coordination_.register_rpc_handlers();
   rpc_server_.listen(settings_.internal_listen_address(common::control_plane_port));
   if (settings_.control) operator_server_.listen(*settings_.control);
   tick();
@@ -91,6 +118,13 @@
   return absl::OkStatus();
 }
 
+/// The set of acceptors that all controllers know when the whole system starts for the first time.
+common::RegisterValue ControlPlane::first_set() const {
+  std::vector<common::Acceptor> seeds;
+  for (const sockaddr_in& seed : settings_.seeds) seeds.push_back({address_of_seed(settings_, seed), ""});
+  return first_epoch_value(std::move(seeds));
+}
+
 /// Reads who this disk is and which controllers it knew, or writes it for a new disk.
 absl::Status ControlPlane::load_record() {
   const auto recovered = record_storage_.recover();
@@ -103,17 +137,23 @@
   if (!is_new_disk) return recovered.status();
   record_.disk = disk_->generate_id();
   record_.first = settings_.initial_start;
-  if (record_.first) {
-    std::vector<common::Acceptor> seeds;
-    for (const sockaddr_in& seed : settings_.seeds) seeds.push_back({address_of_seed(settings_, seed), ""});
-    record_.initial = first_epoch_value(std::move(seeds));
-  }
+  if (record_.first) record_.initial = first_set();
   return record_storage_.write_checkpoint(common::encoded(record_));
 }
 
-absl::Status ControlPlane::open_acceptor() {
-  acceptor_.emplace(*disk_, AcceptorIdentity{address_, record_.disk, record_.first});
+/// The acceptors of both registers, under the identity that the disk has now. DataLoss: the state of one of
+/// them cannot be read; with `Unreadable::reset` it begins anew.
+absl::Status ControlPlane::open_acceptors_as(const AcceptorIdentity& identity, Unreadable unreadable) {
+  acceptor_.emplace(*disk_, identity);
   absl::Status opened = acceptor_->open();
+  if (absl::IsDataLoss(opened) && unreadable == Unreadable::reset) opened = acceptor_->reset();
+  if (!opened.ok()) return opened;
+  const bool is_first_start = settings_.initial_start && record_.first;
+  return coordination_.open(identity, is_first_start ? std::optional(first_set()) : std::nullopt, unreadable);
+}
+
+absl::Status ControlPlane::open_acceptors() {
+  absl::Status opened = open_acceptors_as({address_, record_.disk, record_.first}, Unreadable::error);
   if (!absl::IsDataLoss(opened)) return opened;
   // What it promised cannot be read: it is another disk from here on, and votes in no epoch that named it.
   common::log_warning("acceptor.lost", opened.ToString());
@@ -121,8 +161,7 @@
   record_.first = false;
   if (absl::Status stored = record_storage_.write_checkpoint(common::encoded(record_)); !stored.ok())
     return stored;
-  acceptor_.emplace(*disk_, AcceptorIdentity{address_, record_.disk, record_.first});
-  return absl::OkStatus();
+  return open_acceptors_as({address_, record_.disk, record_.first}, Unreadable::reset);
 }
 
 void ControlPlane::add_known_peers() {
