Coordination: a call that nobody waits for any more is not carried out by a later attempt

Cause: a proposer that stood still amid a batch begins another attempt when it wakes; a lock acquired by it then, for a client that had gone elsewhere, would be kept from all others for its whole hold. Change: an attempt leaves out the calls of its batch whose time has passed, and answers them as undetermined.

--- a/src/control/coordination/batch_proposer.cpp
+++ b/src/control/coordination/batch_proposer.cpp
@@ -72,7 +72,11 @@
   }
   times_.observe(*state, timers_.now());
   StateMachine machine(*std::move(state), times_, timers_.now());
-  for (const QueuedCall& queued : batch.calls) batch.answers.push_back(machine.apply(queued.call));
+  for (const QueuedCall& queued : batch.calls) {
+    // An earlier attempt may have carried it out; this one does not, as nobody waits for it any more.
+    const bool is_spent = queued.deadline <= timers_.now();
+    batch.answers.push_back(is_spent ? Answer{Outcome::undetermined, 0, ""} : machine.apply(queued.call));
+  }
   if (!machine.has_changed()) return std::nullopt;
   machine.truncate_history();
   common::RegisterValue next = current;
