Coordination: a late copy of a take neither takes a released lock nor renews its token

Cause: a take that was passed on to two controllers, or proposed again, was recognized only while it was the newest grant of its lock. A copy that came after the renewal gave the hold another fencing token, so that its holder was told 409 at its next renewal; one that came after the release took the lock for nobody until the end of its time.

Change: a lock keeps the id of the call of its newest acquisition. A call with this id changes nothing; where the hold was released meanwhile it gets held_by_other. One field more in the state, whose format is not in use anywhere yet, so its version stays.

--- a/src/control/coordination/state.cpp
+++ b/src/control/coordination/state.cpp
@@ -95,6 +95,7 @@
   out.fence = in.signed_integer();
   out.hold_ms = in.signed_integer();
   out.grant_id = in.integer();
+  out.acquire_id = in.integer();
   return out;
 }
 
@@ -135,6 +136,7 @@
     out.integer(lock.fence);
     out.integer(lock.hold_ms);
     out.integer(lock.grant_id);
+    out.integer(lock.acquire_id);
   }
   out.integer(static_cast<std::uint64_t>(state.numbers.size()));
   for (const auto& [name, number] : state.numbers) {
--- a/src/control/coordination/state.hpp
+++ b/src/control/coordination/state.hpp
@@ -19,7 +19,10 @@
   std::string holder;          ///< empty: it is free
   std::int64_t fence = 0;      ///< of the newest acquisition
   std::int64_t hold_ms = 0;    ///< for how long it was granted last
-  std::uint64_t grant_id = 0;  ///< id of the call that acquired or renewed it last
+  std::uint64_t grant_id = 0;  ///< id of the call that acquired, renewed or released it last
+  /// Id of the call of the newest acquisition. It stays when the hold is renewed or released, so that a copy
+  /// of that call which is late does nothing.
+  std::uint64_t acquire_id = 0;
   bool operator==(const Lock&) const = default;
 };
 
--- a/src/control/coordination/state_machine.cpp
+++ b/src/control/coordination/state_machine.cpp
@@ -32,13 +32,15 @@
 }
 
 /// Each acquisition has a new fencing token, also one by the present holder: a late release or renewal of an
-/// earlier hold must not act on this one. The same call carried out again keeps its token.
+/// earlier hold must not act on this one. The same call carried out again keeps its token, and takes nothing
+/// where its hold has been released meanwhile.
 Answer StateMachine::acquire_lock(const Call& call) {
   const auto found = state_.locks.find(call.name);
   if (found == state_.locks.end() && are_names_full()) return {Outcome::limit_reached, 0, ""};
+  if (found != state_.locks.end() && found->second.acquire_id == call.id)
+    return repeated_acquisition(found->second, call);
   if (found != state_.locks.end() && !found->second.holder.empty()) {
     const Lock& held = found->second;
-    if (held.grant_id == call.id && held.holder == call.holder) return {Outcome::done, held.fence, ""};
     const bool is_free = held.holder == call.holder || times_.has_expired(call.name, held, now_);
     if (!is_free) return {Outcome::held_by_other, 0, ""};
   }
@@ -46,11 +48,17 @@
   lock.holder = call.holder;
   ++lock.fence;
   lock.hold_ms = static_cast<std::int64_t>(call.hold.as_ms());
-  lock.grant_id = call.id;
+  lock.grant_id = lock.acquire_id = call.id;
   has_changed_ = true;
   return {Outcome::done, lock.fence, ""};
 }
 
+/// The answer to a call that has acquired the lock before: nothing is changed by it.
+Answer StateMachine::repeated_acquisition(const Lock& lock, const Call& call) {
+  if (lock.holder != call.holder) return {Outcome::held_by_other, 0, ""};
+  return {Outcome::done, lock.fence, ""};
+}
+
 /// A hold that has expired is not renewed, even where nobody has taken the lock yet: its holder has given it
 /// up, and would keep it from others without knowing.
 Answer StateMachine::renew_lock(const Call& call) {
--- a/src/control/coordination/state_machine.hpp
+++ b/src/control/coordination/state_machine.hpp
@@ -40,6 +40,7 @@
 
  private:
   Answer acquire_lock(const Call& call);
+  static Answer repeated_acquisition(const Lock& lock, const Call& call);
   Answer renew_lock(const Call& call);
   Answer release_lock(const Call& call);
   Answer next_number(const Call& call);
--- /dev/null
+++ b/tests/control/coordination/review_test.cpp
@@ -0,0 +1,103 @@
+// The coordination state under repeats of calls that are late.
+#include <string>
+#include <utility>
+
+#include "control/coordination/local_times.hpp"
+#include "control/coordination/state_machine.hpp"
+#include "unit.hpp"
+
+using chutevane::Span;
+using chutevane::TimePoint;
+using chutevane::control::coordination::Answer;
+using chutevane::control::coordination::Call;
+using chutevane::control::coordination::Limits;
+using chutevane::control::coordination::LocalTimes;
+using chutevane::control::coordination::Operation;
+using chutevane::control::coordination::Outcome;
+using chutevane::control::coordination::State;
+using chutevane::control::coordination::StateMachine;
+
+namespace {
+
+constexpr Span history_retention = Span::ms(60000);
+constexpr Span short_hold = Span::ms(3000);
+
+Call lock_call(Operation operation, std::uint64_t id, const std::string& holder) {
+  Call out;
+  out.operation = operation;
+  out.id = id;
+  out.name = "l";
+  out.holder = holder;
+  out.hold = short_hold;
+  return out;
+}
+
+Call acquire(std::uint64_t id, const std::string& holder, Span hold = short_hold) {
+  Call out = lock_call(Operation::acquire_lock, id, holder);
+  out.hold = hold;
+  return out;
+}
+
+Call renew(std::uint64_t id, const std::string& holder, std::int64_t fence, Span hold = short_hold) {
+  Call out = lock_call(Operation::renew_lock, id, holder);
+  out.fence = fence;
+  out.hold = hold;
+  return out;
+}
+
+Call release(std::uint64_t id, const std::string& holder, std::int64_t fence) {
+  Call out = lock_call(Operation::release_lock, id, holder);
+  out.fence = fence;
+  return out;
+}
+
+}  // namespace
+
+/// One controller, which has every call carried out on the newest state at its own time.
+TEST_GROUP(CoordinationReview) {
+  LocalTimes times{history_retention};
+  TimePoint now = TimePoint::at_ms(1000);
+  State state;
+  Limits limits;
+
+  Answer carry_out(const Call& call) {
+    times.observe(state, now);
+    StateMachine machine(state, times, now, limits);
+    const Answer answer = machine.apply(call);
+    if (machine.has_changed()) {
+      machine.truncate_history();
+      state = machine.state();
+      times.observe(state, now);
+    }
+    return answer;
+  }
+};
+
+// Guards against: a take that was passed on to two controllers is carried out by the slower one after its
+// holder has released the lock, which nobody holds then and nobody else gets.
+TEST(CoordinationReview, ATakeCarriedOutAgainAfterItsReleaseTakesNothing) {
+  const Answer taken = carry_out(acquire(1, "a"));
+  carry_out(release(2, "a", taken.number));
+  carry_out(acquire(1, "a"));
+  const Answer by_other = carry_out(acquire(3, "b"));
+  CHECK(by_other.outcome == Outcome::done);
+}
+
+// Guards against: the repeat gives the hold a new fencing token, and its holder, which has the first one, is
+// told that it has lost the lock.
+TEST(CoordinationReview, ATakeCarriedOutAgainAfterARenewalKeepsTheToken) {
+  const Answer taken = carry_out(acquire(1, "a"));
+  carry_out(renew(2, "a", taken.number));
+  const Answer again = carry_out(acquire(1, "a"));
+  CHECK(again.outcome == Outcome::done);
+  LONGS_EQUAL(taken.number, again.number);
+  CHECK(carry_out(renew(3, "a", taken.number)).outcome == Outcome::done);
+}
+
+// A holder whose first answer was lost gets its token by the repeat.
+TEST(CoordinationReview, ATakeCarriedOutAgainIsAnsweredAlike) {
+  const Answer taken = carry_out(acquire(1, "a"));
+  const Answer again = carry_out(acquire(1, "a"));
+  CHECK(again.outcome == Outcome::done);
+  LONGS_EQUAL(taken.number, again.number);
+}
