Coordination: a shorter renewal does not end the hold that its holder still counts

Cause: a renewal, or a take by the holder itself, for a shorter time than what was left set the end of the hold back, at every controller. If its answer is lost, the holder goes on by its earlier call, which was good, while another one gets the lock: two holders.

Change: a grant to the same holder lasts for what was asked or what is left by the proposer's clock, whichever is longer (LocalTimes::time_left()). What is left is part of the agreed state, so that a controller which knows the newer grant alone counts as long.

--- a/src/control/coordination/local_times.cpp
+++ b/src/control/coordination/local_times.cpp
@@ -27,14 +27,25 @@
   while (known.size() > 1 && known.front().revision < oldest) known.pop_front();
 }
 
-bool LocalTimes::has_expired(const std::string& name, const Lock& lock, TimePoint now) const {
+std::optional<TimePoint> LocalTimes::known_since(const std::string& name, const Lock& lock) const {
   const auto found = grants_.find(name);
   const bool is_known =
       found != grants_.end() && found->second.id == lock.grant_id && found->second.holder == lock.holder;
-  if (!is_known) return false;
+  return is_known ? std::optional(found->second.since) : std::nullopt;
+}
+
+bool LocalTimes::has_expired(const std::string& name, const Lock& lock, TimePoint now) const {
+  const std::optional<TimePoint> since = known_since(name, lock);
+  if (!since) return false;
   const Span hold = Span::ms(static_cast<double>(lock.hold_ms));
   const Span margin = std::max(min_expiry_margin, hold * clock_rate_margin);
-  return now - found->second.since > hold + margin;
+  return now - *since > hold + margin;
+}
+
+Span LocalTimes::time_left(const std::string& name, const Lock& lock, TimePoint now) const {
+  const Span hold = Span::ms(static_cast<double>(lock.hold_ms));
+  const std::optional<TimePoint> since = known_since(name, lock);
+  return since ? std::max(Span(), hold - (now - *since)) : hold;
 }
 
 std::int64_t LocalTimes::droppable_revision(const std::string& group, TimePoint now) const {
--- a/src/control/coordination/local_times.hpp
+++ b/src/control/coordination/local_times.hpp
@@ -19,6 +19,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -37,6 +38,8 @@
 
   /// Whether the holder's time has certainly passed. The lock must have been observed.
   bool has_expired(const std::string& name, const Lock& lock, TimePoint now) const;
+  /// What is left at most of the holder's time. The lock must have been observed.
+  Span time_left(const std::string& name, const Lock& lock, TimePoint now) const;
   /// Up to which revision the history of that group may be dropped; 0: none.
   std::int64_t droppable_revision(const std::string& group, TimePoint now) const;
 
@@ -50,6 +53,8 @@
     std::int64_t revision = 0;
     TimePoint since;
   };
+  /// Since when the newest grant of the lock is known. Nothing: it has not been observed.
+  std::optional<TimePoint> known_since(const std::string& name, const Lock& lock) const;
   void observe_group(const std::string& prefix, const KeyGroup& group, TimePoint now);
 
   const Span history_retention_;
--- a/src/control/coordination/state_machine.cpp
+++ b/src/control/coordination/state_machine.cpp
@@ -1,6 +1,7 @@
 #include "control/coordination/state_machine.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace chutevane::control::coordination {
@@ -45,14 +46,22 @@
     if (!is_free) return {Outcome::held_by_other, 0, ""};
   }
   Lock& lock = state_.locks[call.name];
+  lock.hold_ms = granted_ms(call, lock);
   lock.holder = call.holder;
   ++lock.fence;
-  lock.hold_ms = static_cast<std::int64_t>(call.hold.as_ms());
   lock.grant_id = lock.acquire_id = call.id;
   has_changed_ = true;
   return {Outcome::done, lock.fence, ""};
 }
 
+/// For how long the call gets the lock from now on. Its caller may never hear of it, and goes by its earlier
+/// call then: what is left of that one is not cut short.
+std::int64_t StateMachine::granted_ms(const Call& call, const Lock& lock) const {
+  const bool is_holder = lock.holder == call.holder;
+  const Span left = is_holder ? times_.time_left(call.name, lock, now_) : Span();
+  return static_cast<std::int64_t>(std::ceil(std::max(call.hold, left).as_ms()));
+}
+
 /// The answer to a call that has acquired the lock before: nothing is changed by it.
 Answer StateMachine::repeated_acquisition(const Lock& lock, const Call& call) {
   if (lock.holder != call.holder) return {Outcome::held_by_other, 0, ""};
@@ -68,7 +77,7 @@
   if (lock.holder != call.holder || lock.fence != call.fence) return {Outcome::held_by_other, 0, ""};
   if (lock.grant_id == call.id) return {Outcome::done, lock.fence, ""};
   if (times_.has_expired(call.name, lock, now_)) return {Outcome::held_by_other, 0, ""};
-  lock.hold_ms = static_cast<std::int64_t>(call.hold.as_ms());
+  lock.hold_ms = granted_ms(call, lock);
   lock.grant_id = call.id;
   has_changed_ = true;
   return {Outcome::done, lock.fence, ""};
--- a/src/control/coordination/state_machine.hpp
+++ b/src/control/coordination/state_machine.hpp
@@ -41,6 +41,7 @@
  private:
   Answer acquire_lock(const Call& call);
   static Answer repeated_acquisition(const Lock& lock, const Call& call);
+  std::int64_t granted_ms(const Call& call, const Lock& lock) const;
   Answer renew_lock(const Call& call);
   Answer release_lock(const Call& call);
   Answer next_number(const Call& call);
--- a/tests/control/coordination/review_test.cpp
+++ b/tests/control/coordination/review_test.cpp
@@ -1,4 +1,4 @@
-// The coordination state under repeats of calls that are late.
+// The coordination state under repeats of calls that are late, and holds of different lengths.
 #include <string>
 #include <utility>
 
@@ -21,6 +21,7 @@
 
 constexpr Span history_retention = Span::ms(60000);
 constexpr Span short_hold = Span::ms(3000);
+constexpr Span long_hold = Span::ms(10000);
 
 Call lock_call(Operation operation, std::uint64_t id, const std::string& holder) {
   Call out;
@@ -71,6 +72,7 @@
     }
     return answer;
   }
+  void pass(Span span) { now = now + span; }
 };
 
 // Guards against: a take that was passed on to two controllers is carried out by the slower one after its
@@ -101,3 +103,47 @@
   CHECK(again.outcome == Outcome::done);
   LONGS_EQUAL(taken.number, again.number);
 }
+
+// Guards against: a renewal for a shorter time, whose answer its holder never gets, ends the hold that the
+// holder still counts by its earlier call: two holders at once.
+TEST(CoordinationReview, AShorterRenewalDoesNotEndTheHoldThatItRenews) {
+  const Answer taken = carry_out(acquire(1, "a", long_hold));
+  pass(Span::ms(1000));
+  carry_out(renew(2, "a", taken.number, short_hold));
+  pass(Span::ms(8500));  // 9.5 s after the first call, which was for 10 s
+  CHECK(carry_out(acquire(3, "b")).outcome == Outcome::held_by_other);
+  pass(Span::ms(1000));
+  CHECK(carry_out(acquire(4, "b")).outcome == Outcome::done);
+}
+
+// The same by a take of the holder itself, which is a renewal too.
+TEST(CoordinationReview, AShorterTakeByTheHolderDoesNotEndItsHold) {
+  carry_out(acquire(1, "a", long_hold));
+  pass(Span::ms(1000));
+  carry_out(acquire(2, "a", short_hold));
+  pass(Span::ms(8500));
+  CHECK(carry_out(acquire(3, "b")).outcome == Outcome::held_by_other);
+  pass(Span::ms(1000));
+  CHECK(carry_out(acquire(4, "b")).outcome == Outcome::done);
+}
+
+// A controller that knows the renewal alone, as one that has just started, counts as long as the others.
+TEST(CoordinationReview, AShorterRenewalIsAsLongForAControllerThatKnowsNoEarlierGrant) {
+  const Answer taken = carry_out(acquire(1, "a", long_hold));
+  pass(Span::ms(1000));
+  carry_out(renew(2, "a", taken.number, short_hold));
+  LocalTimes newly_started(history_retention);
+  newly_started.observe(state, now);
+  CHECK_FALSE(newly_started.has_expired("l", state.locks.at("l"), now + Span::ms(8500)));
+}
+
+// A renewal of the same length does not add up with what is left.
+TEST(CoordinationReview, ARenewalCountsFromItself) {
+  const Answer taken = carry_out(acquire(1, "a"));
+  pass(Span::ms(2000));
+  carry_out(renew(2, "a", taken.number));
+  pass(Span::ms(2900));
+  CHECK(carry_out(acquire(3, "b")).outcome == Outcome::held_by_other);
+  pass(Span::ms(200));
+  CHECK(carry_out(acquire(4, "b")).outcome == Outcome::done);
+}
