Coordination: a group whose history was full takes puts again once the history is old

Cause: puts were refused while the history had its most events, and history was dropped only after a put that was taken: a group that was full once got 429 for ever.

Change: a put to a group with a full history first drops what is old enough.

--- a/src/control/coordination/state_machine.cpp
+++ b/src/control/coordination/state_machine.cpp
@@ -118,6 +118,8 @@
   if (earlier != group.history.end()) return {Outcome::done, earlier->revision, ""};
   if (call.applies_to != any_revision && revision != call.applies_to)
     return {Outcome::revision_mismatch, revision, ""};
+  // Truncation comes after a put, and a group with a full history would not take one.
+  if (group.history.size() >= limits_.max_history_events) drop_old_history(*prefix, group);
   const bool is_new_key = current == group.keys.end();
   if (group.history.size() >= limits_.max_history_events || (is_new_key && are_keys_full()))
     return {Outcome::limit_reached, 0, ""};
@@ -145,11 +147,12 @@
 }
 
 void StateMachine::truncate_history() {
-  for (const std::string& prefix : changed_groups_) {
-    KeyGroup& group = state_.groups[prefix];
-    const std::int64_t droppable = times_.droppable_revision(prefix, now_);
-    while (!group.history.empty() && group.history.front().revision <= droppable) group.history.pop_front();
-  }
+  for (const std::string& prefix : changed_groups_) drop_old_history(prefix, state_.groups[prefix]);
+}
+
+void StateMachine::drop_old_history(const std::string& prefix, KeyGroup& group) {
+  const std::int64_t droppable = times_.droppable_revision(prefix, now_);
+  while (!group.history.empty() && group.history.front().revision <= droppable) group.history.pop_front();
 }
 
 }  // namespace chutevane::control::coordination
--- a/src/control/coordination/state_machine.hpp
+++ b/src/control/coordination/state_machine.hpp
@@ -48,6 +48,7 @@
   Answer put_key(const Call& call);
   Answer get_key(const Call& call) const;
   Answer get_group_revision(const Call& call) const;
+  void drop_old_history(const std::string& prefix, KeyGroup& group);
   bool are_names_full() const;
   bool are_keys_full() const;
 
--- a/tests/control/coordination/review_test.cpp
+++ b/tests/control/coordination/review_test.cpp
@@ -1,4 +1,5 @@
-// The coordination state under repeats of calls that are late, and holds of different lengths.
+// The coordination state under repeats of calls that are late, holds of different lengths, and history that
+// is full.
 #include <string>
 #include <utility>
 
@@ -52,6 +53,15 @@
   return out;
 }
 
+Call put(const std::string& key, const std::string& value, std::int64_t applies_to) {
+  Call out;
+  out.operation = Operation::put_key;
+  out.name = key;
+  out.value = value;
+  out.applies_to = applies_to;
+  return out;
+}
+
 }  // namespace
 
 /// One controller, which has every call carried out on the newest state at its own time.
@@ -147,3 +157,16 @@
   pass(Span::ms(200));
   CHECK(carry_out(acquire(4, "b")).outcome == Outcome::done);
 }
+
+// Guards against: once its history was full, a group took no put ever again, since only a put that was taken
+// dropped old history.
+TEST(CoordinationReview, AGroupWhoseHistoryWasFullTakesPutsOnceItIsOld) {
+  limits.max_history_events = 3;
+  for (std::int64_t revision = 0; revision < 3; ++revision)
+    CHECK(carry_out(put("g.k", "v" + std::to_string(revision), revision)).outcome == Outcome::done);
+  CHECK(carry_out(put("g.k", "v3", 3)).outcome == Outcome::limit_reached);
+  pass(history_retention + Span::ms(1));
+  const Answer later = carry_out(put("g.k", "v3", 3));
+  CHECK(later.outcome == Outcome::done);
+  LONGS_EQUAL(4, later.number);
+}
