Coordination: a revision given anew is as young as its put

Cause: a controller noted since when it knew a revision by its number alone, also of puts that it found at an acceptor and that were never chosen. A put that got the same revision later counted as old as the lost one, and its history could be dropped before watchers had their time to resume.

Change: LocalTimes notes a hash of the put beside its revision, and forgets what the newest state does not have.

--- a/src/control/coordination/local_times.cpp
+++ b/src/control/coordination/local_times.cpp
@@ -1,5 +1,7 @@
 #include "control/coordination/local_times.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace chutevane::control::coordination {
@@ -9,6 +11,11 @@
 constexpr double clock_rate_margin = 0.001;
 constexpr Span min_expiry_margin = Span::ms(10);
 
+std::uint64_t hash_of(const PutEvent& put) {
+  const std::uint64_t key_hash = XXH3_64bits(put.key.data(), put.key.size());
+  return XXH3_64bits_withSeed(put.value.data(), put.value.size(), key_hash);
+}
+
 }  // namespace
 
 void LocalTimes::observe(const State& state, TimePoint now) {
@@ -20,9 +27,20 @@
   for (const auto& [prefix, group] : state.groups) observe_group(prefix, group, now);
 }
 
+/// Whether the state has that put, or has dropped it. The revisions of a history have no gaps.
+bool LocalTimes::is_in_history(const KnownRevision& known, const KeyGroup& group) {
+  if (known.revision > group.revision) return false;
+  if (group.history.empty() || known.revision < group.history.front().revision) return true;
+  const auto index = static_cast<std::size_t>(known.revision - group.history.front().revision);
+  return index < group.history.size() && hash_of(group.history[index]) == known.put_hash;
+}
+
 void LocalTimes::observe_group(const std::string& prefix, const KeyGroup& group, TimePoint now) {
   std::deque<KnownRevision>& known = revisions_[prefix];
-  if (known.empty() || known.back().revision < group.revision) known.push_back({group.revision, now});
+  while (!known.empty() && !is_in_history(known.back(), group)) known.pop_back();
+  const bool is_new = known.empty() || known.back().revision < group.revision;
+  if (is_new)
+    known.push_back({group.revision, group.history.empty() ? 0 : hash_of(group.history.back()), now});
   const std::int64_t oldest = group.history.empty() ? group.revision : group.history.front().revision;
   while (known.size() > 1 && known.front().revision < oldest) known.pop_front();
 }
--- a/src/control/coordination/local_times.hpp
+++ b/src/control/coordination/local_times.hpp
@@ -10,7 +10,9 @@
 ///   this controller has not seen yet is another grant, whose time begins when it is seen.
 /// - *The age of a put.* A watcher that resumes got its revision from some controller at the time of the put
 ///   or later. History is dropped only by a controller that has known the put for `history_retention`, which
-///   exceeds what watchers are promised by more than a controller that serves watchers can be behind.
+///   exceeds what watchers are promised by more than a controller that serves watchers can be behind. A put
+///   that was found but never chosen may have had the same revision: it is another put, whose time does not
+///   count.
 ///
 /// What is in the state when a process starts counts as known since the start: it was granted, or put,
 /// before.
@@ -51,8 +53,10 @@
   };
   struct KnownRevision {
     std::int64_t revision = 0;
+    std::uint64_t put_hash = 0;  ///< of its key and value
     TimePoint since;
   };
+  static bool is_in_history(const KnownRevision& known, const KeyGroup& group);
   /// Since when the newest grant of the lock is known. Nothing: it has not been observed.
   std::optional<TimePoint> known_since(const std::string& name, const Lock& lock) const;
   void observe_group(const std::string& prefix, const KeyGroup& group, TimePoint now);
--- a/tests/control/coordination/review_test.cpp
+++ b/tests/control/coordination/review_test.cpp
@@ -1,5 +1,5 @@
-// The coordination state under repeats of calls that are late, holds of different lengths, and history that
-// is full.
+// The coordination state under repeats of calls that are late, holds of different lengths, history that is
+// full, and states that were found but never chosen.
 #include <string>
 #include <utility>
 
@@ -170,3 +170,32 @@
   CHECK(later.outcome == Outcome::done);
   LONGS_EQUAL(4, later.number);
 }
+
+// Guards against: a put that was found at one acceptor and never chosen lends its age to the put that gets
+// its revision later: its history is dropped while watchers may still resume before it.
+TEST(CoordinationReview, ARevisionGivenAnewIsAsYoungAsItsPut) {
+  carry_out(put("g.k", "v1", 0));
+  const State chosen = state;
+  carry_out(put("g.k", "lost", 1));
+  state = chosen;
+  pass(Span::ms(45000));
+  carry_out(put("g.k", "v2", 1));
+  pass(Span::ms(16000));  // 61 s after the lost put, 16 s after the one that was chosen
+  carry_out(put("g.k", "v3", 2));
+  CHECK(state.groups.at("g.").history.front().revision <= 2);
+}
+
+// The same where the state without the lost put was never seen here before the one with its successor.
+TEST(CoordinationReview, ARevisionGivenAnewElsewhereIsAsYoungAsItsPut) {
+  carry_out(put("g.k", "v1", 0));
+  State elsewhere = state;
+  carry_out(put("g.k", "lost", 1));
+  pass(Span::ms(45000));
+  StateMachine other(elsewhere, times, now);
+  other.apply(put("g.k", "v2", 1));
+  state = other.state();
+  times.observe(state, now);
+  pass(Span::ms(16000));
+  carry_out(put("g.k", "v3", 2));
+  CHECK(state.groups.at("g.").history.front().revision <= 2);
+}
