--- a/src/control/coordination/local_times.hpp
+++ b/src/control/coordination/local_times.hpp
@@ -10,7 +10,9 @@
 ///   this controller has not seen yet is another grant, whose time begins when it is seen.
 /// - *The age of a put.* A watcher that resumes got its revision from some controller at the time of the put
 ///   or later. History is dropped only by a controller that has known the put for `history_retention`, which
-///   exceeds what watchers are promised by more than a controller that serves watchers can be behind.
+///   exceeds what watchers are promised by more than a controller that serves watchers can be behind. A put
+///   that was found but never chosen may have had the same revision: it is another put, whose time does not
+///   count.
 ///
 /// What is in the state when a process starts counts as known since the start: it was granted, or put,
 /// before.
@@ -19,6 +21,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -37,6 +40,8 @@
 
   /// Whether the holder's time has certainly passed. The lock must have been observed.
   bool has_expired(const std::string& name, const Lock& lock, TimePoint now) const;
+  /// What is left at most of the holder's time. The lock must have been observed.
+  Span time_left(const std::string& name, const Lock& lock, TimePoint now) const;
   /// Up to which revision the history of that group may be dropped; 0: none.
   std::int64_t droppable_revision(const std::string& group, TimePoint now) const;
 
@@ -48,8 +53,12 @@
   };
   struct KnownRevision {
     std::int64_t revision = 0;
+    std::uint64_t put_hash = 0;  ///< of its key and value
     TimePoint since;
   };
+  static bool is_in_history(const KnownRevision& known, const KeyGroup& group);
+  /// Since when the newest grant of the lock is known. Nothing: it has not been observed.
+  std::optional<TimePoint> known_since(const std::string& name, const Lock& lock) const;
   void observe_group(const std::string& prefix, const KeyGroup& group, TimePoint now);
 
   const Span history_retention_;
--- a/src/control/coordination/state_machine.cpp
+++ b/src/control/coordination/state_machine.cpp
@@ -1,6 +1,7 @@
 #include "control/coordination/state_machine.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace chutevane::control::coordination {
@@ -32,27 +33,43 @@
 }
 
 /// Each acquisition has a new fencing token, also one by the present holder: a late release or renewal of an
-/// earlier hold must not act on this one. The same call carried out again keeps its token.
+/// earlier hold must not act on this one. The same call carried out again keeps its token, and takes nothing
+/// where its hold has been released meanwhile.
 Answer StateMachine::acquire_lock(const Call& call) {
   const auto found = state_.locks.find(call.name);
   if (found == state_.locks.end() && are_names_full()) return {Outcome::limit_reached, 0, ""};
+  if (found != state_.locks.end() && found->second.acquire_id == call.id)
+    return repeated_acquisition(found->second, call);
   if (found != state_.locks.end() && !found->second.holder.empty()) {
     const Lock& held = found->second;
-    if (held.grant_id == call.id && held.holder == call.holder) return {Outcome::done, held.fence, ""};
     const bool has_expired =
         held.grant_id == call.expired_grant_id || times_.has_expired(call.name, held, now_);
     const bool is_free = held.holder == call.holder || has_expired;
     if (!is_free) return {Outcome::held_by_other, 0, ""};
   }
   Lock& lock = state_.locks[call.name];
+  lock.hold_ms = granted_ms(call, lock);
   lock.holder = call.holder;
   ++lock.fence;
-  lock.hold_ms = static_cast<std::int64_t>(call.hold.as_ms());
-  lock.grant_id = call.id;
+  lock.grant_id = lock.acquire_id = call.id;
   has_changed_ = true;
   return {Outcome::done, lock.fence, ""};
 }
 
+/// For how long the call gets the lock from now on. Its caller may never hear of it, and goes by its earlier
+/// call then: what is left of that one is not cut short.
+std::int64_t StateMachine::granted_ms(const Call& call, const Lock& lock) const {
+  const bool is_holder = lock.holder == call.holder;
+  const Span left = is_holder ? times_.time_left(call.name, lock, now_) : Span();
+  return static_cast<std::int64_t>(std::ceil(std::max(call.hold, left).as_ms()));
+}
+
+/// The answer to a call that has acquired the lock before: nothing is changed by it.
+Answer StateMachine::repeated_acquisition(const Lock& lock, const Call& call) {
+  if (lock.holder != call.holder) return {Outcome::held_by_other, 0, ""};
+  return {Outcome::done, lock.fence, ""};
+}
+
 /// A hold that has expired is not renewed, even where nobody has taken the lock yet: its holder has given it
 /// up, and would keep it from others without knowing.
 Answer StateMachine::renew_lock(const Call& call) {
@@ -62,7 +79,7 @@
   if (lock.holder != call.holder || lock.fence != call.fence) return {Outcome::held_by_other, 0, ""};
   if (lock.grant_id == call.id) return {Outcome::done, lock.fence, ""};
   if (times_.has_expired(call.name, lock, now_)) return {Outcome::held_by_other, 0, ""};
-  lock.hold_ms = static_cast<std::int64_t>(call.hold.as_ms());
+  lock.hold_ms = granted_ms(call, lock);
   lock.grant_id = call.id;
   has_changed_ = true;
   return {Outcome::done, lock.fence, ""};
@@ -103,6 +120,8 @@
   if (earlier != group.history.end()) return {Outcome::done, earlier->revision, ""};
   if (call.applies_to != any_revision && revision != call.applies_to)
     return {Outcome::revision_mismatch, revision, ""};
+  // Truncation comes after a put, and a group with a full history would not take one.
+  if (group.history.size() >= limits_.max_history_events) drop_old_history(*prefix, group);
   const bool is_new_key = current == group.keys.end();
   if (group.history.size() >= limits_.max_history_events || (is_new_key && are_keys_full()))
     return {Outcome::limit_reached, 0, ""};
@@ -130,11 +149,12 @@
 }
 
 void StateMachine::truncate_history() {
-  for (const std::string& prefix : changed_groups_) {
-    KeyGroup& group = state_.groups[prefix];
-    const std::int64_t droppable = times_.droppable_revision(prefix, now_);
-    while (!group.history.empty() && group.history.front().revision <= droppable) group.history.pop_front();
-  }
+  for (const std::string& prefix : changed_groups_) drop_old_history(prefix, state_.groups[prefix]);
+}
+
+void StateMachine::drop_old_history(const std::string& prefix, KeyGroup& group) {
+  const std::int64_t droppable = times_.droppable_revision(prefix, now_);
+  while (!group.history.empty() && group.history.front().revision <= droppable) group.history.pop_front();
 }
 
 }  // namespace chutevane::control::coordination
--- a/src/control/coordination/state_machine.hpp
+++ b/src/control/coordination/state_machine.hpp
@@ -40,12 +40,15 @@
 
  private:
   Answer acquire_lock(const Call& call);
+  static Answer repeated_acquisition(const Lock& lock, const Call& call);
+  std::int64_t granted_ms(const Call& call, const Lock& lock) const;
   Answer renew_lock(const Call& call);
   Answer release_lock(const Call& call);
   Answer next_number(const Call& call);
   Answer put_key(const Call& call);
   Answer get_key(const Call& call) const;
   Answer get_group_revision(const Call& call) const;
+  void drop_old_history(const std::string& prefix, KeyGroup& group);
   bool are_names_full() const;
   bool are_keys_full() const;
 
