Tests: the coordination records are held to their schema

Cause: FieldsAgreeWithTheSchemaFiles failed, as the records of messages/coordination.hpp were missing in the list of messages. Change: the seven are in it, so each is compared with its schema, written and read back, cut at each byte and changed.

--- a/tests/common/avro_test.cpp
+++ b/tests/common/avro_test.cpp
@@ -18,17 +18,18 @@
 
 namespace {
 
-using Messages =
-    std::tuple<common::Acceptor, common::StorageNode, common::RetiredNode, common::AppliedConfiguration,
-               common::RegisterValue, common::Ballot, common::Prepare, common::Promise, common::Accept,
-               common::Accepted, common::Chosen, common::AcceptorRecord, common::ControllerRecord,
-               common::Member, common::HeldRole, common::Gossip, common::VoteRequest, common::VoteReply,
-               common::PlatformCheckRequest, common::PlatformCheckReply, common::EndpointEntry,
-               common::EndpointList, common::MemberHeartbeat, common::ValuePush, common::ControlHeartbeat,
-               common::ReserveRequest, common::ReserveReply, common::CommitUsage, common::Turn,
-               common::StoreTurnRequest, common::StoreTurnReply, common::FindTurnRequest,
-               common::FindTurnReply, common::Reservation, common::Account, common::PullRequest,
-               common::PullReply, common::StorageNodeRecord, common::MapRecord, common::ValueDifference>;
+using Messages = std::tuple<
+    common::Acceptor, common::StorageNode, common::RetiredNode, common::AppliedConfiguration,
+    common::RegisterValue, common::Ballot, common::Prepare, common::Promise, common::Accept, common::Accepted,
+    common::Chosen, common::AcceptorRecord, common::ControllerRecord, common::Member, common::HeldRole,
+    common::Gossip, common::VoteRequest, common::VoteReply, common::PlatformCheckRequest,
+    common::PlatformCheckReply, common::EndpointEntry, common::EndpointList, common::MemberHeartbeat,
+    common::ValuePush, common::ControlHeartbeat, common::ReserveRequest, common::ReserveReply,
+    common::CommitUsage, common::Turn, common::StoreTurnRequest, common::StoreTurnReply,
+    common::FindTurnRequest, common::FindTurnReply, common::Reservation, common::Account, common::PullRequest,
+    common::PullReply, common::StorageNodeRecord, common::MapRecord, common::ValueDifference,
+    common::CoordinationPrepare, common::CoordinationAccept, common::CoordinationChosen,
+    common::CoordinationReport, common::CoordinationCall, common::CoordinationAnswer, common::AcceptorChange>;
 
 template <class F>
 void each_message(F f) {
