Golden bytes: the coordination records, its acceptor's log of changes, its epoch's files

Cause: GoldenFiles.ControllerRecord failed, as a first start writes coordination-epoch.slot0 and .log0 beside the controller's record, and the new records and the new form of an acceptor's log had no bytes kept. A folder without these files, as the version before leaves it, is opened and keeps its record.

--- a/tests/golden/files_test.cpp
+++ b/tests/golden/files_test.cpp
@@ -18,6 +18,7 @@
 #include "common/durable_state.hpp"
 #include "common/memory_disk.hpp"
 #include "common/messages.hpp"
+#include "common/value_update.hpp"
 #include "control/acceptor.hpp"
 #include "control/control_plane.hpp"
 #include "ctl/data_folder.hpp"
@@ -182,6 +183,45 @@
   EXPECT_EQ(opened.epoch(), 2);
 }
 
+// The acceptor of the coordination register: its log has what each request has changed, the accepted value as
+// a difference where that is shorter.
+TEST(GoldenFiles, AcceptorLogOfChanges) {
+  golden::Stored stored("files.txt");
+  const control::AcceptorIdentity identity{seed_address, disk_id, true};
+  const auto form = control::AcceptorLogForm::changes;
+  MemoryDisk disk;
+  control::DurableAcceptor acceptor(disk, identity, "coordination", form);
+  ASSERT_TRUE(acceptor.open().ok());
+  common::Prepare prepare;
+  prepare.epoch = 1;
+  prepare.ballot = {3, 77};
+  prepare.initial = value_of_epoch(1);
+  ASSERT_TRUE(acceptor.prepare(prepare).ok());
+  common::RegisterValue first = value_of_epoch(1);
+  first.number = 11;
+  first.config.data = std::string(60, 'c') + " first";
+  ASSERT_TRUE(acceptor.accept({1, {3, 77}, first, {}}).ok());
+  prepare.ballot = {4, 78};
+  ASSERT_TRUE(acceptor.prepare(prepare).ok());
+  common::RegisterValue second = first;
+  second.number = 12;
+  second.config.data += " second";
+  const common::ValueDifference difference =
+      common::value_difference(11, common::encoded(first), common::encoded(second));
+  const auto accepted = acceptor.accept({1, {4, 78}, {}, difference});
+  ASSERT_TRUE(accepted.ok());
+  ASSERT_EQ(accepted->verdict, 0);
+  compare_files(stored, "coordination_acceptor/", disk);
+
+  MemoryDisk before;
+  fill(before, stored, "coordination_acceptor/");
+  control::DurableAcceptor opened(before, identity, "coordination", form);
+  ASSERT_TRUE(opened.open().ok());
+  EXPECT_EQ(opened.epoch_value(), value_of_epoch(1));
+  EXPECT_EQ(opened.accepted_value(), second);
+  EXPECT_EQ(opened.accepted_ballot(), (common::Ballot{4, 78}));
+}
+
 // A process on real sockets. Its first start is as new; the second finds the disk that was stored.
 TEST(GoldenFiles, ControllerRecord) {
   golden::Stored stored("files.txt");
@@ -216,6 +256,17 @@
   settings.initial_start = false;  // a new disk would have another record
   ASSERT_TRUE(open(before).ok());
   compare_files(stored, "control_first_start/", before);
+
+  // The version before had no coordination service: what it has left opens too, with all that it holds.
+  MemoryDisk older;
+  fill(older, stored, "control_first_start/");
+  for (const std::string& name : older.list_files()) {
+    if (!name.starts_with("coordination")) continue;
+    ASSERT_TRUE(older.remove(name).ok());
+  }
+  ASSERT_EQ(older.list_files().size(), 2U);
+  ASSERT_TRUE(open(older).ok());
+  EXPECT_EQ(common::encoded(contents_of(older).controller), common::encoded(record));
 }
 
 // Later contents of the same slots.
--- a/tests/golden/records_test.cpp
+++ b/tests/golden/records_test.cpp
@@ -362,13 +362,63 @@
   return {.disk = text(3801, n), .map_version = number(3802, n), .complete = bit(0, n)};
 }
 
+template <>
+CoordinationPrepare example<CoordinationPrepare>(int n) {
+  return {.request = example<Prepare>(n + 1)};
+}
+
+template <>
+CoordinationAccept example<CoordinationAccept>(int n) {
+  return {.request = example<Accept>(n + 1)};
+}
+
+template <>
+CoordinationChosen example<CoordinationChosen>(int n) {
+  return {.chosen = example<Chosen>(n + 1)};
+}
+
+template <>
+CoordinationReport example<CoordinationReport>(int n) {
+  return {.address = text(4401, n), .epoch = number(4402, n), .number = number(4403, n)};
+}
+
+template <>
+CoordinationCall example<CoordinationCall>(int n) {
+  return {.operation = number(4501, n),
+          .id = number(4502, n),
+          .name = text(4503, n),
+          .holder = text(4504, n),
+          .fence = number(4505, n),
+          .hold_ms = number(4506, n),
+          .value = text(4507, n),
+          .applies_to = number(4508, n),
+          .time_left_ms = number(4509, n),
+          .echo_incarnation = number(4510, n),
+          .echo_stamp = number(4511, n)};
+}
+
+template <>
+CoordinationAnswer example<CoordinationAnswer>(int n) {
+  return {.outcome = number(4601, n), .number = number(4602, n), .value = text(4603, n)};
+}
+
+template <>
+AcceptorChange example<AcceptorChange>(int n) {
+  return {.promised = example<Ballot>(n + 1),
+          .accepted = example<Ballot>(n + 2),
+          .value = example<RegisterValue>(n + 3),
+          .difference = example<ValueDifference>(n + 4)};
+}
+
 using Records =
     std::tuple<Acceptor, StorageNode, RetiredNode, AppliedConfiguration, RegisterValue, ValueDifference,
                Ballot, Prepare, Promise, Accept, Accepted, Chosen, AcceptorRecord, ControllerRecord, Member,
                HeldRole, Gossip, VoteRequest, VoteReply, PlatformCheckRequest, PlatformCheckReply,
                EndpointEntry, EndpointList, MemberHeartbeat, ValuePush, ControlHeartbeat, ReserveRequest,
                Reservation, ReserveReply, CommitUsage, Turn, StoreTurnRequest, StoreTurnReply,
-               FindTurnRequest, FindTurnReply, Account, PullRequest, PullReply, StorageNodeRecord, MapRecord>;
+               FindTurnRequest, FindTurnReply, Account, PullRequest, PullReply, StorageNodeRecord, MapRecord,
+               CoordinationPrepare, CoordinationAccept, CoordinationChosen, CoordinationReport,
+               CoordinationCall, CoordinationAnswer, AcceptorChange>;
 
 std::string entry(const char* record, int kind, const std::string& which) {
   return record + ("/" + std::to_string(kind)) + "/" + which;
@@ -405,7 +455,7 @@
   compare_booleans<Gossip>(stored, 5);
   compare_booleans<MemberHeartbeat>(stored, 2);
   stored.expect_all_compared();
-  EXPECT_EQ(std::tuple_size_v<Records>, 40U);
+  EXPECT_EQ(std::tuple_size_v<Records>, 47U);
 }
 
 TEST(GoldenFrames, EachSortIsWrittenAndReadAsStored) {
