--- /dev/null
+++ b/tests/control/coordination/local_times_test.cpp
@@ -0,0 +1,140 @@
+// When a hold has ended and a put is old, as one controller finds by its own steady clock.
+#include "control/coordination/local_times.hpp"
+
+#include <string>
+
+#include "unit.hpp"
+
+using chutevane::Span;
+using chutevane::TimePoint;
+using namespace chutevane::control::coordination;
+
+namespace {
+
+constexpr Span retention = Span::ms(60'000);
+
+TimePoint at(double ms) { return TimePoint::at_ms(1e6 + ms); }
+
+State with_lock(const Lock& lock) {
+  State out;
+  out.locks["l"] = lock;
+  return out;
+}
+
+// A group whose puts have the values named, from revision `first` on.
+State with_puts(std::int64_t first, const std::string& values) {
+  State out;
+  KeyGroup& group = out.groups["g."];
+  group.revision = first - 1;
+  for (const char value : values) {
+    ++group.revision;
+    group.keys["g.a"] = {std::string(1, value), group.revision};
+    group.history.push_back({"g.a", std::string(1, value), group.revision});
+  }
+  return out;
+}
+
+}  // namespace
+
+TEST_GROUP(CoordinationHoldTimes) {
+  LocalTimes times{retention};
+  const Lock first{"a", 1, 3000, 11};
+  const Lock renewed{"a", 1, 3000, 12};
+};
+
+TEST(CoordinationHoldTimes, EndsAfterTheGrantedTimeSinceItCameToBeKnown) {
+  times.observe(with_lock(first), at(0));
+  CHECK_FALSE(times.has_expired("l", first, at(3000)));
+  CHECK_FALSE(times.has_expired("l", first, at(3010)));  // clocks that do not run alike
+  CHECK_TRUE(times.has_expired("l", first, at(3010.001)));
+}
+
+// Of an hour, a clock may be off by more than the least margin.
+TEST(CoordinationHoldTimes, MarginGrowsWithTheHold) {
+  const Lock hour{"a", 1, 3'600'000, 11};
+  times.observe(with_lock(hour), at(0));
+  CHECK_FALSE(times.has_expired("l", hour, at(3'603'600)));
+  CHECK_TRUE(times.has_expired("l", hour, at(3'603'600.001)));
+}
+
+TEST(CoordinationHoldTimes, SeeingItAgainDoesNotMakeItLonger) {
+  for (int ms = 0; ms <= 3000; ms += 100) times.observe(with_lock(first), at(ms));
+  CHECK_TRUE(times.has_expired("l", first, at(3011)));
+}
+
+TEST(CoordinationHoldTimes, RenewalBeginsWhenItIsSeen) {
+  times.observe(with_lock(first), at(0));
+  times.observe(with_lock(renewed), at(2000));
+  CHECK_FALSE(times.has_expired("l", renewed, at(5010)));
+  CHECK_TRUE(times.has_expired("l", renewed, at(5011)));
+}
+
+// Found in a round before it was observed: it is never taken for the grant before it.
+TEST(CoordinationHoldTimes, UnseenRenewalHasNotExpired) {
+  times.observe(with_lock(first), at(0));
+  CHECK_FALSE(times.has_expired("l", renewed, at(100'000)));
+}
+
+TEST(CoordinationHoldTimes, UnknownLockHasNotExpired) {
+  CHECK_FALSE(times.has_expired("l", first, at(100'000)));
+}
+
+// A state that is older than one seen before, or that was never chosen, is seen in between: times begin
+// again, which only makes them later.
+TEST(CoordinationHoldTimes, OrderOfObservationNeverMakesAHoldShorter) {
+  times.observe(with_lock(first), at(0));
+  times.observe(with_lock(renewed), at(1000));
+  times.observe(with_lock(first), at(2000));
+  CHECK_FALSE(times.has_expired("l", first, at(3011)));
+  CHECK_FALSE(times.has_expired("l", renewed, at(4011)));
+  times.observe(with_lock(renewed), at(4500));
+  CHECK_FALSE(times.has_expired("l", renewed, at(7510)));
+  CHECK_TRUE(times.has_expired("l", renewed, at(7511)));
+}
+
+// The lock was free in between, as seen here or not; the same holder took it once more.
+TEST(CoordinationHoldTimes, AnotherHoldOfTheSameHolderBeginsAnew) {
+  times.observe(with_lock(first), at(0));
+  times.observe(with_lock({"", 1, 3000, 12}), at(100));
+  const Lock second{"a", 2, 3000, 13};
+  times.observe(with_lock(second), at(2900));
+  CHECK_FALSE(times.has_expired("l", second, at(5910)));
+}
+
+// What the disk has was granted before the start; by the new process's clock it begins with the start.
+TEST(CoordinationHoldTimes, AfterAStartHoldsCountFromTheStart) {
+  times.observe(with_lock(first), at(0));
+  LocalTimes restarted{retention};
+  restarted.observe(with_lock(first), at(2900));
+  CHECK_FALSE(restarted.has_expired("l", first, at(5910)));
+  CHECK_TRUE(restarted.has_expired("l", first, at(5911)));
+}
+
+TEST_GROUP(CoordinationPutTimes) { LocalTimes times{retention}; };
+
+TEST(CoordinationPutTimes, OfAnUnknownGroupNothingMayBeDropped) {
+  CHECK_EQUAL(0, times.droppable_revision("g.", at(0)));
+}
+
+TEST(CoordinationPutTimes, PutsMayBeDroppedOnceTheyWereKnownForTheRetention) {
+  times.observe(with_puts(1, "a"), at(0));
+  times.observe(with_puts(1, "abc"), at(1000));
+  CHECK_EQUAL(0, times.droppable_revision("g.", at(60'000)));
+  CHECK_EQUAL(1, times.droppable_revision("g.", at(60'001)));
+  CHECK_EQUAL(1, times.droppable_revision("g.", at(61'000)));
+  CHECK_EQUAL(3, times.droppable_revision("g.", at(61'001)));
+}
+
+TEST(CoordinationPutTimes, AfterAStartAllCountFromTheStart) {
+  times.observe(with_puts(5, "efgh"), at(0));
+  CHECK_EQUAL(0, times.droppable_revision("g.", at(60'000)));
+  CHECK_EQUAL(8, times.droppable_revision("g.", at(60'001)));
+}
+
+TEST(CoordinationPutTimes, TruncatedHistoryKeepsTheAgesOfTheRest) {
+  times.observe(with_puts(1, "a"), at(0));
+  times.observe(with_puts(1, "ab"), at(1000));
+  times.observe(with_puts(2, "bc"), at(2000));
+  CHECK_EQUAL(2, times.droppable_revision("g.", at(61'001)));
+  CHECK_EQUAL(3, times.droppable_revision("g.", at(62'001)));
+}
--- /dev/null
+++ b/tests/control/coordination/state_machine_test.cpp
@@ -0,0 +1,315 @@
+// Each call on the state of the coordination service, with each of its outcomes.
+#include "control/coordination/state_machine.hpp"
+
+#include <string>
+
+#include "unit.hpp"
+
+using chutevane::Span;
+using chutevane::TimePoint;
+using namespace chutevane::control::coordination;
+
+namespace {
+
+constexpr Span retention = Span::ms(60'000);
+
+// A state, and one controller's times. Each call is a change of its own.
+struct OneController {
+  explicit OneController(const Limits& bounds = {}) : limits(bounds) {}
+  Answer apply(const Call& call) {
+    times.observe(state, now);
+    StateMachine machine(state, times, now, limits);
+    const Answer out = machine.apply(call);
+    changed = machine.has_changed();
+    machine.truncate_history();
+    if (changed) state = machine.state();
+    times.observe(state, now);
+    return out;
+  }
+  void wait_ms(double ms) { now = now + Span::ms(ms); }
+
+  const Limits limits;
+  LocalTimes times{retention};
+  State state;
+  TimePoint now = TimePoint::at_ms(1e6);
+  bool changed = false;  // by the newest call
+};
+
+Call lock_call(Operation operation, std::uint64_t id, const std::string& holder, std::int64_t fence = 0) {
+  Call out;
+  out.operation = operation;
+  out.id = id;
+  out.name = "l";
+  out.holder = holder;
+  out.fence = fence;
+  out.hold = Span::ms(3000);
+  return out;
+}
+
+Call acquire(std::uint64_t id, const std::string& holder) {
+  return lock_call(Operation::acquire_lock, id, holder);
+}
+Call renew(std::uint64_t id, const std::string& holder, std::int64_t fence) {
+  return lock_call(Operation::renew_lock, id, holder, fence);
+}
+Call release(std::uint64_t id, const std::string& holder, std::int64_t fence) {
+  return lock_call(Operation::release_lock, id, holder, fence);
+}
+
+Call put(const std::string& key, const std::string& value, std::int64_t applies_to = any_revision) {
+  Call out;
+  out.operation = Operation::put_key;
+  out.name = key;
+  out.value = value;
+  out.applies_to = applies_to;
+  return out;
+}
+
+Call named(Operation operation, const std::string& name) {
+  Call out;
+  out.operation = operation;
+  out.name = name;
+  return out;
+}
+
+void check_answer(Outcome outcome, std::int64_t number, const Answer& answer) {
+  STRCMP_EQUAL(std::string(name_of(outcome)).c_str(), std::string(name_of(answer.outcome)).c_str());
+  CHECK_EQUAL(number, answer.number);
+}
+
+}  // namespace
+
+TEST_GROUP(CoordinationLocks) { OneController controller; };
+
+TEST(CoordinationLocks, FirstAcquisitionGetsTheFirstToken) {
+  check_answer(Outcome::done, 1, controller.apply(acquire(1, "a")));
+  CHECK_TRUE(controller.changed);
+  CHECK_TRUE((controller.state.locks["l"] == Lock{"a", 1, 3000, 1}));
+}
+
+TEST(CoordinationLocks, HeldLockIsRefusedToOthersWithoutAChange) {
+  controller.apply(acquire(1, "a"));
+  check_answer(Outcome::held_by_other, 0, controller.apply(acquire(2, "b")));
+  CHECK_FALSE(controller.changed);
+}
+
+TEST(CoordinationLocks, HolderThatAcquiresAgainGetsANewToken) {
+  controller.apply(acquire(1, "a"));
+  check_answer(Outcome::done, 2, controller.apply(acquire(2, "a")));
+  controller.wait_ms(3009);
+  check_answer(Outcome::held_by_other, 0, controller.apply(acquire(3, "b")));
+}
+
+TEST(CoordinationLocks, SameAcquisitionCarriedOutTwiceKeepsItsToken) {
+  controller.apply(acquire(1, "a"));
+  controller.wait_ms(100);
+  check_answer(Outcome::done, 1, controller.apply(acquire(1, "a")));
+  CHECK_FALSE(controller.changed);
+}
+
+// The id is drawn at random: one that another holder's call has too means nothing.
+TEST(CoordinationLocks, SameIdOfAnotherHolderIsAnotherCall) {
+  controller.apply(acquire(1, "a"));
+  check_answer(Outcome::held_by_other, 0, controller.apply(acquire(1, "b")));
+}
+
+TEST(CoordinationLocks, ExpiredLockGoesToTheNextWithAHigherToken) {
+  controller.apply(acquire(1, "a"));
+  controller.wait_ms(3010);
+  check_answer(Outcome::held_by_other, 0, controller.apply(acquire(2, "b")));
+  controller.wait_ms(0.001);
+  check_answer(Outcome::done, 2, controller.apply(acquire(3, "b")));
+}
+
+TEST(CoordinationLocks, RenewalGrantsMoreTimeUnderTheSameToken) {
+  controller.apply(acquire(1, "a"));
+  controller.wait_ms(2000);
+  check_answer(Outcome::done, 1, controller.apply(renew(2, "a", 1)));
+  controller.wait_ms(3010);
+  check_answer(Outcome::held_by_other, 0, controller.apply(acquire(3, "b")));
+  controller.wait_ms(1);
+  check_answer(Outcome::done, 2, controller.apply(acquire(4, "b")));
+}
+
+TEST(CoordinationLocks, RenewalIsRefusedToAllButTheHolderWithTheNewestToken) {
+  check_answer(Outcome::held_by_other, 0, controller.apply(renew(1, "a", 1)));  // no such lock
+  controller.apply(acquire(2, "a"));
+  controller.apply(acquire(3, "a"));
+  check_answer(Outcome::held_by_other, 0, controller.apply(renew(4, "a", 1)));
+  check_answer(Outcome::held_by_other, 0, controller.apply(renew(5, "a", 3)));
+  check_answer(Outcome::held_by_other, 0, controller.apply(renew(6, "b", 2)));
+  CHECK_FALSE(controller.changed);
+  check_answer(Outcome::done, 2, controller.apply(renew(7, "a", 2)));
+}
+
+// Its holder has given it up, though nobody else has it yet.
+TEST(CoordinationLocks, RenewalAfterTheEndIsRefused) {
+  controller.apply(acquire(1, "a"));
+  controller.wait_ms(3011);
+  check_answer(Outcome::held_by_other, 0, controller.apply(renew(2, "a", 1)));
+  CHECK_FALSE(controller.changed);
+}
+
+TEST(CoordinationLocks, SameRenewalCarriedOutTwiceIsDoneOnce) {
+  controller.apply(acquire(1, "a"));
+  controller.apply(renew(2, "a", 1));
+  controller.wait_ms(100);
+  check_answer(Outcome::done, 1, controller.apply(renew(2, "a", 1)));
+  CHECK_FALSE(controller.changed);
+}
+
+TEST(CoordinationLocks, ReleasedLockIsFreeAtOnceAndItsTokensGoOn) {
+  controller.apply(acquire(1, "a"));
+  check_answer(Outcome::done, 0, controller.apply(release(2, "a", 1)));
+  check_answer(Outcome::held_by_other, 0, controller.apply(renew(3, "a", 1)));
+  check_answer(Outcome::done, 2, controller.apply(acquire(4, "b")));
+}
+
+// A late release of an earlier hold does not act on the present one, and is answered like any other.
+TEST(CoordinationLocks, ReleaseByAnOlderTokenOrAnotherHolderDoesNothing) {
+  check_answer(Outcome::done, 0, controller.apply(release(1, "a", 1)));  // no such lock
+  controller.apply(acquire(2, "a"));
+  controller.apply(acquire(3, "a"));
+  check_answer(Outcome::done, 0, controller.apply(release(4, "a", 1)));
+  check_answer(Outcome::done, 0, controller.apply(release(5, "b", 2)));
+  CHECK_FALSE(controller.changed);
+  check_answer(Outcome::held_by_other, 0, controller.apply(acquire(6, "b")));
+}
+
+TEST(CoordinationLocks, SameReleaseCarriedOutTwiceDoesNotActOnTheNextHold) {
+  controller.apply(acquire(1, "a"));
+  controller.apply(release(2, "a", 1));
+  controller.apply(acquire(3, "a"));
+  check_answer(Outcome::done, 0, controller.apply(release(2, "a", 1)));
+  CHECK_FALSE(controller.changed);
+  check_answer(Outcome::held_by_other, 0, controller.apply(acquire(4, "b")));
+}
+
+TEST_GROUP(CoordinationNumbers) { OneController controller; };
+
+TEST(CoordinationNumbers, RiseUnderEachNameFromOne) {
+  check_answer(Outcome::done, 1, controller.apply(named(Operation::next_number, "n1")));
+  check_answer(Outcome::done, 2, controller.apply(named(Operation::next_number, "n1")));
+  check_answer(Outcome::done, 1, controller.apply(named(Operation::next_number, "n2")));
+  check_answer(Outcome::done, 3, controller.apply(named(Operation::next_number, "n1")));
+}
+
+TEST_GROUP(CoordinationKeys) { OneController controller; };
+
+TEST(CoordinationKeys, KeysOfAGroupShareOneCountOfRevisions) {
+  check_answer(Outcome::done, 1, controller.apply(put("g.a", "1")));
+  check_answer(Outcome::done, 2, controller.apply(put("g.b", "2")));
+  check_answer(Outcome::done, 1, controller.apply(put("h.a", "3")));
+  check_answer(Outcome::done, 3, controller.apply(put("g.a", "4")));
+  check_answer(Outcome::done, 3, controller.apply(named(Operation::get_group_revision, "g.")));
+  check_answer(Outcome::done, 0, controller.apply(named(Operation::get_group_revision, "i.")));
+}
+
+TEST(CoordinationKeys, ReadHasValueAndRevisionOrNothing) {
+  check_answer(Outcome::not_found, 0, controller.apply(named(Operation::get_key, "g.a")));
+  controller.apply(put("g.b", "0"));
+  check_answer(Outcome::not_found, 0, controller.apply(named(Operation::get_key, "g.a")));
+  controller.apply(put("g.a", "1"));
+  const Answer read = controller.apply(named(Operation::get_key, "g.a"));
+  check_answer(Outcome::done, 2, read);
+  STRCMP_EQUAL("1", read.value.c_str());
+  CHECK_FALSE(controller.changed);
+}
+
+TEST(CoordinationKeys, NameWithoutAGroupIsNotFound) {
+  check_answer(Outcome::not_found, 0, controller.apply(put("a", "1")));
+  check_answer(Outcome::not_found, 0, controller.apply(named(Operation::get_key, "a")));
+}
+
+TEST(CoordinationKeys, PutWhereTheKeyHasTheRevisionNamed) {
+  check_answer(Outcome::done, 1, controller.apply(put("g.a", "1", 0)));
+  controller.apply(put("g.b", "2"));
+  check_answer(Outcome::revision_mismatch, 1, controller.apply(put("g.a", "3", 2)));
+  check_answer(Outcome::done, 3, controller.apply(put("g.a", "4", 1)));
+}
+
+TEST(CoordinationKeys, RejectedPutNamesTheKeysRevisionAndChangesNothing) {
+  controller.apply(put("g.b", "0"));
+  controller.apply(put("g.a", "1"));
+  const State before = controller.state;
+  check_answer(Outcome::revision_mismatch, 2, controller.apply(put("g.a", "2", 0)));
+  check_answer(Outcome::revision_mismatch, 0, controller.apply(put("g.c", "3", 2)));
+  CHECK_FALSE(controller.changed);
+  CHECK_TRUE(controller.state == before);
+}
+
+TEST(CoordinationKeys, RepeatedPutGetsItsFirstRevision) {
+  controller.apply(put("g.a", "1"));
+  check_answer(Outcome::done, 1, controller.apply(put("g.a", "1")));
+  check_answer(Outcome::done, 1, controller.apply(put("g.a", "1", 0)));
+  CHECK_FALSE(controller.changed);
+  controller.apply(put("g.a", "2"));
+  check_answer(Outcome::done, 1, controller.apply(put("g.a", "1")));
+  check_answer(Outcome::done, 1, controller.apply(put("g.a", "1", 0)));
+  CHECK_FALSE(controller.changed);
+}
+
+// The value of a put is its own only under its key.
+TEST(CoordinationKeys, SameValueUnderAnotherKeyIsAnotherPut) {
+  controller.apply(put("g.a", "1"));
+  check_answer(Outcome::done, 2, controller.apply(put("g.b", "1")));
+}
+
+TEST(CoordinationKeys, HistoryHasEveryPutUntilItIsOldAndAnotherPutComes) {
+  controller.apply(put("g.a", "1"));
+  controller.apply(put("g.a", "2"));
+  controller.wait_ms(60'001);
+  controller.apply(put("h.a", "x"));  // of another group
+  CHECK_EQUAL(2U, controller.state.groups["g."].history.size());
+  controller.apply(put("g.a", "3"));
+  CHECK_EQUAL(1U, controller.state.groups["g."].history.size());
+  CHECK_EQUAL(3, controller.state.groups["g."].history.front().revision);
+}
+
+TEST(CoordinationKeys, TruncationAloneMakesNoNewState) {
+  controller.apply(put("g.a", "1"));
+  controller.wait_ms(60'001);
+  controller.apply(named(Operation::get_key, "g.a"));
+  CHECK_FALSE(controller.changed);
+}
+
+// The newest value is recognized however old it is.
+TEST(CoordinationKeys, RepeatOfTheNewestPutOutlivesTheHistory) {
+  controller.apply(put("g.a", "1"));
+  controller.wait_ms(60'001);
+  controller.apply(put("g.b", "2"));
+  check_answer(Outcome::done, 1, controller.apply(put("g.a", "1", 0)));
+}
+
+TEST_GROUP(CoordinationLimits) { OneController controller{{.max_names = 3, .max_history_events = 4}}; };
+
+TEST(CoordinationLimits, LocksAndNumbersTogether) {
+  controller.apply(acquire(1, "a"));
+  controller.apply(named(Operation::next_number, "n1"));
+  controller.apply(named(Operation::next_number, "n2"));
+  check_answer(Outcome::limit_reached, 0, controller.apply(named(Operation::next_number, "n3")));
+  CHECK_FALSE(controller.changed);
+  Call other = acquire(2, "a");
+  other.name = "l2";
+  check_answer(Outcome::limit_reached, 0, controller.apply(other));
+  CHECK_FALSE(controller.changed);
+  check_answer(Outcome::done, 2, controller.apply(named(Operation::next_number, "n1")));
+  check_answer(Outcome::done, 2, controller.apply(acquire(3, "a")));
+}
+
+TEST(CoordinationLimits, KeysOfAllGroups) {
+  controller.apply(put("g.a", "1"));
+  controller.apply(put("g.b", "2"));
+  controller.apply(put("h.a", "3"));
+  check_answer(Outcome::limit_reached, 0, controller.apply(put("h.b", "4")));
+  CHECK_FALSE(controller.changed);
+  check_answer(Outcome::done, 2, controller.apply(put("h.a", "5")));
+}
+
+TEST(CoordinationLimits, PutsInAHistory) {
+  for (const char* value : {"1", "2", "3", "4"}) controller.apply(put("g.a", value));
+  check_answer(Outcome::limit_reached, 0, controller.apply(put("g.a", "5")));
+  CHECK_FALSE(controller.changed);
+  check_answer(Outcome::done, 2, controller.apply(put("g.a", "2")));  // a repeat
+  check_answer(Outcome::done, 1, controller.apply(put("h.a", "6")));
+}
--- a/tests/control/register_test.cpp
+++ b/tests/control/register_test.cpp
@@ -129,6 +129,7 @@
   struct Plan {
     NetworkConditions network;
     bool losses_of_power = false, wipes = false, other_sets = false, words = false;
+    bool proposes_first = false;  // half of the orders do, without a read before
   };
   RegisterSimulation(std::uint64_t seed, const Plan& wanted)
       : plan(wanted),
@@ -170,16 +171,19 @@
     const std::int64_t base = p.reg.known_value() ? p.reg.known_value()->config_version : 0;
     const std::int64_t hash = ++hashes,
                        version = base + 1 + static_cast<std::int64_t>(cluster.random.below(3));
-    p.reg.change(replacing(base, version, hash), Span::ms(1500),
-                 [this, floor, base, hash, done](absl::StatusOr<RegisterValue> got) {
-                   done(got);
-                   if (!got.ok()) return;
-                   if (had(*got, hash)) {
-                     checker.taken(base, hash);
-                   } else {
-                     checker.refused(hash);
-                   }
-                 });
+    const bool proposes = plan.proposes_first && cluster.random.chance(0.5);
+    p.reg.change(
+        replacing(base, version, hash), Span::ms(1500),
+        [this, floor, base, hash, done](absl::StatusOr<RegisterValue> got) {
+          done(got);
+          if (!got.ok()) return;
+          if (had(*got, hash)) {
+            checker.taken(base, hash);
+          } else {
+            checker.refused(hash);
+          }
+        },
+        proposes ? Register::FirstAttempt::propose : Register::FirstAttempt::read_only);
   }
 
   // As the roster does it: decided on one value, and not taken on another.
@@ -393,6 +397,22 @@
           .words = true});
 }
 
+TEST(RegisterDays, OrdersThatProposeAtOnceAndLossesOfPower) {
+  search(5000, 120,
+         {.network = {.loss_rate = 0.08, .duplicate_rate = 0.15, .slow_rate = 0.08},
+          .losses_of_power = true,
+          .words = true,
+          .proposes_first = true});
+}
+
+TEST(RegisterDays, OrdersThatProposeAtOnceAndOtherSets) {
+  search(6000, 120,
+         {.network = {.loss_rate = 0.08, .duplicate_rate = 0.15, .slow_rate = 0.08},
+          .other_sets = true,
+          .words = true,
+          .proposes_first = true});
+}
+
 TEST_GROUP(RegisterRaces){
     // Two orders on the same version; what each came to.
     static std::pair<Came, Came> race(std::uint64_t seed, const NetworkConditions& network, Span apart,
@@ -494,6 +514,55 @@
   CHECK_TRUE(taken);
 }
 
+// One round trip less than with a read before: six requests in place of nine.
+TEST(RegisterOrders, ChangeThatProposesAtOnceAsksEachAcceptorTwice) {
+  std::map<Register::FirstAttempt, std::size_t> asked;
+  for (const auto first_attempt : {Register::FirstAttempt::read_only, Register::FirstAttempt::propose}) {
+    AcceptorCluster fresh(3, 5);
+    Proposer proposer(fresh, 1);
+    proposer.reg.observe_epoch(fresh.first_epoch_of(3));
+    fresh.on_asked = [&] { ++asked[first_attempt]; };
+    std::optional<RegisterValue> chosen;
+    proposer.reg.change(
+        replacing(0, 5, 10), Span::ms(1500), [&](absl::StatusOr<RegisterValue> got) { chosen = *got; },
+        first_attempt);
+    fresh.clock.play(Span::ms(1500));
+    CHECK_TRUE(chosen && had(*chosen, 10));
+  }
+  CHECK_EQUAL(9U, asked[Register::FirstAttempt::read_only]);
+  CHECK_EQUAL(6U, asked[Register::FirstAttempt::propose]);
+}
+
+// Its change finds nothing to do: the value stands, and is chosen before it is reported.
+TEST(RegisterOrders, ProposalWithoutAChangeReportsTheChosenValue) {
+  p.reg.observe_epoch(cluster.first_epoch_of(3));
+  std::vector<RegisterValue> chosen;
+  const auto take = [&](absl::StatusOr<RegisterValue> got) { chosen.push_back(*got); };
+  const auto proposes = Register::FirstAttempt::propose;
+  p.reg.change(replacing(0, 5, 10), Span::ms(1500), take, proposes);
+  cluster.clock.play(Span::ms(1500));
+  p.reg.change(replacing(0, 6, 11), Span::ms(1500), take, proposes);
+  cluster.clock.play(Span::ms(1500));
+  CHECK_EQUAL(2U, chosen.size());
+  CHECK_TRUE(chosen[0] == chosen[1] && !had(chosen[1], 11));
+  std::size_t accepted = 0;
+  for (const Machine& m : cluster.all) accepted += m.acceptor->accepted_value() == chosen[0] ? 1 : 0;
+  CHECK_TRUE(accepted >= 2);
+}
+
+// No promise of a majority: nothing was proposed, and the order ends within its time.
+TEST(RegisterOrders, ProposalWithoutAMajorityEndsInTime) {
+  p.reg.observe_epoch(cluster.first_epoch_of(3));
+  cluster.all[0].up = cluster.all[1].up = false;
+  std::optional<absl::StatusCode> code;
+  p.reg.change(
+      replacing(0, 5, 10), Span::ms(800),
+      [&](absl::StatusOr<RegisterValue> got) { code = got.status().code(); },
+      Register::FirstAttempt::propose);
+  cluster.clock.play(Span::ms(801));
+  CHECK_TRUE(code == absl::StatusCode::kDeadlineExceeded);
+}
+
 // Without a majority an order ends by its time, once.
 TEST(RegisterOrders, NoMajorityEndsInTime) {
   cluster.all[0].up = cluster.all[1].up = false;
