Coordination: a put that is refused leaves no empty group in the state

Cause: put_key created the group before it looked at the revision and the limits. Refused with 412 or 429 in a batch that changed something else, the empty group stayed in the state: groups without a bound. Change: the group is created with its first put; the steps of a put are functions of their own.

--- a/src/control/coordination/state_machine.cpp
+++ b/src/control/coordination/state_machine.cpp
@@ -5,6 +5,19 @@
 #include <utility>
 
 namespace chutevane::control::coordination {
+namespace {
+
+/// The revision of a put of that value to that key, as the group knows it; 0: it knows none.
+std::int64_t earlier_revision(const KeyGroup& group, const Call& call) {
+  const auto current = group.keys.find(call.name);
+  if (current != group.keys.end() && current->second.value == call.value) return current->second.revision;
+  const auto earlier = std::find_if(group.history.begin(), group.history.end(), [&](const PutEvent& event) {
+    return event.key == call.name && event.value == call.value;
+  });
+  return earlier == group.history.end() ? 0 : earlier->revision;
+}
+
+}  // namespace
 
 StateMachine::StateMachine(State state, const LocalTimes& times, TimePoint now, const Limits& limits)
     : state_(std::move(state)), times_(times), now_(now), limits_(limits) {}
@@ -42,8 +55,8 @@
     return repeated_acquisition(found->second, call);
   if (found != state_.locks.end() && !found->second.holder.empty()) {
     const Lock& held = found->second;
-    const bool has_expired =
-        held.grant_id == call.expired_grant_id || times_.has_expired(call.name, held, now_);
+    const bool is_known_expired = call.expired_grant_id != 0 && held.grant_id == call.expired_grant_id;
+    const bool has_expired = is_known_expired || times_.has_expired(call.name, held, now_);
     const bool is_free = held.holder == call.holder || has_expired;
     if (!is_free) return {Outcome::held_by_other, 0, ""};
   }
@@ -109,28 +122,35 @@
 Answer StateMachine::put_key(const Call& call) {
   const std::optional<std::string> prefix = group_of(call.name);
   if (!prefix) return {Outcome::not_found, 0, ""};
-  KeyGroup& group = state_.groups[*prefix];
+  static const KeyGroup no_group;
+  const auto found = state_.groups.find(*prefix);
+  const KeyGroup& group = found == state_.groups.end() ? no_group : found->second;
+  if (const std::int64_t earlier = earlier_revision(group, call); earlier != 0)
+    return {Outcome::done, earlier, ""};
   const auto current = group.keys.find(call.name);
-  const std::int64_t revision = current == group.keys.end() ? 0 : current->second.revision;
-  if (current != group.keys.end() && current->second.value == call.value)
-    return {Outcome::done, revision, ""};
-  const auto earlier = std::find_if(group.history.begin(), group.history.end(), [&](const PutEvent& event) {
-    return event.key == call.name && event.value == call.value;
-  });
-  if (earlier != group.history.end()) return {Outcome::done, earlier->revision, ""};
+  const bool is_new_key = current == group.keys.end();
+  const std::int64_t revision = is_new_key ? 0 : current->second.revision;
   if (call.applies_to != any_revision && revision != call.applies_to)
     return {Outcome::revision_mismatch, revision, ""};
-  // Truncation comes after a put, and a group with a full history would not take one.
-  if (group.history.size() >= limits_.max_history_events) drop_old_history(*prefix, group);
-  const bool is_new_key = current == group.keys.end();
-  if (group.history.size() >= limits_.max_history_events || (is_new_key && are_keys_full()))
+  if (is_history_full(*prefix, group) || (is_new_key && are_keys_full()))
     return {Outcome::limit_reached, 0, ""};
+  return {Outcome::done, add_put(*prefix, call), ""};
+}
+
+/// What may be dropped does not count: it is dropped with the next put.
+bool StateMachine::is_history_full(const std::string& prefix, const KeyGroup& group) const {
+  if (group.history.size() < limits_.max_history_events) return false;
+  return group.history.front().revision > times_.droppable_revision(prefix, now_);
+}
+
+std::int64_t StateMachine::add_put(const std::string& prefix, const Call& call) {
+  KeyGroup& group = state_.groups[prefix];
   ++group.revision;
   group.keys[call.name] = {call.value, group.revision};
   group.history.push_back({call.name, call.value, group.revision});
-  changed_groups_.insert(*prefix);
+  changed_groups_.insert(prefix);
   has_changed_ = true;
-  return {Outcome::done, group.revision, ""};
+  return group.revision;
 }
 
 Answer StateMachine::get_key(const Call& call) const {
@@ -149,12 +169,11 @@
 }
 
 void StateMachine::truncate_history() {
-  for (const std::string& prefix : changed_groups_) drop_old_history(prefix, state_.groups[prefix]);
-}
-
-void StateMachine::drop_old_history(const std::string& prefix, KeyGroup& group) {
-  const std::int64_t droppable = times_.droppable_revision(prefix, now_);
-  while (!group.history.empty() && group.history.front().revision <= droppable) group.history.pop_front();
+  for (const std::string& prefix : changed_groups_) {
+    KeyGroup& group = state_.groups[prefix];
+    const std::int64_t droppable = times_.droppable_revision(prefix, now_);
+    while (!group.history.empty() && group.history.front().revision <= droppable) group.history.pop_front();
+  }
 }
 
 }  // namespace chutevane::control::coordination
--- a/src/control/coordination/state_machine.hpp
+++ b/src/control/coordination/state_machine.hpp
@@ -46,11 +46,13 @@
   Answer release_lock(const Call& call);
   Answer next_number(const Call& call);
   Answer put_key(const Call& call);
+  /// Returns its revision.
+  std::int64_t add_put(const std::string& prefix, const Call& call);
   Answer get_key(const Call& call) const;
   Answer get_group_revision(const Call& call) const;
-  void drop_old_history(const std::string& prefix, KeyGroup& group);
   bool are_names_full() const;
   bool are_keys_full() const;
+  bool is_history_full(const std::string& prefix, const KeyGroup& group) const;
 
   State state_;
   const LocalTimes& times_;
--- a/tests/control/coordination/state_machine_test.cpp
+++ b/tests/control/coordination/state_machine_test.cpp
@@ -313,3 +313,12 @@
   check_answer(Outcome::done, 2, controller.apply(put("g.a", "2")));  // a repeat
   check_answer(Outcome::done, 1, controller.apply(put("h.a", "6")));
 }
+
+// A put that is not carried out leaves nothing of its group, also where its batch has changed the state.
+TEST(CoordinationLimits, RefusedPutsLeaveNoGroups) {
+  StateMachine machine({}, controller.times, controller.now, controller.limits);
+  machine.apply(named(Operation::next_number, "n1"));
+  check_answer(Outcome::revision_mismatch, 0, machine.apply(put("g.a", "1", 7)));
+  CHECK_TRUE(machine.has_changed());
+  CHECK_TRUE(machine.state().groups.empty());
+}
