--- a/tests/control/coordination/coordination_property_test.cpp
+++ b/tests/control/coordination/coordination_property_test.cpp
@@ -303,3 +303,6 @@
 TEST_GROUP(CoordinationProperty){};
 
 TEST(CoordinationProperty, ClientsSeeOneOrder) { search(1, 60, HoldTimes::one_each); }
+
+// A renewal, or another acquisition, whose answer was lost grants no less than its holder counts by.
+TEST(CoordinationProperty, HoldTimesMayVary) { search(1000, 60, HoldTimes::varying); }
--- a/tests/control/coordination/state_machine_test.cpp
+++ b/tests/control/coordination/state_machine_test.cpp
@@ -185,6 +185,42 @@
   check_answer(Outcome::held_by_other, 0, controller.apply(acquire(4, "b")));
 }
 
+// Its answer may be lost: the holder counts by its last good call then.
+TEST(CoordinationLocks, ShorterRenewalDoesNotCutAHoldShort) {
+  controller.apply(acquire(1, "a"));
+  Call shorter = renew(2, "a", 1);
+  shorter.hold = Span::ms(500);
+  check_answer(Outcome::done, 1, controller.apply(shorter));
+  controller.wait_ms(3010);
+  check_answer(Outcome::held_by_other, 0, controller.apply(acquire(3, "b")));
+  controller.wait_ms(1);
+  check_answer(Outcome::done, 2, controller.apply(acquire(4, "b")));
+}
+
+TEST(CoordinationLocks, ShorterAcquisitionDoesNotCutOwnHoldShort) {
+  controller.apply(acquire(1, "a"));
+  Call shorter = acquire(2, "a");
+  shorter.hold = Span::ms(500);
+  check_answer(Outcome::done, 2, controller.apply(shorter));
+  controller.wait_ms(3010);
+  check_answer(Outcome::held_by_other, 0, controller.apply(acquire(3, "b")));
+}
+
+// Once the earlier hold has ended, by its release or its time, the next one is as long as it asks for.
+TEST(CoordinationLocks, ShorterAcquisitionAfterTheEndIsShort) {
+  controller.apply(acquire(1, "a"));
+  controller.wait_ms(3011);
+  Call shorter = acquire(2, "a");
+  shorter.hold = Span::ms(500);
+  controller.apply(shorter);
+  CHECK_EQUAL(500, controller.state.locks["l"].hold_ms);
+  controller.apply(acquire(3, "a"));
+  controller.apply(release(4, "a", 3));
+  shorter.id = 5;
+  controller.apply(shorter);
+  CHECK_EQUAL(500, controller.state.locks["l"].hold_ms);
+}
+
 TEST_GROUP(CoordinationNumbers) { OneController controller; };
 
 TEST(CoordinationNumbers, RiseUnderEachNameFromOne) {
