--- a/tests/control/coordination/state_machine_test.cpp
+++ b/tests/control/coordination/state_machine_test.cpp
@@ -350,6 +350,14 @@
   check_answer(Outcome::done, 1, controller.apply(put("h.a", "6")));
 }
 
+// Once what fills it is old, there is room again.
+TEST(CoordinationLimits, FullHistoryOfOldPutsTakesTheNextPut) {
+  for (const char* value : {"1", "2", "3", "4"}) controller.apply(put("g.a", value));
+  controller.wait_ms(60'001);
+  check_answer(Outcome::done, 5, controller.apply(put("g.a", "5")));
+  CHECK_EQUAL(1U, controller.state.groups["g."].history.size());
+}
+
 // A put that is not carried out leaves nothing of its group, also where its batch has changed the state.
 TEST(CoordinationLimits, RefusedPutsLeaveNoGroups) {
   StateMachine machine({}, controller.times, controller.now, controller.limits);
