--- a/tests/control/coordination/local_times_test.cpp
+++ b/tests/control/coordination/local_times_test.cpp
@@ -138,3 +138,26 @@
   CHECK_EQUAL(2, times.droppable_revision("g.", at(61'001)));
   CHECK_EQUAL(3, times.droppable_revision("g.", at(62'001)));
 }
+
+// A value that a round has found, but that was never chosen, has a put under a number that another put gets
+// much later. That one's age begins when it is seen itself.
+TEST(CoordinationPutTimes, AgeOfAPutThatWasNeverChosenIsNotAnothers) {
+  times.observe(with_puts(1, "a"), at(0));
+  times.observe(with_puts(1, "aX"), at(1000));
+  times.observe(with_puts(1, "a"), at(2000));
+  times.observe(with_puts(1, "ab"), at(100'000));
+  CHECK_EQUAL(1, times.droppable_revision("g.", at(100'001)));
+  CHECK_EQUAL(2, times.droppable_revision("g.", at(160'001)));
+}
+
+// The same, where nothing was seen in between.
+TEST(CoordinationPutTimes, AgeOfAnotherPutUnderTheSameNumberIsNotTaken) {
+  times.observe(with_puts(1, "a"), at(0));
+  times.observe(with_puts(1, "aX"), at(1000));
+  times.observe(with_puts(1, "ab"), at(100'000));
+  CHECK_EQUAL(1, times.droppable_revision("g.", at(100'001)));
+  times.observe(with_puts(1, "abYZ"), at(101'000));
+  times.observe(with_puts(1, "abcde"), at(200'000));
+  CHECK_EQUAL(2, times.droppable_revision("g.", at(200'001)));
+  CHECK_EQUAL(5, times.droppable_revision("g.", at(260'001)));
+}
