Coordination: its acceptors follow a change of set at once, and a failure to is logged

Cause: after the control state had moved to a new set of acceptors, the coordination register followed with a later tick of the leader. Until then a loss counts against the old set. An alignment that failed left no trace.

Change: the leader aligns as soon as its change of set has been chosen; the tick stays for what fails. A failure is logged as coordination.acceptors_not_changed.

--- a/src/control/control_plane_startup.cpp
+++ b/src/control/control_plane_startup.cpp
@@ -68,7 +68,10 @@
                                          std::to_string(chosen.epoch) + ", map " +
                                          std::to_string(chosen.map_version) + " of " +
                                          std::to_string(chosen.storage_nodes.size()));
-                    if (acceptors_changed) send_gossip();
+                    if (!acceptors_changed) return;
+                    send_gossip();
+                    // Not with the next tick: until then fewer losses are borne than by the control state.
+                    coordination_.align_acceptors(register_.epoch_value());
                   }),
       sessions_(timers_, rpc_server_, endpoint_list_.table()) {}
 
--- a/src/control/coordination/coordination_service.cpp
+++ b/src/control/coordination/coordination_service.cpp
@@ -161,7 +161,8 @@
       alignment_timeout,
       [this](const absl::StatusOr<RegisterValue>& chosen) {
         is_aligning_ = false;
-        if (!chosen.ok()) return;
+        if (!chosen.ok())
+          return common::log_warning("coordination.acceptors_not_changed", chosen.status().ToString());
         common::log_info("coordination.acceptors", "epoch " + std::to_string(chosen->epoch) + ", number " +
                                                        std::to_string(chosen->number));
         announce();
