Coordination: a renewal carried out again is another grant where its time differs

Cause: what a renewal grants may be computed anew, from what is left by then, where its first execution was found but not chosen. A controller that had seen the first one counted the second one from there.

Change: LocalTimes knows a grant by its time too.

--- a/src/control/coordination/local_times.cpp
+++ b/src/control/coordination/local_times.cpp
@@ -21,8 +21,7 @@
 void LocalTimes::observe(const State& state, TimePoint now) {
   for (const auto& [name, lock] : state.locks) {
     KnownGrant& known = grants_[name];
-    if (known.id == lock.grant_id && known.holder == lock.holder) continue;
-    known = {lock.grant_id, lock.holder, now};
+    if (!is_grant(known, lock)) known = {lock.grant_id, lock.holder, lock.hold_ms, now};
   }
   for (const auto& [prefix, group] : state.groups) observe_group(prefix, group, now);
 }
@@ -45,10 +44,13 @@
   while (known.size() > 1 && known.front().revision < oldest) known.pop_front();
 }
 
+bool LocalTimes::is_grant(const KnownGrant& known, const Lock& lock) {
+  return known.id == lock.grant_id && known.holder == lock.holder && known.hold_ms == lock.hold_ms;
+}
+
 std::optional<TimePoint> LocalTimes::known_since(const std::string& name, const Lock& lock) const {
   const auto found = grants_.find(name);
-  const bool is_known =
-      found != grants_.end() && found->second.id == lock.grant_id && found->second.holder == lock.holder;
+  const bool is_known = found != grants_.end() && is_grant(found->second, lock);
   return is_known ? std::optional(found->second.since) : std::nullopt;
 }
 
--- a/src/control/coordination/local_times.hpp
+++ b/src/control/coordination/local_times.hpp
@@ -7,7 +7,8 @@
 ///   comes to know the grant after that. So once the granted time has passed by the controller's steady
 ///   clock since it came to know the grant, the holder's own time has passed too, whichever controller
 ///   granted it, and whether or not this one is the leader. Each grant has an id of its own: a renewal that
-///   this controller has not seen yet is another grant, whose time begins when it is seen.
+///   this controller has not seen yet is another grant, whose time begins when it is seen. So is one that
+///   was found for a time, never chosen, and carried out again for another time.
 /// - *The age of a put.* A watcher that resumes got its revision from some controller at the time of the put
 ///   or later. History is dropped only by a controller that has known the put for `history_retention`, which
 ///   exceeds what watchers are promised by more than a controller that serves watchers can be behind. A put
@@ -49,6 +50,7 @@
   struct KnownGrant {
     std::uint64_t id = 0;
     std::string holder;
+    std::int64_t hold_ms = 0;
     TimePoint since;
   };
   struct KnownRevision {
@@ -57,6 +59,7 @@
     TimePoint since;
   };
   static bool is_in_history(const KnownRevision& known, const KeyGroup& group);
+  static bool is_grant(const KnownGrant& known, const Lock& lock);
   /// Since when the newest grant of the lock is known. Nothing: it has not been observed.
   std::optional<TimePoint> known_since(const std::string& name, const Lock& lock) const;
   void observe_group(const std::string& prefix, const KeyGroup& group, TimePoint now);
--- a/tests/control/coordination/review_test.cpp
+++ b/tests/control/coordination/review_test.cpp
@@ -196,6 +196,24 @@
   CHECK_FALSE(newly_started.has_expired("l", state.locks.at("l"), now + Span::ms(8500)));
 }
 
+// Guards against: a shorter renewal that was found and not chosen lends its beginning to its second
+// execution, whose time was computed anew and is shorter.
+TEST(CoordinationReview, ARenewalCarriedOutAgainDoesNotEndTheHoldThatItRenews) {
+  const Answer taken = carry_out(acquire(1, "a", long_hold));
+  const State chosen = state;
+  pass(Span::ms(1000));
+  carry_out(renew(2, "a", taken.number, short_hold));
+  pass(Span::ms(800));
+  LocalTimes of_other_proposer(history_retention);
+  of_other_proposer.observe(chosen, TimePoint::at_ms(1000));
+  StateMachine other(chosen, of_other_proposer, now);
+  other.apply(renew(2, "a", taken.number, short_hold));
+  state = other.state();
+  times.observe(state, now);
+  pass(Span::ms(7700));  // 9.5 s after the first call, which was for 10 s
+  CHECK(carry_out(acquire(3, "b")).outcome == Outcome::held_by_other);
+}
+
 // A renewal of the same length does not add up with what is left.
 TEST(CoordinationReview, ARenewalCountsFromItself) {
   const Answer taken = carry_out(acquire(1, "a"));
