Coordination: a hold that has ended by the clock of a controller passing a call on has ended

Cause: a proposer that has started anew, thawed or come back from a cut knows every grant only since then. It is the first one by address, so that it serves all, and it kept locks of holders that had died from others for a whole hold more.

Change: a controller that passes on the taking of a lock names the present grant, where that has ended by its own clock; the state machine frees a lock with just this grant. What has ended by one steady clock, counted from when the grant came to be known, has ended for its holder, too.

--- a/src/common/messages/coordination.hpp
+++ b/src/common/messages/coordination.hpp
@@ -73,6 +73,8 @@
   /// The receiver's newest stamp that the sender has received: the call was sent after it.
   std::int64_t echo_incarnation = 0;
   std::int64_t echo_stamp = 0;  ///< of the receiver's steady clock, in microseconds
+  /// Id of a grant of the lock that has ended by the sender's clock; 0: none.
+  std::int64_t expired_grant_id = 0;
   template <class Visitor>
   void each(Visitor& v) {
     v("operation", operation);
@@ -86,6 +88,7 @@
     v("time_left_ms", time_left_ms);
     v("echo_incarnation", echo_incarnation);
     v("echo_stamp", echo_stamp);
+    v("expired_grant_id", expired_grant_id);
   }
 };
 
--- a/src/control/coordination/call.hpp
+++ b/src/control/coordination/call.hpp
@@ -33,6 +33,9 @@
   std::int64_t fence = 0;  ///< fencing token that the holder was given
   Span hold;               ///< for how long the holder wants the lock, from now on
   std::string value;       ///< to be put
+  /// Id of a grant of the lock to be acquired that has ended, by the clock of a controller that this call has
+  /// come through. 0: it knows of none. What has ended by one steady clock has ended for all.
+  std::uint64_t expired_grant_id = 0;
   /// Revision that the key must have; 0: it must not exist yet; any_revision: whatever it has.
   std::int64_t applies_to = 0;
 };
--- a/src/control/coordination/call_messages.cpp
+++ b/src/control/coordination/call_messages.cpp
@@ -12,6 +12,7 @@
   out.hold_ms = static_cast<std::int64_t>(call.hold.as_ms());
   out.value = call.value;
   out.applies_to = call.applies_to;
+  out.expired_grant_id = static_cast<std::int64_t>(call.expired_grant_id);
   out.time_left_ms = static_cast<std::int64_t>(time_left.as_ms());
   return out;
 }
@@ -33,6 +34,7 @@
   out.hold = Span::ms(static_cast<double>(message.hold_ms));
   out.value = message.value;
   out.applies_to = message.applies_to;
+  out.expired_grant_id = static_cast<std::uint64_t>(message.expired_grant_id);
   return out;
 }
 
--- a/src/control/coordination/coordination_service.cpp
+++ b/src/control/coordination/coordination_service.cpp
@@ -217,9 +217,19 @@
   forward(client_call, proposer);
 }
 
+/// The proposer may know the present grant for a shorter time than this controller, as after a start.
+std::uint64_t CoordinationService::find_expired_grant(const Call& call) const {
+  if (call.operation != Operation::acquire_lock || !known_state_) return 0;
+  const auto found = known_state_->locks.find(call.name);
+  if (found == known_state_->locks.end()) return 0;
+  const Lock& lock = found->second;
+  return times_.has_expired(call.name, lock, timers_.now()) ? lock.grant_id : 0;
+}
+
 void CoordinationService::forward(const ClientCallPtr& client_call, const std::string& proposer) {
   const Peer* const peer = find_peer(proposer);
   const Span time_left = client_call->deadline - timers_.now();
+  client_call->call.expired_grant_id = find_expired_grant(client_call->call);
   common::CoordinationCall message = to_message(client_call->call, time_left);
   message.echo_incarnation = peer->last_gossip->incarnation;
   message.echo_stamp = peer->last_gossip->stamp;
--- a/src/control/coordination/coordination_service.hpp
+++ b/src/control/coordination/coordination_service.hpp
@@ -133,6 +133,8 @@
   static void finish(const ClientCallPtr& client_call, Answer answer);
   void on_forwarded_call(std::uint64_t connection_id, std::uint64_t request_id,
                          const common::CoordinationCall& message);
+  /// Id of the present grant of the lock to be acquired, where it has ended by the clock here; else 0.
+  std::uint64_t find_expired_grant(const Call& call) const;
   bool is_able(const std::string& address) const;
   bool was_stalled() const;
   bool is_stale(const common::CoordinationCall& message) const;
--- a/src/control/coordination/state_machine.cpp
+++ b/src/control/coordination/state_machine.cpp
@@ -42,7 +42,9 @@
     return repeated_acquisition(found->second, call);
   if (found != state_.locks.end() && !found->second.holder.empty()) {
     const Lock& held = found->second;
-    const bool is_free = held.holder == call.holder || times_.has_expired(call.name, held, now_);
+    const bool is_known_expired = call.expired_grant_id != 0 && held.grant_id == call.expired_grant_id;
+    const bool has_expired = is_known_expired || times_.has_expired(call.name, held, now_);
+    const bool is_free = held.holder == call.holder || has_expired;
     if (!is_free) return {Outcome::held_by_other, 0, ""};
   }
   Lock& lock = state_.locks[call.name];
--- a/tests/control/coordination/review_test.cpp
+++ b/tests/control/coordination/review_test.cpp
@@ -214,6 +214,28 @@
   CHECK(carry_out(acquire(3, "b")).outcome == Outcome::held_by_other);
 }
 
+// Guards against: a proposer that has started anew, or was cut off, keeps a lock from others for a whole hold
+// more, although the controllers that pass calls on to it know that the hold has ended.
+TEST(CoordinationReview, AHoldThatHasEndedByAnotherControllersClockHasEnded) {
+  carry_out(acquire(1, "a"));
+  LocalTimes newly_started(history_retention);
+  newly_started.observe(state, now);
+  StateMachine machine(state, newly_started, now);
+  Call by_other = acquire(2, "b");
+  CHECK(machine.apply(by_other).outcome == Outcome::held_by_other);
+  by_other.expired_grant_id = 1;
+  CHECK(machine.apply(by_other).outcome == Outcome::done);
+}
+
+// It has ended, and not what its holder was granted since.
+TEST(CoordinationReview, ARenewedHoldHasNotEndedByAnotherControllersClock) {
+  const Answer taken = carry_out(acquire(1, "a"));
+  carry_out(renew(2, "a", taken.number));
+  Call by_other = acquire(3, "b");
+  by_other.expired_grant_id = 1;
+  CHECK(carry_out(by_other).outcome == Outcome::held_by_other);
+}
+
 // A renewal of the same length does not add up with what is left.
 TEST(CoordinationReview, ARenewalCountsFromItself) {
   const Answer taken = carry_out(acquire(1, "a"));
