--- a/src/control/coordination/coordination_service.cpp
+++ b/src/control/coordination/coordination_service.cpp
@@ -239,8 +239,8 @@
 void CoordinationService::forward(const ClientCallPtr& client_call, const std::string& proposer) {
   const Peer* const peer = find_peer(proposer);
   const Span time_left = client_call->deadline - timers_.now();
+  client_call->call.expired_grant_id = expired_grant_of(client_call->call);
   common::CoordinationCall message = to_message(client_call->call, time_left);
-  message.expired_grant_id = static_cast<std::int64_t>(expired_grant_of(client_call->call));
   message.echo_incarnation = peer->last_gossip->incarnation;
   message.echo_stamp = peer->last_gossip->stamp;
   ++forwarded_count_;
--- a/tests/control/coordination/review_test.cpp
+++ b/tests/control/coordination/review_test.cpp
@@ -3,13 +3,17 @@
 #include <string>
 #include <utility>
 
+#include "control/coordination/batch_proposer.hpp"
 #include "control/coordination/local_times.hpp"
 #include "control/coordination/state_machine.hpp"
+#include "simulated_register.hpp"
 #include "unit.hpp"
 
 using chutevane::Span;
 using chutevane::TimePoint;
+using chutevane::control::Register;
 using chutevane::control::coordination::Answer;
+using chutevane::control::coordination::BatchProposer;
 using chutevane::control::coordination::Call;
 using chutevane::control::coordination::Limits;
 using chutevane::control::coordination::LocalTimes;
@@ -17,6 +21,8 @@
 using chutevane::control::coordination::Outcome;
 using chutevane::control::coordination::State;
 using chutevane::control::coordination::StateMachine;
+using chutevane::simulated::AcceptorCluster;
+using chutevane::simulated::SimulatedTransport;
 
 namespace {
 
@@ -64,6 +70,49 @@
 
 }  // namespace
 
+/// One controller that proposes, and the acceptors of its register.
+TEST_GROUP(CoordinationBatches) {
+  static constexpr std::size_t acceptor_count = 3;
+  static constexpr Span client_timeout = Span::ms(900);
+  AcceptorCluster cluster{acceptor_count, 1};
+  SimulatedTransport transport{cluster};
+  Register reg{cluster.clock.later, transport, 1};
+  LocalTimes times{history_retention};
+  BatchProposer proposer{cluster.clock.later, reg, times};
+  std::size_t requests = 0;  // that have come to an acceptor
+  int done = 0;
+
+  void setup() override {
+    reg.observe_epoch(cluster.first_epoch_of(acceptor_count));
+    cluster.on_asked = [this] { ++requests; };
+  }
+  void submit_number() {
+    Call call;
+    call.operation = Operation::next_number;
+    call.name = "n";
+    proposer.submit(call, cluster.clock.system.now() + client_timeout, [this](const Answer& answer) {
+      if (answer.outcome == Outcome::done) ++done;
+    });
+  }
+  /// Until so many calls are done, and all messages have arrived.
+  void play_until_done(int count) {
+    CHECK(cluster.clock.play(client_timeout, [&] { return done == count; }));
+    cluster.clock.play(Span::ms(100));
+  }
+};
+
+// Guards against: a batch that had waited for the one before it began by a read, although it changes the
+// state: a round more for each batch under load.
+TEST(CoordinationBatches, ABatchThatHasWaitedProposesAtOnce) {
+  submit_number();
+  play_until_done(1);
+  requests = 0;
+  submit_number();
+  submit_number();  // waits for the first one's batch
+  play_until_done(3);
+  LONGS_EQUAL(2 * 2 * acceptor_count, requests);  // two batches of two rounds
+}
+
 /// One controller, which has every call carried out on the newest state at its own time.
 TEST_GROUP(CoordinationReview) {
   LocalTimes times{history_retention};
@@ -147,6 +196,46 @@
   CHECK_FALSE(newly_started.has_expired("l", state.locks.at("l"), now + Span::ms(8500)));
 }
 
+// Guards against: a shorter renewal that was found and not chosen lends its beginning to its second
+// execution, whose time was computed anew and is shorter.
+TEST(CoordinationReview, ARenewalCarriedOutAgainDoesNotEndTheHoldThatItRenews) {
+  const Answer taken = carry_out(acquire(1, "a", long_hold));
+  const State chosen = state;
+  pass(Span::ms(1000));
+  carry_out(renew(2, "a", taken.number, short_hold));
+  pass(Span::ms(800));
+  LocalTimes of_other_proposer(history_retention);
+  of_other_proposer.observe(chosen, TimePoint::at_ms(1000));
+  StateMachine other(chosen, of_other_proposer, now);
+  other.apply(renew(2, "a", taken.number, short_hold));
+  state = other.state();
+  times.observe(state, now);
+  pass(Span::ms(7700));  // 9.5 s after the first call, which was for 10 s
+  CHECK(carry_out(acquire(3, "b")).outcome == Outcome::held_by_other);
+}
+
+// Guards against: a proposer that has started anew, or was cut off, keeps a lock from others for a whole hold
+// more, although the controllers that pass calls on to it know that the hold has ended.
+TEST(CoordinationReview, AHoldThatHasEndedByAnotherControllersClockHasEnded) {
+  carry_out(acquire(1, "a"));
+  LocalTimes newly_started(history_retention);
+  newly_started.observe(state, now);
+  StateMachine machine(state, newly_started, now);
+  Call by_other = acquire(2, "b");
+  CHECK(machine.apply(by_other).outcome == Outcome::held_by_other);
+  by_other.expired_grant_id = 1;
+  CHECK(machine.apply(by_other).outcome == Outcome::done);
+}
+
+// It has ended, and not what its holder was granted since.
+TEST(CoordinationReview, ARenewedHoldHasNotEndedByAnotherControllersClock) {
+  const Answer taken = carry_out(acquire(1, "a"));
+  carry_out(renew(2, "a", taken.number));
+  Call by_other = acquire(3, "b");
+  by_other.expired_grant_id = 1;
+  CHECK(carry_out(by_other).outcome == Outcome::held_by_other);
+}
+
 // A renewal of the same length does not add up with what is left.
 TEST(CoordinationReview, ARenewalCountsFromItself) {
   const Answer taken = carry_out(acquire(1, "a"));
