--- a/src/control/control_plane_startup.cpp
+++ b/src/control/control_plane_startup.cpp
@@ -7,6 +7,7 @@
 #include "common/log.hpp"
 #include "control/control_plane.hpp"
 #include "control/control_timing.hpp"
+#include "control/coordination/coordination_status.hpp"
 #include "control/value_notification.hpp"
 
 namespace chutevane::control {
@@ -85,6 +86,8 @@
 void ControlPlane::serve(const http::Parser& request, common::HttpServer::Reply reply) {
   if (coordination::is_coordination_target(request.target())) {
     coordination_api_.serve(request, reply);
+  } else if (coordination::is_status_target(request.target())) {
+    coordination_api_.serve_status(request, settings_.node, reply);
   } else {
     operator_api_.serve(request, std::move(reply));
   }
--- a/src/control/coordination/coordination_api.cpp
+++ b/src/control/coordination/coordination_api.cpp
@@ -4,6 +4,7 @@
 
 #include <utility>
 
+#include "control/coordination/coordination_status.hpp"
 #include "json/value.hpp"
 
 namespace chutevane::control::coordination {
@@ -116,6 +117,23 @@
   });
 }
 
+void CoordinationApi::serve_status(const http::Parser& request, const std::string& node,
+                                   const HttpServer::Reply& reply) const {
+  if (request.method() != "GET") return reply(error_response(405, "no such method for this target"));
+  const Register& reg = service_.state_register();
+  CoordinationStatus status;
+  status.node = node;
+  status.proposer = service_.current_proposer();
+  status.is_available = service_.is_available();
+  status.queue_length = service_.queue_length();
+  status.watcher_count = watch_hub_.size();
+  status.epoch = reg.epoch_value();
+  status.known_number = reg.known_value() ? reg.known_value()->number : 0;
+  status.state_bytes = reg.known_value() ? reg.known_value()->config.data.size() : 0;
+  status.known_state = service_.known_state();
+  reply({200, coordination_status_json(status), {}});
+}
+
 void CoordinationApi::tick() {
   if (!service_.is_available()) watch_hub_.release_all(unavailable_response());
 }
--- a/src/control/coordination/coordination_api.hpp
+++ b/src/control/coordination/coordination_api.hpp
@@ -32,6 +32,9 @@
 
   /// Answers one request: at once or later, exactly once. Its target must be one of this service's.
   void serve(const http::Parser& request, const common::HttpServer::Reply& reply);
+  /// Answers `Coordination.Retrieve` from what is known here. `node`: the name of this controller.
+  void serve_status(const http::Parser& request, const std::string& node,
+                    const common::HttpServer::Reply& reply) const;
   /// To be called with each tick: watchers are sent away where the state known here may be old.
   void tick();
   /// The controller shuts down: watchers go elsewhere, new ones are refused.
--- a/src/ctl/command_line.cpp
+++ b/src/ctl/command_line.cpp
@@ -14,11 +14,13 @@
 constexpr double max_timeout_s = 86400;   // a day: more is a mistake
 constexpr std::size_t max_control_addresses = 1000;
 
-constexpr std::array<CommandSpec, 14> specs = {{
+constexpr std::array<CommandSpec, 15> specs = {{
     {Command::status, "status", "", "", true, "what one control sidecar knows: register, machines, duties"},
     {Command::members, "members", "", "", true,
      "the sidecars with a session, and what each has acknowledged"},
     {Command::duties, "duties", "", "", true, "asks every control sidecar named which duties it holds"},
+    {Command::coordination, "coordination", "", " all ", true,
+     "locks, elections, numbers and groups of keys, as one control sidecar knows them"},
     {Command::config_get, "config get", "", " output ", true, "the configuration in force, as it was sent"},
     {Command::config_check, "config check", "FILE", "", false,
      "reads FILE and names all that is wrong; offline"},
@@ -55,6 +57,7 @@
       "N");
   add("deadline-s", "retire start: seconds it should take", cxxopts::value<double>(), "N");
   add("wait", "retire state: ask until it is completed");
+  add("all", "coordination: ask every control sidecar named, and compare");
   add("program", "turns: of this program alone", cxxopts::value<std::string>(), "ID");
   add("version", "print the version");
   add("h,help", "print this");
@@ -140,6 +143,7 @@
 absl::Status parse_options(const cxxopts::ParseResult& given, CommandLine& into) {
   into.json = given.count("json") > 0;
   into.wait = given.count("wait") > 0;
+  into.all = given.count("all") > 0;
   const auto timeout_s = given["timeout"].as<double>();
   if (!(timeout_s > 0) || !(timeout_s <= max_timeout_s))
     return usage_error("--timeout: not above 0 and up to 86400 s");
@@ -252,8 +256,8 @@
          "  COMPREPLY=()\n"
          "  case $at in\n"
          "    -*)\n"
-         "      words=\"--control --timeout --json --output --base --deadline-s --wait --program --version "
-         "--help\"\n"
+         "      words=\"--control --timeout --json --output --base --deadline-s --wait --all --program "
+         "--version --help\"\n"
          "      COMPREPLY=($(compgen -W \"$words\" -- \"$at\"))\n"
          "      return ;;\n"
          "  esac\n"
--- a/src/ctl/command_line.hpp
+++ b/src/ctl/command_line.hpp
@@ -18,6 +18,7 @@
   status,
   members,
   duties,
+  coordination,
   config_get,
   config_check,
   config_put,
@@ -50,6 +51,7 @@
   Span timeout;                                ///< for the whole command
   bool json = false;
   bool wait = false;
+  bool all = false;
   bool help = false;
   bool version = false;
   std::string output;   ///< a file; empty: standard output
--- a/src/ctl/commands.hpp
+++ b/src/ctl/commands.hpp
@@ -11,6 +11,9 @@
 ExitCode list_members(CommandContext& context);
 ExitCode list_roles(CommandContext& context);
 
+// coordination_commands.cpp
+ExitCode show_coordination(CommandContext& context);
+
 // configuration_commands.cpp
 ExitCode get_configuration(CommandContext& context);
 ExitCode check_configuration(CommandContext& context);
--- a/src/ctl/run.cpp
+++ b/src/ctl/run.cpp
@@ -23,6 +23,7 @@
     case Command::status: return show_status(context);
     case Command::members: return list_members(context);
     case Command::duties: return list_roles(context);
+    case Command::coordination: return show_coordination(context);
     case Command::config_get: return get_configuration(context);
     case Command::config_check: return check_configuration(context);
     case Command::config_put: return put_configuration(context);
