Tier simulation: applications that call for locks, numbers, keys and watches

Cause: the failure LOST: no simulated run had clients of the coordination service, so faults met it unseen. Change: coordination_client(s).*: holders with short and long holds that die or sleep beyond their time, numbers, puts sent again, reads, watchers that resume; at the end all is asked for again. Plan::coordination switches it on; scenario coordination: five controllers, two losses, faults in series and overlapping, power lost everywhere at the end in part of the seeds, historyS of 4 s in part. Draws of the other scenarios are unchanged.

--- a/src/tier_simulation/deployment.cpp
+++ b/src/tier_simulation/deployment.cpp
@@ -56,6 +56,7 @@
   out.seeds = seeds_;
   out.loss_counted = role != Role::edge;
   out.machine_losses = shape_.tolerated_losses;
+  out.history = shape_.history;
   if (role == Role::control) out.control = at;
   if (shape_.has_platform) {
     out.platform = platform_address;
--- a/src/tier_simulation/deployment.hpp
+++ b/src/tier_simulation/deployment.hpp
@@ -38,6 +38,7 @@
   /// Of an edge, 10^6 bytes. A fifth of it caches turns: a few chains, so that turns of other edges are asked
   /// of storage.
   double edge_memory_mb = 0.1;
+  Span history = Span::ms(20000);  ///< for how long watchers of keys may resume from a revision
 };
 
 class Deployment {
--- a/src/tier_simulation/main.cpp
+++ b/src/tier_simulation/main.cpp
@@ -16,7 +16,7 @@
   std::printf(
       "%s: %llu seeds, %zu broken; orders %llu, acknowledged %llu, refused %llu, reads %llu, pushes %llu, "
       "turns found %llu, samples in touch %llu, reads that had to be answered %llu, turns "
-      "completed %llu\n",
+      "completed %llu, calls for coordination %llu\n",
       scenario.c_str(), static_cast<unsigned long long>(report.seeds), report.broken.size(),
       static_cast<unsigned long long>(report.submissions),
       static_cast<unsigned long long>(report.acknowledged), static_cast<unsigned long long>(report.rejected),
@@ -24,7 +24,8 @@
       static_cast<unsigned long long>(report.turns_found),
       static_cast<unsigned long long>(report.checked_samples),
       static_cast<unsigned long long>(report.liveness_reads),
-      static_cast<unsigned long long>(report.turns_completed));
+      static_cast<unsigned long long>(report.turns_completed),
+      static_cast<unsigned long long>(report.coordination_calls));
   std::printf("faults:");
   for (std::size_t i = 0; i < fault_kinds; ++i) {
     if (report.faults[i] > 0)
--- a/src/tier_simulation/plan.hpp
+++ b/src/tier_simulation/plan.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "tier_simulation/agent_programs.hpp"
+#include "tier_simulation/coordination_client.hpp"
 #include "tier_simulation/deployment.hpp"
 #include "tier_simulation/fault.hpp"
 #include "tier_simulation/operators.hpp"
@@ -23,6 +24,7 @@
   OperatorLoad operators;
   ProgramLoad programs;
   TrafficLoad traffic;
+  CoordinationLoad coordination;
   Span active_duration = Span::ms(30000);  ///< then there are no more faults and submissions
   Span quiet_duration = Span::ms(12000);   ///< within it the tier has to recover
   std::vector<Fault> faults;               ///< by time
--- a/src/tier_simulation/run.cpp
+++ b/src/tier_simulation/run.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "common/log.hpp"
+#include "tier_simulation/coordination_clients.hpp"
 #include "tier_simulation/fault_injector.hpp"
 #include "tier_simulation/planned_maintenance.hpp"
 #include "tier_simulation/random.hpp"
@@ -13,6 +14,7 @@
 namespace {
 
 constexpr Span clients_start_at = Span::ms(600);
+constexpr Span coordination_starts_at = Span::ms(1500);
 constexpr Span traffic_starts_at = Span::ms(2000);
 constexpr Span continuation_time = Span::ms(14000);  // a client asks again for as long as recovery may take
 constexpr Span sample_interval = Span::ms(200);
@@ -54,6 +56,12 @@
         log_(simulator_, fault_injector_) {
     if (plan.traffic.is_on)
       traffic_ = std::make_unique<Traffic>(deployment_, checker_, plan.traffic, seed + 3);
+    if (plan.coordination.is_on) {
+      coordination_ = std::make_unique<CoordinationClients>(
+          deployment_, http_client_, plan.coordination, plan.shape.history,
+          [this](const std::string& rule, const std::string& text) { checker_.report_violation(rule, text); },
+          seed + 4);
+    }
     if (plan.losses_overlap) checker_.suspend_availability_rules();
     deployment_.on_value = [this](Machine& m, const common::RegisterValue& value) {
       simulator_.trace().record(simulator_.now(), "%s has version %lld, number %lld", m.name().c_str(),
@@ -84,6 +92,7 @@
     for (const auto& one : operators_) one->stop();
     agent_programs_.stop();
     if (traffic_) traffic_->stop();
+    if (coordination_) coordination_->stop();
     planned_maintenance_.stop();
     fault_injector_.stop();
     if (traffic_) traffic_->set_platform_fault(lab::tier::ListFault::none);
@@ -94,6 +103,7 @@
     if (final_reads_ < deployment_.machines_of(Role::control).size())
       checker_.report_violation("no-read", "not all control machines answer a read at the end");
     agent_programs_.finish();
+    finish_coordination();
     finish_traffic();
     checker_.finish();
     return result();
@@ -116,6 +126,7 @@
                                                   fault_injector_.preferred_machine(), draw_bits(random_)));
       simulator_.run_after(clients_start_at, [at = readers_.back().get()] { at->begin(); });
     }
+    if (coordination_) simulator_.run_after(coordination_starts_at, [this] { coordination_->begin(); });
     simulator_.run_after(clients_start_at, [this] {
       agent_programs_.begin();
       session_observers_.begin();
@@ -159,6 +170,14 @@
     return {};
   }
 
+  void finish_coordination() {
+    if (!coordination_) return;
+    coordination_->ask_for_all();
+    simulator_.schedule_ready_processes();
+    run_for(max_final_duration);
+    coordination_->finish();
+  }
+
   void finish_traffic() {
     if (!traffic_) return;
     traffic_->continue_old_conversations();
@@ -202,6 +221,7 @@
     out.checked_samples = checker_.checked_samples();
     out.liveness_reads = read_liveness_.checked_reads();
     out.turns_completed = traffic_ ? traffic_->turns_completed() : 0;
+    out.coordination_calls = coordination_ ? coordination_->answered() : 0;
     out.turns_found = agent_programs_.turns_found();
     out.faults = fault_injector_.injected_counts();
     out.events = simulator_.events();
@@ -220,7 +240,8 @@
   PlannedMaintenance planned_maintenance_;
   AgentPrograms agent_programs_;
   LogTracer log_;
-  std::unique_ptr<Traffic> traffic_;  // null: the plan has none
+  std::unique_ptr<Traffic> traffic_;                   // null: the plan has none
+  std::unique_ptr<CoordinationClients> coordination_;  // null: the plan has none
   std::vector<std::unique_ptr<Operator>> operators_;
   std::vector<std::unique_ptr<Reader>> readers_;
   std::size_t final_reads_ = 0;
--- a/src/tier_simulation/run.hpp
+++ b/src/tier_simulation/run.hpp
@@ -15,9 +15,10 @@
   std::vector<Violation> violations;
   /// Counts that show whether a scenario brings about what it is for.
   std::size_t submissions = 0, acknowledged = 0, rejected = 0, reads = 0, pushes = 0, turns_found = 0;
-  std::size_t checked_samples = 0;  ///< of edges in contact, for which promises bound by time were checked
-  std::size_t turns_completed = 0;  ///< through the edges, at clients
-  std::size_t liveness_reads = 0;   ///< that had to be answered, as a majority was in contact
+  std::size_t checked_samples = 0;     ///< of edges in contact, for which promises bound by time were checked
+  std::size_t turns_completed = 0;     ///< through the edges, at clients
+  std::size_t coordination_calls = 0;  ///< with a clear answer
+  std::size_t liveness_reads = 0;      ///< that had to be answered, as a majority was in contact
   std::array<std::size_t, fault_kinds> faults{};  ///< by kind
   std::uint64_t events = 0;
   [[nodiscard]] bool is_broken() const { return !violations.empty(); }
--- a/src/tier_simulation/scenarios.cpp
+++ b/src/tier_simulation/scenarios.cpp
@@ -72,10 +72,10 @@
 // Counted losses, one after the other: the next comes once the machine before has caught up, at times to the
 // millisecond.
 void add_counted_losses(RandomGenerator& random, Plan& plan, std::initializer_list<FaultKind> kinds,
-                        Span max_duration) {
+                        Span max_duration, double control_probability = 0.6) {
   Span at = first_fault_at + random.uniform(0, 3000);
   while (at < plan.active_duration) {
-    const Role role = random.happens(0.6) ? Role::control : Role::storage;
+    const Role role = random.happens(control_probability) ? Role::control : Role::storage;
     Fault fault = draw_fault(random, random.choose(kinds), role, plan.shape);
     fault.at = at;
     fault.duration = std::min(fault.duration, max_duration);
@@ -238,36 +238,34 @@
   return out;
 }
 
-Plan everything(RandomGenerator& random) {
-  Plan out = draw_base_plan(random);
-  out.programs.programs = 2;
-  out.active_duration = random.uniform(20000, 32000);
+void add_losses_of_all_kinds(RandomGenerator& random, Plan& out, double control_probability) {
   for (std::size_t slot = 0; slot < out.shape.tolerated_losses; ++slot)
     add_counted_losses(random, out,
                        {FaultKind::cut_off, FaultKind::cut_off, FaultKind::freeze, FaultKind::kill,
                         FaultKind::power_loss, FaultKind::wipe, FaultKind::replace, FaultKind::terminate,
                         FaultKind::disk_slow, FaultKind::disk_full, FaultKind::disk_failing},
-                       Span::ms(8000));
+                       Span::ms(8000), control_probability);
   add_uncounted_faults(random, out, random.below(8));
+}
+
+Plan everything(RandomGenerator& random) {
+  Plan out = draw_base_plan(random);
+  out.programs.programs = 2;
+  out.active_duration = random.uniform(20000, 32000);
+  add_losses_of_all_kinds(random, out, 0.6);
   add_total_outage(random, out, 0.4);
   add_total_outage(random, out, 0.2);
   return out;
 }
 
-// 5. Losses that overlap: several machines are frozen, partitioned or down while another loses its disk, or
-// the core is split in two. No more disks are lost than the tier tolerates. Edges are killed, and lose their
-// caches.
-Plan overlapping_losses(RandomGenerator& random) {
-  Plan out = draw_base_plan(random);
+// Several machines are frozen, partitioned or down while another loses its disk, or the core is split in two.
+// No more disks are lost than the tier tolerates.
+void add_overlapping_losses(RandomGenerator& random, Plan& out, double storage_probability) {
   out.losses_overlap = true;
-  out.programs.programs = 2;
-  out.active_duration = Span::ms(26000);
-  if (random.happens(0.7))
-    out.shape.storages = std::max<std::size_t>(out.shape.storages, 2 * out.shape.tolerated_losses + 2);
   std::size_t disks_left = out.shape.tolerated_losses;
   Span at = first_fault_at + random.uniform(0, 4000);
   while (at < out.active_duration) {
-    const Role role = random.happens(0.7) ? Role::storage : Role::control;
+    const Role role = random.happens(storage_probability) ? Role::storage : Role::control;
     const std::size_t machines = role == Role::storage ? out.shape.storages : out.shape.controls;
     const std::size_t first_place = random.below(machines);
     for (std::size_t i = 0; i < 2 + random.below(machines - 1); ++i) {
@@ -294,6 +292,16 @@
     }
     at = at + random.uniform(3000, 14000);
   }
+}
+
+// 5. Losses that overlap. Edges are killed, and lose their caches.
+Plan overlapping_losses(RandomGenerator& random) {
+  Plan out = draw_base_plan(random);
+  out.programs.programs = 2;
+  out.active_duration = Span::ms(26000);
+  if (random.happens(0.7))
+    out.shape.storages = std::max<std::size_t>(out.shape.storages, 2 * out.shape.tolerated_losses + 2);
+  add_overlapping_losses(random, out, 0.7);
   for (std::size_t i = 2 + random.below(6); i > 0; --i) {
     Fault fault = draw_fault(random, FaultKind::kill, Role::edge, out.shape);
     fault.at = first_fault_at + (out.active_duration - first_fault_at) * random.unit();
@@ -303,6 +311,44 @@
   return out;
 }
 
+// Power is lost everywhere shortly before the last submission.
+void add_final_power_loss(RandomGenerator& random, Plan& out) {
+  Fault fault;
+  fault.kind = FaultKind::power_all;
+  fault.at = out.active_duration - random.log_uniform(1, 1000);
+  fault.duration = random.log_uniform(50, 3000);
+  fault.random_bits = random.bits();
+  const Span caught_up = fault.at + fault.duration + max_restart_delay + catch_up_duration;
+  if (!out.losses_overlap)
+    std::erase_if(out.faults, [&](const Fault& other) {
+      return is_counted_loss(other) && other.at > fault.at && other.at < caught_up;
+    });
+  out.faults.push_back(fault);
+}
+
+// Locks, numbers, keys and watches: five controllers of which two may be lost, with losses in series or
+// overlapping, most of them of controllers. In a part of the seeds history is short, so that it is cut during
+// the run.
+Plan coordination(RandomGenerator& random) {
+  Plan out = draw_base_plan(random);
+  out.shape = {.controls = 5, .storages = 5, .edges = 1, .tolerated_losses = 2};
+  if (random.happens(0.4)) out.shape.history = Span::ms(4000);
+  out.coordination.is_on = true;
+  out.coordination.reply_loss_probability = random.choose({0.0, 0.05, 0.2});
+  out.coordination.max_pause = random.log_uniform(100, 800);
+  out.operators.operators = 2;
+  out.programs.programs = 0;
+  out.active_duration = random.uniform(14000, 24000);
+  if (random.happens(0.5)) {
+    add_losses_of_all_kinds(random, out, 0.9);
+    add_total_outage(random, out, 0.3);
+  } else {
+    add_overlapping_losses(random, out, 0.1);
+  }
+  if (random.happens(0.4)) add_final_power_loss(random, out);
+  return out;
+}
+
 // Clients, endpoints and the platform as well, without faults.
 Plan calm_traffic(RandomGenerator& random) {
   Plan out = draw_base_plan(random);
@@ -382,6 +428,7 @@
                                       {"many-changes", many_changes},
                                       {"everything", everything},
                                       {"overlapping-losses", overlapping_losses},
+                                      {"coordination", coordination},
                                       {"calm-traffic", calm_traffic},
                                       {"endpoint-changes", endpoint_changes},
                                       {"traffic", traffic}};
--- a/src/tier_simulation/search.cpp
+++ b/src/tier_simulation/search.cpp
@@ -31,6 +31,7 @@
   report.checked_samples += result.checked_samples;
   report.liveness_reads += result.liveness_reads;
   report.turns_completed += result.turns_completed;
+  report.coordination_calls += result.coordination_calls;
   for (std::size_t i = 0; i < fault_kinds; ++i) report.faults[i] += result.faults[i];
 }
 
@@ -46,7 +47,7 @@
     std::ostringstream line;
     line << "sum " << one.submissions << ' ' << one.acknowledged << ' ' << one.rejected << ' ' << one.reads
          << ' ' << one.pushes << ' ' << one.turns_found << ' ' << one.checked_samples << ' '
-         << one.liveness_reads << ' ' << one.turns_completed;
+         << one.liveness_reads << ' ' << one.turns_completed << ' ' << one.coordination_calls;
     for (const std::uint64_t n : one.faults) line << ' ' << n;
     write_line(pipe, line.str());
     const auto v = std::find_if(result.violations.begin(), result.violations.end(),
@@ -68,9 +69,9 @@
     last_seeds[of] = seed;
   } else if (what == "sum") {
     ++report.seeds;
-    for (std::uint64_t* sum :
-         {&report.submissions, &report.acknowledged, &report.rejected, &report.reads, &report.pushes,
-          &report.turns_found, &report.checked_samples, &report.liveness_reads, &report.turns_completed}) {
+    for (std::uint64_t* sum : {&report.submissions, &report.acknowledged, &report.rejected, &report.reads,
+                               &report.pushes, &report.turns_found, &report.checked_samples,
+                               &report.liveness_reads, &report.turns_completed, &report.coordination_calls}) {
       std::uint64_t n = 0;
       in >> n;
       *sum += n;
--- a/src/tier_simulation/search.hpp
+++ b/src/tier_simulation/search.hpp
@@ -19,7 +19,8 @@
 
 struct SearchReport {
   std::uint64_t seeds = 0, submissions = 0, acknowledged = 0, rejected = 0, reads = 0, pushes = 0,
-                turns_found = 0, checked_samples = 0, liveness_reads = 0, turns_completed = 0;
+                turns_found = 0, checked_samples = 0, liveness_reads = 0, turns_completed = 0,
+                coordination_calls = 0;
   std::array<std::uint64_t, fault_kinds> faults{};
   std::vector<BrokenSeed> broken;    ///< the first violation of each broken seed, by seed
   std::vector<std::string> crashes;  ///< jobs that ended by a crash, with the seed
--- a/tests/tier_simulation/tier_simulation_test.cpp
+++ b/tests/tier_simulation/tier_simulation_test.cpp
@@ -85,6 +85,27 @@
   EXPECT_GT(disks_lost, plans / 2);
 }
 
+TEST(Plans, WithCoordinationNeverMoreDisksAreLostThanMayBe) {
+  std::size_t overlapping = 0, disks_lost = 0, without_power_at_the_end = 0;
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    const Plan plan = make_plan("coordination", seed);
+    const auto lost = std::count_if(plan.faults.begin(), plan.faults.end(), [](const Fault& fault) {
+      return fault.kind == FaultKind::wipe || fault.kind == FaultKind::replace;
+    });
+    const bool is_at_the_end = std::any_of(plan.faults.begin(), plan.faults.end(), [&](const Fault& fault) {
+      return fault.kind == FaultKind::power_all && fault.at + Span::ms(1000) >= plan.active_duration;
+    });
+    without_power_at_the_end += is_at_the_end ? 1 : 0;
+    if (!plan.losses_overlap) continue;  // one behind the other, as many as there are
+    ASSERT_LE(static_cast<std::size_t>(lost), plan.shape.tolerated_losses) << "seed " << seed;
+    ++overlapping;
+    disks_lost += static_cast<std::size_t>(lost);
+  }
+  EXPECT_GT(overlapping, 100U);
+  EXPECT_GT(disks_lost, overlapping / 2);
+  EXPECT_GT(without_power_at_the_end, 60U);
+}
+
 TEST(Plans, NoScenarioOfThatName) { EXPECT_THROW(make_plan("nothing", 1), std::invalid_argument); }
 
 // ---- it finds what breaks, and tells why in few faults
@@ -154,6 +175,25 @@
   }
 }
 
+// ---- applications that call for coordination
+
+TEST(Coordination, IsServedInARunWithoutFaults) {
+  Plan plan;
+  plan.coordination.is_on = true;
+  plan.active_duration = Span::ms(8000);
+  EXPECT_GT(expect_all_promises_kept(plan, 1).coordination_calls, 200U);
+}
+
+// Two of three controllers lose their disks at once: what was acknowledged is gone, and the clients see it.
+TEST(Coordination, FindsALossBeyondTheTolerance) {
+  Plan plan = beyond_tolerance();
+  plan.coordination.is_on = true;
+  network_simulation::Trace off;
+  const RunResult outcome = simulate(plan, 1, off);
+  EXPECT_TRUE(std::any_of(outcome.violations.begin(), outcome.violations.end(),
+                          [](const Violation& v) { return v.rule == "coordination-lost"; }));
+}
+
 // ---- found by a search
 
 // A set of acceptors was planned before one of them had opened for the first time: that one never voted, and
@@ -199,7 +239,8 @@
                          testing::Values(Seeds{"cut-off-control", 40}, Seeds{"two-operators", 12},
                                          Seeds{"second-loss", 20}, Seeds{"planned-work", 12},
                                          Seeds{"many-changes", 10}, Seeds{"everything", 30},
-                                         Seeds{"overlapping-losses", 20}, Seeds{"traffic", 16}),
+                                         Seeds{"overlapping-losses", 20}, Seeds{"coordination", 12},
+                                         Seeds{"traffic", 16}),
                          [](const testing::TestParamInfo<Seeds>& seeds) {
                            std::string name = seeds.param.scenario;
                            std::replace(name.begin(), name.end(), '-', '_');
