Lab: applications' calls for locks, numbers, keys and watches in tier and soak, judged

Cause: real processes had no callers of the coordination calls; what they do through signals, restarts and cut connections was not seen.

--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -328,6 +328,8 @@
   spec.programs = tier_programs(given);
   if (given.count("seed") > 0) spec.seed = given["seed"].as<std::uint64_t>();
   if (given.count("seconds") > 0) spec.seconds = given["seconds"].as<double>();
+  spec.coordination_calls_per_s = given["calls"].as<double>();
+  spec.has_faults = given.count("quiet") == 0;
   tier::Fleet fleet(spec);
   running_tier = &fleet;
   const tier::FleetResult r = fleet.run();
@@ -340,21 +342,21 @@
 
 // One seed in this process, where `--seed` names it; else a process for each of `--seeds A..B`.
 int soak_command(const cxxopts::ParseResult& given) {
-  const double seconds = given.count("seconds") > 0 ? given["seconds"].as<double>() : 10;
   const std::string folder = fs::absolute(given["out"].as<std::string>()).string();
   fs::create_directories(folder);
+  tier::SoakSpec spec;
+  spec.lab = fs::read_symlink("/proc/self/exe").string();
+  spec.programs = tier_programs(given);
+  spec.folder = folder;
+  if (given.count("seconds") > 0) spec.seconds = given["seconds"].as<double>();
+  spec.calls_per_s = given["calls"].as<double>();
   if (given.count("seed") > 0) {
     const auto seed = given["seed"].as<std::uint64_t>();
-    const tier::FleetResult r = tier::play_seed(seed, seconds, tier_programs(given), folder, running_tier);
+    const tier::FleetResult r = tier::play_seed(seed, spec, folder, running_tier);
     std::printf("%sfolder: %s\n", tier::table_of(r).c_str(), folder.c_str());
     if (!r.started || r.stopped) return failed;
     return r.broken() ? rule_broken : all_well;
   }
-  tier::SoakSpec spec;
-  spec.lab = fs::read_symlink("/proc/self/exe").string();
-  spec.programs = tier_programs(given);
-  spec.folder = folder;
-  spec.seconds = seconds;
   spec.jobs = given["jobs"].as<std::size_t>();
   const std::string seeds = given["seeds"].as<std::string>();
   const std::size_t dots = seeds.find("..");
@@ -410,6 +412,9 @@
   add("jobs", "soak: seeds at once", cxxopts::value<std::size_t>()->default_value("2"));
   add("programs", "tier, soak: the folder of the serving tier's programs; else that of this one",
       cxxopts::value<std::string>());
+  add("calls", "tier, soak: for locks, numbers, keys and watches, a second, about",
+      cxxopts::value<double>()->default_value("30"));
+  add("quiet", "tier: without faults");
   add("listen", "stand-in: the first endpoint's address", cxxopts::value<std::string>());
   add("discovery", "stand-in: discovery's address", cxxopts::value<std::string>());
   add("h,help", "this text");
--- a/src/lab/tier/fleet.cpp
+++ b/src/lab/tier/fleet.cpp
@@ -1,6 +1,7 @@
 #include "lab/tier/fleet.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -30,6 +31,10 @@
 constexpr double tail_s = 4;                // of the seconds: what follows the load
 constexpr Span figures_most = Span::ms(5000), figures_again = Span::ms(50),
                figures_answer_most = Span::ms(500);
+constexpr Span history = Span::ms(4000);  // historyS: short, so that puts are dropped amid a run
+constexpr Span coordination_end_most =
+    Span::ms(12000);                           // for all calls at the end, holds before them included
+constexpr double coordination_sets_most = 10;  // more calls than theirs come from the same callers
 constexpr std::size_t heirs_most = 100;
 constexpr double trouble_part = 0.01;  // of what endpoints run: it must not be run again, nor look whole
 
@@ -47,15 +52,28 @@
   out.list = list;
   out.list_rate = list_rate;
   out.drain = drain;
+  out.history = history;
   out.relayed = spec.story.has_value();
   return out;
 }
 
+CoordinationLoad::Spec coordination_spec(const FleetSpec& spec) {
+  CoordinationLoad::Spec out;
+  out.seed = spec.seed;
+  const double sets = std::ceil(spec.coordination_calls_per_s / coordination_calls_per_set);
+  out.sets = static_cast<std::size_t>(std::min(sets, coordination_sets_most));
+  out.pace = std::max(sets / coordination_sets_most, 1.0);
+  out.history = history;
+  return out;
+}
+
 }  // namespace
 
-// What fails a run: every count of the auditor.
+// What fails a run: every count of the auditors.
 bool FleetResult::broken() const {
-  return !started || std::any_of(counts.begin(), counts.end(), [](std::uint64_t n) { return n > 0; });
+  const auto is_found = [](std::uint64_t n) { return n > 0; };
+  return !started || std::any_of(counts.begin(), counts.end(), is_found) ||
+         std::any_of(coordination_counts.begin(), coordination_counts.end(), is_found);
 }
 
 Fleet::Fleet(const FleetSpec& spec)
@@ -103,6 +121,8 @@
     load.misbehavior = spec_.story->misbehavior;
     load.judge_given_up = false;  // clients wait on machines that stand still, and some leave
   }
+  coordination_ =
+      std::make_unique<CoordinationLoad>(lines_, timers_, operators_see, coordination_spec(spec_));
   load_ = std::make_unique<Load>(scheduler_, timers_, lines_, front_, auditor_, load);
 }
 
@@ -309,11 +329,12 @@
   const TimePoint start = timers_.now();
   delays_ = std::make_unique<OwnDelays>(timers_, (fs::path(spec_.folder) / "sync.own").string());
   load_->begin();
+  coordination_->begin();
   if (spec_.story) {
     play_story(start);
   } else {
     const Span lasts = Span::ms(std::max(spec_.seconds - tail_s, 1.0) * 1000);
-    plan(start, lasts);
+    if (spec_.has_faults) plan(start, lasts);
     wait(lasts, [] { return false; });
   }
   load_->stop();
@@ -334,6 +355,7 @@
   bool read = false;
   operator_->read_back(read_back_most, [&read] { read = true; });
   wait(read_back_most + Span::ms(3000), [&read] { return read; });
+  end_coordination();
   judge_invariants();
   delays_->stop();
   result.lateness_ms = delays_->lateness_ms();
@@ -341,6 +363,17 @@
   judge_faults(result, start, timers_.now());
 }
 
+// All processes are back: what was acknowledged is there, and answers come in time.
+void Fleet::end_coordination() {
+  coordination_->stop();
+  wait(coordination_end_most, [this] { return coordination_->is_idle(); });
+  if (told_to_stop_) return;
+  bool is_over = false;
+  coordination_->read_back([&is_over] { is_over = true; });
+  wait(coordination_end_most, [&is_over] { return is_over; });
+  coordination_->finish();
+}
+
 // Each process tells its figures, one that has just been started once it is up; none has violated an
 // invariant.
 void Fleet::judge_invariants() {
@@ -402,6 +435,10 @@
   for (std::size_t i = 0; i < rule_count; ++i) result.counts[i] = auditor_.count(static_cast<Rule>(i));
   result.violations = auditor_.violations();
   result.excused = auditor_.excused();
+  result.coordination = coordination_->figures();
+  for (std::size_t i = 0; i < coordination_rules; ++i)
+    result.coordination_counts[i] = coordination_->auditor().count(static_cast<CoordinationRule>(i));
+  result.coordination_violations = coordination_->auditor().violations();
   result.change_ms = change_ms_;
   result.force_ms = force_ms_;
   result.operator_calls = operator_->sent();
--- a/src/lab/tier/fleet.hpp
+++ b/src/lab/tier/fleet.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "lab/loopback.hpp"
+#include "lab/tier/coordination_load.hpp"
 #include "lab/tier/endpoint_set.hpp"
 #include "lab/tier/fault_player.hpp"
 #include "lab/tier/link_relays.hpp"
@@ -26,6 +27,8 @@
   std::uint64_t seed = 1;
   double seconds = 20;  // of load, with what follows it
   double programs_per_s = 12;
+  double coordination_calls_per_s = 30;  // about; 0: none
+  bool has_faults = true;                // the stated ones
   // Played in place of the stated faults; `seconds` is then of load alone.
   std::optional<FaultPlan> story;
 };
@@ -64,7 +67,10 @@
                 list_over_rate = 0, turned_away = 0, troubles = 0;
   std::array<std::uint64_t, fault_kinds> played{};  // of a story
   std::uint64_t excused = 0;                        // misses of service amid a story's troubles
-  double resident_mb = 0;                           // of all processes, each at its most
+  CoordinationFigures coordination;
+  std::array<std::uint64_t, coordination_rules> coordination_counts{};
+  std::vector<CoordinationViolation> coordination_violations;
+  double resident_mb = 0;  // of all processes, each at its most
   bool broken() const;
 };
 
@@ -94,6 +100,7 @@
   void restart_edges();
   void collect(FleetResult& result);
   void judge_invariants();
+  void end_coordination();
   struct FiguresDue {
     TimePoint until;
     std::set<const Machine*> open;  // that have not told theirs
@@ -119,6 +126,7 @@
   std::unique_ptr<OperatorStandIn> operator_;
   std::unique_ptr<FaultPlayer> fault_player_;
   std::unique_ptr<Load> load_;
+  std::unique_ptr<CoordinationLoad> coordination_;
   std::unique_ptr<OwnDelays> delays_;
   std::vector<FaultRecord> faults_;
   std::vector<double> change_ms_, force_ms_;
--- a/src/lab/tier/fleet_report.cpp
+++ b/src/lab/tier/fleet_report.cpp
@@ -3,6 +3,7 @@
 #include <cstdio>
 #include <nlohmann/json.hpp>
 
+#include "lab/tier/coordination_report.hpp"
 #include "lab/tier/fleet.hpp"
 
 namespace chutevane::lab::tier {
@@ -75,12 +76,18 @@
               filled("%.1f, %.1f ms", quantile(r.lateness_ms, 0.99), most(r.lateness_ms)));
   out += line("this disk's sync, p50, p99, most", filled("%.1f, %.1f, %.1f ms", quantile(r.sync_ms, 0.5),
                                                          quantile(r.sync_ms, 0.99), most(r.sync_ms)));
+  out += table_of(r.coordination);
   out += "\n  fault                                     full service after   bad tries of  \n";
   for (const FaultRecord& f : r.faults)
     out += filled("  %-42s %8.0f ms%-8s %5zu of %-6zu %s\n", f.name.c_str(), f.full_service.as_ms(),
                   f.back ? "" : " (not)", f.bad_tries, f.tries, f.note.c_str());
   for (std::size_t i = 0; i < std::min<std::size_t>(r.violations.size(), 20); ++i)
     out += std::string("BROKEN, ") + name_of(r.violations[i].rule) + ": " + r.violations[i].what + "\n";
+  const std::size_t shown = std::min<std::size_t>(r.coordination_violations.size(), 20);
+  for (std::size_t i = 0; i < shown; ++i) {
+    const CoordinationViolation& violation = r.coordination_violations[i];
+    out += filled("BROKEN, %s: %s\n", name_of(violation.rule), violation.what.c_str());
+  }
   out += r.broken() ? "a check failed\n" : "every check held\n";
   return out;
 }
@@ -120,6 +127,9 @@
   out["breaches"] = nlohmann::json::array();
   for (const Violation& b : r.violations)
     out["breaches"].push_back({{"check", name_of(b.rule)}, {"what", b.what}});
+  out["coordination"] = json_of(r.coordination);
+  for (const CoordinationViolation& b : r.coordination_violations)
+    out["breaches"].push_back({{"check", name_of(b.rule)}, {"what", b.what}});
   return out.dump(1) + "\n";
 }
 
--- a/src/lab/tier/machines.cpp
+++ b/src/lab/tier/machines.cpp
@@ -124,6 +124,7 @@
       << "\nlimits.memoryMb=260\nlimits.maxFds=1000\nlimits.diskMb=" << (m.data.empty() ? 0 : 200)
       << "\nfaultTolerance.machineLosses=1\nbounds.drainMs=" << spec_.drain.as_ms() << "\nbounds.graceS=8"
       << "\nbounds.configApplyMs=2000\nbounds.settleMs=1000\nbounds.ackMs=4000\nbounds.recoveryS=12"
+      << "\nbounds.historyS=" << spec_.history.as_ms() / 1000
       << "\ncloudApi.address=" << net::text_of(spec_.list) << "\ncloudApi.ratePerS=" << spec_.list_rate
       << "\ncloudApi.lagMs=0\n";
   if (!out.flush()) throw std::runtime_error(m.settings + ": cannot be written");
--- a/src/lab/tier/machines.hpp
+++ b/src/lab/tier/machines.hpp
@@ -24,6 +24,7 @@
     sockaddr_in list{};     // of endpoints
     double list_rate = 40;  // pages a second
     Span drain;             // of an endpoint that leaves
+    Span history;           // for how long a watch of keys may be resumed
     bool relayed = false;   // processes hear their peers at another address than they announce
   };
   struct Machine {
--- a/src/lab/tier/soak.cpp
+++ b/src/lab/tier/soak.cpp
@@ -9,6 +9,8 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "lab/tier/coordination_report.hpp"
+
 namespace chutevane::lab::tier {
 namespace {
 
@@ -37,6 +39,11 @@
   out["breaches"] = nlohmann::json::array();
   for (const Violation& b : r.violations)
     out["breaches"].push_back(std::string(name_of(b.rule)) + ": " + b.what);
+  for (std::size_t i = 0; i < coordination_rules; ++i)
+    out["coordinationChecks"][name_of(static_cast<CoordinationRule>(i))] = r.coordination_counts[i];
+  for (const CoordinationViolation& b : r.coordination_violations)
+    out["breaches"].push_back(std::string(name_of(b.rule)) + ": " + b.what);
+  out["coordination"] = json_of(r.coordination);
   out["turnsWhole"] = r.figures.turns_whole;
   out["heirs"] = r.load.heirs;
   out["heirsWhole"] = r.load.heirs_whole;
@@ -69,6 +76,13 @@
     sum.counts[i] += count;
     seed.broken = seed.broken || count > 0;
   }
+  for (std::size_t i = 0; i < coordination_rules; ++i) {
+    const char* const rule = name_of(static_cast<CoordinationRule>(i));
+    const auto count = report.at("coordinationChecks").at(rule).get<std::uint64_t>();
+    sum.coordination_counts[i] += count;
+    seed.broken = seed.broken || count > 0;
+  }
+  add_json(sum.coordination, report.at("coordination"));
   seed.broken = seed.broken || !seed.whole;
   for (const auto& report_violation : report.at("breaches"))
     seed.violations.push_back(report_violation.get<std::string>());
@@ -99,15 +113,15 @@
 
 }  // namespace
 
-FleetResult play_seed(std::uint64_t seed, double seconds, const std::string& programs,
-                      const std::string& folder, Fleet*& running) {
+FleetResult play_seed(std::uint64_t seed, const SoakSpec& soak, const std::string& folder, Fleet*& running) {
   FaultPlanBounds bounds;
-  bounds.active = Span::ms(seconds * 1000);
+  bounds.active = Span::ms(soak.seconds * 1000);
   FleetSpec spec;
-  spec.programs = programs;
+  spec.programs = soak.programs;
   spec.folder = folder;
   spec.seed = seed;
-  spec.seconds = seconds;
+  spec.seconds = soak.seconds;
+  spec.coordination_calls_per_s = soak.calls_per_s;
   spec.story = draw_fault_plan(seed, bounds);
   write_file(fs::path(folder) / story_file, "seed " + std::to_string(seed) + "\n" + describe(*spec.story));
   Fleet fleet(spec);
@@ -137,9 +151,10 @@
       fs::create_directories(seed.folder);
       Job& job = running.emplace_back();
       job.seed = out.seeds.size();
-      job.process->start({spec.lab, "soak", "--seed", std::to_string(seed.number), "--seconds",
-                          std::to_string(spec.seconds), "--programs", spec.programs, "--out", seed.folder},
-                         (fs::path(seed.folder) / "lab.log").string());
+      job.process->start(
+          {spec.lab, "soak", "--seed", std::to_string(seed.number), "--seconds", std::to_string(spec.seconds),
+           "--calls", std::to_string(spec.calls_per_s), "--programs", spec.programs, "--out", seed.folder},
+          (fs::path(seed.folder) / "lab.log").string());
       out.seeds.push_back(std::move(seed));
     }
     out.processes = std::max(out.processes, running.size() * processes_of_a_seed);
@@ -197,6 +212,11 @@
                 "processes at once %zu; a seed's processes have at most %.0f MB together\n", s.processes,
                 s.resident_mb);
   out += line;
+  out += table_of(s.coordination) + "rules of these calls, broken:";
+  for (std::size_t i = 0; i < coordination_rules; ++i)
+    out += std::string(" ") + name_of(static_cast<CoordinationRule>(i)) + " " +
+           std::to_string(s.coordination_counts[i]);
+  out += "\n";
   for (const SoakSummary::Seed& seed : s.seeds) {
     if (!seed.broken) continue;
     out += "BROKEN, seed " + std::to_string(seed.number) + " (" + seed.folder + ")\n";
--- a/src/lab/tier/soak.hpp
+++ b/src/lab/tier/soak.hpp
@@ -17,11 +17,11 @@
   std::uint64_t first = 1, last = 1;
   double seconds = 10;  // for which troubles begin, of each seed
   std::size_t jobs = 1;
+  double calls_per_s = 30;  // of applications, for locks, numbers, keys and watches, about
 };
 
 // One seed, in this process. Its story and report are written into the folder.
-FleetResult play_seed(std::uint64_t seed, double seconds, const std::string& programs,
-                      const std::string& folder, Fleet*& running);
+FleetResult play_seed(std::uint64_t seed, const SoakSpec& spec, const std::string& folder, Fleet*& running);
 
 struct SoakSummary {
   struct Seed {
@@ -34,6 +34,8 @@
   std::vector<Seed> seeds;
   std::array<std::uint64_t, fault_kinds> played{}, in_broken_seeds{};
   std::array<std::uint64_t, rule_count> counts{};
+  std::array<std::uint64_t, coordination_rules> coordination_counts{};
+  CoordinationFigures coordination;
   std::uint64_t turns_whole = 0, heirs = 0, heirs_whole = 0, orders = 0, reads = 0, calm_reads = 0,
                 excused = 0, left = 0, worked_for_nobody = 0;
   double resident_mb = 0;     // of one seed's processes, at the most
