Soak: controllers have faults that overlap: one paused while another is killed, all killed

Cause: beyond the tolerance controllers were hit together by chance alone, and never all of them without storage.

Change: fault_plan draws, in four of five stories beyond the tolerance, one of: a controller that stands still while the next is killed and started; all controllers killed at once (kill_controllers); SIGTERM of each controller in series. From a stream of its own. kill_all is allowed before a later fault, too. fault_player: kill_planes.

--- a/src/lab/tier/fault_plan.cpp
+++ b/src/lab/tier/fault_plan.cpp
@@ -20,10 +20,14 @@
 constexpr Span beside_spread = Span::ms(1600);  // between troubles that are drawn independently of each other
 constexpr int stories_beyond = 3;               // one of so many
 constexpr double wipe_beside_absence = 0.7;     // of these
+constexpr double faults_of_controllers = 0.8;   // of these
+constexpr Span rolling_least = Span::ms(100),
+               rolling_spread = Span::ms(900);  // between two SIGTERM in series
 
 class Drawer {
  public:
-  Drawer(std::uint64_t seed, const FaultPlanBounds& bounds) : bounds_(bounds), chance_(seed, "story") {}
+  Drawer(std::uint64_t seed, const FaultPlanBounds& bounds)
+      : bounds_(bounds), chance_(seed, "story"), controllers_(seed, "controllers") {}
 
   FaultPlan draw() {
     story_.beyond_tolerance = chance_.below(stories_beyond) == 0;
@@ -67,7 +71,8 @@
       case FaultKind::pause: trouble.lasts = pause(); break;
       case FaultKind::kill:
       case FaultKind::wipe:
-      case FaultKind::kill_all: trouble.lasts = between(down_least, down_spread); break;
+      case FaultKind::kill_all:
+      case FaultKind::kill_controllers: trouble.lasts = between(down_least, down_spread); break;
       case FaultKind::cut:
         trouble.lasts = between(cut_least, cut_spread);
         trouble.direction = static_cast<CutDirection>(chance_.below(3));
@@ -137,6 +142,7 @@
   void draw_overlapping_losses() {
     bool wiped = chance_.one_in(wipe_beside_absence);
     if (wiped) draw_wipe_beside_an_absence();
+    if (controllers_.one_in(faults_of_controllers)) draw_faults_of_controllers();
     for (Span at = between(first_at, beside_spread); at < bounds_.active * 0.8;
          at = at + beside_spread * chance_.unit()) {
       if (chance_.one_in(0.1)) {
@@ -144,7 +150,7 @@
         all.kind = chance_.one_in(0.5) ? FaultKind::kill_all : FaultKind::halves;
         all.at = at;
         fill(all);
-        if (all.kind == FaultKind::halves || nobody_busy(at)) story_.troubles.push_back(all);
+        if (all.kind == FaultKind::halves || nobody_busy(all)) story_.troubles.push_back(all);
         continue;
       }
       const Fault one = loss_at(at, !wiped);
@@ -153,19 +159,69 @@
       story_.troubles.push_back(one);
     }
   }
+  // Faults that overlap at the controllers, in a part of the story where no controller has another.
+  void draw_faults_of_controllers() {
+    const std::size_t first = controllers_.below(bounds_.controllers);
+    const Span at = bounds_.active * (0.1 + 0.5 * controllers_.unit());
+    switch (controllers_.below(3)) {
+      case 0: return add_unless_busy(draw_pause_beside_a_kill(first, at));
+      case 1: return add_unless_busy(draw_kill_of_controllers(at));
+      default: return add_unless_busy(draw_terminations_in_series(first, at));
+    }
+  }
+  Fault fault_of_controller(FaultKind kind, std::size_t place, Span at) const {
+    Fault out;
+    out.kind = kind;
+    out.plane = MachinePlane::control;
+    out.place = place % bounds_.controllers;
+    out.at = at;
+    return out;
+  }
+  // One controller stands still while the next is killed and started; it wakes before or after that one is
+  // back.
+  std::vector<Fault> draw_pause_beside_a_kill(std::size_t first, Span at) {
+    Fault pause = fault_of_controller(FaultKind::pause, first, at);
+    pause.lasts = (bounds_.active - at) * (0.3 + 0.7 * controllers_.unit());
+    Fault kill =
+        fault_of_controller(FaultKind::kill, first + 1, at + pause.lasts * 0.6 * controllers_.unit());
+    kill.lasts = std::min(down_least + down_spread * controllers_.unit(), bounds_.active - kill.at);
+    return {pause, kill};
+  }
+  std::vector<Fault> draw_kill_of_controllers(Span at) {
+    Fault all = fault_of_controller(FaultKind::kill_controllers, 0, at);
+    all.lasts = std::min(down_least + down_spread * controllers_.unit(), bounds_.active - at);
+    return {all};
+  }
+  // Each is told to end, most of them before the one before is back.
+  std::vector<Fault> draw_terminations_in_series(std::size_t first, Span at) {
+    std::vector<Fault> out;
+    for (std::size_t i = 0; i < bounds_.controllers; ++i) {
+      out.push_back(fault_of_controller(FaultKind::terminate, first + i, std::min(at, bounds_.active)));
+      at = at + rolling_least + rolling_spread * controllers_.unit();
+    }
+    return out;
+  }
+  void add_unless_busy(const std::vector<Fault>& faults) {
+    const bool any_busy =
+        std::any_of(faults.begin(), faults.end(), [this](const Fault& f) { return busy(f); });
+    if (!any_busy) story_.troubles.insert(story_.troubles.end(), faults.begin(), faults.end());
+  }
   static Span until(const Fault& trouble) {
     return trouble.at + (trouble.kind == FaultKind::terminate ? Span::ms(10000) : trouble.lasts) +
            Span::ms(100);
   }
   bool busy(const Fault& wanted) const {
     return std::any_of(story_.troubles.begin(), story_.troubles.end(), [&](const Fault& t) {
-      const bool same = t.plane == wanted.plane && t.place == wanted.place;
+      const bool is_any_controller =
+          t.kind == FaultKind::kill_controllers || wanted.kind == FaultKind::kill_controllers;
+      const bool same = t.plane == wanted.plane && (is_any_controller || t.place == wanted.place);
       return until(t) > wanted.at && t.at < until(wanted) && (same || t.kind == FaultKind::kill_all);
     });
   }
-  bool nobody_busy(Span at) const {
-    return std::all_of(story_.troubles.begin(), story_.troubles.end(),
-                       [&](const Fault& t) { return until(t) <= at || t.kind == FaultKind::halves; });
+  bool nobody_busy(const Fault& wanted) const {
+    return std::all_of(story_.troubles.begin(), story_.troubles.end(), [&](const Fault& t) {
+      return until(t) <= wanted.at || t.at >= until(wanted) || t.kind == FaultKind::halves;
+    });
   }
   // What may come at any time: edges, endpoints, operators, connections.
   void draw_beside() {
@@ -191,6 +247,7 @@
 
   const FaultPlanBounds bounds_;
   Chance chance_;
+  Chance controllers_;  // for what is drawn of controllers alone: the rest of a story does not depend on it
   FaultPlan story_;
 };
 
@@ -214,9 +271,10 @@
 
 const char* name_of(FaultKind kind) {
   constexpr std::array<const char*, fault_kinds> names = {
-      "pause",  "kill", "wipe",           "kill_all",         "terminate",
-      "reload", "cut",  "halves",         "slow_way",         "lose_answers",
-      "change", "race", "drain_endpoint", "replace_endpoint", "endpoint_dies"};
+      "pause",        "kill",   "wipe", "kill_all",       "kill_controllers",
+      "terminate",    "reload", "cut",  "halves",         "slow_way",
+      "lose_answers", "change", "race", "drain_endpoint", "replace_endpoint",
+      "endpoint_dies"};
   return names[static_cast<std::size_t>(kind)];
 }
 
--- a/src/lab/tier/fault_plan.hpp
+++ b/src/lab/tier/fault_plan.hpp
@@ -15,6 +15,7 @@
   kill,              // SIGKILL, and a start after `lasts` with the disk as it was
   wipe,              // the same, with an empty disk
   kill_all,          // SIGKILL of all processes of control and storage at once
+  kill_controllers,  // SIGKILL of all controllers at once
   terminate,         // SIGTERM, and a new start once it has ended
   reload,            // SIGHUP with a changed file
   cut,               // one machine from all others
--- a/src/lab/tier/fault_player.cpp
+++ b/src/lab/tier/fault_player.cpp
@@ -50,7 +50,9 @@
     case FaultKind::pause: return pause(trouble);
     case FaultKind::kill:
     case FaultKind::wipe: return kill(trouble);
-    case FaultKind::kill_all: return kill_all(trouble);
+    case FaultKind::kill_all:
+      return kill_planes(trouble.lasts, {MachinePlane::control, MachinePlane::storage});
+    case FaultKind::kill_controllers: return kill_planes(trouble.lasts, {MachinePlane::control});
     case FaultKind::terminate: return terminate(trouble);
     case FaultKind::reload: return machines_.reload(machine_of(trouble));
     case FaultKind::cut: return cut(trouble);
@@ -78,10 +80,10 @@
   end_fault_after(trouble.lasts, [this, &m] { machines_.start(m, Machines::Start::again); });
 }
 
-void FaultPlayer::kill_all(const Fault& trouble) {
-  Span back = trouble.lasts;
+// All of these at once; the first is started after `back`.
+void FaultPlayer::kill_planes(Span back, std::initializer_list<MachinePlane> planes) {
   for (const auto& m : machines_.all()) {
-    if (m->plane == MachinePlane::edge) continue;
+    if (std::find(planes.begin(), planes.end(), m->plane) == planes.end()) continue;
     machines_.kill(*m);
     end_fault_after(back, [this, &m = *m] { machines_.start(m, Machines::Start::again); });
     back = back + restart_spread;
--- a/src/lab/tier/fault_player.hpp
+++ b/src/lab/tier/fault_player.hpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <initializer_list>
 #include <string>
 
 #include "lab/tier/endpoint_set.hpp"
@@ -29,7 +30,7 @@
   void strike(const Fault& trouble);
   void pause(const Fault& trouble);
   void kill(const Fault& trouble);
-  void kill_all(const Fault& trouble);
+  void kill_planes(Span back, std::initializer_list<MachinePlane> planes);
   void terminate(const Fault& trouble);
   void cut(const Fault& trouble);
   void halves(const Fault& trouble);
--- a/tests/fault_plan_test.cpp
+++ b/tests/fault_plan_test.cpp
@@ -23,6 +23,7 @@
     case FaultKind::cut:
     case FaultKind::slow_way: return counted;
     case FaultKind::kill_all:
+    case FaultKind::kill_controllers:
     case FaultKind::halves: return true;
     default: return false;
   }
@@ -75,6 +76,47 @@
   EXPECT_GT(overlapping, beyond * 9 / 10);
 }
 
+// Beyond the tolerance controllers have faults that overlap: one stands still while another is killed, all
+// are killed at once, all are told to end one after the other.
+TEST(Stories, FaultsOfControllersOverlap) {
+  std::size_t paused_beside_kill = 0, all_killed = 0, terminated_in_series = 0;
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    const FaultPlan story = draw_fault_plan(seed, {});
+    if (!story.beyond_tolerance) continue;
+    Span paused_until;
+    std::set<std::size_t> told_to_end;
+    for (const Fault& t : story.troubles) {
+      all_killed += t.kind == FaultKind::kill_controllers ? 1 : 0;
+      if (t.plane != MachinePlane::control) continue;
+      if (t.kind == FaultKind::pause) paused_until = away_until(t);
+      paused_beside_kill += t.kind == FaultKind::kill && t.at < paused_until ? 1 : 0;
+      if (t.kind == FaultKind::terminate) told_to_end.insert(t.place);
+    }
+    terminated_in_series += told_to_end.size() == FaultPlanBounds{}.controllers ? 1 : 0;
+  }
+  EXPECT_GT(paused_beside_kill, 10U);
+  EXPECT_GT(all_killed, 10U);
+  EXPECT_GT(terminated_in_series, 10U);
+}
+
+// A machine has one fault at a time, so that no story starts a process that is there.
+TEST(Stories, AMachineHasOneLossAtATime) {
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    const FaultPlan story = draw_fault_plan(seed, {});
+    std::map<std::size_t, Span> controller_free_from;
+    for (const Fault& t : story.troubles) {
+      if (!is_loss(t) || t.kind == FaultKind::halves || t.kind == FaultKind::kill_all) continue;
+      if (t.plane != MachinePlane::control) continue;
+      const bool is_of_all = t.kind == FaultKind::kill_controllers;
+      for (std::size_t place = 0; place < FaultPlanBounds{}.controllers; ++place) {
+        if (!is_of_all && place != t.place) continue;
+        EXPECT_GE(t.at, controller_free_from[place]) << "seed " << seed << "\n" << describe(story);
+        controller_free_from[place] = away_until(t);
+      }
+    }
+  }
+}
+
 TEST(Stories, EveryKindIsDrawnAndEndsInTime) {
   std::map<FaultKind, std::size_t> drawn;
   const FaultPlanBounds bounds;
