--- a/src/control/coordination/coordination_api.hpp
+++ b/src/control/coordination/coordination_api.hpp
@@ -1,7 +1,7 @@
 /// The HTTP API of the coordination service: locks, numbers, keys and watches (api/operators.yaml).
 ///
-/// What a status promises: 409, 412, 429 and 503 are answered only where the call has had no effect and will
-/// have none. Where that is not known, the status is 504, and the client repeats its call.
+/// What a status promises: 412, 429 and 503 are answered only where the call has had no effect and will have
+/// none. Where that is not known, the status is 504, and the client repeats its call.
 #pragma once
 
 #include <array>
--- a/src/control/coordination/coordination_service.cpp
+++ b/src/control/coordination/coordination_service.cpp
@@ -190,9 +190,7 @@
 
 // ---- Calls
 
-bool CoordinationService::is_available() const {
-  return register_.known_value() && settings_.has_quorum_contact();
-}
+bool CoordinationService::is_available() const { return known_state_ && settings_.has_quorum_contact(); }
 
 void CoordinationService::call(Call call, AnswerCallback callback) {
   const bool is_refused = was_stalled() || !settings_.has_quorum_contact();
@@ -289,7 +287,11 @@
 void CoordinationService::finish(const ClientCallPtr& client_call, Answer answer) {
   const bool promises_no_effect =
       answer.outcome == Outcome::unavailable || answer.outcome == Outcome::limit_reached;
-  if (promises_no_effect && client_call->may_have_taken_effect) answer.outcome = Outcome::undetermined;
+  // A key that is below the revision named may still reach it, and an earlier copy of the put then succeeds.
+  const bool may_still_match =
+      answer.outcome == Outcome::revision_mismatch && client_call->call.applies_to > answer.number;
+  if ((promises_no_effect || may_still_match) && client_call->may_have_taken_effect)
+    answer.outcome = Outcome::undetermined;
   client_call->callback(answer);
 }
 
@@ -324,6 +326,7 @@
   std::optional<State> state = state_of(value);
   if (!state) {
     common::log_warning("coordination.state_unreadable", "number " + std::to_string(value.number));
+    known_state_.reset();
     return;
   }
   known_state_ = std::move(state);
--- a/src/control/coordination/proposer_choice.cpp
+++ b/src/control/coordination/proposer_choice.cpp
@@ -28,7 +28,10 @@
 
 void ProposerChoice::suspect(const std::string& address, TimePoint now) {
   Suspicion& suspicion = suspicions_[address];
-  if (now < suspicion.until) return;  // several calls that were passed on together have failed
+  if (now < suspicion.until) {  // several calls that were passed on together fail one after the other
+    suspicion.until = std::max(suspicion.until, now + min_suspicion_time);
+    return;
+  }
   suspicion.duration = std::clamp(suspicion.duration * 2, min_suspicion_time, max_suspicion_time);
   suspicion.until = now + suspicion.duration;
 }
