Test: each controller tells the status of coordination

Cause: the route through ControlPlane::serve was not covered. Change: CoordinationCalls.StatusIsToldByEachController, in the simulated tier.

--- a/tests/tier_simulation/coordination_calls_test.cpp
+++ b/tests/tier_simulation/coordination_calls_test.cpp
@@ -73,5 +73,20 @@
   }
 }
 
+TEST_F(CoordinationCalls, StatusIsToldByEachController) {
+  const std::vector<sockaddr_in> controllers = deployment_.control_addresses();
+  ASSERT_EQ(post(controllers.front(), "/v1/Locks.Initiate/l", R"({"holder":"a","holdMs":3000})").status, 200);
+  run_for(Span::ms(1000));
+  for (const sockaddr_in& controller : controllers) {
+    const HttpResult status = get(controller, "/v1/Coordination.Retrieve");
+    EXPECT_EQ(status.status, 200);
+    EXPECT_NE(status.body.find(R"("available":true)"), std::string::npos) << status.body;
+    EXPECT_NE(status.body.find(R"("locks":[{"name":"l","holder":"a","fence":1,"holdMs":3000}])"),
+              std::string::npos)
+        << status.body;
+    EXPECT_EQ(post(controller, "/v1/Coordination.Retrieve", "{}").status, 405);
+  }
+}
+
 }  // namespace
 }  // namespace chutevane::tier_simulation
