chutevanectl disk show: files of the coordination register, and map.*

Cause: disk show named coordination.*, coordination-epoch.* and map.* as files that are not the tier's. Change: state_name knows them; the acceptor of the coordination register is read (checkpoint, and its log of Acceptor_change) and told, in JSON as the new member coordination; unreadable is code 1, as for the others.

--- a/src/ctl/data_folder.cpp
+++ b/src/ctl/data_folder.cpp
@@ -66,7 +66,7 @@
 
 /// The name of the DurableState that this is a file of; empty: of none.
 std::string state_name(const std::string& name) {
-  for (std::string state : {"acceptor", "control", "storage"}) {
+  for (std::string state : {"acceptor", "control", "coordination", "coordination-epoch", "map", "storage"}) {
     for (const std::string kind : {".slot0", ".slot1", ".log0", ".log1"}) {
       if (name == state + kind) return state;
     }
@@ -86,6 +86,21 @@
   return RecordState::readable;
 }
 
+/// The log of the coordination register has changes, and no whole records.
+RecordState read_coordination(common::Disk& disk, FolderContents& into) {
+  common::DurableState state(disk, "coordination");
+  const auto recovered = state.recover();
+  if (absl::IsNotFound(recovered.status())) return RecordState::absent;
+  if (!recovered.ok() || !common::decode(recovered->checkpoint, into.coordination))
+    return RecordState::unreadable;
+  for (const std::string& change : recovered->changes) {
+    common::AcceptorChange decoded;
+    if (!common::decode(change, decoded)) return RecordState::unreadable;
+  }
+  into.coordination_changes = recovered->changes.size();
+  return RecordState::readable;
+}
+
 /// What the files themselves show: sizes, segments, torn ends, and files that do not belong here.
 void classify_files(const std::map<std::string, std::string>& files, FolderContents& out) {
   for (const auto& [name, text] : files) {
@@ -176,6 +191,7 @@
   out.acceptor_state = read_state(snapshot, "acceptor", out.acceptor);
   out.controller_state = read_state(snapshot, "control", out.controller);
   out.storage_node_state = read_state(snapshot, "storage", out.storage_node);
+  out.coordination_state = read_coordination(snapshot, out);
   out.torn_tails.insert(out.torn_tails.end(), snapshot.torn_tails().begin(), snapshot.torn_tails().end());
   storage::ReplicaStore store(snapshot, static_cast<std::size_t>(-1));
   if (absl::Status opened = store.recover(TimePoint()); !opened.ok()) return opened;
--- a/src/ctl/data_folder.hpp
+++ b/src/ctl/data_folder.hpp
@@ -68,11 +68,14 @@
   RecordState acceptor_state = RecordState::absent;
   RecordState controller_state = RecordState::absent;
   RecordState storage_node_state = RecordState::absent;
+  RecordState coordination_state = RecordState::absent;  ///< of the acceptor of the coordination register
   common::AcceptorRecord acceptor;
   common::ControllerRecord controller;
   common::StorageNodeRecord storage_node;
-  std::vector<Segment> segments;    ///< by number
-  std::vector<common::Turn> turns;  ///< by id
+  common::AcceptorRecord coordination;   ///< as of its checkpoint
+  std::size_t coordination_changes = 0;  ///< in its log, since that
+  std::vector<Segment> segments;         ///< by number
+  std::vector<common::Turn> turns;       ///< by id
   std::vector<common::Account> accounts;
   std::size_t turn_bytes = 0;  ///< as a storage sidecar counts them against its capacity
   std::size_t file_bytes = 0;  ///< of all files
--- a/src/ctl/file_commands.cpp
+++ b/src/ctl/file_commands.cpp
@@ -65,6 +65,15 @@
   for (const std::string& address : controller.controllers) rows.push_back({"control knows of", address});
 }
 
+void add_coordination_rows(const FolderContents& contents, Rows& rows) {
+  if (contents.coordination_state == RecordState::unreadable)
+    rows.push_back({"coordination", "cannot be read"});
+  if (contents.coordination_state != RecordState::readable) return;
+  rows.push_back({"coordination", "epoch " + std::to_string(contents.coordination.epoch) + ", number " +
+                                      std::to_string(contents.coordination.value.number) + ", and " +
+                                      std::to_string(contents.coordination_changes) + " changes"});
+}
+
 void add_storage_rows(const FolderContents& contents, Rows& rows) {
   const common::StorageNodeRecord& node = contents.storage_node;
   if (contents.storage_node_state == RecordState::unreadable) rows.push_back({"storage", "cannot be read"});
@@ -81,6 +90,7 @@
   Rows rows = {{"files", bytes_text(contents.file_bytes)}};
   add_acceptor_rows(contents, rows);
   add_controller_rows(contents, rows);
+  add_coordination_rows(contents, rows);
   add_storage_rows(contents, rows);
   for (const TornTail& torn : contents.torn_tails)
     rows.push_back(
@@ -122,6 +132,16 @@
   json.close('}');
 }
 
+void write_coordination(json::Writer& json, const FolderContents& contents) {
+  json.open('{').key("record").text(name_of(contents.coordination_state));
+  if (contents.coordination_state == RecordState::readable) {
+    json.key("epoch").number(non_negative(contents.coordination.epoch));
+    json.key("number").number(non_negative(contents.coordination.value.number));
+    json.key("changes").number(contents.coordination_changes);
+  }
+  json.close('}');
+}
+
 void write_storage_node(json::Writer& json, const FolderContents& contents) {
   json.open('{').key("record").text(name_of(contents.storage_node_state));
   if (contents.storage_node_state == RecordState::readable)
@@ -134,6 +154,7 @@
   json.open('{').key("bytes").number(contents.file_bytes).key("moving").truth(contents.changed_while_read);
   write_acceptor(json.key("acceptor"), contents);
   write_controller(json.key("control"), contents);
+  write_coordination(json.key("coordination"), contents);
   write_storage_node(json.key("storage"), contents);
   json.key("turns").number(contents.turns.size()).key("turnBytes").number(contents.turn_bytes);
   json.key("accounts").number(contents.accounts.size()).key("segments").open('[');
@@ -237,6 +258,7 @@
   ExitCode code = ExitCode::success;
   for (const auto& [name, state] : {std::pair("acceptor", contents->acceptor_state),
                                     {"control", contents->controller_state},
+                                    {"coordination", contents->coordination_state},
                                     {"storage", contents->storage_node_state}}) {
     if (state != RecordState::unreadable) continue;
     context.complain(context.line().operand + ": " + name + ": there was a record, and it cannot be read");
--- a/tests/ctl/data_folder_test.cpp
+++ b/tests/ctl/data_folder_test.cpp
@@ -62,6 +62,24 @@
     record.known.number = 8;
     CHECK(state.append_change(common::encoded(record)).ok());
   }
+  void write_coordination() {
+    control::DurableAcceptor state(disk, {"10.0.0.1:1", "d1", true}, "coordination",
+                                   control::AcceptorLogForm::changes);
+    CHECK(state.open().ok());
+    common::Prepare prepare;
+    prepare.initial = control::first_epoch_value({{"10.0.0.1:1", ""}});
+    prepare.epoch = 1;
+    prepare.ballot = {3, 0xabc};
+    CHECK(state.prepare(prepare).ok());  // it enters the epoch: a checkpoint
+    prepare.ballot = {4, 0xabc};
+    CHECK(state.prepare(prepare).ok());
+    common::Accept accept;
+    accept.epoch = 1;
+    accept.ballot = prepare.ballot;
+    accept.value = prepare.initial;
+    accept.value.number = 2;
+    CHECK(state.accept(accept).ok());
+  }
   void write_acceptor() {
     control::DurableAcceptor state(disk, {"10.0.0.1:1", "d1", true});
     CHECK(state.open().ok());
@@ -123,6 +141,45 @@
   LONGS_EQUAL(0, got.unknown_files.size());
 }
 
+TEST(data_folder, the_acceptor_of_the_coordination_register) {
+  write_coordination();
+  const FolderContents got = contents();
+  CHECK(got.coordination_state == RecordState::readable);
+  LONGS_EQUAL(1, got.coordination.epoch);
+  LONGS_EQUAL(2, got.coordination_changes);  // a promise, and a value accepted
+  CHECK(got.acceptor_state == RecordState::absent);
+  LONGS_EQUAL(0, got.torn_tails.size());
+  LONGS_EQUAL(0, got.unknown_files.size());
+}
+
+TEST(data_folder, a_change_of_the_coordination_register_torn_at_any_byte_is_told_and_left) {
+  write_coordination();
+  const std::string log = "coordination.log0", whole = text(log);
+  for (std::size_t size = 1; size < whole.size(); ++size) {
+    CHECK(disk.truncate(log, 0).ok());
+    CHECK(disk.append(log, whole.substr(0, size)).ok());
+    const FolderContents got = contents();
+    CHECK(got.coordination_state == RecordState::readable);
+    CHECK(got.coordination_changes < 2);
+    LONGS_EQUAL(size, text(log).size());
+  }
+}
+
+TEST(data_folder, a_change_of_the_coordination_register_that_is_none_is_unreadable) {
+  write_coordination();
+  common::DurableState state(disk, "coordination");
+  CHECK(state.recover().ok());
+  CHECK(state.append_change("noise").ok());
+  CHECK(contents().coordination_state == RecordState::unreadable);
+}
+
+TEST(data_folder, each_state_of_the_tier_is_known_by_its_files) {
+  for (const char* const name :
+       {"acceptor", "control", "coordination", "coordination-epoch", "map", "storage"})
+    CHECK(common::DurableState(disk, name).write_checkpoint("x").ok());
+  LONGS_EQUAL(0, contents().unknown_files.size());
+}
+
 TEST(data_folder, turns_and_accounts) {
   write_store();
   const FolderContents got = contents();
