--- a/src/lab/tier/coordination_auditor.cpp
+++ b/src/lab/tier/coordination_auditor.cpp
@@ -115,8 +115,9 @@
                                             TimePoint now) {
   for (const auto& [other, hold] : locks_[name].holds) {
     if (other == holder || hold.until <= now) continue;
-    std::string what = "lock " + name + ": " + holder;
-    what.append(" and ").append(other).append(" hold it at once, the latter with ").append(text(hold.fence));
+    std::string what = "lock ";
+    what.append(name).append(": ").append(holder).append(" and ").append(other);
+    what.append(" hold it at once, the latter with ").append(text(hold.fence));
     what.append(" for ").append(text_ms(hold.until - now)).append(" more");
     report(CoordinationRule::one, std::move(what));
   }
--- a/src/lab/tier/coordination_load.cpp
+++ b/src/lab/tier/coordination_load.cpp
@@ -403,6 +403,7 @@
 void CoordinationLoad::read_back(const std::function<void()>& done) {
   add_final_calls();
   add_final_watches();
+  if (final_calls_.empty()) return done();
   const auto left = std::make_shared<std::size_t>(final_calls_.size());
   for (const auto& call : final_calls_) {
     call->begin([left, done] {
