Tests: the coordination model's clients hear one answer a call, sleep, and check puts

Cause: the model was wrong and not strict enough. A put over another revision than the one that it names passed. Change: one answer a call, that of the newest call for a lock; clients that sleep beyond their holds; each new put is held to the revision it names.

--- a/tests/control/coordination/coordination_property_test.cpp
+++ b/tests/control/coordination/coordination_property_test.cpp
@@ -5,8 +5,11 @@
 // that was accepted by a minority and never chosen; each value chosen follows the one before.
 #include <algorithm>
 #include <deque>
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "client_view.hpp"
@@ -27,6 +30,7 @@
 constexpr Span put_repeat_time = Span::ms(15'000);     // for so long a put is sent again
 constexpr Span call_lifetime = Span::ms(1'500);        // then no controller carries it out any more
 constexpr Span longest_answer_time = Span::ms(1'000);  // then its client hears no answer
+constexpr Span longest_sleep = Span::ms(12'000);       // of a client, which may hold a lock meanwhile
 constexpr double clock_rate_error = 0.0004;            // of one controller's steady clock
 
 // A controller: when it came to know what, by a clock that runs a little fast or slow.
@@ -106,7 +110,10 @@
     Call call;
     const double kind = random_.unit();
     if (kind < 0.5) {
-      call = lock_call();
+      const std::size_t client = random_.below(asleep_until_.size());
+      if (now_ < asleep_until_[client]) return;
+      if (random_.chance(0.03)) asleep_until_[client] = now_ + longest_sleep * random_.unit();
+      call = lock_call(client);
     } else if (kind < 0.6) {
       call.operation = Operation::next_number;
       call.name = numbered("n", static_cast<long long>(random_.below(2)));
@@ -117,11 +124,11 @@
       call.name = some_key();
     }
     call.id = random_.next();
+    if (!call.holder.empty()) awaited_[{call.name, call.holder}] = call.id;
     in_flight_.push_back({call, now_});
   }
-  Call lock_call() {
+  Call lock_call(std::size_t client) {
     Call call;
-    const std::size_t client = random_.below(4);
     call.name = numbered("l", static_cast<long long>(random_.below(2)));
     call.holder = numbered("a", static_cast<long long>(client));
     const bool is_long = hold_times_ == HoldTimes::varying ? random_.chance(0.3) : client == 0;
@@ -152,6 +159,7 @@
     if (random_.chance(0.5)) call.applies_to = revision_of(call.name) - (random_.chance(0.2) ? 1 : 0);
     call.applies_to = std::max(call.applies_to, any_revision);
     puts_.push_back({call, now_});
+    applies_to_[call.value] = call.applies_to;
     return call;
   }
   std::int64_t revision_of(const std::string& key) const {
@@ -165,10 +173,17 @@
   void deliver_answers() {
     std::erase_if(answers_, [&](const SentAnswer& sent) {
       if (sent.arrives_at > now_) return false;
-      if (now_ - sent.to.sent_at < longest_answer_time) deliver(sent.to, sent.answer);
+      if (now_ - sent.to.sent_at < longest_answer_time && is_awaited(sent.to.call))
+        deliver(sent.to, sent.answer);
       return true;
     });
   }
+  // A client hears one answer to a call. Of a lock it awaits that of its newest call alone.
+  bool is_awaited(const Call& call) {
+    if (!answered_.insert(call.id).second) return false;
+    const auto newest = awaited_.find({call.name, call.holder});
+    return call.holder.empty() || (newest != awaited_.end() && newest->second == call.id);
+  }
   void deliver(const SentCall& to, const Answer& answer) {
     const Call& call = to.call;
     const bool is_done = answer.outcome == Outcome::done;
@@ -250,6 +265,20 @@
       const auto found = after.groups.find(prefix);
       view.check(found != after.groups.end() && found->second.revision >= group.revision, "a revision fell");
     }
+    for (const auto& [prefix, group] : after.groups) {
+      const auto found = before.groups.find(prefix);
+      check_new_puts(found == before.groups.end() ? KeyGroup{} : found->second, group);
+    }
+  }
+  // Each new put was made over the revision that it names.
+  void check_new_puts(KeyGroup before, const KeyGroup& after) {
+    for (const PutEvent& event : after.history) {
+      if (event.revision <= before.revision) continue;
+      KeyValue& entry = before.keys[event.key];
+      const std::int64_t applies_to = applies_to_.at(event.value);
+      view.check(applies_to == any_revision || applies_to == entry.revision, "a put over another revision");
+      entry = {event.value, event.revision};
+    }
   }
   void check_history(const std::string& prefix, const KeyGroup& group) {
     std::int64_t revision = group.revision - static_cast<std::int64_t>(group.history.size());
@@ -275,7 +304,11 @@
   std::optional<State> unchosen_;  // accepted by a minority
   std::vector<SentCall> in_flight_;
   std::vector<SentAnswer> answers_;
+  std::set<std::uint64_t> answered_;                                      // ids of calls
+  std::map<std::pair<std::string, std::string>, std::uint64_t> awaited_;  // by lock and holder
   std::vector<Put> puts_;
+  std::map<std::string, std::int64_t> applies_to_;  // by value
+  std::vector<TimePoint> asleep_until_{4};          // by client
   long long value_count_ = 0;
 };
 
