Coordination: a grant is known by its number too, also where another controller names it ended

Change: each acquisition, renewal and release raises the lock's grant number; controllers tell grants apart by it, and the grant that a forwarding controller names as ended is compared by it too.

--- a/src/common/messages/coordination.hpp
+++ b/src/common/messages/coordination.hpp
@@ -72,6 +72,7 @@
   std::int64_t time_left_ms = 0;  ///< then nobody waits for the answer
   /// Of an acquisition: the grant of the lock that has ended by the sender's clock; 0: none.
   std::int64_t expired_grant_id = 0;
+  std::int64_t expired_grant_number = 0;
   /// The receiver's newest stamp that the sender has received: the call was sent after it.
   std::int64_t echo_incarnation = 0;
   std::int64_t echo_stamp = 0;  ///< of the receiver's steady clock, in microseconds
@@ -87,6 +88,7 @@
     v("applies_to", applies_to);
     v("time_left_ms", time_left_ms);
     v("expired_grant_id", expired_grant_id);
+    v("expired_grant_number", expired_grant_number);
     v("echo_incarnation", echo_incarnation);
     v("echo_stamp", echo_stamp);
   }
--- a/src/control/coordination/call.hpp
+++ b/src/control/coordination/call.hpp
@@ -36,6 +36,7 @@
   /// Of an acquisition: a grant of the lock that has ended by the clock of the controller that passed the
   /// call on. What has ended by one controller's clock has ended. 0: none.
   std::uint64_t expired_grant_id = 0;
+  std::int64_t expired_grant_number = 0;
   /// Revision that the key must have; 0: it must not exist yet; any_revision: whatever it has.
   std::int64_t applies_to = 0;
 };
--- a/src/control/coordination/call_messages.cpp
+++ b/src/control/coordination/call_messages.cpp
@@ -13,6 +13,7 @@
   out.value = call.value;
   out.applies_to = call.applies_to;
   out.expired_grant_id = static_cast<std::int64_t>(call.expired_grant_id);
+  out.expired_grant_number = call.expired_grant_number;
   out.time_left_ms = static_cast<std::int64_t>(time_left.as_ms());
   return out;
 }
@@ -35,6 +36,7 @@
   out.value = message.value;
   out.applies_to = message.applies_to;
   out.expired_grant_id = static_cast<std::uint64_t>(message.expired_grant_id);
+  out.expired_grant_number = message.expired_grant_number;
   return out;
 }
 
--- a/src/control/coordination/coordination_service.cpp
+++ b/src/control/coordination/coordination_service.cpp
@@ -237,7 +237,7 @@
 void CoordinationService::forward(const ClientCallPtr& client_call, const std::string& proposer) {
   const Peer* const peer = find_peer(proposer);
   const Span time_left = client_call->deadline - timers_.now();
-  client_call->call.expired_grant_id = expired_grant_of(client_call->call);
+  name_expired_grant(client_call->call);
   common::CoordinationCall message = to_message(client_call->call, time_left);
   message.echo_incarnation = peer->last_gossip->incarnation;
   message.echo_stamp = peer->last_gossip->stamp;
@@ -249,14 +249,16 @@
       });
 }
 
-/// The grant of the lock that the call asks for, where it has certainly ended by the clock of this
+/// Names the grant of the lock that the call asks for, where it has certainly ended by the clock of this
 /// controller. The proposer may have started only now, and would count its time anew.
-std::uint64_t CoordinationService::expired_grant_of(const Call& call) const {
-  if (call.operation != Operation::acquire_lock || !known_state_) return 0;
+void CoordinationService::name_expired_grant(Call& call) const {
+  if (call.operation != Operation::acquire_lock || !known_state_) return;
   const auto found = known_state_->locks.find(call.name);
-  if (found == known_state_->locks.end()) return 0;
+  if (found == known_state_->locks.end()) return;
   const Lock& lock = found->second;
-  return times_.has_expired(call.name, lock, timers_.now()) ? lock.grant_id : 0;
+  if (!times_.has_expired(call.name, lock, timers_.now())) return;
+  call.expired_grant_id = lock.grant_id;
+  call.expired_grant_number = lock.grant_number;
 }
 
 void CoordinationService::on_forwarded_answer(const ClientCallPtr& client_call, const std::string& proposer,
--- a/src/control/coordination/coordination_service.hpp
+++ b/src/control/coordination/coordination_service.hpp
@@ -148,7 +148,7 @@
   void on_report(const common::CoordinationReport& report);
   void send_reports();
   void on_chosen_notification(const common::Chosen& notification);
-  std::uint64_t expired_grant_of(const Call& call) const;
+  void name_expired_grant(Call& call) const;
   void read_first_value();
 
   // Disk
--- a/src/control/coordination/local_times.cpp
+++ b/src/control/coordination/local_times.cpp
@@ -21,7 +21,7 @@
 void LocalTimes::observe(const State& state, TimePoint now) {
   for (const auto& [name, lock] : state.locks) {
     KnownGrant& known = grants_[name];
-    if (!is_grant(known, lock)) known = {lock.grant_id, lock.holder, lock.hold_ms, now};
+    if (!is_grant(known, lock)) known = {lock.grant_id, lock.grant_number, lock.holder, lock.hold_ms, now};
   }
   for (const auto& [prefix, group] : state.groups) observe_group(prefix, group, now);
 }
@@ -45,7 +45,8 @@
 }
 
 bool LocalTimes::is_grant(const KnownGrant& known, const Lock& lock) {
-  return known.id == lock.grant_id && known.holder == lock.holder && known.hold_ms == lock.hold_ms;
+  return known.id == lock.grant_id && known.number == lock.grant_number && known.holder == lock.holder &&
+         known.hold_ms == lock.hold_ms;
 }
 
 std::optional<TimePoint> LocalTimes::known_since(const std::string& name, const Lock& lock) const {
--- a/src/control/coordination/local_times.hpp
+++ b/src/control/coordination/local_times.hpp
@@ -49,6 +49,7 @@
  private:
   struct KnownGrant {
     std::uint64_t id = 0;
+    std::int64_t number = 0;
     std::string holder;
     std::int64_t hold_ms = 0;
     TimePoint since;
--- a/src/control/coordination/state.cpp
+++ b/src/control/coordination/state.cpp
@@ -95,6 +95,7 @@
   out.fence = in.signed_integer();
   out.hold_ms = in.signed_integer();
   out.grant_id = in.integer();
+  out.grant_number = in.signed_integer();
   out.acquire_id = in.integer();
   return out;
 }
@@ -136,6 +137,7 @@
     out.integer(lock.fence);
     out.integer(lock.hold_ms);
     out.integer(lock.grant_id);
+    out.integer(lock.grant_number);
     out.integer(lock.acquire_id);
   }
   out.integer(static_cast<std::uint64_t>(state.numbers.size()));
--- a/src/control/coordination/state.hpp
+++ b/src/control/coordination/state.hpp
@@ -20,6 +20,9 @@
   std::int64_t fence = 0;      ///< of the newest acquisition
   std::int64_t hold_ms = 0;    ///< for how long it was granted last
   std::uint64_t grant_id = 0;  ///< id of the call that acquired, renewed or released it last
+  /// Rises with each acquisition, renewal and release: a call that is carried out again after a newer one is
+  /// another grant.
+  std::int64_t grant_number = 0;
   /// Id of the call of the newest acquisition. It stays when the hold is renewed or released, so that a copy
   /// of that call which is late does nothing.
   std::uint64_t acquire_id = 0;
--- a/src/control/coordination/state_machine.cpp
+++ b/src/control/coordination/state_machine.cpp
@@ -55,7 +55,9 @@
     return repeated_acquisition(found->second, call);
   if (found != state_.locks.end() && !found->second.holder.empty()) {
     const Lock& held = found->second;
-    const bool is_known_expired = call.expired_grant_id != 0 && held.grant_id == call.expired_grant_id;
+    const bool is_known_expired = call.expired_grant_number != 0 &&
+                                  held.grant_number == call.expired_grant_number &&
+                                  held.grant_id == call.expired_grant_id;
     const bool has_expired = is_known_expired || times_.has_expired(call.name, held, now_);
     const bool is_free = held.holder == call.holder || has_expired;
     if (!is_free) return {Outcome::held_by_other, 0, ""};
@@ -65,6 +67,7 @@
   lock.holder = call.holder;
   ++lock.fence;
   lock.grant_id = lock.acquire_id = call.id;
+  ++lock.grant_number;
   has_changed_ = true;
   return {Outcome::done, lock.fence, ""};
 }
@@ -94,6 +97,7 @@
   if (times_.has_expired(call.name, lock, now_)) return {Outcome::held_by_other, 0, ""};
   lock.hold_ms = granted_ms(call, lock);
   lock.grant_id = call.id;
+  ++lock.grant_number;
   has_changed_ = true;
   return {Outcome::done, lock.fence, ""};
 }
@@ -105,6 +109,7 @@
   if (lock.holder != call.holder || lock.fence != call.fence) return {Outcome::done, 0, ""};
   lock.holder.clear();
   lock.grant_id = call.id;
+  ++lock.grant_number;
   has_changed_ = true;
   return {Outcome::done, 0, ""};
 }
--- a/tests/control/coordination/batch_proposer_test.cpp
+++ b/tests/control/coordination/batch_proposer_test.cpp
@@ -242,7 +242,7 @@
 
 TEST(CoordinationBatchProperty, ClientsOfThreeControllersSeeOneOrder) {
   std::size_t done = 0;
-  constexpr std::uint64_t seeds = 30;
+  constexpr std::uint64_t seeds = 60;
   for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
     Clients clients(seed);
     clients.play(200);
--- a/tests/control/coordination/review_test.cpp
+++ b/tests/control/coordination/review_test.cpp
@@ -224,6 +224,7 @@
   Call by_other = acquire(2, "b");
   CHECK(machine.apply(by_other).outcome == Outcome::held_by_other);
   by_other.expired_grant_id = 1;
+  by_other.expired_grant_number = 1;
   CHECK(machine.apply(by_other).outcome == Outcome::done);
 }
 
@@ -233,6 +234,7 @@
   carry_out(renew(2, "a", taken.number));
   Call by_other = acquire(3, "b");
   by_other.expired_grant_id = 1;
+  by_other.expired_grant_number = 1;
   CHECK(carry_out(by_other).outcome == Outcome::held_by_other);
 }
 
--- a/tests/control/coordination/state_examples.hpp
+++ b/tests/control/coordination/state_examples.hpp
@@ -13,7 +13,7 @@
 inline State filled_state() {
   State out;
   out.locks["free"] = {"", 3, 1000, 7};
-  out.locks["held"] = {"a3.7", std::int64_t{1} << 52U, 30'000, ~std::uint64_t{0}};
+  out.locks["held"] = {"a3.7", std::int64_t{1} << 52U, 30'000, ~std::uint64_t{0}, 300, 299};
   out.numbers["n1"] = 1;
   out.numbers["n2"] = std::int64_t{1} << 40U;
   KeyGroup& group = out.groups["g."];
@@ -48,7 +48,7 @@
   State out;
   for (std::size_t i = random.below(4); i > 0; --i)
     out.locks[random_text(random)] = {random_text(random), random_number(random), random_number(random),
-                                      random.next()};
+                                      random.next(),       random_number(random), random.next()};
   for (std::size_t i = random.below(4); i > 0; --i) out.numbers[random_text(random)] = random_number(random);
   for (std::size_t i = random.below(3); i > 0; --i) out.groups[random_text(random)] = random_group(random);
   return out;
--- a/tests/control/coordination/state_format_test.cpp
+++ b/tests/control/coordination/state_format_test.cpp
@@ -16,7 +16,7 @@
     std::string("\x01\x01l") +  // one lock, "l"
     std::string(
         "\x01"
-        "a\x03\xac\x02\x05\x04") +         // holder "a", token 3, 300 ms, call 5, acquired by call 4
+        "a\x03\xac\x02\x05\x02\x04") +     // holder "a", token 3, 300 ms, call 5, acquired by call 4
     std::string("\x01\x01n\x07") +         // one number, "n": 7
     std::string("\x01\x02g.\x01") +        // one group, "g.", revision 1
     std::string("\x01\x03g.k\x01v\x01") +  // one key, "g.k": "v", revision 1
@@ -24,7 +24,7 @@
 
 State documented_state() {
   State out;
-  out.locks["l"] = {"a", 3, 300, 5, 4};
+  out.locks["l"] = {"a", 3, 300, 5, 2, 4};
   out.numbers["n"] = 7;
   out.groups["g."] = {1, {{"g.k", {"v", 1}}}, {{"g.k", "v", 1}}};
   return out;
@@ -35,7 +35,7 @@
 TEST_GROUP(CoordinationStateFormat){};
 
 TEST(CoordinationStateFormat, IsAsDocumented) {
-  LONGS_EQUAL(36, documented_bytes.size());
+  LONGS_EQUAL(37, documented_bytes.size());
   CHECK(encode(documented_state()) == documented_bytes);
   CHECK(decode(documented_bytes) == documented_state());
 }
--- a/tests/control/coordination/state_machine_test.cpp
+++ b/tests/control/coordination/state_machine_test.cpp
@@ -84,7 +84,7 @@
 TEST(CoordinationLocks, FirstAcquisitionGetsTheFirstToken) {
   check_answer(Outcome::done, 1, controller.apply(acquire(1, "a")));
   CHECK_TRUE(controller.changed);
-  CHECK_TRUE((controller.state.locks["l"] == Lock{"a", 1, 3000, 1, 1}));
+  CHECK_TRUE((controller.state.locks["l"] == Lock{"a", 1, 3000, 1, 1, 1}));
 }
 
 TEST(CoordinationLocks, HeldLockIsRefusedToOthersWithoutAChange) {
@@ -185,6 +185,23 @@
   check_answer(Outcome::held_by_other, 0, controller.apply(acquire(4, "b")));
 }
 
+// A copy of a call that was under way while the holder renewed again: its grant is a new one, which counts
+// from when it is seen, though this controller has seen the same call before.
+TEST(CoordinationLocks, RenewalCarriedOutAgainAfterANewerOneIsANewGrant) {
+  controller.apply(acquire(1, "a"));
+  controller.apply(renew(2, "a", 1));
+  LocalTimes other{retention};
+  other.observe(controller.state, controller.now);
+  controller.wait_ms(500);
+  controller.apply(renew(3, "a", 1));
+  controller.wait_ms(100);
+  check_answer(Outcome::done, 1, controller.apply(renew(2, "a", 1)));
+  other.observe(controller.state, controller.now);
+  const TimePoint end = controller.now + Span::ms(3010);
+  CHECK_FALSE(other.has_expired("l", controller.state.locks["l"], end));
+  CHECK_TRUE(other.has_expired("l", controller.state.locks["l"], end + Span::ms(1)));
+}
+
 // Its answer may be lost: the holder counts by its last good call then.
 TEST(CoordinationLocks, ShorterRenewalDoesNotCutAHoldShort) {
   controller.apply(acquire(1, "a"));
--- a/tests/golden/records_test.cpp
+++ b/tests/golden/records_test.cpp
@@ -393,6 +393,8 @@
           .value = text(4507, n),
           .applies_to = number(4508, n),
           .time_left_ms = number(4509, n),
+          .expired_grant_id = number(4512, n),
+          .expired_grant_number = number(4513, n),
           .echo_incarnation = number(4510, n),
           .echo_stamp = number(4511, n)};
 }
