Tier simulation: keys are read elsewhere after a put, and refused puts are given up

Change: KeyCaller reads the key at another controller right after a part of its puts, and takes a part of its refused puts for rejected.

--- a/src/tier_simulation/coordination_client.hpp
+++ b/src/tier_simulation/coordination_client.hpp
@@ -58,6 +58,8 @@
   /// Sends it to the client's controller. Without a clear answer the client goes to another one.
   /// `extra_wait`: for how long the controller may hold the call back.
   void send(const std::string& request, Callback callback, Span extra_wait = Span::ms(0));
+  /// The next calls go to another controller, drawn at random.
+  void choose_controller();
   void run_after(Span span, std::function<void()> function);
   Span draw_pause();
   bool happens(double probability) { return random_.unit() < probability; }
@@ -71,7 +73,6 @@
   Pcg random_;
 
  private:
-  void choose_controller();
   std::optional<sockaddr_in> controller_;
 };
 
--- a/src/tier_simulation/coordination_clients.cpp
+++ b/src/tier_simulation/coordination_clients.cpp
@@ -154,9 +154,16 @@
  private:
   static constexpr double read_probability = 0.4;
   static constexpr double any_revision_probability = 0.4;
+  static constexpr double read_back_probability = 0.4;
+  static constexpr double give_up_probability = 0.3;  // where it is told that nothing was done
 
   void call_next();
   void read(const std::string& key);
+  /// Right after an acknowledgement, while other controllers may not have heard of it.
+  void read_elsewhere(const std::string& key) {
+    choose_controller();
+    read(key);
+  }
   void put(const std::string& key);
   void send_put(CoordinationChecker::Put& put, TimePoint until);
   void on_put_answer(CoordinationChecker::Put& put, const CoordinationChecker::Reading& reading,
@@ -206,6 +213,7 @@
     const std::int64_t revision = integer_in(*result, "revision");
     checker().record_put(put, revision);
     known_revisions_[put.key] = revision;
+    if (happens(read_back_probability)) return read_elsewhere(put.key);
     return begin();
   }
   if (outcome == CallOutcome::conflict) {
@@ -215,7 +223,8 @@
     return begin();
   }
   if (outcome == CallOutcome::refused) CoordinationChecker::record_refusal(put);
-  if (now() >= until) return begin();
+  const bool gives_up = outcome == CallOutcome::refused && happens(give_up_probability);
+  if (gives_up || now() >= until) return begin();
   run_after(retry_pause, [this, &put, until] { send_put(put, until); });
 }
 
