--- a/src/common/settings.hpp
+++ b/src/common/settings.hpp
@@ -39,9 +39,9 @@
   std::size_t descriptors = 1024;  ///< file descriptors that the process may open
   /// Machines with a disk, or zones, that may be lost at once: replicas lie in as many zones as there are.
   std::size_t machine_losses = 1;
-  sockaddr_in platform{};       ///< API of the platform, which lists the endpoints
-  double platform_rate = 0;     ///< calls a second to it, of all sidecars together
-  Span grace = Span::ms(8000);  ///< from SIGTERM to the end of the process, at most
+  sockaddr_in platform{};          ///< API of the platform, which lists the endpoints
+  double platform_rate = 0;        ///< calls a second to it, of all sidecars together
+  Span grace = Span::ms(8000);     ///< from SIGTERM to the end of the process, at most
   Span history = Span::ms(20000);  ///< for how long watchers of keys may resume from a revision that they got
   // Read and checked, not used yet.
   std::string role, machine_class, serves, region;
