--- a/review/harness/harness.cpp
+++ b/review/harness/harness.cpp
@@ -542,6 +542,15 @@
   record_.line("started " + std::to_string(machines_.size()) + " processes");
 }
 
+void Cluster::kill_all() {
+  for (const auto& machine : machines_) machine->process->signal(SIGKILL);
+  for (const auto& machine : machines_) machine->process->kill();
+}
+
+void Cluster::start_all() {
+  for (const auto& machine : machines_) machine->process->start();
+}
+
 bool Cluster::put_configuration(const std::string& body, std::int64_t base, Ms timeout) {
   const Clock::time_point deadline = Clock::now() + timeout;
   int tries = 0;
--- a/review/harness/harness.hpp
+++ b/review/harness/harness.hpp
@@ -201,8 +201,12 @@
   Cluster(Record& record, const ClusterSpec& spec);
   ~Cluster();
 
-  /// Starts all processes.
+  /// Starts all processes for the first time.
   void start();
+  /// Sends SIGKILL to all processes.
+  void kill_all();
+  /// Starts all processes again.
+  void start_all();
   Machine& edge(int i) { return *by_plane(Plane::edge, i); }
   Machine& controller(int i) { return *by_plane(Plane::control, i); }
   Machine& storage_node(int i) { return *by_plane(Plane::storage, i); }
