--- a/review/harness/harness.cpp
+++ b/review/harness/harness.cpp
@@ -239,22 +239,11 @@
   return out;
 }
 
-bool Connection::peer_closed() const {
-  char byte = 0;
-  return ::recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
-}
-
 void Connection::close() {
   if (fd_ >= 0) ::close(fd_);
   fd_ = -1;
 }
 
-void Connection::reset() {
-  const linger at_once{.l_onoff = 1, .l_linger = 0};
-  if (fd_ >= 0) ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
-  close();
-}
-
 std::string format_request(const Request& request) {
   std::string out = request.method + " " + request.target + " HTTP/1.1\r\n";
   for (const auto& [name, value] : request.headers) out += name + ": " + value + "\r\n";
@@ -282,14 +271,19 @@
 Server::Server(const Address& at, Handler handler)
     : address_(at), handler_(std::move(handler)), fd_(listen_at(at)) {
   if (fd_ < 0) throw std::runtime_error(at.text() + ": cannot listen");
-  thread_ = std::thread([this] { accept_loop(); });
+  accepting_ = std::thread([this] { accept_loop(); });
 }
 
 Server::~Server() {
   ending_ = true;
   ::shutdown(fd_, SHUT_RDWR);
-  thread_.join();
+  accepting_.join();
   ::close(fd_);
+  {
+    const std::lock_guard guard(mutex_);
+    for (const int fd : open_) ::shutdown(fd, SHUT_RDWR);
+  }
+  for (std::thread& thread : threads_) thread.join();
 }
 
 void Server::accept_loop() {
@@ -298,13 +292,20 @@
     if (got < 0) continue;
     const int on = 1;
     ::setsockopt(got, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-    std::thread([handler = handler_, got] {
-      Connection connection(got);
-      handler(connection);
-    }).detach();
+    const std::lock_guard guard(mutex_);
+    open_.insert(got);
+    threads_.emplace_back([this, got] { serve(got); });
   }
 }
 
+void Server::serve(int fd) {
+  Connection connection(fd);
+  handler_(connection);
+  const std::lock_guard guard(mutex_);
+  open_.erase(fd);
+  connection.close();
+}
+
 Platform::Platform(const Address& at)
     : server_(std::make_unique<Server>(at, [this](Connection& connection) { serve(connection); })) {}
 
--- a/review/harness/harness.hpp
+++ b/review/harness/harness.hpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <utility>
@@ -80,16 +81,12 @@
   Connection& operator=(const Connection&) = delete;
 
   bool open(const Address& to, Ms timeout);
-  bool is_open() const { return fd_ >= 0; }
   bool send(const std::string& bytes) const;
   /// Reads a request; std::nullopt if the connection ends first.
   std::optional<Request> read_request();
   /// Reads a response until `deadline`.
   Response read_response(Clock::time_point deadline);
-  /// Returns true if the peer has closed the connection.
-  bool peer_closed() const;
   void close();
-  void reset();
 
  private:
   enum class Read : std::uint8_t { some, ended, timed_out };
@@ -110,7 +107,7 @@
 /// Sends one request on a new connection.
 Response exchange(const Address& to, const Request& request, Ms timeout);
 
-/// Accepts connections and serves each in a thread of its own.
+/// Accepts connections and serves each in a thread of its own. The destructor ends them all.
 class Server {
  public:
   using Handler = std::function<void(Connection&)>;
@@ -120,11 +117,15 @@
 
  private:
   void accept_loop();
+  void serve(int fd);
   Address address_;
   Handler handler_;
   int fd_;
   std::atomic<bool> ending_ = false;
-  std::thread thread_;
+  std::mutex mutex_;
+  std::set<int> open_;                // sockets that are being served
+  std::vector<std::thread> threads_;  // one a connection
+  std::thread accepting_;
 };
 
 /// A program of the project, as a process.
