--- a/review/harness/stand_ins.cpp
+++ b/review/harness/stand_ins.cpp
@@ -35,10 +35,16 @@
   return {id_, model_service, server_->address(), zone, 96, "in_service"};
 }
 
-std::optional<std::string> ModelEndpoint::body_of(const std::string& attempt) {
-  const std::lock_guard guard(mutex_);
-  const auto found = ran_.find(attempt);
-  return found == ran_.end() ? std::nullopt : std::optional(found->second);
+ModelEndpoint::MemoryUse::MemoryUse(ModelEndpoint& endpoint, int tokens)
+    : endpoint_(endpoint), tokens_(tokens) {
+  const std::lock_guard guard(endpoint_.mutex_);
+  fits_ = endpoint_.used_tokens_ + tokens_ <= kv_capacity;
+  if (fits_) endpoint_.used_tokens_ += tokens_;
+}
+
+ModelEndpoint::MemoryUse::~MemoryUse() {
+  const std::lock_guard guard(endpoint_.mutex_);
+  if (fits_) endpoint_.used_tokens_ -= tokens_;
 }
 
 void ModelEndpoint::serve(Connection& connection) {
@@ -57,11 +63,15 @@
   if (!target.empty() && target != id_)
     return connection.send(
         format_response(421, {{"X-Chutevane-Attempt-Id", attempt}, {"X-Chutevane-Not-Executed", "1"}}, ""));
+  // The body has the whole chain; a byte counts as a token.
+  const MemoryUse use(*this, static_cast<int>(request.body.size()));
+  if (!use.fits())
+    return connection.send(
+        format_response(503, {{"X-Chutevane-Attempt-Id", attempt}, {"X-Chutevane-Not-Executed", "1"}}, ""));
   Pace pace;
   {
     const std::lock_guard guard(mutex_);
     pace = pace_;
-    ran_[attempt] = request.body;
   }
   record_.line("endpoint " + id_ + ": runs " + attempt);
   sleep_ms(pace.first_ms);
--- a/review/harness/stand_ins.hpp
+++ b/review/harness/stand_ins.hpp
@@ -12,6 +12,7 @@
 
 namespace review {
 
+constexpr int kv_capacity = 256505;  // tokens in an endpoint's memory, as the configuration states
 constexpr const char* host = "agents.example";
 constexpr const char* turn_path = "/turns/";
 constexpr const char* model_service = "models";
@@ -38,10 +39,20 @@
   ModelEndpoint(Record& record, std::string id, const Address& at);
   void set_pace(const Pace& pace);
   Instance instance(const std::string& zone) const;
-  /// Returns the body with which the attempt ran here, or std::nullopt.
-  std::optional<std::string> body_of(const std::string& attempt);
 
  private:
+  /// Tokens in the engine's memory while a request runs.
+  class MemoryUse {
+   public:
+    MemoryUse(ModelEndpoint& endpoint, int tokens);
+    ~MemoryUse();
+    bool fits() const { return fits_; }
+
+   private:
+    ModelEndpoint& endpoint_;
+    const int tokens_;
+    bool fits_ = false;
+  };
   void serve(Connection& connection);
   bool stream(Connection& connection, const Request& request);
 
@@ -49,7 +60,7 @@
   const std::string id_;
   std::mutex mutex_;
   Pace pace_;
-  std::map<std::string, std::string> ran_;
+  int used_tokens_ = 0;  // by the requests that run
   std::unique_ptr<Server> server_;
 };
 
