Storage: count and log turns that are stored while an ancestor is missing

Cause: neither logs nor metrics told how a chain ends at a storage node that acknowledges a turn: whether the ancestors were there, came from other nodes or are missing, and whether a missing one had expired or never was there.

Change: the metric chutevane_storage_chains_total by outcome (complete, fetched, incomplete), the log line storage.chain_incomplete (turn, missing ancestor, what the other nodes answered, how long ago it expired here), and the ids of turns that expired within 10 s. What is answered stays as it was.

--- a/src/storage/ancestor_fetcher.cpp
+++ b/src/storage/ancestor_fetcher.cpp
@@ -16,10 +16,15 @@
   std::function<void()> done;
   std::string missing;               // id of the ancestor that is being requested
   std::vector<std::string> untried;  // addresses of the nodes not yet asked for it
+  std::size_t answered_without = 0;  // nodes that replied without the ancestor
+  std::size_t silent = 0;            // nodes that did not reply in time
 };
 
 void AncestorFetcher::complete_chain(const common::Turn& turn, std::function<void()> done) {
-  if (store_.first_missing_ancestor(turn.id).empty()) return done();
+  if (store_.first_missing_ancestor(turn.id).empty()) {
+    ++outcomes_[static_cast<std::size_t>(ChainOutcome::complete)];
+    return done();
+  }
   auto fetch = std::make_shared<Fetch>();
   fetch->turn = turn;
   fetch->done = std::move(done);
@@ -31,12 +36,14 @@
   if (missing != fetch->missing) {
     fetch->missing = missing;
     fetch->untried.clear();
+    fetch->answered_without = fetch->silent = 0;
     for (const common::StorageNode& node : map_.nodes) {
       if (node.node != own_node_) fetch->untried.push_back(node.address);
     }
   }
   if (missing.empty() || fetch->untried.empty()) {
     store_.store_turn(fetch->turn, timers_.now());  // extends the retention of the ancestors
+    record_end(*fetch);
     return fetch->done();
   }
   const std::string address = fetch->untried.back();
@@ -48,11 +55,37 @@
 
 void AncestorFetcher::on_reply(const std::shared_ptr<Fetch>& fetch,
                                const absl::StatusOr<common::FindTurnReply>& reply) {
-  if (reply.ok()) {
+  if (!reply.ok()) {
+    ++fetch->silent;
+  } else if (reply->turns.empty()) {
+    ++fetch->answered_without;
+  } else {
     // If the store has no capacity, the turn stays missing, and asking the next node does not help either.
     for (const common::Turn& turn : reply->turns) store_.store_turn(turn, timers_.now());
   }
   request_next(fetch);
 }
 
+void AncestorFetcher::record_end(const Fetch& fetch) {
+  const ChainOutcome outcome = fetch.missing.empty() ? ChainOutcome::fetched : ChainOutcome::incomplete;
+  ++outcomes_[static_cast<std::size_t>(outcome)];
+  const TimePoint now = timers_.now();
+  if (outcome != ChainOutcome::incomplete || !incomplete_log_.admits(now)) return;
+  const auto expired_at = store_.expired_at(fetch.missing);
+  const std::string expired_ms_ago =
+      expired_at ? std::to_string(static_cast<std::int64_t>((now - *expired_at).as_ms())) : "none";
+  incomplete_log_.line("turn=" + fetch.turn.id + " missing=" + fetch.missing +
+                       " answered_without=" + std::to_string(fetch.answered_without) +
+                       " silent=" + std::to_string(fetch.silent) + " expired_here_ms_ago=" + expired_ms_ago);
+}
+
+void AncestorFetcher::write_metrics(common::MetricsWriter& out) const {
+  out.begin(common::MetricsWriter::Type::counter, "chutevane_storage_chains", "",
+            "Turns that were to be stored, by whether their chain was here.");
+  for (std::size_t outcome = 0; outcome < chain_outcome_count; ++outcome) {
+    out.sample(static_cast<double>(outcomes_[outcome]),
+               {{"outcome", label_of(static_cast<ChainOutcome>(outcome))}});
+  }
+}
+
 }  // namespace chutevane::storage
--- a/src/storage/ancestor_fetcher.hpp
+++ b/src/storage/ancestor_fetcher.hpp
@@ -6,13 +6,19 @@
 /// the other nodes of the storage map, one node at a time.
 #pragma once
 
+#include <array>
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "absl/status/statusor.h"
 #include "common/messages.hpp"
+#include "common/metrics.hpp"
+#include "common/rate_limited_log.hpp"
 #include "net/timer_queue.hpp"
 #include "storage/peer_clients.hpp"
 #include "storage/replica_store.hpp"
@@ -20,6 +26,20 @@
 
 namespace chutevane::storage {
 
+/// Whether this node had the whole chain of a turn that it was asked to store.
+enum class ChainOutcome : std::uint8_t {
+  complete,    ///< all ancestors were here
+  fetched,     ///< missing ancestors were fetched from other nodes
+  incomplete,  ///< an ancestor is missing here, and no other node has sent it
+};
+constexpr std::size_t chain_outcome_count = static_cast<std::size_t>(ChainOutcome::incomplete) + 1;
+
+/// Returns the name of the outcome in metrics.
+constexpr std::string_view label_of(ChainOutcome outcome) {
+  constexpr std::array<std::string_view, chain_outcome_count> labels = {"complete", "fetched", "incomplete"};
+  return labels[static_cast<std::size_t>(outcome)];
+}
+
 /// Fetches missing ancestors from peers. All referenced objects must outlive this one.
 class AncestorFetcher {
  public:
@@ -32,9 +52,15 @@
   /// has expired everywhere. Calls `done` before it returns if no ancestor is missing.
   void complete_chain(const common::Turn& turn, std::function<void()> done);
 
+  /// Writes the metric family `chutevane_storage_chains`.
+  void write_metrics(common::MetricsWriter& out) const;
+
  private:
+  static constexpr int max_log_lines_per_second = 10;
+
   struct Fetch;  ///< state of the fetch for one chain
   void request_next(const std::shared_ptr<Fetch>& fetch);
+  void record_end(const Fetch& fetch);
   void on_reply(const std::shared_ptr<Fetch>& fetch, const absl::StatusOr<common::FindTurnReply>& reply);
 
   net::TimerQueue& timers_;
@@ -42,6 +68,8 @@
   PeerClients& peers_;
   const ServedMap& map_;
   const std::string own_node_;
+  std::array<std::uint64_t, chain_outcome_count> outcomes_{};
+  common::RateLimitedLog incomplete_log_{"storage.chain_incomplete", max_log_lines_per_second};
 };
 
 }  // namespace chutevane::storage
--- a/src/storage/replica_store.cpp
+++ b/src/storage/replica_store.cpp
@@ -19,6 +19,8 @@
 /// Number of turns; guards against cyclic chains.
 constexpr std::size_t max_chain_length = 10000;
 constexpr Span expiry_interval = Span::ms(1000);
+/// For which the ids of expired turns are remembered: an answer that continues one may be under way.
+constexpr Span expired_id_retention = Span::ms(10000);
 constexpr std::int64_t tokens_unset = -1;  // in an entry that was just created
 /// Approximate number of bytes that a turn takes in addition to its input and output.
 constexpr std::size_t turn_overhead = 200;
@@ -173,6 +175,11 @@
   return "";
 }
 
+std::optional<TimePoint> ReplicaStore::expired_at(const std::string& id) const {
+  const auto found = expired_.find(id);
+  return found == expired_.end() ? std::nullopt : std::optional(found->second);
+}
+
 std::set<std::string> ReplicaStore::cross_program_ancestors(
     const std::function<bool(const std::string& program)>& is_wanted) const {
   std::set<std::string> ancestors;
@@ -209,6 +216,7 @@
 }
 
 void ReplicaStore::drop_expired_turns(TimePoint now) {
+  std::erase_if(expired_, [&](const auto& turn) { return now - turn.second > expired_id_retention; });
   for (auto at = turns_.begin(); at != turns_.end();) {
     if (at->second.expires_at >= now) {
       ++at;
@@ -216,6 +224,7 @@
     }
     turn_bytes_ -= footprint(at->second.turn);
     log_.drop_reference(at->second.segment);
+    expired_[at->first] = now;
     at = turns_.erase(at);
   }
 }
--- a/src/storage/replica_store.hpp
+++ b/src/storage/replica_store.hpp
@@ -20,6 +20,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -74,6 +75,8 @@
   /// Returns the id of the first missing turn, starting at `id` and following the chain backwards. Returns an
   /// empty string if no turn of the chain is missing.
   std::string first_missing_ancestor(const std::string& id) const;
+  /// Returns when the turn expired here, or std::nullopt if it has not within the last 10 s. For diagnosis.
+  std::optional<TimePoint> expired_at(const std::string& id) const;
   /// Returns the ids of the turns that a turn of another program continues, with their whole chains, for each
   /// such program that `is_wanted` accepts. These turns must be replicated where that program's turns are.
   std::set<std::string> cross_program_ancestors(
@@ -128,6 +131,7 @@
   const std::size_t max_bytes_;
   std::map<std::string, StoredTurn> turns_;        // by id
   std::map<std::string, StoredAccount> accounts_;  // by program
+  std::map<std::string, TimePoint> expired_;       // when turns expired lately, by id
   std::size_t turn_bytes_ = 0;
   TimePoint last_expiry_;
 };
--- a/src/storage/storage_plane_metrics.cpp
+++ b/src/storage/storage_plane_metrics.cpp
@@ -9,6 +9,7 @@
   };
   const auto count = [](auto value) { return static_cast<double>(value); };
   request_stats_.write_metrics(out);
+  ancestor_fetcher_.write_metrics(out);
   gauge("chutevane_storage_turns", "", "Turns held.", count(store_.turn_count()));
   gauge("chutevane_storage_accounts", "", "Accounts of programs held.", count(store_.account_count()));
   gauge("chutevane_storage_bytes", "bytes", "Turns in memory and on disk.", count(store_.turn_bytes()));
--- a/tests/storage/replica_store_test.cpp
+++ b/tests/storage/replica_store_test.cpp
@@ -251,6 +251,18 @@
   CHECK_TRUE(store.find_turn("a1") == nullptr && store.find_turn("a2") == nullptr);
 }
 
+// Diagnosis distinguishes an ancestor that has expired here from one that never was here.
+TEST(ReplicaStoreTurns, RemembersForSomeTimeWhatHasExpired) {
+  store.store_turn(turn("a1", "", 10000), now);
+  CHECK_FALSE(store.expired_at("a1").has_value());
+  const TimePoint expired_at = now + Span::ms(11000);
+  store.expire(expired_at);
+  CHECK_TRUE(store.expired_at("a1") == expired_at);
+  CHECK_FALSE(store.expired_at("b1").has_value());
+  store.expire(expired_at + Span::ms(11000));
+  CHECK_FALSE(store.expired_at("a1").has_value());
+}
+
 // A node that stores a turn must also have its ancestors, so that they are retained for as long.
 TEST(ReplicaStoreTurns, FirstMissingAncestor) {
   store.store_turn(turn("a1", ""), now);
