Turns: a replica acknowledges a turn only with its whole chain

What callers saw: a turn that was answered whole less than retentionS ago got 404 at every edge but the one that had answered it, and after the end of that one at all of them. No fault was needed: it was enough that a conversation paused for nearly retentionS and that its answer went on past the end of it.

Cause: an edge with the chain in its cache asks no storage node when the request comes, so the turns before expire while the answer is under way. A replica that is then asked to store the new turn finds the turns before nowhere (AncestorFetcher), and acknowledged it all the same. The only whole chain was in the cache of one edge. Extending the retention when the request comes would not be enough: an answer may last longer than retentionS, and it would be extended only at the replicas that were asked.

Change: AncestorFetcher says whether the chain is complete, after 200 ms at most; if not, the replica answers chain_incomplete. The edge holds the chain that it has sent to the endpoint until the turn is stored, and sends it to that replica, the oldest turn first, then the turn again. So what is acknowledged lies with its chain, and the chain's time, at each replica that counts. An answer whose chain can't be stored doesn't end whole. On the ordinary path nothing is added: no message, no sync; the edge keeps references to turns that it has anyway.

Why it works: a turn is found for its retention if enough replicas have it and its ancestors for so long; both are now conditions of the acknowledgement, and no longer consequences of what was extended when.

--- a/src/edge/data_plane_metrics.cpp
+++ b/src/edge/data_plane_metrics.cpp
@@ -66,6 +66,8 @@
   counter("chutevane_streams", "Streams of which a part was passed on.", counters.streams);
   counter("chutevane_events", "Events of streams passed on.", counters.events);
   counter("chutevane_turns_kept", "Turns that storage has kept.", counters.turns_stored);
+  counter("chutevane_chains_sent", "Times that the turns before one were sent to a node that lacked some.",
+          storage_.chains_sent());
   failures_.write(out);
   gauge("chutevane_clients", "", "Connections of clients.", static_cast<double>(connections_.size()));
   gauge("chutevane_endpoint_connections", "", "Connections to endpoints.",
--- a/src/edge/proxied_request.cpp
+++ b/src/edge/proxied_request.cpp
@@ -121,6 +121,7 @@
   body_.reserve(size);
   for (const auto& turn : chain.turns) body_.append(turn->input.data).append(turn->output.data);
   body_.append(request_.body);
+  previous_turns_ = chain.turns;
   reserve_budget();
 }
 
--- a/src/edge/proxied_request.hpp
+++ b/src/edge/proxied_request.hpp
@@ -176,7 +176,8 @@
   const common::Route* route_ = nullptr;                        // points into configuration_
   std::string service_;
   bool is_stream_ = false;
-  std::string body_;  // the body sent to endpoints: the previous turns followed by the client's body
+  TurnList previous_turns_;  // the turns that the request continues; kept until its own turn is stored
+  std::string body_;         // the body sent to endpoints: the previous turns followed by the client's body
   BudgetReservation budget_;
 
   AttemptContext placement_;
--- a/src/edge/proxied_request_responses.cpp
+++ b/src/edge/proxied_request_responses.cpp
@@ -118,8 +118,8 @@
   turn.output.data = std::move(turn_output_);
   turn.retention_ms = static_cast<std::int64_t>(route_->retention.as_ms());
   const std::int64_t tokens = forwarded_tokens().value_or(static_cast<std::int64_t>(events_forwarded_));
-  plane_.storage().store_turn(turn, budget_.is_open() ? tokens : no_reservation, deadline_,
-                              guarded([this](bool is_stored) { on_turn_stored(is_stored); }));
+  plane_.storage().store_turn(turn, std::move(previous_turns_), budget_.is_open() ? tokens : no_reservation,
+                              deadline_, guarded([this](bool is_stored) { on_turn_stored(is_stored); }));
 }
 
 void ProxiedRequest::on_turn_stored(bool is_stored) {
@@ -161,6 +161,7 @@
   guard_.reset();
   is_in_progress_ = is_head_written_ = false;
   budget_.abandon();
+  previous_turns_.clear();
   request_ =
       {};  // frees the bodies, and keeps the end of an idle connection from being reported for this request
   stage_ = Stage::finished;
@@ -183,6 +184,7 @@
     budget_.release();
   }
   is_in_progress_ = false;
+  previous_turns_.clear();
   stage_ = Stage::finished;
 }
 
--- a/src/edge/storage_client.hpp
+++ b/src/edge/storage_client.hpp
@@ -39,10 +39,13 @@
   unavailable,  ///< the lookup did not finish in time
 };
 
+/// Turns that continue each other, the oldest first.
+using TurnList = std::vector<std::shared_ptr<const common::Turn>>;
+
 /// A turn and all the turns that it continues.
 struct TurnChain {
   LookupResult result = LookupResult::unavailable;
-  std::vector<std::shared_ptr<const common::Turn>> turns;  ///< oldest first; all of them only if complete
+  TurnList turns;  ///< all of them only if complete
 };
 
 /// Not thread-safe; all calls and callbacks run on the scheduler's thread. Must outlive its operations.
@@ -72,11 +75,14 @@
     commit_usage(program, attempt_id, 0);
   }
 
-  /// Stores a turn and calls `done(true)` once enough nodes have it on disk, or `done(false)` at the
-  /// deadline. `used_tokens` commits the reservation of the turn's attempt in the same write; -1 if there is
-  /// none.
-  void store_turn(const common::Turn& turn, std::int64_t used_tokens, TimePoint deadline,
+  /// Stores a turn and calls `done(true)` once enough nodes have it on disk, with all turns that it
+  /// continues, or `done(false)` at the deadline. `ancestors` are these turns, the oldest first: a node that
+  /// lacks one of them, because it has expired in storage since the chain was read, gets them again.
+  /// `used_tokens` commits the reservation of the turn's attempt in the same write; -1 if there is none.
+  void store_turn(const common::Turn& turn, TurnList ancestors, std::int64_t used_tokens, TimePoint deadline,
                   std::function<void(bool)> done);
+  /// Number of times that the ancestors of a turn were sent to a node that lacked one of them.
+  std::uint64_t chains_sent() const { return chains_sent_; }
 
   /// Reads the turn `id` and all the turns that it continues. `attempt_id` identifies the request in logs.
   void find_chain(const std::string& id, const std::string& program, const std::string& attempt_id,
@@ -101,6 +107,8 @@
   void write_to_next(const std::shared_ptr<ReplicatedWrite>& write);
   void on_store_reply(const std::shared_ptr<ReplicatedWrite>& write, std::uint64_t round, std::size_t node,
                       const absl::StatusOr<common::StoreTurnReply>& reply);
+  void send_chain(const std::shared_ptr<ReplicatedWrite>& write, std::size_t node);
+  void send_turn(const std::shared_ptr<ReplicatedWrite>& write, std::size_t node);
   void hedge_write(const std::shared_ptr<ReplicatedWrite>& write);
   void check_replicated(const ReplicatedWrite& write) const;
 
@@ -135,6 +143,7 @@
   std::map<std::string, std::unique_ptr<common::RpcClient>> connections_;  // by address
   std::map<std::string, UsageOutbox> usage_outboxes_;                      // by address
   TurnCache cache_;
+  std::uint64_t chains_sent_ = 0;
 };
 
 }  // namespace chutevane::edge
--- a/src/edge/storage_client_writes.cpp
+++ b/src/edge/storage_client_writes.cpp
@@ -3,6 +3,10 @@
 /// The write is sent to the required number of nodes first, the nearest ones of the program's replica group.
 /// The rest of the group is used only if one of them rejects the write or does not reply within a hedging
 /// delay. All replicas that count have the turn under the same map (storage_client.hpp).
+///
+/// A replica counts only if it also has every turn that the stored one continues. These were stored before,
+/// but may have expired while this turn's answer was under way, or are only in this process's cache. A node
+/// that neither has them nor finds them at its peers replies `chain_incomplete`, and gets them from here.
 #include <algorithm>
 #include <set>
 
@@ -15,12 +19,14 @@
 
 constexpr Span hedge_delay = Span::ms(40);  // after which the rest of the group gets the write too
 constexpr Span min_rpc_timeout = Span::ms(1);
+constexpr std::int64_t no_usage = -1;  // no reservation to commit
 
 }  // namespace
 
 struct StorageClient::ReplicatedWrite {
   common::Turn turn;
-  std::int64_t used_tokens = 0;  // -1 if there is no reservation to commit
+  TurnList ancestors;
+  std::int64_t used_tokens = 0;  // `no_usage` if there is no reservation to commit
   TimePoint deadline;
   std::function<void(bool)> done;
 
@@ -28,17 +34,19 @@
   std::int64_t map_version = 0;
   std::vector<std::size_t> group;  // indexes of nodes, nearest first
   std::size_t required = 0;
-  std::size_t asked = 0;         // number of nodes that were sent the write, from the front of `group`
-  std::set<std::size_t> stored;  // nodes that have the turn on disk
+  std::size_t asked = 0;             // number of nodes that were sent the write, from the front of `group`
+  std::set<std::size_t> stored;      // nodes that have the turn and its chain on disk
+  std::set<std::size_t> sent_chain;  // nodes that were sent the ancestors
   bool is_retry_scheduled = false;
   bool is_finished = false;
   net::TimerQueue::Handle hedge_timer;
 };
 
-void StorageClient::store_turn(const common::Turn& turn, std::int64_t used_tokens, TimePoint deadline,
-                               std::function<void(bool)> done) {
+void StorageClient::store_turn(const common::Turn& turn, TurnList ancestors, std::int64_t used_tokens,
+                               TimePoint deadline, std::function<void(bool)> done) {
   auto write = std::make_shared<ReplicatedWrite>();
   write->turn = turn;
+  write->ancestors = std::move(ancestors);
   write->used_tokens = used_tokens;
   write->deadline = deadline;
   write->done = std::move(done);
@@ -59,6 +67,7 @@
   write->required = required_replicas(write->group.size());
   write->asked = 0;
   write->stored.clear();
+  write->sent_chain.clear();
   timers_.cancel(write->hedge_timer);
   if (write->group.size() < write->required) {
     timers_.after(retry_interval, [this, write] { start_write_round(write); });
@@ -80,14 +89,30 @@
 }
 
 void StorageClient::write_to_next(const std::shared_ptr<ReplicatedWrite>& write) {
-  const std::size_t index = write->group[write->asked++];
+  send_turn(write, write->group[write->asked++]);
+}
+
+void StorageClient::send_turn(const std::shared_ptr<ReplicatedWrite>& write, std::size_t node_index) {
   const std::uint64_t round = write->round;
   const Span timeout = std::min(rpc_timeout, std::max(write->deadline - timers_.now(), min_rpc_timeout));
-  node(index).call<common::StoreTurnReply>(
-      common::StoreTurnRequest{map_version_, write->turn, write->used_tokens}, timeout,
-      [this, write, round, index](const absl::StatusOr<common::StoreTurnReply>& reply) {
-        on_store_reply(write, round, index, reply);
-      });
+  node(node_index)
+      .call<common::StoreTurnReply>(
+          common::StoreTurnRequest{write->map_version, write->turn, write->used_tokens}, timeout,
+          [this, write, round, node_index](const absl::StatusOr<common::StoreTurnReply>& reply) {
+            on_store_reply(write, round, node_index, reply);
+          });
+}
+
+// Sends the ancestors, the oldest first, so that the chain of each is complete when it arrives, and then the
+// turn again. Only the reply to the turn matters: it tells whether the node has the whole chain by then.
+void StorageClient::send_chain(const std::shared_ptr<ReplicatedWrite>& write, std::size_t node_index) {
+  ++chains_sent_;
+  for (const auto& ancestor : write->ancestors) {
+    node(node_index)
+        .call<common::StoreTurnReply>(common::StoreTurnRequest{write->map_version, *ancestor, no_usage},
+                                      rpc_timeout, [](const absl::StatusOr<common::StoreTurnReply>&) {});
+  }
+  send_turn(write, node_index);
 }
 
 void StorageClient::on_store_reply(const std::shared_ptr<ReplicatedWrite>& write, std::uint64_t round,
@@ -95,7 +120,11 @@
                                    const absl::StatusOr<common::StoreTurnReply>& reply) {
   if (write->is_finished || write->round != round) return;
   if (write->map_version != map_version_) return start_write_round(write);
-  if (reply.ok() && static_cast<storage::ReplicaStatus>(reply->verdict) == storage::ReplicaStatus::ok) {
+  const auto status = reply.ok() ? static_cast<storage::ReplicaStatus>(reply->verdict)
+                                 : storage::ReplicaStatus::indeterminate;
+  if (status == storage::ReplicaStatus::chain_incomplete && write->sent_chain.insert(node_index).second)
+    return send_chain(write, node_index);
+  if (status == storage::ReplicaStatus::ok) {
     write->stored.insert(node_index);
     if (write->stored.size() < write->required) return;
     check_replicated(*write);
--- a/src/storage/ancestor_fetcher.cpp
+++ b/src/storage/ancestor_fetcher.cpp
@@ -7,27 +7,31 @@
 namespace {
 
 constexpr Span reply_timeout = Span::ms(60);
+/// Half of the time for which an edge waits for the reply to a store request.
+constexpr Span fetch_time_limit = Span::ms(200);
 
 }  // namespace
 
 /// State of the fetch for one chain.
 struct AncestorFetcher::Fetch {
   common::Turn turn;
-  std::function<void()> done;
+  Done done;
+  TimePoint deadline;
   std::string missing;               // id of the ancestor that is being requested
   std::vector<std::string> untried;  // addresses of the nodes not yet asked for it
   std::size_t answered_without = 0;  // nodes that replied without the ancestor
   std::size_t silent = 0;            // nodes that did not reply in time
 };
 
-void AncestorFetcher::complete_chain(const common::Turn& turn, std::function<void()> done) {
+void AncestorFetcher::complete_chain(const common::Turn& turn, Done done) {
   if (store_.first_missing_ancestor(turn.id).empty()) {
     ++outcomes_[static_cast<std::size_t>(ChainOutcome::complete)];
-    return done();
+    return done(true);
   }
   auto fetch = std::make_shared<Fetch>();
   fetch->turn = turn;
   fetch->done = std::move(done);
+  fetch->deadline = timers_.now() + fetch_time_limit;
   request_next(fetch);
 }
 
@@ -41,10 +45,14 @@
       if (node.node != own_node_) fetch->untried.push_back(node.address);
     }
   }
-  if (missing.empty() || fetch->untried.empty()) {
+  if (missing.empty()) {
     store_.store_turn(fetch->turn, timers_.now());  // extends the retention of the ancestors
     record_end(*fetch);
-    return fetch->done();
+    return fetch->done(true);
+  }
+  if (fetch->untried.empty() || timers_.now() >= fetch->deadline) {
+    record_end(*fetch);
+    return fetch->done(false);
   }
   const std::string address = fetch->untried.back();
   fetch->untried.pop_back();
--- a/src/storage/ancestor_fetcher.hpp
+++ b/src/storage/ancestor_fetcher.hpp
@@ -2,8 +2,9 @@
 ///
 /// A node that stores a turn also stores every turn of its chain (the turns that it continues), so that the
 /// ancestors are retained here for as long as the turn is. An ancestor is missing here if this node was
-/// unreachable, or not in the replica group, when the ancestor was stored. Missing ancestors are fetched from
-/// the other nodes of the storage map, one node at a time.
+/// unreachable, or not in the replica group, when the ancestor was stored, or if it has expired. Missing
+/// ancestors are fetched from the other nodes of the storage map, one node at a time. An ancestor that has
+/// expired at all of them is only known to the edge, which sends it again (ReplicaStatus::chain_incomplete).
 #pragma once
 
 #include <array>
@@ -47,10 +48,14 @@
                   std::string own_node)
       : timers_(timers), store_(store), peers_(peers), map_(map), own_node_(std::move(own_node)) {}
 
-  /// Calls `done` once the chain of `turn`, which must already be in the store, is complete here, or once
-  /// every other node was asked for the missing ancestor without success: a chain may begin with a turn that
-  /// has expired everywhere. Calls `done` before it returns if no ancestor is missing.
-  void complete_chain(const common::Turn& turn, std::function<void()> done);
+  /// Receives whether the chain is complete in the store.
+  using Done = std::function<void(bool is_complete)>;
+  /// Calls `done(true)` once the chain of `turn`, which must already be in the store, is complete here and is
+  /// retained for as long as the turn. Calls `done(false)` if an ancestor is still missing once every other
+  /// node was asked for it, or after `fetch_time_limit`: no other node may have it, or the store may have no
+  /// capacity for it. The caller must not acknowledge the turn then. Calls `done` before it returns if no
+  /// ancestor is missing.
+  void complete_chain(const common::Turn& turn, Done done);
 
   /// Writes the metric family `chutevane_storage_chains`.
   void write_metrics(common::MetricsWriter& out) const;
--- a/src/storage/replica_status.hpp
+++ b/src/storage/replica_status.hpp
@@ -23,13 +23,14 @@
   not_found,          ///< the node has no such turn, so it was not among the nodes that stored it
   indeterminate,      ///< the node has no such turn, but a peer may have it
   out_of_capacity,    ///< the node stores no more turns, or its disk accepts no writes
+  chain_incomplete,   ///< the node has the turn, but not all turns that it continues
 };
-constexpr std::size_t replica_status_count = static_cast<std::size_t>(ReplicaStatus::out_of_capacity) + 1;
+constexpr std::size_t replica_status_count = static_cast<std::size_t>(ReplicaStatus::chain_incomplete) + 1;
 
 /// Returns the name of the status in metrics and logs.
 constexpr std::string_view label_of(ReplicaStatus status) {
   constexpr std::array<std::string_view, replica_status_count> labels = {
-      "yes", "moved", "behind", "unready", "unknown", "unsure", "full"};
+      "yes", "moved", "behind", "unready", "unknown", "unsure", "full", "incomplete"};
   return labels[static_cast<std::size_t>(status)];
 }
 
--- a/src/storage/storage_plane.cpp
+++ b/src/storage/storage_plane.cpp
@@ -161,20 +161,27 @@
 
 void StoragePlane::on_store_turn(Connection& connection, std::uint64_t request_id,
                                  const common::StoreTurnRequest& request) {
+  const StoreCall call{connection.id(), request_id, request.turn.id, request.map_version};
   const ReplicaStatus status = store_turn(request);
-  common::StoreTurnReply reply;
-  reply.map_version = map_.version;
-  reply.verdict = static_cast<std::int64_t>(status);
-  record_outcome(RequestKind::store_turn, status, request.turn.id, request.map_version);
-  if (status != ReplicaStatus::ok) return connection.reply(request_id, reply);
+  if (status != ReplicaStatus::ok) return reply_to_store(call, status);
   if (request.used_tokens >= 0)
     store_.commit_usage(request.turn.program, request.turn.id, request.used_tokens, timers_.now());
-  ancestor_fetcher_.complete_chain(request.turn, [this, id = connection.id(), request_id, reply] {
-    if (const Connection* const caller = rpc_server_.find(id))
-      respond_after_commit(*caller, request_id, reply);
+  ancestor_fetcher_.complete_chain(request.turn, [this, call](bool is_complete) {
+    reply_to_store(call, is_complete ? ReplicaStatus::ok : ReplicaStatus::chain_incomplete);
   });
 }
 
+void StoragePlane::reply_to_store(const StoreCall& call, ReplicaStatus status) {
+  record_outcome(RequestKind::store_turn, status, call.turn_id, call.map_version);
+  Connection* const caller = rpc_server_.find(call.connection_id);
+  if (caller == nullptr) return;
+  common::StoreTurnReply reply;
+  reply.map_version = map_.version;
+  reply.verdict = static_cast<std::int64_t>(status);
+  if (status != ReplicaStatus::ok) return caller->reply(call.request_id, reply);
+  respond_after_commit(*caller, call.request_id, reply);
+}
+
 void StoragePlane::on_find_turn(Connection& connection, std::uint64_t request_id,
                                 const common::FindTurnRequest& request) {
   common::FindTurnReply reply;
--- a/src/storage/storage_plane.hpp
+++ b/src/storage/storage_plane.hpp
@@ -55,6 +55,13 @@
 
  private:
   using Connection = common::RpcServer::Connection;
+  /// A StoreTurnRequest that was not replied to yet.
+  struct StoreCall {
+    std::uint64_t connection_id = 0;
+    std::uint64_t request_id = 0;
+    std::string turn_id;
+    std::int64_t map_version = 0;  // that the caller uses
+  };
 
   // Start
   absl::Status recover_disk_identity();
@@ -66,6 +73,7 @@
   void on_commit_usage(const common::CommitUsage& message);
   void on_store_turn(Connection& connection, std::uint64_t request_id,
                      const common::StoreTurnRequest& request);
+  void reply_to_store(const StoreCall& call, ReplicaStatus status);
   void on_find_turn(Connection& connection, std::uint64_t request_id, const common::FindTurnRequest& request);
   void on_pull(Connection& connection, std::uint64_t request_id, const common::PullRequest& request);
 
--- a/src/tier_simulation/agent_programs.cpp
+++ b/src/tier_simulation/agent_programs.cpp
@@ -45,10 +45,28 @@
     conversation->program = new_program();
     conversation->last_turn.clear();
   }
+  if (load_.fork_probability > 0 && random_.unit() < load_.fork_probability) fork(*conversation);
   deployment_.simulator().run_after(load_.pause * (0.3 + 1.4 * random_.unit()),
                                     [this, conversation] { attempt(conversation); });
 }
 
+void AgentPrograms::fork(Conversation& conversation) {
+  const Conversation& other = *conversations_[random_.next() % conversations_.size()];
+  if (other.last_turn.empty()) return;
+  conversation.last_turn = other.last_turn;
+  conversation.kept_until = other.kept_until;
+}
+
+bool AgentPrograms::can_continue(const Conversation& conversation) const {
+  return !conversation.last_turn.empty() &&
+         deployment_.simulator().now() + load_.continuation_margin <= conversation.kept_until;
+}
+
+Span AgentPrograms::draw_retention() {
+  if (load_.min_retention >= load_.retention) return load_.retention;
+  return load_.min_retention + (load_.retention - load_.min_retention) * random_.unit();
+}
+
 std::vector<Machine*> AgentPrograms::running_edges() const {
   std::vector<Machine*> out;
   for (Machine* machine : deployment_.machines_of(Role::edge)) {
@@ -67,18 +85,17 @@
     if (conversation->attempt == number) schedule_next(conversation);
   });
   edge::DataPlane& plane = *edge.edge();
-  plane.timers().at(
-      deployment_.simulator().now(), [this, conversation, at = &edge, number = conversation->attempt] {
-        if (conversation->attempt != number) return;
-        // The turns of a conversation that paused for too long have expired.
-        if (deployment_.simulator().now() + reply_timeout > conversation->last_stored_at + load_.retention)
-          conversation->last_turn.clear();
-        if (conversation->last_turn.empty()) {
-          reserve(conversation, *at);
-        } else {
-          look_up(conversation, *at);
-        }
-      });
+  plane.timers().at(deployment_.simulator().now(),
+                    [this, conversation, at = &edge, number = conversation->attempt] {
+                      if (conversation->attempt != number) return;
+                      // The turns of a conversation that paused for too long have expired.
+                      if (!can_continue(*conversation)) conversation->last_turn.clear();
+                      if (conversation->last_turn.empty()) {
+                        reserve(conversation, *at);
+                      } else {
+                        look_up(conversation, *at);
+                      }
+                    });
   edge.process().schedule_if_ready();
 }
 
@@ -93,6 +110,7 @@
                                if (conversation->attempt != number) return;
                                if (chain.result != edge::LookupResult::complete)
                                  return schedule_next(conversation);
+                               conversation->chain = chain.turns;
                                reserve(conversation, *at);
                              });
 }
@@ -115,9 +133,7 @@
 void AgentPrograms::look_up_all() {
   const std::vector<Machine*> edges = running_edges();
   for (const auto& conversation : conversations_) {
-    const bool over =
-        deployment_.simulator().now() + reply_timeout > conversation->last_stored_at + load_.retention;
-    if (edges.empty() || conversation->last_turn.empty() || over) continue;
+    if (edges.empty() || !can_continue(*conversation)) continue;
     Machine& edge = *edges[random_.next() % edges.size()];
     conversation->found_again = false;
     edge::DataPlane& plane = *edge.edge();
@@ -170,23 +186,24 @@
   turn.program = program.id;
   turn.input.data = "in " + id;
   turn.output.data = std::string(static_cast<std::size_t>(used), 'o') + id;
-  turn.retention_ms = static_cast<std::int64_t>(load_.retention.as_ms());
+  turn.retention_ms = static_cast<std::int64_t>(draw_retention().as_ms());
   stored_[id] = {turn.previous, turn.output.data};  // it may be found even if its storing is not acknowledged
-  edge.edge()->timers().after(Span::ms(80) * random_.unit(), [this, conversation, at = &edge, turn, used] {
-    store(conversation, *at, turn, used);
-  });
+  edge.edge()->timers().after(
+      load_.max_answer_duration * random_.unit(),
+      [this, conversation, at = &edge, turn, used] { store(conversation, *at, turn, used); });
 }
 
 void AgentPrograms::store(const std::shared_ptr<Conversation>& conversation, Machine& edge,
                           const common::Turn& turn, std::int64_t used) {
   edge::DataPlane& plane = *edge.edge();
   const std::uint64_t number = conversation->attempt;
-  plane.storage().store_turn(turn, used, plane.timers().now() + reply_timeout,
-                             [this, conversation, number, id = turn.id](bool kept) {
+  plane.storage().store_turn(turn, conversation->chain, used, plane.timers().now() + reply_timeout,
+                             [this, conversation, number, id = turn.id,
+                              retention = Span::ms(static_cast<double>(turn.retention_ms))](bool kept) {
                                if (conversation->attempt != number) return;
                                if (kept) {
                                  conversation->last_turn = id;
-                                 conversation->last_stored_at = deployment_.simulator().now();
+                                 conversation->kept_until = deployment_.simulator().now() + retention;
                                }
                                schedule_next(conversation);
                              });
--- a/src/tier_simulation/agent_programs.hpp
+++ b/src/tier_simulation/agent_programs.hpp
@@ -20,6 +20,14 @@
   std::int64_t max_tokens = 40;       ///< of one turn
   std::int64_t budget = 240;          ///< tokens of a program
   Span retention = Span::ms(120000);  ///< of a turn and of all turns before it
+  /// The shortest retention of a turn: each turn's is drawn between the two. Above `retention`: all have
+  /// that.
+  Span min_retention = retention;
+  Span max_answer_duration = Span::ms(80);
+  /// A turn is continued until so long before its retention ends.
+  Span continuation_margin = Span::ms(1200);
+  /// With which a conversation goes on from the last turn of any other one, also of another program.
+  double fork_probability = 0;
 };
 
 class AgentPrograms {
@@ -42,8 +50,9 @@
   };
   struct Conversation {
     std::shared_ptr<Program> program;
-    std::string last_turn;  // the newest one stored; empty: none
-    TimePoint last_stored_at;
+    std::string last_turn;      // the newest one stored; empty: none
+    TimePoint kept_until;       // when the retention of that turn ends
+    edge::TurnList chain;       // that the turn under way continues
     std::uint64_t attempt = 0;  // replies to an earlier one are ignored
     bool found_again = true;
   };
@@ -51,6 +60,11 @@
     std::string previous, output;
   };
   void schedule_next(const std::shared_ptr<Conversation>& conversation);
+  /// Lets the conversation go on from the last turn of another one.
+  void fork(Conversation& conversation);
+  /// Whether a turn that the conversation continues now has to be found.
+  bool can_continue(const Conversation& conversation) const;
+  Span draw_retention();
   void attempt(const std::shared_ptr<Conversation>& conversation);
   void look_up(const std::shared_ptr<Conversation>& conversation, Machine& edge);
   void check_chain(const std::string& wanted, const edge::TurnChain& chain, const std::string& by);
--- a/src/tier_simulation/scenarios.cpp
+++ b/src/tier_simulation/scenarios.cpp
@@ -417,6 +417,33 @@
   return out;
 }
 
+// Retentions that are short against the pauses and answers of conversations, so that turns expire all the
+// time, also while an answer that continues them is under way. Turns of one chain have different retentions,
+// and programs continue the turns of others. A part of the seeds has losses of storage nodes.
+Plan short_retention(RandomGenerator& random) {
+  Plan out = draw_base_plan(random);
+  out.shape.storages = std::max<std::size_t>(out.shape.storages, 2 * out.shape.tolerated_losses + 2);
+  out.shape.edges = 3;
+  out.active_duration = Span::ms(26000);
+  out.programs.programs = 3;
+  out.programs.budget = 4000;
+  out.programs.retention = random.uniform(1000, 2500);
+  out.programs.min_retention = out.programs.retention * random.choose({0.3, 1.0});
+  out.programs.pause = out.programs.retention * 0.55;
+  out.programs.max_answer_duration = out.programs.retention * 1.5;
+  out.programs.continuation_margin = Span();
+  out.programs.fork_probability = random.choose({0.0, 0.2});
+  if (random.happens(0.6)) {
+    add_counted_losses(random, out,
+                       {FaultKind::kill, FaultKind::wipe, FaultKind::replace, FaultKind::power_loss,
+                        FaultKind::freeze, FaultKind::cut_off},
+                       Span::ms(2500), 0.1);
+    add_uncounted_faults(random, out, random.below(4));
+    add_total_outage(random, out, 0.3);
+  }
+  return out;
+}
+
 struct Scenario {
   const char* name;
   Plan (*make)(RandomGenerator&);
@@ -431,7 +458,8 @@
                                       {"coordination", coordination},
                                       {"calm-traffic", calm_traffic},
                                       {"endpoint-changes", endpoint_changes},
-                                      {"traffic", traffic}};
+                                      {"traffic", traffic},
+                                      {"short-retention", short_retention}};
 
 }  // namespace
 
--- a/tests/edge/harness.cpp
+++ b/tests/edge/harness.cpp
@@ -312,9 +312,16 @@
                                                   std::uint64_t number,
                                                   const common::StoreTurnRequest& keep) {
     if (silent_on_store) return;
+    common::StoreTurnReply reply;
+    if (has_no_room && !stored_turns.contains(keep.turn.id)) {
+      reply.verdict = static_cast<std::int64_t>(storage::ReplicaStatus::out_of_capacity);
+      return connection.reply(number, reply);
+    }
     stored_turns[keep.turn.id] = keep.turn;
     committed[keep.turn.id] = keep.used_tokens;
-    connection.reply(number, common::StoreTurnReply{});
+    if (!keep.turn.previous.empty() && !stored_turns.contains(keep.turn.previous))
+      reply.verdict = static_cast<std::int64_t>(storage::ReplicaStatus::chain_incomplete);
+    connection.reply(number, reply);
   });
   rpc_server_.on<common::FindTurnRequest>([this](common::RpcServer::Connection& connection,
                                                  std::uint64_t number, const common::FindTurnRequest& find) {
--- a/tests/edge/harness.hpp
+++ b/tests/edge/harness.hpp
@@ -199,10 +199,11 @@
   std::set<std::uint64_t> connections_;
 };
 
-// A storage node that accepts everything, or does not reply at all.
+// A storage node that accepts each turn of which it has all ancestors, or does not reply at all.
 class ScriptedStorage {
  public:
   ScriptedStorage(Loop& loop, const sockaddr_in& at);
+  bool has_no_room = false;  // turns that it does not have yet are not stored
   bool silent_on_reserve = false, silent_on_store = false;
   std::map<std::string, std::int64_t> reserved;   // attempt id -> tokens
   std::map<std::string, std::int64_t> committed;  // attempt id -> tokens used; 0 if the request never ran
--- a/tests/edge/storage_client_test.cpp
+++ b/tests/edge/storage_client_test.cpp
@@ -74,7 +74,7 @@
       reserved(g != ReservationResult::unavailable, clock.system.now());
     });
     const Turn turn{std::string("a"), "", std::string("p"), {}, {}, 60000};
-    client.store_turn(turn, 5, until, [&](bool is_stored) { stored(is_stored, clock.system.now()); });
+    client.store_turn(turn, {}, 5, until, [&](bool is_stored) { stored(is_stored, clock.system.now()); });
     client.find_chain("b", "p", "", until, [&](const TurnChain& chain) {
       found(chain.result != LookupResult::unavailable || !chain.turns.empty(), clock.system.now());
     });
--- a/tests/storage/storage_plane_test.cpp
+++ b/tests/storage/storage_plane_test.cpp
@@ -109,11 +109,12 @@
     loop.until([&] { return out.has_value(); }, Span::ms(1500));
     return out;
   }
-  std::optional<ReplicaStatus> store_turn(const std::string& id) {
+  std::optional<ReplicaStatus> store_turn(const std::string& id, const std::string& previous = "") {
     std::optional<ReplicaStatus> out;
     common::StoreTurnRequest request;
     request.map_version = 1;
     request.turn.id = id;
+    request.turn.previous = previous;
     request.turn.program = program;
     request.turn.retention_ms = 60000;
     request.used_tokens = -1;
@@ -204,5 +205,23 @@
   EXPECT_EQ(node.store_turn("a"), ReplicaStatus::ok);
 }
 
+// Guards against a turn that is lost although it was acknowledged: the turns that it continues had expired
+// while it was being answered. The edge sends them again.
+TEST(StorageNodes, ATurnWithoutItsAncestorsIsNotAcknowledged) {
+  StorageNodeFixture node;
+  ASSERT_TRUE(node.set_map({node.own}));
+  EXPECT_EQ(node.store_turn("a2", "a1"), ReplicaStatus::chain_incomplete);
+  EXPECT_EQ(node.store_turn("a2", "a1"), ReplicaStatus::chain_incomplete);
+  EXPECT_EQ(node.store_turn("a1"), ReplicaStatus::ok);
+  EXPECT_EQ(node.store_turn("a2", "a1"), ReplicaStatus::ok);
+}
+
+// A peer that may have the ancestors, but is silent, proves nothing either.
+TEST(StorageNodes, ATurnWhoseAncestorsAreAtASilentNodeIsNotAcknowledged) {
+  StorageNodeFixture node;
+  ASSERT_TRUE(node.set_map_of_both_nodes());
+  EXPECT_EQ(node.store_turn("a2", "a1"), ReplicaStatus::chain_incomplete);
+}
+
 }  // namespace
 }  // namespace chutevane::edge::harness
--- a/tests/tier_simulation/tier_simulation_test.cpp
+++ b/tests/tier_simulation/tier_simulation_test.cpp
@@ -207,6 +207,23 @@
   expect_all_promises_kept(make_plan("traffic", 13), 13);
 }
 
+// Guards against a turn that is lost without any fault: each turn is continued shortly before its retention
+// ends, and answered only after that. Its ancestors had expired by then, so that only the edge with the chain
+// in its cache could continue it.
+TEST(Found, ATurnIsFoundThoughItsAncestorsExpiredDuringItsAnswer) {
+  Plan plan;
+  plan.shape.storages = 4;
+  plan.shape.edges = 3;
+  plan.active_duration = Span::ms(20000);
+  plan.programs.retention = Span::ms(2000);
+  plan.programs.pause = Span::ms(1100);
+  plan.programs.max_answer_duration = Span::ms(3000);
+  plan.programs.continuation_margin = Span::ms(100);
+  plan.programs.budget = 4000;
+  for (std::uint64_t seed = 1; seed <= 3; ++seed)
+    EXPECT_GT(expect_all_promises_kept(plan, seed).turns_found, 10U);
+}
+
 // ---- fixed seeds
 
 struct Seeds {
@@ -240,7 +257,7 @@
                                          Seeds{"second-loss", 20}, Seeds{"planned-work", 12},
                                          Seeds{"many-changes", 10}, Seeds{"everything", 30},
                                          Seeds{"overlapping-losses", 20}, Seeds{"coordination", 12},
-                                         Seeds{"traffic", 16}),
+                                         Seeds{"traffic", 16}, Seeds{"short-retention", 16}),
                          [](const testing::TestParamInfo<Seeds>& seeds) {
                            std::string name = seeds.param.scenario;
                            std::replace(name.begin(), name.end(), '-', '_');
