Turns: the retention covers the end of the answer and the lookup

What callers saw: 404 for a turn that had been answered whole less than retentionS before the request was sent.

Cause: a replica counts retentionS from when it stores the turn. PROTOCOL.md counts it from the end of the answer, which comes after the slowest replica that counts: by up to the time-out of a call, 400 ms. And a request that is sent in time is looked up after that, for up to 1.5 s; a replica whose time is over answers "unknown", which is evidence that there is no such turn.

Change: the edge adds 2 s to the retention that it asks storage for, and starts a round of writes anew that has lasted for longer than one call (a replica that gets the chain sent makes it longer).

Cost: 2 s more of memory for each turn (3 % where retentionS is 60).

--- a/src/edge/storage_client_writes.cpp
+++ b/src/edge/storage_client_writes.cpp
@@ -20,6 +20,10 @@
 constexpr Span hedge_delay = Span::ms(40);  // after which the rest of the group gets the write too
 constexpr Span min_rpc_timeout = Span::ms(1);
 constexpr std::int64_t no_usage = -1;  // no reservation to commit
+// Added to the retention of a turn, which counts from the end of its response: that follows the first
+// replica's reply by up to the timeout of a call (400 ms), and the lookup for a request that is sent in time
+// may take 1.5 s.
+constexpr Span retention_margin = Span::ms(2000);
 
 }  // namespace
 
@@ -31,6 +35,7 @@
   std::function<void(bool)> done;
 
   std::uint64_t round = 0;  // replies to an earlier round are ignored
+  TimePoint round_started_at;
   std::int64_t map_version = 0;
   std::vector<std::size_t> group;  // indexes of nodes, nearest first
   std::size_t required = 0;
@@ -46,6 +51,7 @@
                                TimePoint deadline, std::function<void(bool)> done) {
   auto write = std::make_shared<ReplicatedWrite>();
   write->turn = turn;
+  write->turn.retention_ms += static_cast<std::int64_t>(retention_margin.as_ms());
   write->ancestors = std::move(ancestors);
   write->used_tokens = used_tokens;
   write->deadline = deadline;
@@ -60,6 +66,7 @@
     return write->done(false);
   }
   ++write->round;
+  write->round_started_at = timers_.now();
   write->map_version = map_version_;
   write->is_retry_scheduled = false;
   write->group = replica_group(write->turn.program);
@@ -127,6 +134,9 @@
   if (status == storage::ReplicaStatus::ok) {
     write->stored.insert(node_index);
     if (write->stored.size() < write->required) return;
+    // The first replica has the turn for longer than the margin allows for, as another one got the chain
+    // first.
+    if (timers_.now() - write->round_started_at > rpc_timeout) return start_write_round(write);
     check_replicated(*write);
     write->is_finished = true;
     timers_.cancel(write->hedge_timer);
--- a/tests/tier_simulation/tier_simulation_test.cpp
+++ b/tests/tier_simulation/tier_simulation_test.cpp
@@ -224,6 +224,24 @@
     EXPECT_GT(expect_all_promises_kept(plan, seed).turns_found, 10U);
 }
 
+// Guards against a 404 for a request that is sent just before the retention of its turn ends: the retention
+// ran from when the first replica had stored the turn, and not from the end of its answer, and the turn
+// expired while it was being looked up.
+TEST(Found, ATurnIsFoundUntilTheEndOfItsRetention) {
+  Plan plan;
+  plan.shape.storages = 4;
+  plan.shape.edges = 3;
+  plan.network.mean_delay = Span::ms(20);
+  plan.active_duration = Span::ms(30000);
+  plan.programs.programs = 40;
+  plan.programs.retention = Span::ms(1000);
+  plan.programs.pause = Span::ms(700);
+  plan.programs.continuation_margin = Span();
+  plan.programs.budget = 4000;
+  for (std::uint64_t seed = 1; seed <= 3; ++seed)
+    EXPECT_GT(expect_all_promises_kept(plan, seed).turns_found, 100U);
+}
+
 // ---- fixed seeds
 
 struct Seeds {
