Replica store: no turn expires before one that continues it

What callers could see: 404 for a turn in time whose conversation uses routes with different retentionS, where enough of its replicas had been started anew, taken over or read in part.

Cause: a turn's time was raised to that of its descendants only by the message that stored or read the descendant. Recovery gave each turn its own retention from then on, a state transfer did where the descendant came first (ids are sent in order of ids), and reading a chain extended only the turns that the reply had room for.

Change: extend_chain is the one place where times are raised. It walks from a turn back until one is kept long enough already, and notes for a turn that is not here until when its descendants need it; that turn takes over this time when it comes. Recovery, transfers, fetched ancestors and reads go through it. The walk ends early where the chain is in time already.

--- a/src/storage/replica_store.cpp
+++ b/src/storage/replica_store.cpp
@@ -114,34 +114,44 @@
 }
 
 void ReplicaStore::insert_turn(Turn turn, std::uint64_t segment, TimePoint now) {
-  StoredTurn& stored = turns_[turn.id];
+  const std::string id = turn.id;
+  TimePoint expires_at = now + retention_of(turn);
+  if (const auto descendants = awaited_ancestors_.extract(id); !descendants.empty())
+    expires_at = std::max(expires_at, descendants.mapped());
+  StoredTurn& stored = turns_[id];
   if (stored.segment != 0) {
     turn_bytes_ -= footprint(stored.turn);
     log_.drop_reference(stored.segment);
   }
   turn_bytes_ += footprint(turn);
   log_.add_reference(segment);
-  stored.expires_at = now + retention_of(turn);
   stored.segment = segment;
   stored.turn = std::move(turn);
+  extend_chain(id, expires_at);
 }
 
 bool ReplicaStore::store_turn(const Turn& turn, TimePoint now) {
-  if (!turns_.contains(turn.id)) {
-    if (turn_bytes_ + footprint(turn) > max_bytes_) return false;
-    append_record(turn);
-    insert_turn(turn, log_.current_segment(), now);
+  if (turns_.contains(turn.id)) {
+    extend_chain(turn.id, now + retention_of(turn));
+    return true;
   }
-  extend_chain(turn, now);
+  if (turn_bytes_ + footprint(turn) > max_bytes_) return false;
+  append_record(turn);
+  insert_turn(turn, log_.current_segment(), now);
   return true;
 }
 
-void ReplicaStore::extend_chain(const Turn& turn, TimePoint now) {
-  const TimePoint expires_at = now + retention_of(turn);
-  std::size_t length = 0;
-  for (auto at = turns_.find(turn.id); at != turns_.end(); at = turns_.find(at->second.turn.previous)) {
-    at->second.expires_at = std::max(at->second.expires_at, expires_at);
-    if (at->second.turn.previous.empty() || ++length > max_chain_length) break;
+void ReplicaStore::extend_chain(const std::string& newest, TimePoint expires_at) {
+  for (std::string id = newest; !id.empty();) {
+    const auto at = turns_.find(id);
+    if (at == turns_.end()) {
+      TimePoint& awaited_until = awaited_ancestors_[id];
+      awaited_until = std::max(awaited_until, expires_at);
+      return;
+    }
+    if (at->second.expires_at >= expires_at) return;  // and so do all its ancestors
+    at->second.expires_at = expires_at;
+    id = at->second.turn.previous;
   }
 }
 
@@ -155,10 +165,10 @@
   std::vector<const Turn*> chain;
   std::size_t bytes = 0;
   for (auto at = turns_.find(id); at != turns_.end(); at = turns_.find(at->second.turn.previous)) {
-    StoredTurn& stored = at->second;
+    const StoredTurn& stored = at->second;
     bytes += footprint(stored.turn);
     if (!chain.empty() && bytes > max_bytes) break;
-    stored.expires_at = std::max(stored.expires_at, now + retention_of(stored.turn));
+    extend_chain(at->first, now + retention_of(stored.turn));
     chain.push_back(&stored.turn);
     if (stored.turn.previous.empty() || chain.size() > max_chain_length) break;
   }
@@ -216,6 +226,7 @@
 }
 
 void ReplicaStore::drop_expired_turns(TimePoint now) {
+  std::erase_if(awaited_ancestors_, [&](const auto& ancestor) { return ancestor.second < now; });
   std::erase_if(expired_, [&](const auto& turn) { return now - turn.second > expired_id_retention; });
   for (auto at = turns_.begin(); at != turns_.end();) {
     if (at->second.expires_at >= now) {
--- a/src/storage/replica_store.hpp
+++ b/src/storage/replica_store.hpp
@@ -3,7 +3,8 @@
 ///
 /// A turn is immutable; storing it again changes nothing. It expires `retention_ms` after its last use. Using
 /// a turn counts as a use of its whole chain (the turns that it continues), because an ancestor must not
-/// expire before its descendants.
+/// expire before its descendants. That also holds for turns with different retentions, after recovery, and
+/// for an ancestor that arrives after its descendants.
 ///
 /// An account has one entry for each attempt of the program that has reserved tokens. An entry starts as a
 /// reservation; once the used tokens are committed to it, it never changes again. If an attempt reserves
@@ -119,8 +120,8 @@
                                             TimePoint now);
   /// Adds a turn to memory, or records that its log record is now in `segment`.
   void insert_turn(common::Turn turn, std::uint64_t segment, TimePoint now);
-  /// Extends the retention of the turn and of its ancestors.
-  void extend_chain(const common::Turn& turn, TimePoint now);
+  /// Keeps the turn and all its ancestors until `expires_at` at least, also those that arrive later.
+  void extend_chain(const std::string& newest, TimePoint expires_at);
   void drop_expired_turns(TimePoint now);
   void reclaim_segments(TimePoint now);
   void rewrite_turns_of(std::uint64_t segment);
@@ -129,7 +130,10 @@
 
   SegmentLog log_;
   const std::size_t max_bytes_;
-  std::map<std::string, StoredTurn> turns_;        // by id
+  // By id. A turn never expires before a descendant, whatever their retentions are and whichever came first.
+  std::map<std::string, StoredTurn> turns_;
+  // Until when the descendants of turns that are not here have to be kept, by the id of the missing turn.
+  std::map<std::string, TimePoint> awaited_ancestors_;
   std::map<std::string, StoredAccount> accounts_;  // by program
   std::map<std::string, TimePoint> expired_;       // when turns expired lately, by id
   std::size_t turn_bytes_ = 0;
--- a/tests/storage/replica_store_test.cpp
+++ b/tests/storage/replica_store_test.cpp
@@ -305,6 +305,48 @@
   }
 }
 
+// Guards against a chain that breaks after a restart: a turn of a route with a short retention is kept for as
+// long as a turn of another route that continues it, also where its own time begins anew.
+TEST(ReplicaStoreTurns, RecoveryKeepsAncestorsForAsLongAsTheirDescendants) {
+  store.store_turn(turn("a1", "", 10000), now);
+  store.store_turn(turn("a2", "a1", 10000), now);
+  store.store_turn(turn("a3", "a2", 60000), now);
+  CHECK_TRUE(store.commit(now).ok());
+  disk.power_cycle(1);
+  ReplicaStore again(disk, capacity);
+  CHECK_TRUE(again.recover(now).ok());
+  for (int ms = 0; ms <= 60000; ms += 1000) {
+    again.expire(now + Span::ms(ms));
+    CHECK_TRUE(again.first_missing_ancestor("a3").empty());
+  }
+  again.expire(now + Span::ms(61001));
+  CHECK_EQUAL(static_cast<std::size_t>(0), again.turn_count());
+}
+
+// Guards against the same in a state transfer, which sends turns in the order of their ids.
+TEST(ReplicaStoreTurns, AnAncestorThatArrivesLaterIsKeptForItsDescendants) {
+  store.store_turn(turn("a3", "b2", 60000), now);
+  store.store_turn(turn("b1", "", 10000), now);
+  store.store_turn(turn("b2", "b1", 10000), now);
+  for (int ms = 0; ms <= 60000; ms += 1000) {
+    store.expire(now + Span::ms(ms));
+    CHECK_TRUE(store.first_missing_ancestor("a3").empty());
+  }
+  store.expire(now + Span::ms(61001));
+  CHECK_EQUAL(static_cast<std::size_t>(0), store.turn_count());
+}
+
+// Guards against a chain that breaks once it was read in part: what the reply had no room for is extended
+// too.
+TEST(ReplicaStoreTurns, ReadingAPartOfAChainExtendsAllOfIt) {
+  store.store_turn(turn("a1", "", 10000, 1000), now);
+  store.store_turn(turn("a2", "a1", 10000, 1000), now);
+  now = now + Span::ms(9000);
+  CHECK_TRUE(chain("a2", 1) == "a2 ");
+  store.expire(now + Span::ms(10000));
+  CHECK_TRUE(chain("a2") == "a2 a1 ");
+}
+
 // Segments without live turns are removed. Live turns of an old segment are rewritten first.
 TEST(ReplicaStoreTurns, OldSegmentsAreRemoved) {
   std::size_t most_files = 0;
