Storage: a turn is acknowledged only by the map that is in use at that time

What callers could see: 404 for a turn in time, after a storage node's loss that fell together with a change of the map, and one more loss later.

Cause: a node that lacks ancestors of a turn asks the others for up to 200 ms, and then acknowledged the turn by the map of the request, although it may have gone on to a later one meanwhile. A node that takes over by the later map may have copied the turn before the ancestors came, and calls itself complete without them; the edge counts the acknowledgement to those by its own, older map.

Change: the map is compared again when the fetch ends; the answer then is that the caller's map is superseded, and the edge stores the turn anew by its next map.

The loss itself was not produced by a run: it needs two losses and a map within one fetch.

--- a/src/storage/storage_plane.cpp
+++ b/src/storage/storage_plane.cpp
@@ -167,6 +167,9 @@
   if (request.used_tokens >= 0)
     store_.commit_usage(request.turn.program, request.turn.id, request.used_tokens, timers_.now());
   ancestor_fetcher_.complete_chain(request.turn, [this, call](bool is_complete) {
+    // A node that takes over by a map that has come meanwhile may have copied the turn without the ancestors.
+    const ReplicaStatus map_status = map_.check(call.map_version);
+    if (map_status != ReplicaStatus::ok) return reply_to_store(call, map_status);
     reply_to_store(call, is_complete ? ReplicaStatus::ok : ReplicaStatus::chain_incomplete);
   });
 }
--- a/tests/storage/storage_plane_test.cpp
+++ b/tests/storage/storage_plane_test.cpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "common/memory_disk.hpp"
 #include "harness.hpp"
@@ -109,20 +110,28 @@
     loop.until([&] { return out.has_value(); }, Span::ms(1500));
     return out;
   }
-  std::optional<ReplicaStatus> store_turn(const std::string& id, const std::string& previous = "") {
-    std::optional<ReplicaStatus> out;
+  std::optional<ReplicaStatus> store_turn(const std::string& id, const std::string& previous = "",
+                                          std::int64_t map = 1) {
+    const auto out = begin_store_turn(id, previous, map);
+    loop.until([&] { return out->has_value(); }, Span::ms(1500));
+    return *out;
+  }
+  /// Sends the request under this map. The result is set once the reply has come.
+  std::shared_ptr<std::optional<ReplicaStatus>> begin_store_turn(const std::string& id,
+                                                                 const std::string& previous,
+                                                                 std::int64_t map = 1) {
+    const auto out = std::make_shared<std::optional<ReplicaStatus>>();
     common::StoreTurnRequest request;
-    request.map_version = 1;
+    request.map_version = map;
     request.turn.id = id;
     request.turn.previous = previous;
     request.turn.program = program;
     request.turn.retention_ms = 60000;
     request.used_tokens = -1;
     caller_->call<common::StoreTurnReply>(request, Span::ms(1000),
-                                          [&](absl::StatusOr<common::StoreTurnReply> reply) {
-                                            if (reply.ok()) out = static_cast<ReplicaStatus>(reply->verdict);
+                                          [out](absl::StatusOr<common::StoreTurnReply> reply) {
+                                            if (reply.ok()) *out = static_cast<ReplicaStatus>(reply->verdict);
                                           });
-    loop.until([&] { return out.has_value(); }, Span::ms(1500));
     return out;
   }
 
@@ -223,5 +232,23 @@
   EXPECT_EQ(node.store_turn("a2", "a1"), ReplicaStatus::chain_incomplete);
 }
 
+// Guards against a chain that a node which takes over misses: it has copied the turns of this node by the new
+// map before the missing ancestors came here.
+TEST(StorageNodes, ATurnIsNotAcknowledgedByAMapThatWasReplacedWhileItsAncestorsWereFetched) {
+  StorageNodeFixture node;
+  std::vector<common::StorageNode> nodes{node.own};
+  for (std::size_t number = 0; number < 4; ++number) {  // silent ones, so that the fetch takes its whole time
+    nodes.push_back(node.other);
+    nodes.back().node = numbered("silent-", number);
+  }
+  ASSERT_TRUE(node.set_map(nodes));
+  const auto status = node.begin_store_turn("a2", "a1");
+  ASSERT_EQ(node.store_turn("b1"), ReplicaStatus::ok);  // so the request before it has arrived
+  ASSERT_TRUE(node.set_map({node.own}, 2));
+  ASSERT_EQ(node.store_turn("a1", "", 2), ReplicaStatus::ok);
+  ASSERT_TRUE(node.loop.until([&] { return status->has_value(); }));
+  EXPECT_EQ(*status, ReplicaStatus::caller_map_stale);
+}
+
 }  // namespace
 }  // namespace chutevane::edge::harness
