Ancestor fetcher: the nodes of the turn's replica group are asked first

Cause: a node that lacks an ancestor asked all other nodes of the map in the reverse order of the map, one at a time, 60 ms each where one is silent.

Change: the replica group of the turn's program first, which has the ancestors in most cases, then the others.

--- a/src/storage/ancestor_fetcher.cpp
+++ b/src/storage/ancestor_fetcher.cpp
@@ -1,8 +1,11 @@
 /// Implements AncestorFetcher: asks the nodes of the storage map one after another.
 #include "storage/ancestor_fetcher.hpp"
 
+#include <algorithm>
 #include <vector>
 
+#include "storage/placement.hpp"
+
 namespace chutevane::storage {
 namespace {
 
@@ -18,7 +21,7 @@
   Done done;
   TimePoint deadline;
   std::string missing;               // id of the ancestor that is being requested
-  std::vector<std::string> untried;  // addresses of the nodes not yet asked for it
+  std::deque<std::string> untried;   // addresses of the nodes not yet asked for it
   std::size_t answered_without = 0;  // nodes that replied without the ancestor
   std::size_t silent = 0;            // nodes that did not reply in time
 };
@@ -39,11 +42,8 @@
   const std::string missing = store_.first_missing_ancestor(fetch->turn.id);
   if (missing != fetch->missing) {
     fetch->missing = missing;
-    fetch->untried.clear();
+    fetch->untried = peers_by_preference(fetch->turn.program);
     fetch->answered_without = fetch->silent = 0;
-    for (const common::StorageNode& node : map_.nodes) {
-      if (node.node != own_node_) fetch->untried.push_back(node.address);
-    }
   }
   if (missing.empty()) {
     store_.store_turn(fetch->turn, timers_.now());  // extends the retention of the ancestors
@@ -54,13 +54,28 @@
     record_end(*fetch);
     return fetch->done(false);
   }
-  const std::string address = fetch->untried.back();
-  fetch->untried.pop_back();
+  const std::string address = fetch->untried.front();
+  fetch->untried.pop_front();
   const common::FindTurnRequest request{map_.version, missing, ""};
   peers_.client_for(address).call<common::FindTurnReply>(
       request, reply_timeout, [this, fetch](auto reply) { on_reply(fetch, reply); });
 }
 
+std::deque<std::string> AncestorFetcher::peers_by_preference(const std::string& program) const {
+  const std::vector<std::size_t> group = replica_group(program, map_.nodes, tolerated_losses_);
+  std::deque<std::string> peers;
+  for (std::size_t i = 0; i < map_.nodes.size(); ++i) {
+    const bool is_in_group = std::find(group.begin(), group.end(), i) != group.end();
+    if (map_.nodes[i].node == own_node_) continue;
+    if (is_in_group) {
+      peers.push_front(map_.nodes[i].address);
+    } else {
+      peers.push_back(map_.nodes[i].address);
+    }
+  }
+  return peers;
+}
+
 void AncestorFetcher::on_reply(const std::shared_ptr<Fetch>& fetch,
                                const absl::StatusOr<common::FindTurnReply>& reply) {
   if (!reply.ok()) {
--- a/src/storage/ancestor_fetcher.hpp
+++ b/src/storage/ancestor_fetcher.hpp
@@ -3,13 +3,15 @@
 /// A node that stores a turn also stores every turn of its chain (the turns that it continues), so that the
 /// ancestors are retained here for as long as the turn is. An ancestor is missing here if this node was
 /// unreachable, or not in the replica group, when the ancestor was stored, or if it has expired. Missing
-/// ancestors are fetched from the other nodes of the storage map, one node at a time. An ancestor that has
+/// ancestors are fetched from the other nodes of the storage map, one node at a time: first the replica group
+/// of the turn's program, which mostly is that of its ancestors too. An ancestor that has
 /// expired at all of them is only known to the edge, which sends it again (ReplicaStatus::chain_incomplete).
 #pragma once
 
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -44,9 +46,15 @@
 /// Fetches missing ancestors from peers. All referenced objects must outlive this one.
 class AncestorFetcher {
  public:
+  /// `tolerated_losses` determines the size of replica groups.
   AncestorFetcher(net::TimerQueue& timers, ReplicaStore& store, PeerClients& peers, const ServedMap& map,
-                  std::string own_node)
-      : timers_(timers), store_(store), peers_(peers), map_(map), own_node_(std::move(own_node)) {}
+                  std::string own_node, std::size_t tolerated_losses)
+      : timers_(timers),
+        store_(store),
+        peers_(peers),
+        map_(map),
+        own_node_(std::move(own_node)),
+        tolerated_losses_(tolerated_losses) {}
 
   /// Receives whether the chain is complete in the store.
   using Done = std::function<void(bool is_complete)>;
@@ -65,6 +73,8 @@
 
   struct Fetch;  ///< state of the fetch for one chain
   void request_next(const std::shared_ptr<Fetch>& fetch);
+  /// Returns the addresses of all other nodes, those of the program's replica group in front.
+  std::deque<std::string> peers_by_preference(const std::string& program) const;
   void record_end(const Fetch& fetch);
   void on_reply(const std::shared_ptr<Fetch>& fetch, const absl::StatusOr<common::FindTurnReply>& reply);
 
@@ -73,6 +83,7 @@
   PeerClients& peers_;
   const ServedMap& map_;
   const std::string own_node_;
+  const std::size_t tolerated_losses_;
   std::array<std::uint64_t, chain_outcome_count> outcomes_{};
   common::RateLimitedLog incomplete_log_{"storage.chain_incomplete", max_log_lines_per_second};
 };
--- a/src/storage/storage_plane.cpp
+++ b/src/storage/storage_plane.cpp
@@ -58,7 +58,7 @@
       peers_(scheduler, timers_, settings_.node),
       transfer_({timers_, store_, group_commit_, peers_, map_, settings_.node},
                 [this] { on_transfer_complete(); }),
-      ancestor_fetcher_(timers_, store_, peers_, map_, settings_.node),
+      ancestor_fetcher_(timers_, store_, peers_, map_, settings_.node, settings_.machine_losses),
       rpc_server_(scheduler) {}
 
 // ---- start
--- a/tests/storage/storage_plane_test.cpp
+++ b/tests/storage/storage_plane_test.cpp
@@ -13,6 +13,7 @@
 
 #include "common/memory_disk.hpp"
 #include "harness.hpp"
+#include "storage/placement.hpp"
 
 namespace chutevane::edge::harness {
 namespace {
@@ -111,21 +112,22 @@
     return out;
   }
   std::optional<ReplicaStatus> store_turn(const std::string& id, const std::string& previous = "",
-                                          std::int64_t map = 1) {
-    const auto out = begin_store_turn(id, previous, map);
+                                          std::int64_t map = 1, const std::string& of_program = program) {
+    const auto out = begin_store_turn(id, previous, map, of_program);
     loop.until([&] { return out->has_value(); }, Span::ms(1500));
     return *out;
   }
   /// Sends the request under this map. The result is set once the reply has come.
   std::shared_ptr<std::optional<ReplicaStatus>> begin_store_turn(const std::string& id,
                                                                  const std::string& previous,
-                                                                 std::int64_t map = 1) {
+                                                                 std::int64_t map = 1,
+                                                                 const std::string& of_program = program) {
     const auto out = std::make_shared<std::optional<ReplicaStatus>>();
     common::StoreTurnRequest request;
     request.map_version = map;
     request.turn.id = id;
     request.turn.previous = previous;
-    request.turn.program = program;
+    request.turn.program = of_program;
     request.turn.retention_ms = 60000;
     request.used_tokens = -1;
     caller_->call<common::StoreTurnReply>(request, Span::ms(1000),
@@ -232,6 +234,26 @@
   EXPECT_EQ(node.store_turn("a2", "a1"), ReplicaStatus::chain_incomplete);
 }
 
+// Guards against a turn that cannot be stored because nodes that have nothing of its program are silent: the
+// nodes of its replica group are asked first.
+TEST(StorageNodes, AncestorsAreFetchedFromTheReplicaGroupFirst) {
+  StorageNodeFixture node;
+  const sockaddr_in holder_address = free_address(node.loop.scheduler);
+  ScriptedStorage holder(node.loop, holder_address);
+  std::vector<common::StorageNode> nodes{node.own};
+  for (std::size_t number = 0; number < 9; ++number) {  // one, in the middle, replies
+    nodes.push_back(node.other);
+    nodes.back().node = numbered("peer-", number);
+  }
+  constexpr std::size_t holder_index = 5;
+  nodes[holder_index].address = net::text_of(holder_address);
+  std::size_t number = 0;
+  while (storage::replica_group(numbered("program-", number), nodes, 0).front() != holder_index) ++number;
+  holder.stored_turns["a1"].id = "a1";
+  ASSERT_TRUE(node.set_map(nodes));
+  EXPECT_EQ(node.store_turn("a2", "a1", 1, numbered("program-", number)), ReplicaStatus::ok);
+}
+
 // Guards against a chain that a node which takes over misses: it has copied the turns of this node by the new
 // map before the missing ancestors came here.
 TEST(StorageNodes, ATurnIsNotAcknowledgedByAMapThatWasReplacedWhileItsAncestorsWereFetched) {
