Soak: conversations whose turns expire while their answers are under way

Change: 12 conversations at a time on a route with retentionS 2 (route r-lingering of the operators' stand-in), which pause for up to that time and whose answers last for up to 1.7 times as long; the endpoint's stand-in makes the pauses that a field of the request asks for. Each turn goes through any edge. The auditor judges a 404 as LOST if the request was sent within the retention of a turn that was answered whole, and lets it pass after that.

Auditing.ATurnIsLostOnlyWithinItsRetention.

--- a/src/lab/tier/auditor.cpp
+++ b/src/lab/tier/auditor.cpp
@@ -262,7 +262,7 @@
     case AttemptOutcome::unknown:
       if (!turn || at.ask.previous.empty()) {
         report_violation(Rule::denied, id + ": 404, and its route is there");
-      } else if (is_whole(at.ask.previous)) {
+      } else if (continues_a_kept_turn(at)) {
         report_violation(Rule::lost, at.ask.previous + " was answered whole; then 404 to " + id);
       }
       if (!at.runs.empty()) report_violation(Rule::promised, id + ": 404, and it ran");
@@ -272,6 +272,12 @@
   }
 }
 
+bool Auditor::continues_a_kept_turn(const Try& at) const {
+  const auto found = tries_.find(at.ask.previous);
+  if (found == tries_.end() || !found->second.whole) return false;
+  return !at.ask.retention || at.asked_at < found->second.ended_at + *at.ask.retention;
+}
+
 bool Auditor::is_whole(const std::string& id) const {
   const auto found = tries_.find(id);
   return found != tries_.end() && found->second.whole;
--- a/src/lab/tier/auditor.hpp
+++ b/src/lab/tier/auditor.hpp
@@ -62,6 +62,8 @@
     std::string program, previous, input;
     std::int64_t most = 0;  // tokens that it may generate
     std::optional<std::int64_t> budget;
+    // For how long the turn before has to be found after its answer; none: for ever.
+    std::optional<Span> retention = std::nullopt;
   };
   void asked(Ask ask, TimePoint now = {});
   void came(const std::string& id, std::int64_t event, const std::string& data);  // with its line feed
@@ -136,6 +138,8 @@
   std::optional<std::string> chain_before(const Try& of, std::size_t& length) const;
   void check_budget(const std::string& program);
   void check_refusal(const Try& at);
+  // Whether the turn that it continues was answered whole, and its retention had not ended when it was asked.
+  bool continues_a_kept_turn(const Try& at) const;
   // The most that it may count against its program's budget for a request that began then.
   std::int64_t most_counted(const Try& of, TimePoint began) const;
   void check_answer(Try& at, const std::string& seal);
--- a/src/lab/tier/endpoint.cpp
+++ b/src/lab/tier/endpoint.cpp
@@ -105,6 +105,8 @@
   const std::int64_t most = number_in(
       std::string_view(counts).substr(std::min(counts.find(',') + 1, counts.size())), tokens_per_event);
   job.events = static_cast<std::size_t>(std::max<std::int64_t>(most / tokens_per_event, 1));
+  job.event_ms = static_cast<double>(
+      number_in(asked.find(event_pause_field), static_cast<std::int64_t>(spec_.event_ms)));
   if (job.events > 2) job.events -= chance_.below(job.events / 2);  // it may say less than it might
   if (chance_.one_in(spec_.trouble)) {
     ++fault_player_;
@@ -168,7 +170,7 @@
   at->piece(event + "\n");
   if (job.told < job.events) {
     job.next =
-        timers_.after(Span::ms(spec_.event_ms * (0.5 + chance_.unit())), [this, visit] { go_on(visit); });
+        timers_.after(Span::ms(job.event_ms * (0.5 + chance_.unit())), [this, visit] { go_on(visit); });
     return;
   }
   auditor_.run_whole(job.run);
--- a/src/lab/tier/endpoint.hpp
+++ b/src/lab/tier/endpoint.hpp
@@ -14,6 +14,9 @@
 
 constexpr std::int64_t tokens_per_event = 4;
 
+// A request's field with the milliseconds between two events of its answer. The tier passes it on.
+constexpr const char* event_pause_field = "X-Lab-Event-Pause";
+
 struct EndpointSpec {
   std::string id, service, zone;
   sockaddr_in at{};
@@ -47,6 +50,7 @@
     std::uint64_t visit = 0, run = 0;
     std::size_t events = 0, told = 0;  // events in all, and so far
     std::int64_t last_id = 0;
+    double event_ms = 0;  // between two events
     TimePoint until;
     net::TimerQueue::Handle next;
   };
--- a/src/lab/tier/fleet.cpp
+++ b/src/lab/tier/fleet.cpp
@@ -36,6 +36,7 @@
     Span::ms(12000);                           // for all calls at the end, holds before them included
 constexpr double coordination_sets_most = 10;  // more calls than theirs come from the same callers
 constexpr std::size_t heirs_most = 100;
+constexpr std::size_t lingering_count = 12;  // of conversations at once, amid a story
 constexpr double trouble_part = 0.01;  // of what endpoints run: it must not be run again, nor look whole
 
 std::size_t lines_with(const std::string& file, const std::string& word) {
@@ -124,6 +125,8 @@
   coordination_ =
       std::make_unique<CoordinationLoad>(lines_, timers_, operators_see, coordination_spec(spec_));
   load_ = std::make_unique<Load>(scheduler_, timers_, lines_, front_, auditor_, load);
+  lingering_ = std::make_unique<LingeringConversations>(timers_, *load_, spec_.story ? lingering_count : 0,
+                                                        spec_.seed);
 }
 
 Fleet::~Fleet() = default;
@@ -329,6 +332,7 @@
   const TimePoint start = timers_.now();
   delays_ = std::make_unique<OwnDelays>(timers_, (fs::path(spec_.folder) / "sync.own").string());
   load_->begin();
+  lingering_->begin();
   coordination_->begin();
   if (spec_.story) {
     play_story(start);
@@ -338,6 +342,7 @@
     wait(lasts, [] { return false; });
   }
   load_->stop();
+  lingering_->stop();
   load_->go_on_from_old(heirs_most);
   if (spec_.story) change(operator_->acknowledged() + 1, 0);
   const bool all_over = wait(end_most, [this] {
@@ -431,6 +436,7 @@
 
 void Fleet::collect(FleetResult& result) {
   result.load = load_->figures();
+  result.lingering_continued = lingering_->continued();
   result.figures = auditor_.figures();
   for (std::size_t i = 0; i < rule_count; ++i) result.counts[i] = auditor_.count(static_cast<Rule>(i));
   result.violations = auditor_.violations();
--- a/src/lab/tier/fleet.hpp
+++ b/src/lab/tier/fleet.hpp
@@ -13,6 +13,7 @@
 #include "lab/tier/coordination_load.hpp"
 #include "lab/tier/endpoint_set.hpp"
 #include "lab/tier/fault_player.hpp"
+#include "lab/tier/lingering_conversations.hpp"
 #include "lab/tier/link_relays.hpp"
 #include "lab/tier/load.hpp"
 #include "lab/tier/machines.hpp"
@@ -66,6 +67,7 @@
   std::uint64_t operator_calls = 0, operator_reads = 0, operator_calm_reads = 0, list_pages = 0,
                 list_over_rate = 0, turned_away = 0, troubles = 0;
   std::array<std::uint64_t, fault_kinds> played{};  // of a story
+  std::uint64_t lingering_continued = 0;            // turns of lingering conversations
   std::uint64_t excused = 0;                        // misses of service amid a story's troubles
   CoordinationFigures coordination;
   std::array<std::uint64_t, coordination_rules> coordination_counts{};
@@ -126,6 +128,7 @@
   std::unique_ptr<OperatorStandIn> operator_;
   std::unique_ptr<FaultPlayer> fault_player_;
   std::unique_ptr<Load> load_;
+  std::unique_ptr<LingeringConversations> lingering_;
   std::unique_ptr<CoordinationLoad> coordination_;
   std::unique_ptr<OwnDelays> delays_;
   std::vector<FaultRecord> faults_;
--- a/src/lab/tier/load.cpp
+++ b/src/lab/tier/load.cpp
@@ -48,9 +48,10 @@
     bytes_.clear();
     heard_ = false;
     began_ = load_.timers_.now();
-    load_.auditor_.asked({id_, request_spec_.sort, request_spec_.program, request_spec_.previous,
-                          request_spec_.input, request_spec_.most, request_spec_.budget},
-                         began_);
+    load_.auditor_.asked(
+        {id_, request_spec_.sort, request_spec_.program, request_spec_.previous, request_spec_.input,
+         request_spec_.most, request_spec_.budget, request_spec_.retention},
+        began_);
     HeaderFields fields{
         {"X-Chutevane-Attempt-Id", id_},
         {"X-Chutevane-Time-Remaining", std::to_string(static_cast<long>((until_ - began_).as_ms()))}};
@@ -61,6 +62,8 @@
     put("Session", request_spec_.session);
     put("Finish-Ms", request_spec_.program.empty() ? "" : "20000");
     put("Previous", request_spec_.previous);
+    if (request_spec_.event_pause > Span())
+      put(event_pause_field, std::to_string(static_cast<long>(request_spec_.event_pause.as_ms())));
     if (request_spec_.budget) put("Budget", std::to_string(*request_spec_.budget));
     if (request_spec_.sort == RequestKind::turn) {
       put("X-Chutevane-Model", "m");
--- a/src/lab/tier/load.hpp
+++ b/src/lab/tier/load.hpp
@@ -35,6 +35,8 @@
   std::optional<std::int64_t> budget;
   std::int64_t most = 0;
   Span lasts = Span::ms(6000);
+  std::optional<Span> retention;  // of the route; none: longer than any run
+  Span event_pause;               // that the endpoint is asked to make between events; zero: its own
   std::uint64_t client = 0;
   bool counted = true;  // in the records
 };
@@ -63,6 +65,8 @@
     stopped_ = true;
     spec_.misbehavior = {};
   }
+  // One request, in as many tries as its kind and its time allow.
+  void ask(const RequestSpec& want, std::function<void(const RequestResult&)> done);
   // New programs that go on from the last turns of those that are over, `from` the oldest on.
   void go_on_from_old(std::size_t most);
   std::size_t open() const { return open_; }  // programs and heirs that are not over
@@ -78,7 +82,6 @@
  private:
   class RequestInProgress;
   class Program;
-  void ask(const RequestSpec& want, std::function<void(const RequestResult&)> done);
   void next_program();
   void next_stranger();
   std::string new_id();
--- a/src/lab/tier/operators.cpp
+++ b/src/lab/tier/operators.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "lab/tier/endpoint.hpp"
+#include "lab/tier/lingering_conversations.hpp"
 #include "lab/tier/load.hpp"
 
 namespace chutevane::lab::tier {
@@ -22,7 +23,7 @@
 
 std::string mark_of(std::int64_t version) { return "/mark-" + std::to_string(version) + "/"; }
 
-std::string configuration_text(std::int64_t version, int variant) {
+std::string configuration_text(std::int64_t version, int variant, bool with_lingering) {
   using nlohmann::json;
   const auto route = [](const char* name, const std::string& prefix, const char* type, const char* service) {
     return json{{"name", name},       {"host", host},      {"pathPrefix", prefix}, {"routeType", type},
@@ -51,6 +52,12 @@
   all["routes"] = {turns, route("r-tools", "/tools/", "idempotent", "tools"),
                    route("r-acts", "/acts/", "non_idempotent", "tools"),
                    route("r-mark", mark_of(version), "idempotent", "tools")};
+  if (with_lingering) {
+    json lingering = route("r-lingering", lingering_path, "streaming", "words");
+    lingering["retained"] = lingering["affinity"] = true;
+    lingering["retentionS"] = lingering_retention.as_ms() / 1000;
+    all["routes"].push_back(lingering);
+  }
   all["services"] = {words, tools};
   all["limits"] = {{"maxHeaderBytes", 16384},
                    {"maxBodyBytes", 4194304},
@@ -69,7 +76,7 @@
 
 void OperatorStandIn::change(std::int64_t version, std::size_t first_to, std::function<void(Span)> done) {
   busy_ = true;
-  Order order{acknowledged_, version, configuration_text(version), first_to, 0, {}};
+  Order order{acknowledged_, version, configuration_text(version, 0, true), first_to, 0, {}};
   order.done = [this, order, since = timers_.now(), done = std::move(done)](int status) {
     busy_ = false;
     // Nobody else changes it: nothing but 200 is right.
@@ -91,7 +98,7 @@
   for (int variant = 0; variant < 2; ++variant) {
     Order order{acknowledged_,
                 version,
-                configuration_text(version, variant),
+                configuration_text(version, variant, true),
                 first_to + static_cast<std::size_t>(variant),
                 0,
                 {}};
--- a/src/lab/tier/operators.hpp
+++ b/src/lab/tier/operators.hpp
@@ -15,8 +15,8 @@
 namespace chutevane::lab::tier {
 
 // Turns, tools, acts, and a route that only this version has. `variant`: another document of the same
-// version.
-std::string configuration_text(std::int64_t version, int variant = 0);
+// version. `with_lingering`: the route of lingering_conversations.hpp too.
+std::string configuration_text(std::int64_t version, int variant = 0, bool with_lingering = false);
 std::string mark_of(std::int64_t version);  // that route's prefix
 
 class OperatorStandIn {
--- a/src/lab/tier/soak.cpp
+++ b/src/lab/tier/soak.cpp
@@ -45,6 +45,7 @@
     out["breaches"].push_back(std::string(name_of(b.rule)) + ": " + b.what);
   out["coordination"] = json_of(r.coordination);
   out["turnsWhole"] = r.figures.turns_whole;
+  out["lingeringContinued"] = r.lingering_continued;
   out["heirs"] = r.load.heirs;
   out["heirsWhole"] = r.load.heirs_whole;
   out["orders"] = r.operator_calls;
@@ -94,6 +95,7 @@
   }
   const auto figure = [&](const char* name) { return report.at(name).get<std::uint64_t>(); };
   sum.turns_whole += figure("turnsWhole");
+  sum.lingering_continued += figure("lingeringContinued");
   sum.heirs += figure("heirs");
   sum.heirs_whole += figure("heirsWhole");
   sum.orders += figure("orders");
@@ -180,7 +182,7 @@
 
 std::string table_of(const SoakSummary& s) {
   std::string out = "trouble              played   in broken seeds\n";
-  char line[200];
+  char line[300];
   for (std::size_t i = 0; i < fault_kinds; ++i) {
     std::snprintf(line, sizeof line, "%-18s %8llu %17llu\n", name_of(static_cast<FaultKind>(i)),
                   static_cast<unsigned long long>(s.played[i]),
@@ -195,12 +197,15 @@
                 s.seeds.size(), static_cast<long long>(beyond), static_cast<long long>(broken));
   out += line;
   std::snprintf(line, sizeof line,
-                "turns answered whole %llu; heirs %llu, answered %llu; orders sent %llu; reads answered "
+                "turns answered whole %llu, of them on from turns of a short retention %llu; heirs %llu, "
+                "answered %llu; orders sent %llu; reads answered "
                 "%llu, had to be "
                 "answered %llu\n",
-                static_cast<unsigned long long>(s.turns_whole), static_cast<unsigned long long>(s.heirs),
-                static_cast<unsigned long long>(s.heirs_whole), static_cast<unsigned long long>(s.orders),
-                static_cast<unsigned long long>(s.reads), static_cast<unsigned long long>(s.calm_reads));
+                static_cast<unsigned long long>(s.turns_whole),
+                static_cast<unsigned long long>(s.lingering_continued),
+                static_cast<unsigned long long>(s.heirs), static_cast<unsigned long long>(s.heirs_whole),
+                static_cast<unsigned long long>(s.orders), static_cast<unsigned long long>(s.reads),
+                static_cast<unsigned long long>(s.calm_reads));
   out += line;
   std::snprintf(
       line, sizeof line,
--- a/src/lab/tier/soak.hpp
+++ b/src/lab/tier/soak.hpp
@@ -36,8 +36,8 @@
   std::array<std::uint64_t, rule_count> counts{};
   std::array<std::uint64_t, coordination_rules> coordination_counts{};
   CoordinationFigures coordination;
-  std::uint64_t turns_whole = 0, heirs = 0, heirs_whole = 0, orders = 0, reads = 0, calm_reads = 0,
-                excused = 0, left = 0, worked_for_nobody = 0;
+  std::uint64_t turns_whole = 0, lingering_continued = 0, heirs = 0, heirs_whole = 0, orders = 0, reads = 0,
+                calm_reads = 0, excused = 0, left = 0, worked_for_nobody = 0;
   double resident_mb = 0;     // of one seed's processes, at the most
   double late_most_ms = 0;    // a lab's own timers: relays stand still as long
   std::size_t processes = 0;  // at once, labs among them
--- a/tests/tier_fleet_test.cpp
+++ b/tests/tier_fleet_test.cpp
@@ -45,6 +45,26 @@
 
 const std::string chain = "in-aone of a\ntwo of a\nin-b";
 
+// A turn is lost if a request that was sent within its retention gets 404; what follows its end is in order.
+TEST_F(Auditing, ATurnIsLostOnlyWithinItsRetention) {
+  const TimePoint answered = TimePoint::at_ms(5000);
+  auditor.asked(ask("a"));
+  const std::uint64_t first = run("a", "in-a");
+  auditor.came("a", 1, "one of a\n");
+  auditor.came("a", 3, "two of a\n");
+  auditor.answered("a", AttemptOutcome::whole, Auditor::seal_of(first), answered);
+  Auditor::Ask late = ask("b", "a");
+  late.retention = Span::ms(2000);
+  auditor.asked(late, answered + Span::ms(2000));
+  auditor.answered("b", AttemptOutcome::unknown, "", answered + Span::ms(2001));
+  EXPECT_EQ(auditor.all(), 0U);
+  Auditor::Ask in_time = ask("c", "a");
+  in_time.retention = Span::ms(2000);
+  auditor.asked(in_time, answered + Span::ms(1999));
+  auditor.answered("c", AttemptOutcome::unknown, "", answered + Span::ms(2500));
+  expect_only(Rule::lost);
+}
+
 TEST_F(Auditing, FindsNothingInWhatIsRight) {
   first_turn();
   auditor.asked(ask("b", "a"));
