--- a/src/lab/tier/http_exchange.cpp
+++ b/src/lab/tier/http_exchange.cpp
@@ -7,7 +7,7 @@
 namespace chutevane::lab::tier {
 namespace {
 
-constexpr http::Limits bounds{.head = 16 * 1024, .body = 8U << 20U, .fields = 100};  // bytes
+constexpr http::Limits bounds{.head = 16 * 1024, .body = 64U << 20U, .fields = 100};  // bytes
 constexpr Span comes_up = Span::ms(1000);
 
 }  // namespace
--- a/src/lab/tier/machines.cpp
+++ b/src/lab/tier/machines.cpp
@@ -121,7 +121,8 @@
   out << "internalPorts=" << peers_first_port << "," << peers_last_port << "\nseedNodes=" << seed_list
       << "\ninitialStart=" << (start == Start::first ? "true" : "false")
       << "\nlossCounted=" << (m.plane == MachinePlane::edge ? "false" : "true")
-      << "\nlimits.memoryMb=260\nlimits.maxFds=1000\nlimits.diskMb=" << (m.data.empty() ? 0 : 200)
+      << "\nlimits.memoryMb=" << spec_.memory_mb << "\nlimits.maxFds=" << spec_.descriptors
+      << "\nlimits.diskMb=" << (m.data.empty() ? 0 : 200)
       << "\nfaultTolerance.machineLosses=1\nbounds.drainMs=" << spec_.drain.as_ms() << "\nbounds.graceS=8"
       << "\nbounds.configApplyMs=2000\nbounds.settleMs=1000\nbounds.ackMs=4000\nbounds.recoveryS=12"
       << "\nbounds.historyS=" << spec_.history.as_ms() / 1000
--- a/src/lab/tier/machines.hpp
+++ b/src/lab/tier/machines.hpp
@@ -19,13 +19,15 @@
 class Machines {
  public:
   struct Spec {
-    std::string programs;   // folder of chutevane-control, -storage, -edge
-    std::string folder;     // for settings, logs and data
-    sockaddr_in list{};     // of endpoints
-    double list_rate = 40;  // pages a second
-    Span drain;             // of an endpoint that leaves
-    Span history;           // for how long a watch of keys may be resumed
-    bool relayed = false;   // processes hear their peers at another address than they announce
+    std::string programs;            // folder of chutevane-control, -storage, -edge
+    std::string folder;              // for settings, logs and data
+    sockaddr_in list{};              // of endpoints
+    double list_rate = 40;           // pages a second
+    Span drain;                      // of an endpoint that leaves
+    Span history;                    // for how long a watch of keys may be resumed
+    double memory_mb = 260;          // limit of each process, in 10^6 bytes
+    std::size_t descriptors = 1000;  // limit of each process
+    bool relayed = false;            // processes hear their peers at another address than they announce
   };
   struct Machine {
     MachinePlane plane = MachinePlane::edge;
