HttpServer: what follows a refused request is dropped, not refused again for ever

What callers saw: one request with a body over the limit, at readiness, metrics or a controller's API, and the process answered nobody any more; its memory grew by some 6 MB a second.

Cause: after a refusal the server reset its parser and took the rest of the refused body for the next request. Once more than a head of it had arrived, that was refused too (431), consumed nothing, appended an answer, and the loop went on. A Content-Length over the limit, a chunk over it and pipelined garbage all reach it. The edge's own door has a closing state and no such loop; RpcClient, RpcServer and PlatformClient close on malformed input (by reading).

New unit test HttpServerReplies.WhatFollowsARefusedRequestIsDropped.

Change: the connection closes with the refusal, and drops what still arrives. It can't loop, since nothing is parsed any more.

--- a/src/common/http_server.cpp
+++ b/src/common/http_server.cpp
@@ -32,10 +32,16 @@
   server_.tasks_.retire(*this);
 }
 
+void HttpServer::Connection::on_channel_data(net::Channel&) {
+  if (is_closing_) return channel_.in().consume(channel_.in_size());
+  process_requests();
+}
+
 void HttpServer::Connection::process_requests() {
   if (processing_) return;  // called by a handler that replied synchronously: the outer loop continues
   processing_ = true;
-  while (!request_pending_ && channel_.open() && !channel_.in().empty() && handle_next_request()) {
+  while (!request_pending_ && !is_closing_ && channel_.open() && !channel_.in().empty() &&
+         handle_next_request()) {
   }
   processing_ = false;
 }
@@ -74,6 +80,8 @@
   request_pending_ = false;
   channel_.flush();
   if (!keep_alive_) {
+    is_closing_ = true;
+    channel_.in().consume(channel_.in_size());
     channel_.close_when_flushed();
   } else {
     process_requests();
--- a/src/common/http_server.hpp
+++ b/src/common/http_server.hpp
@@ -55,7 +55,7 @@
     /// Returns false if the next request has not arrived completely.
     bool handle_next_request();
     void respond(const HttpResponse& response);
-    void on_channel_data(net::Channel&) override { process_requests(); }
+    void on_channel_data(net::Channel&) override;
     void on_channel_closed(net::Channel&) override;
     HttpServer& server_;
     net::Channel channel_;
@@ -64,6 +64,7 @@
     std::uint64_t request_number_ = 0;  // number of the newest request
     bool request_pending_ = false;      // the newest request has not been replied to
     bool keep_alive_ = true;
+    bool is_closing_ = false;  // the last response was sent or is being sent: what still arrives is dropped
     bool processing_ = false;  // process_requests() is running
   };
   net::Scheduler& scheduler_;
--- a/tests/common/http_server_test.cpp
+++ b/tests/common/http_server_test.cpp
@@ -74,8 +74,8 @@
     if (fd_ >= 0) ::close(fd_);
     fd_ = -1;
   }
-  void send_request(const std::string& target) {
-    const std::string text = "GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n";
+  void send_request(const std::string& target) { send("GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n"); }
+  void send(const std::string& text) {
     CHECK_EQUAL(static_cast<ssize_t>(text.size()), ::write(fd_, text.data(), text.size()));
   }
   /// Returns the bodies of `count` responses. No more bytes may follow them.
@@ -190,3 +190,22 @@
   STRCMP_EQUAL(("to " + target(1)).c_str(), received[0].c_str());
   STRCMP_EQUAL(("to " + target(2)).c_str(), received[1].c_str());
 }
+
+// What follows a request that was refused is not taken for the next request. Guards against a server that
+// answers the same bytes again and again.
+TEST(HttpServerReplies, WhatFollowsARefusedRequestIsDropped) {
+  for (const char* refused :
+       {"POST /a HTTP/1.1\r\nContent-Length: 100000000\r\n\r\n",
+        "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n", "no request\r\n\r\n"}) {
+    Connection connection(server);
+    connection.send(refused + std::string(64 * 1024, 'x'));
+    CHECK_TRUE(connection.receive_bodies(1).size() == 1);
+    Connection other(server);
+    other.send_request(target(1));
+    CHECK_TRUE(server.has_request(target(1)));
+    server.reply_to(target(1));
+    CHECK_TRUE(other.receive_bodies(1).size() == 1);
+    server.pending.clear();
+  }
+  CHECK_EQUAL(static_cast<std::size_t>(3), server.requests);
+}
