Channel: a peer that always has more to read yields to the others

What callers saw: beside a peer that sends fast, others waited until it paused; a storage node that was sent 40 turns of 1 MiB took up to 24 MB of them before its next commit (seen by a print in SegmentLog::commit), held them in the segment log's buffer, and kept its 33 MB of capacity.

Cause: Channel::run waited with Waker::wait() for bits that its own read had set just before ("more is left"), and a wait whose bit is pending does not suspend. And Socket::read filled all room of a buffer that had grown for one large message, whatever its caller's quota.

Change: Waker::yield_and_wait() puts a coroutine whose bit is pending behind those that are ready; Channel uses it. A read takes its quota at most. SegmentLog gives back a large buffer.

--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -116,19 +116,19 @@
   return true;
 }
 
-Channel::Step Channel::read_step() {
-  if (reading_paused_) return Step::wait;
+// False: the channel is closed.
+bool Channel::read_step() {
+  if (reading_paused_) return true;
   const Socket::Result result = socket_.read(in_, max_read);
-  if (result == Socket::Result::later) return Step::wait;
+  if (result == Socket::Result::later) return true;
   if (result != Socket::Result::some) {
     fail();
-    return Step::stop;
+    return false;
   }
   observer_.on_channel_data(*this);
-  if (!open()) return Step::stop;
+  if (!open()) return false;
   in_.shrink(idle_buffer_size);
-  // A hang-up wakes once only: what came with it is read to its end.
-  return waker_.has(Waker::hung_up) ? Step::read_again : Step::wait;
+  return true;
 }
 
 Task Channel::run(bool connecting) {
@@ -137,12 +137,11 @@
     if (!finish_connect()) co_return;
   }
   while (open()) {
-    if (!write_step()) co_return;
-    const Step next = read_step();
-    if (next == Step::stop) co_return;
-    if (next == Step::read_again) continue;
+    if (!write_step() || !read_step()) co_return;
     const Waker::Bits reading = reading_paused_ ? 0U : Waker::readable | Waker::hung_up;
-    co_await waker_.wait(Waker::writable | state_changed | ended | reading);
+    // Yields: a peer that always has more to read must not hold up the others. After a hang-up this ends at
+    // once, until what came with it has been read.
+    co_await waker_.yield_and_wait(Waker::writable | state_changed | ended | reading);
   }
 }
 
--- a/src/net/channel.hpp
+++ b/src/net/channel.hpp
@@ -83,12 +83,11 @@
 
  private:
   static constexpr Waker::Bits state_changed = Waker::own, ended = Waker::own << 1U;
-  enum class Step : std::uint8_t { wait, read_again, stop };
 
   Task run(bool connecting);
   bool finish_connect();
   bool write_step();
-  Step read_step();
+  bool read_step();
   bool write_pending();
   void read_rest();
   void end(bool with_reset);
--- a/src/net/scheduler.hpp
+++ b/src/net/scheduler.hpp
@@ -56,6 +56,17 @@
   /// `hung_up`.
   Awaiter wait(Bits mask) { return {this, mask}; }
 
+  struct YieldingAwaiter : Awaiter {
+    bool await_ready() const { return false; }
+    void await_suspend(std::coroutine_handle<> frame) {
+      Awaiter::await_suspend(frame);
+      waker->set(0);  // queues it if a bit is pending already
+    }
+  };
+  /// As wait(), but other coroutines that are ready run first even if a bit is pending already. For a loop
+  /// whose peer may always have more to read.
+  YieldingAwaiter yield_and_wait(Bits mask) { return {{this, mask}}; }
+
  private:
   friend class Scheduler;
   void run();
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -76,7 +76,9 @@
   bool any = false;
   const std::size_t before = into.size();
   while (into.size() - before < most) {
-    const std::span<char> room = into.room(std::min(min_read_space, most));
+    std::span<char> room = into.room(std::min(min_read_space, most));
+    // A buffer that has grown for one large message must not take in many at once.
+    room = room.first(std::min(room.size(), std::max(most, min_read_space)));
     const long got = scheduler_.system().receive(fd_, room);
     if (got > 0) {
       into.added(static_cast<std::size_t>(got));
--- a/src/storage/segment_log.cpp
+++ b/src/storage/segment_log.cpp
@@ -9,6 +9,7 @@
 constexpr std::string_view file_prefix = "turns.";
 /// A small deployment writes this much in some tens of seconds.
 constexpr std::size_t max_segment_bytes = std::size_t{4} << 20U;
+constexpr std::size_t max_kept_buffer_bytes = std::size_t{1} << 20U;  // between two commits
 /// Combined with the number of the segment to form the salt of its frames, so that a frame is accepted
 /// neither in another segment nor in the file of a DurableState.
 constexpr std::uint64_t segment_salt = 0x63656c6c6172ULL;
@@ -69,7 +70,11 @@
   if (absl::Status s = disk_.sync(name); !s.ok()) return s;
   failing_ = false;
   current_size_ += buffer_.size();
-  buffer_.clear();
+  if (buffer_.capacity() > max_kept_buffer_bytes) {
+    std::string().swap(buffer_);  // frees it, unlike clear()
+  } else {
+    buffer_.clear();
+  }
   if (current_size_ > max_segment_bytes) open_segment(current_segment_ + 1, now);
   return absl::OkStatus();
 }
