Parser: the framing of chunks takes no room while a body arrives

What callers saw: 24 connections that sent 1 MiB in chunks of one byte and stopped short took 211 MB of an edge, 215 MB of a controller.

Cause: a chunked body is decoded in place, and the raw bytes stay behind it until the message is complete: six bytes for each byte in chunks of one, more with extensions and trailers.

New unit test Parser.FramingOfChunksTakesNoRoomInABuffer: the buffer holds no more than the head, the decoded body and one incomplete chunk line, for reads of 1 to 4096 bytes, and the body is the same.

Change: Parser::feed(net::Buffer&) closes the gap after each read, by moving the few bytes that are not parsed yet. Edge and HttpServer use it.

--- a/src/common/http_server.cpp
+++ b/src/common/http_server.cpp
@@ -47,7 +47,7 @@
 }
 
 bool HttpServer::Connection::handle_next_request() {
-  const http::Progress progress = parser_.feed(channel_.in().bytes());
+  const http::Progress progress = parser_.feed(channel_.in());
   if (progress == http::Progress::more) return false;
   request_pending_ = true;
   ++request_number_;
--- a/src/edge/downstream_connection.cpp
+++ b/src/edge/downstream_connection.cpp
@@ -99,7 +99,7 @@
   if (state_ != State::reading || channel_.in_size() == 0) return;
   if (!parser_.begun()) parser_.set_limits(request_limits());
   const bool had_head = parser_.head_done();
-  const http::Progress progress = parser_.feed(channel_.in().bytes());
+  const http::Progress progress = parser_.feed(channel_.in());
   if (progress == http::Progress::more) return await_rest_of_request(had_head);
   if (progress == http::Progress::failed)
     return reject_unread(FailureCause::malformed_request, parser_.status_of_error(), parser_.error());
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -133,6 +133,19 @@
   }
 }
 
+Progress Parser::feed(net::Buffer& received) {
+  const Progress progress = feed(received.bytes());
+  if (progress != Progress::more || !head_done()) return progress;
+  const std::size_t decoded_end = body_start_ + body_size_;
+  const std::size_t framing = position_ - decoded_end;
+  if (framing == 0) return progress;
+  std::memmove(bytes_ + decoded_end, bytes_ + position_, fed_ - position_);
+  position_ -= framing;
+  fed_ -= framing;
+  received.drop_back(framing);
+  return progress;
+}
+
 Progress Parser::feed(std::span<char> bytes, bool is_end) {
   const Progress progress = feed(bytes);
   return is_end && progress == Progress::more ? ended(bytes) : progress;
--- a/src/http/parser.hpp
+++ b/src/http/parser.hpp
@@ -19,6 +19,8 @@
 #include <string_view>
 #include <vector>
 
+#include "net/buffer.hpp"
+
 namespace chutevane::http {
 
 /// Size limits of a message. Exceeding one is an error.
@@ -54,6 +56,9 @@
   /// one, because the read may have moved the bytes. `is_end` is true if no more bytes will arrive.
   Progress feed(std::span<char> bytes, bool is_end);
   Progress feed(std::span<char> bytes);
+  /// As feed() of all that `received` holds. Removes the framing of chunks that has been parsed, so that an
+  /// incomplete message takes the room of its head and its decoded body, however it is split into chunks.
+  Progress feed(net::Buffer& received);
   /// Handles the end of the connection. `bytes` are the bytes passed last, at their current address.
   Progress ended(std::span<char> bytes);
 
--- a/src/net/buffer.hpp
+++ b/src/net/buffer.hpp
@@ -52,6 +52,11 @@
     begin_ += n;
     if (begin_ == end_) begin_ = end_ = 0;
   }
+  /// Drops `n` bytes from its end.
+  void drop_back(std::size_t n) {
+    end_ -= n;
+    if (begin_ == end_) begin_ = end_ = 0;
+  }
   /// Frees memory of an empty buffer down to `max_size` bytes, for connections that go idle.
   void shrink(std::size_t max_size) {
     if (!empty() || bytes_.size() <= max_size) return;
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -63,6 +63,37 @@
   }
 }
 
+// A body in chunks takes the room of its decoded bytes while it arrives, and is the same however it is split.
+TEST(Parser, FramingOfChunksTakesNoRoomInABuffer) {
+  const std::string head = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::string message = head, body;
+  for (int i = 0; i < 2000; ++i) {
+    const std::string piece(i % 5 + 1, static_cast<char>('a' + i % 26));
+    message += std::to_string(piece.size()) + ";ignored=extension\r\n" + piece + "\r\n";
+    body += piece;
+  }
+  message += "0\r\ntrailer: dropped\r\n\r\n";
+  constexpr std::size_t unparsed = 64;  // bytes: an incomplete chunk line
+  for (const std::size_t read : {1, 2, 3, 7, 100, 4096}) {
+    net::Buffer received;
+    Parser parser(Side::request);
+    std::size_t sent = 0;
+    Progress progress = Progress::more;
+    while (progress == Progress::more && sent < message.size()) {
+      const std::string bytes = message.substr(sent, read);
+      sent += bytes.size();
+      received.append(bytes);
+      progress = parser.feed(received);
+      if (progress == Progress::more) {
+        EXPECT_LE(received.size(), head.size() + parser.body().size() + unparsed);
+      }
+    }
+    EXPECT_EQ(progress, Progress::complete);
+    EXPECT_EQ(parser.body(), body);
+    EXPECT_EQ(parser.size(), received.size());
+  }
+}
+
 TEST(Parser, AbsoluteFormProvidesTheAuthority) {
   std::string text = "GET http://example:81/a?b HTTP/1.1\r\nHost: h\r\n\r\n",
               bare = "GET HTTP://x HTTP/1.1\r\n\r\n";
