Edge: a body is held once, from its first byte to the end of its request

What callers saw: whole bodies of legal size cost an edge several times their size while they were served: 120 of 1 MiB took 315 MB, one of 24 MiB 107 MB, a conversation of 24 turns of 1 MiB 147 MB.

Cause: a body lay in the connection's buffer, in the request, in the body for endpoints (with the chain before it), in the upstream's request and in its output; a turn in its write and in the cache; a received record in its channel and in a string. Strings that were emptied by assignment kept their memory (Attempt::body).

The body for endpoints is a list of views (turns of the chain, then the client's body), copied into the output 64 KiB at a time as the endpoint reads; what fits goes out in one write with its head, as before. StorageClient::store_turn takes the turn by value. A forwarded response is freed.

--- a/src/common/frame.cpp
+++ b/src/common/frame.cpp
@@ -31,4 +31,9 @@
   return bytes.size() < header_size + header.size ? ParseResult::incomplete : ParseResult::complete;
 }
 
+net::OwnedBytes take_record(net::Buffer& received, const Header& header) {
+  const std::string_view record(received.bytes().data() + header_size, header.size);
+  return net::OwnedBytes::take_front(received, header_size + header.size, record);
+}
+
 }  // namespace chutevane::common::frame
--- a/src/common/frame.hpp
+++ b/src/common/frame.hpp
@@ -18,6 +18,7 @@
 #include <string_view>
 
 #include "net/buffer.hpp"
+#include "net/owned_bytes.hpp"
 
 namespace chutevane::common::frame {
 
@@ -53,4 +54,7 @@
 /// at `bytes` + header_size.
 [[nodiscard]] ParseResult parse_header(std::span<const char> bytes, Header& header);
 
+/// Takes the complete frame with that header from the front of `received`, and returns its record.
+net::OwnedBytes take_record(net::Buffer& received, const Header& header);
+
 }  // namespace chutevane::common::frame
--- a/src/common/rpc.cpp
+++ b/src/common/rpc.cpp
@@ -110,7 +110,7 @@
   if (nothing_received) reconnect();  // the peer may be gone without having closed the connection
 }
 
-void RpcClient::on_reply(std::uint64_t number, const std::string& record) {
+void RpcClient::on_reply(std::uint64_t number, std::string_view record) {
   const auto found = calls_.find(number);
   if (found == calls_.end()) return;
   const ReplyCallback done = std::move(found->second.done);
@@ -134,8 +134,9 @@
     const frame::ParseResult result = frame::parse_header(bytes, header);
     if (result == frame::ParseResult::malformed) return reconnect();
     if (result == frame::ParseResult::incomplete) return;
-    const std::string record(bytes.data() + frame::header_size, header.size);
-    channel.in().consume(frame::header_size + header.size);
+    const net::OwnedBytes frame =
+        frame::take_record(channel.in(), header);  // a handler may close the channel
+    const std::string_view record = frame.view();
     if (header.type == frame::MessageType::reply) {
       on_reply(header.number, record);
     } else if (on_message_) {
@@ -181,8 +182,9 @@
       close();
       return;
     }
-    const std::string record(bytes.data() + frame::header_size, header.size);
-    channel.in().consume(frame::header_size + header.size);
+    const net::OwnedBytes frame =
+        frame::take_record(channel.in(), header);  // a handler may close the channel
+    const std::string_view record = frame.view();
     const auto handler = rpc_server_.handlers_.find(header.kind);
     if (handler == rpc_server_.handlers_.end()) continue;
     const bool is_request = header.type == frame::MessageType::request;
--- a/src/common/rpc.hpp
+++ b/src/common/rpc.hpp
@@ -25,8 +25,8 @@
 
 class RpcClient final : net::Channel::Observer {
  public:
-  /// Receives the encoded reply, or an error.
-  using ReplyCallback = std::function<void(absl::StatusOr<std::string>)>;
+  /// Receives the encoded reply, which is valid during the call, or an error.
+  using ReplyCallback = std::function<void(absl::StatusOr<std::string_view>)>;
   using MessageCallback = std::function<void(std::uint8_t kind, std::string_view record)>;
 
   /// Starts connecting immediately. `seed` makes the jitter of the backoff differ between clients.
@@ -56,7 +56,7 @@
   template <class Reply, class M>
   void call(const M& message, Span timeout, std::function<void(absl::StatusOr<Reply>)> done) {
     call_raw(M::kind, encoded(message), timeout,
-             [done = std::move(done)](absl::StatusOr<std::string> record) {
+             [done = std::move(done)](absl::StatusOr<std::string_view> record) {
                if (!record.ok()) return done(record.status());
                Reply reply;
                if (!decode(*record, reply)) return done(absl::DataLossError("the reply cannot be decoded"));
@@ -85,7 +85,7 @@
 
   void call_raw(std::uint8_t kind, std::string record, Span timeout, ReplyCallback done);
   void on_timeout(std::uint64_t number);
-  void on_reply(std::uint64_t number, const std::string& record);
+  void on_reply(std::uint64_t number, std::string_view record);
   void write_frame(std::uint8_t kind, frame::MessageType type, std::uint64_t number, std::string_view record);
   void connect();
   void schedule_reconnect();
--- a/src/edge/client_request.cpp
+++ b/src/edge/client_request.cpp
@@ -92,22 +92,12 @@
   return "";
 }
 
-}  // namespace
-
-bool is_hop_by_hop(std::string_view name, std::string_view connection_options) {
-  for (const std::string_view hop_by_hop : {"connection", "keep-alive", "proxy-connection", "te", "trailer",
-                                            "transfer-encoding", "upgrade", "expect", "content-length"}) {
-    if (same_name(name, hop_by_hop)) return true;
-  }
-  return !connection_options.empty() && http::has_token(connection_options, name);
-}
-
-ParsedClientRequest parse_client_request(const http::Parser& parser) {
+/// Returns the request without its body.
+ParsedClientRequest parse_head(const http::Parser& parser) {
   ParsedClientRequest parsed;
   ClientRequest& request = parsed.request;
   request.method = parser.method();
   request.target = parser.target();
-  request.body = parser.body();
   if (parser.count("Host") > 1) {
     parsed.error = "Host: comes twice";
     return parsed;
@@ -124,6 +114,22 @@
   return parsed;
 }
 
+}  // namespace
+
+bool is_hop_by_hop(std::string_view name, std::string_view connection_options) {
+  for (const std::string_view hop_by_hop : {"connection", "keep-alive", "proxy-connection", "te", "trailer",
+                                            "transfer-encoding", "upgrade", "expect", "content-length"}) {
+    if (same_name(name, hop_by_hop)) return true;
+  }
+  return !connection_options.empty() && http::has_token(connection_options, name);
+}
+
+ParsedClientRequest parse_client_request(const http::Parser& parser, net::Buffer& received) {
+  ParsedClientRequest parsed = parse_head(parser);
+  parsed.request.body = net::OwnedBytes::take_front(received, parser.size(), parser.body());
+  return parsed;
+}
+
 std::string format_request_head(const ClientRequest& request, const ProxyHeaders& proxy_headers,
                                 std::size_t body_size) {
   std::string head = request.method + " " + request.target + " HTTP/1.1\r\n";
--- a/src/edge/client_request.hpp
+++ b/src/edge/client_request.hpp
@@ -11,15 +11,16 @@
 #include "chutevane/types.hpp"
 #include "edge/prefix_cache_index.hpp"
 #include "http/parser.hpp"
+#include "net/owned_bytes.hpp"
 
 namespace chutevane::edge {
 
-/// A parsed client request. Owns copies of all its data, so it does not depend on the connection's buffer.
+/// A parsed client request. Owns all its data, so it does not depend on the connection's buffer.
 struct ClientRequest {
   std::string method;
   std::string target;
   std::string host;  ///< lower case, without the port
-  std::string body;
+  net::OwnedBytes body;
   std::vector<std::pair<std::string, std::string>> headers;  ///< headers to forward, in order
   std::string attempt_id;                                    ///< X-Chutevane-Attempt-Id; empty if absent
   std::string program;                                       ///< Program; empty if absent
@@ -36,9 +37,10 @@
   std::string error;      ///< which header is wrong and why, for a 400 response; empty if there is no error
 };
 
-/// Converts a completely parsed HTTP message. Malformed headers are ignored if they only influence the choice
-/// of the endpoint.
-[[nodiscard]] ParsedClientRequest parse_client_request(const http::Parser& parser);
+/// Converts a completely parsed HTTP message, and takes it out of `received`, in which it was parsed. A large
+/// body is moved, not copied. Malformed headers are ignored if they only influence the choice of the
+/// endpoint.
+[[nodiscard]] ParsedClientRequest parse_client_request(const http::Parser& parser, net::Buffer& received);
 
 /// Returns true if a header is hop-by-hop and is not forwarded (RFC 9110, 7.6.1). `connection_options` is the
 /// value of the Connection header, which may name additional hop-by-hop headers.
--- a/src/edge/downstream_connection.cpp
+++ b/src/edge/downstream_connection.cpp
@@ -119,8 +119,7 @@
   state_ = State::serving;
   request_ = std::make_unique<ProxiedRequest>(plane_, *this);
   is_persistent_ = parser_.keep_alive() && !plane_.is_closing();
-  ParsedClientRequest parsed = parse_client_request(parser_);
-  channel_.in().consume(parser_.size());
+  ParsedClientRequest parsed = parse_client_request(parser_, channel_.in());
   parser_.reset();
   is_continue_sent_ = false;
   request_->start(std::move(parsed));
--- a/src/edge/proxied_request.cpp
+++ b/src/edge/proxied_request.cpp
@@ -88,7 +88,6 @@
     placement_.prompt = request_.prompt;
   }
   if (route_->retained) return load_previous_turns();
-  body_ = request_.body;
   reserve_budget();
 }
 
@@ -97,10 +96,7 @@
 void ProxiedRequest::load_previous_turns() {
   if (request_.attempt_id.empty())
     return respond(FailureCause::missing_attempt_id, 400, "X-Chutevane-Attempt-Id: missing");
-  if (request_.previous_turn.empty()) {
-    body_ = request_.body;
-    return reserve_budget();
-  }
+  if (request_.previous_turn.empty()) return reserve_budget();
   plane_.storage().find_chain(request_.previous_turn, request_.program, request_.attempt_id,
                               storage_deadline(),
                               guarded([this](const TurnChain& chain) { on_previous_turns(chain); }));
@@ -116,15 +112,21 @@
     return respond(FailureCause::turn_uncertain, 503, "not certain yet whether there is such a turn",
                    RetryAfter::yes);
   }
-  std::size_t size = request_.body.size();
-  for (const auto& turn : chain.turns) size += turn->input.data.size() + turn->output.data.size();
-  body_.reserve(size);
-  for (const auto& turn : chain.turns) body_.append(turn->input.data).append(turn->output.data);
-  body_.append(request_.body);
   previous_turns_ = chain.turns;
   reserve_budget();
 }
 
+std::vector<std::string_view> ProxiedRequest::body_parts() const {
+  std::vector<std::string_view> parts;
+  parts.reserve(previous_turns_.size() * 2 + 1);
+  for (const auto& turn : previous_turns_) {
+    parts.emplace_back(turn->input.data);
+    parts.emplace_back(turn->output.data);
+  }
+  parts.push_back(request_.body.view());
+  return parts;
+}
+
 TimePoint ProxiedRequest::storage_deadline() const {
   return std::min(deadline_ - response_reserve, plane_.timers().now() + storage_timeout);
 }
@@ -135,7 +137,9 @@
 }
 
 void ProxiedRequest::reserve_budget() {
-  placement_.body_bytes = static_cast<double>(body_.size());
+  std::size_t body_size = 0;
+  for (const std::string_view part : body_parts()) body_size += part.size();
+  placement_.body_bytes = static_cast<double>(body_size);
   if (!needs_budget()) return start_attempt();
   if (request_.attempt_id.empty())
     return respond(FailureCause::missing_attempt_id, 400, "X-Chutevane-Attempt-Id: missing");
--- a/src/edge/proxied_request.hpp
+++ b/src/edge/proxied_request.hpp
@@ -107,6 +107,8 @@
   void on_budget_reserved(ReservationResult result);
   bool needs_budget() const;
   TimePoint storage_deadline() const;
+  // Returns the parts of the body sent to endpoints: the previous turns, followed by the client's body.
+  std::vector<std::string_view> body_parts() const;
 
   // ---- attempts (proxied_request_attempts.cpp)
   void start_attempt();
@@ -123,6 +125,7 @@
   void on_response_body(std::string_view bytes) override;
   void on_response_complete() override;
   void on_response_failed(UpstreamFailure failure) override;
+  void release_response_body();
   void on_success();
   void on_error_status();
   bool claims_not_executed() const;
@@ -177,7 +180,6 @@
   std::string service_;
   bool is_stream_ = false;
   TurnList previous_turns_;  // the turns that the request continues; kept until its own turn is stored
-  std::string body_;         // the body sent to endpoints: the previous turns followed by the client's body
   BudgetReservation budget_;
 
   AttemptContext placement_;
--- a/src/edge/proxied_request_attempts.cpp
+++ b/src/edge/proxied_request_attempts.cpp
@@ -71,6 +71,7 @@
   ++attempts_;
   ++plane_.counters().attempts;
   if (tries_ > 1) ++plane_.counters().retries;
+  release_response_body();
   attempt_ = {};
   attempt_.endpoint_id = endpoint.id;
   attempt_.sent_at = now;
@@ -96,8 +97,10 @@
   if (route_->affinity) proxy_headers.priority = std::clamp(route_->priority * 2, 0, max_priority);
   if (is_head_written_) proxy_headers.last_event_id = last_event_id_;
   UpstreamRequest upstream;
-  upstream.head = format_request_head(request_, proxy_headers, body_.size());
-  upstream.body = body_;
+  upstream.body = body_parts();
+  std::size_t body_size = 0;
+  for (const std::string_view part : upstream.body) body_size += part.size();
+  upstream.head = format_request_head(request_, proxy_headers, body_size);
   upstream.attempt_id = request_.attempt_id;
   upstream.is_head = request_.method == "HEAD";
   return upstream;
@@ -134,6 +137,9 @@
   if (is_stream_ && attempt_.status == 200) forward_events(false);
 }
 
+// An assignment would keep the string's memory.
+void ProxiedRequest::release_response_body() { std::string().swap(attempt_.body); }
+
 void ProxiedRequest::on_response_complete() {
   attempt_.connection = nullptr;
   if (attempt_.is_rejected) {
--- a/src/edge/proxied_request_responses.cpp
+++ b/src/edge/proxied_request_responses.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::size_t max_event_bytes = 4U << 20U;
+constexpr std::size_t max_kept_body_bytes = 64U << 10U;  // of memory, between the events of a stream
 constexpr std::int64_t no_reservation = -1;
 
 }  // namespace
@@ -32,6 +33,7 @@
   if (attempt_.status >= 400 && attempt_.is_rejected) budget_.release();
   connection_.write_head(attempt_.status, attempt_.headers);
   connection_.write_body(attempt_.status, request_.method, attempt_.body, attempt_.stated_body_size);
+  release_response_body();
   finish();
 }
 
@@ -61,6 +63,7 @@
     forwarded += size;
   }
   attempt_.body.erase(0, forwarded);
+  if (attempt_.body.empty() && attempt_.body.capacity() > max_kept_body_bytes) release_response_body();
   if (forwarded > 0) connection_.flush();
 }
 
@@ -114,12 +117,13 @@
   turn.id = request_.attempt_id;
   turn.previous = request_.previous_turn;
   turn.program = request_.program;
-  turn.input.data = std::move(request_.body);
+  turn.input.data = request_.body.release();
   turn.output.data = std::move(turn_output_);
   turn.retention_ms = static_cast<std::int64_t>(route_->retention.as_ms());
   const std::int64_t tokens = forwarded_tokens().value_or(static_cast<std::int64_t>(events_forwarded_));
-  plane_.storage().store_turn(turn, std::move(previous_turns_), budget_.is_open() ? tokens : no_reservation,
-                              deadline_, guarded([this](bool is_stored) { on_turn_stored(is_stored); }));
+  plane_.storage().store_turn(std::move(turn), std::move(previous_turns_),
+                              budget_.is_open() ? tokens : no_reservation, deadline_,
+                              guarded([this](bool is_stored) { on_turn_stored(is_stored); }));
 }
 
 void ProxiedRequest::on_turn_stored(bool is_stored) {
--- a/src/edge/storage_client.hpp
+++ b/src/edge/storage_client.hpp
@@ -79,7 +79,7 @@
   /// continues, or `done(false)` at the deadline. `ancestors` are these turns, the oldest first: a node that
   /// lacks one of them, because it has expired in storage since the chain was read, gets them again.
   /// `used_tokens` commits the reservation of the turn's attempt in the same write; -1 if there is none.
-  void store_turn(const common::Turn& turn, TurnList ancestors, std::int64_t used_tokens, TimePoint deadline,
+  void store_turn(common::Turn turn, TurnList ancestors, std::int64_t used_tokens, TimePoint deadline,
                   std::function<void(bool)> done);
   /// Number of times that the ancestors of a turn were sent to a node that lacked one of them.
   std::uint64_t chains_sent() const { return chains_sent_; }
--- a/src/edge/storage_client_writes.cpp
+++ b/src/edge/storage_client_writes.cpp
@@ -47,10 +47,10 @@
   net::TimerQueue::Handle hedge_timer;
 };
 
-void StorageClient::store_turn(const common::Turn& turn, TurnList ancestors, std::int64_t used_tokens,
+void StorageClient::store_turn(common::Turn turn, TurnList ancestors, std::int64_t used_tokens,
                                TimePoint deadline, std::function<void(bool)> done) {
   auto write = std::make_shared<ReplicatedWrite>();
-  write->turn = turn;
+  write->turn = std::move(turn);
   write->turn.retention_ms += static_cast<std::int64_t>(retention_margin.as_ms());
   write->ancestors = std::move(ancestors);
   write->used_tokens = used_tokens;
@@ -140,7 +140,7 @@
     check_replicated(*write);
     write->is_finished = true;
     timers_.cancel(write->hedge_timer);
-    cache_.insert(std::make_shared<const common::Turn>(write->turn));
+    cache_.insert(std::make_shared<const common::Turn>(std::move(write->turn)));
     return write->done(true);
   }
   if (write->asked < write->group.size()) {
--- a/src/edge/upstream_connection.cpp
+++ b/src/edge/upstream_connection.cpp
@@ -1,6 +1,7 @@
 /// UpstreamConnection: sending requests and receiving responses on one connection to an endpoint.
 #include "edge/upstream_connection.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -14,6 +15,7 @@
 constexpr Span default_idle_timeout = Span::ms(3000);  // if the endpoint does not state a timeout
 constexpr double idle_timeout_fraction = 0.8;  // of the stated timeout, to close before the endpoint does
 constexpr std::size_t max_skipped_responses = 4;
+constexpr std::size_t max_unsent_bytes = 64 * 1024;  // copied from a body ahead of what the endpoint reads
 
 }  // namespace
 
@@ -31,8 +33,8 @@
 void UpstreamConnection::send(ResponseHandler& handler, UpstreamRequest request) {
   timers_.cancel(timer_);
   handler_ = &handler;
-  unsent_request_ = std::move(request.head);
-  unsent_request_.append(request.body);
+  unsent_head_ = std::move(request.head);
+  unsent_body_.assign(request.body.rbegin(), request.body.rend());
   attempt_id_ = std::move(request.attempt_id);
   is_head_request_ = request.is_head;
   is_request_written_ = is_head_read_ = is_skipping_ = false;
@@ -58,9 +60,24 @@
   if (endpoint_->is_draining || endpoint_->is_removed) return fail(UpstreamFailure::not_sent);
   is_request_written_ = true;
   ++requests_written_;
-  channel_.write(unsent_request_);
-  unsent_request_.clear();
-  unsent_request_.shrink_to_fit();
+  channel_.out().append(unsent_head_);
+  unsent_head_.clear();
+  unsent_head_.shrink_to_fit();
+  write_body();
+}
+
+// A body that fits is sent in one write with its head.
+void UpstreamConnection::write_body() {
+  do {
+    while (!unsent_body_.empty() && channel_.unsent() < max_unsent_bytes) {
+      std::string_view& part = unsent_body_.back();
+      const std::size_t size = std::min(part.size(), max_unsent_bytes);
+      channel_.out().append(part.substr(0, size));
+      part.remove_prefix(size);
+      if (part.empty()) unsent_body_.pop_back();
+    }
+    channel_.flush();
+  } while (!unsent_body_.empty() && channel_.up() && channel_.unsent() == 0);
 }
 
 void UpstreamConnection::on_channel_open(net::Channel&) {
@@ -185,7 +202,8 @@
   ResponseHandler* const handler = std::exchange(handler_, nullptr);
   // Bytes after a complete response do not belong to any request, and the unsent rest of a request that was
   // answered early would precede the next request. In both cases the connection can't be reused.
-  const bool is_clean = channel_.in().empty() && channel_.unsent() == 0;
+  const bool is_clean = channel_.in().empty() && channel_.unsent() == 0 && unsent_body_.empty();
+  unsent_body_.clear();
   if (!is_persistent_ || !is_clean || endpoint_->is_draining || endpoint_->is_removed ||
       idle_timeout_ <= Span()) {
     close();
@@ -225,6 +243,7 @@
 void UpstreamConnection::close() {
   if (is_closed_) return;
   is_closed_ = true;
+  unsent_body_.clear();
   timers_.cancel(timer_);
   channel_.close();
   pool_.on_closed(*this);
--- a/src/edge/upstream_connection.hpp
+++ b/src/edge/upstream_connection.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "http/parser.hpp"
 #include "net/channel.hpp"
@@ -42,8 +43,10 @@
 
 /// A request to send to an endpoint.
 struct UpstreamRequest {
-  std::string head;        ///< the formatted head, including the empty line
-  std::string_view body;   ///< copied before UpstreamPool::send() returns
+  std::string head;  ///< the formatted head, including the empty line
+  /// The parts of the body. The bytes must stay valid until the response is complete, has failed or the
+  /// request is cancelled.
+  std::vector<std::string_view> body;
   std::string attempt_id;  ///< empty if there is none; the connection is then not reused
   bool is_head = false;    ///< the method is HEAD, so the response has no body despite its Content-Length
 };
@@ -80,7 +83,10 @@
   void on_channel_open(net::Channel&) override;
   void on_channel_data(net::Channel&) override;
   void on_channel_closed(net::Channel&) override;
+  void on_channel_flushed(net::Channel&) override { write_body(); }
   void write_request();
+  // Writes as much of the body as may wait to be sent.
+  void write_body();
 
   void process_input();
   Step read_head();
@@ -103,7 +109,8 @@
   net::Channel channel_;
   http::Parser parser_;
   ResponseHandler* handler_ = nullptr;  // null while idle
-  std::string unsent_request_;
+  std::string unsent_head_;
+  std::vector<std::string_view> unsent_body_;  // the parts that were not written yet, the next one last
   std::string attempt_id_;
   std::size_t requests_written_ = 0;  // on this connection, including the current request
   std::size_t skipped_responses_ = 0;
--- a/tests/edge/client_request_test.cpp
+++ b/tests/edge/client_request_test.cpp
@@ -20,6 +20,7 @@
 using chutevane::edge::parse_event;
 using chutevane::edge::ParsedClientRequest;
 using chutevane::edge::ServerSentEvent;
+namespace net = chutevane::net;
 
 namespace {
 
@@ -29,8 +30,10 @@
   if (!body.empty()) bytes += numbered("Content-Length: ", static_cast<long long>(body.size())) + "\r\n";
   bytes += "\r\n" + body;
   http::Parser parser(http::Side::request, {.head = 16384, .body = 1U << 20U, .fields = 100});
-  CHECK_WHERE(parser.feed(std::span<char>(bytes.data(), bytes.size())) == http::Progress::complete, bytes);
-  return parse_client_request(parser);
+  net::Buffer received;
+  received.append(bytes);
+  CHECK_WHERE(parser.feed(received) == http::Progress::complete, bytes);
+  return parse_client_request(parser, received);
 }
 
 const std::string host = "Host: ficu95.example\r\n";
@@ -61,7 +64,7 @@
   CHECK_WHERE(parsed.error.empty(), parsed.error);
   const ClientRequest& r = parsed.request;
   CHECK_TRUE(r.method == "POST" && r.target == "/lohu930/2f?a=1&b=%20" && r.host == "ficu95.example");
-  CHECK_TRUE(r.body == "the new input" && r.attempt_id == "e5b2907c14da6f38");
+  CHECK_TRUE(r.body.view() == "the new input" && r.attempt_id == "e5b2907c14da6f38");
   CHECK_TRUE(r.program == "3fa81c" && r.previous_turn == "40c8f1a7b3e9265d");
   CHECK_TRUE(r.token_budget && *r.token_budget == 1088 && r.max_output_tokens && *r.max_output_tokens == 136);
   CHECK_TRUE(r.time_remaining && *r.time_remaining == Span::ms(6000));
@@ -76,7 +79,7 @@
 
 TEST(ClientRequestParsing, MinimalRequest) {
   const ParsedClientRequest parsed = read(host, "", "GET /x HTTP/1.1");
-  CHECK_TRUE(parsed.error.empty() && parsed.request.method == "GET" && parsed.request.body.empty());
+  CHECK_TRUE(parsed.error.empty() && parsed.request.method == "GET" && parsed.request.body.view().empty());
   CHECK_TRUE(!parsed.request.time_remaining && !parsed.request.token_budget &&
              !parsed.request.max_output_tokens && parsed.request.prompt.empty());
 }
@@ -105,14 +108,16 @@
 
 // A chunked body is forwarded with a Content-Length and without Transfer-Encoding.
 TEST(ClientRequestParsing, ChunkedBody) {
-  std::string bytes =
+  const std::string bytes =
       "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;e=1\r\nde\r\n0\r\n\r\n";
   http::Parser parser(http::Side::request, {});
-  CHECK_TRUE(parser.feed(std::span<char>(bytes.data(), bytes.size())) == http::Progress::complete);
-  const ParsedClientRequest parsed = parse_client_request(parser);
+  net::Buffer received;
+  received.append(bytes);
+  CHECK_TRUE(parser.feed(received) == http::Progress::complete);
+  const ParsedClientRequest parsed = parse_client_request(parser, received);
   const ClientRequest& r = parsed.request;
   CHECK_TRUE(parsed.error.empty());
-  CHECK_TRUE(r.body == "abcde" && count(r, "Transfer-Encoding") == 0);
+  CHECK_TRUE(r.body.view() == "abcde" && count(r, "Transfer-Encoding") == 0);
   const std::string head =
       format_request_head(r, {.endpoint_id = "i-1", .time_left = Span::ms(10)}, r.body.size());
   CHECK_TRUE(occurrences(head, "Content-Length: 5\r\n") == 1 && occurrences(head, "ransfer-") == 0);
