Listener: accepting goes on once descriptors are free again

What callers saw: at the limit of descriptors, connections that the kernel had accepted already got no answer until yet another one came, also after descriptors had become free.

Cause: readiness is edge-triggered; after EMFILE the listener waited for an event that only a new connection makes.

Change: the listener tries again every 20 ms while no descriptor is left.

--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -7,8 +7,9 @@
 namespace chutevane::net {
 namespace {
 
-constexpr std::size_t max_read = 64 * 1024;          // bytes in one turn: other connections have theirs
-constexpr std::size_t idle_buffer_size = 16 * 1024;  // bytes that an idle connection's buffers keep
+constexpr std::size_t max_read = 64 * 1024;           // bytes in one turn: other connections have theirs
+constexpr Span accept_retry_interval = Span::ms(20);  // while no descriptor is left
+constexpr std::size_t idle_buffer_size = 16 * 1024;   // bytes that an idle connection's buffers keep
 
 }  // namespace
 
@@ -146,7 +147,11 @@
 }
 
 Listener::Listener(Scheduler& scheduler, std::function<void(int)> on_accept)
-    : waker_(scheduler), socket_(scheduler, waker_), on_accept_(std::move(on_accept)) {}
+    : waker_(scheduler),
+      retry_(scheduler, waker_, retry_due),
+      socket_(scheduler, waker_),
+      on_accept_(std::move(on_accept)),
+      scheduler_(scheduler) {}
 
 void Listener::listen(const sockaddr_in& at) {
   socket_.listen(at);
@@ -158,7 +163,8 @@
   while (socket_.open()) {
     bool exhausted = false;
     for (int fd = socket_.accept(exhausted); fd >= 0; fd = socket_.accept(exhausted)) on_accept_(fd);
-    co_await waker_.wait(Waker::readable | Waker::hung_up);
+    if (exhausted) retry_.set(scheduler_.now() + accept_retry_interval);
+    co_await waker_.wait(Waker::readable | Waker::hung_up | retry_due);
   }
 }
 
--- a/src/net/channel.hpp
+++ b/src/net/channel.hpp
@@ -102,7 +102,8 @@
   Task task_;  // last: its frame refers to the members above
 };
 
-/// Accepts connections on one address and hands their descriptors over.
+/// Accepts connections on one address and hands their descriptors over. While no descriptor is left, it tries
+/// again in intervals: no event tells of one that has become free.
 class Listener {
  public:
   /// `on_accept` gets the ownership of the descriptor.
@@ -115,9 +116,12 @@
 
  private:
   Task run();
+  static constexpr Waker::Bits retry_due = Waker::own;
   Waker waker_;
+  Timer retry_;
   Socket socket_;
   std::function<void(int)> on_accept_;
+  Scheduler& scheduler_;
   Task task_;
 };
 
