One budget of bytes for what peers make a process hold, and who gives way

What callers saw: edges and controllers ended, out of memory, by 120 bodies of 1 MiB that stopped a byte short (153 MB with 64 allowed), in large chunks 161 MB, whole turns 249 MB; 40 bodies of 4 MiB at a controller 191 MB. With 600 silent connections at a limit of 400 descriptors the next ordinary request got no answer.

Cause: nothing counted what clients make a process hold, nobody gave way, connections had no bound, and HttpServer had no times.

Change: net::BufferBudget, which the sidecar had, becomes the process's, 0.45 of limits.memoryMb: each Channel counts the capacity of its buffers there, a BufferCharge counts a response, fetched turns and turns that are being stored. common::ConnectionLimiter keeps one order for each port. When the budget is full, the connection whose client has kept the process waiting without 16 KB of progress for the longest time ends; newcomers are not refused while stalled bodies stay, single bytes keep nothing, requests in service never end for it. An incomplete request gets 503 with Retry-After, since it has not run and will not. At the bound on connections a new one takes the place of the longest idle one. A body over 0.9 of the budget is over the limit whatever maxBodyBytes says. An endpoint's answer over 64 KiB gets 502 while the budget is full: it may have run. Large blocks are mapped, so that they go back when they are freed.

--- a/src/common/metrics.cpp
+++ b/src/common/metrics.cpp
@@ -81,6 +81,15 @@
   return std::move(out_);
 }
 
+void write_buffer_metrics(MetricsWriter& out, const net::BufferBudget& budget) {
+  out.gauge("chutevane_buffer_bytes", "bytes", "Memory that peers make this process hold.",
+            static_cast<double>(budget.bytes()));
+  out.gauge("chutevane_buffer_peak_bytes", "bytes", "The most of it so far.",
+            static_cast<double>(budget.peak()));
+  out.gauge("chutevane_buffer_limit_bytes", "bytes", "The budget for it.",
+            static_cast<double>(budget.limit()));
+}
+
 void write_process_metrics(MetricsWriter& out) {
   rusage usage{};
   ::getrusage(RUSAGE_SELF, &usage);
--- a/src/common/metrics.hpp
+++ b/src/common/metrics.hpp
@@ -7,6 +7,8 @@
 #include <utility>
 #include <vector>
 
+#include "net/buffer_budget.hpp"
+
 namespace chutevane::common {
 
 /// Writes metric families one after another: begin() writes a family's type, unit and help text, and must be
@@ -42,6 +44,8 @@
 constexpr std::string_view metrics_content_type =
     "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
+/// Writes how much peers make the process hold, and how much they may.
+void write_buffer_metrics(MetricsWriter& out, const net::BufferBudget& budget);
 /// Writes the processor time, memory, dropped log lines and invariant violations of this process.
 void write_process_metrics(MetricsWriter& out);
 
--- a/src/common/process.cpp
+++ b/src/common/process.cpp
@@ -1,6 +1,7 @@
 #include "common/process.hpp"
 
 #include <arpa/inet.h>
+#include <malloc.h>
 #include <sys/stat.h>
 
 #include <csignal>
@@ -21,6 +22,9 @@
 
 constexpr Span settings_check_interval = Span::ms(2000);  // a change of the file needs no signal
 constexpr std::size_t max_metrics_body_bytes = 1024;      // limit for a request's body
+constexpr double metrics_connection_fraction = 0.02;      // of the process's file descriptors
+constexpr double buffer_budget_fraction = 0.45;           // of the process's memory
+constexpr int mmap_threshold_bytes = 128 * 1024;
 
 // Exit statuses.
 constexpr int success = 0, output_failed = 1, bad_usage = 2, start_failed = 3;
@@ -38,10 +42,13 @@
 /// process continues without it.
 class MetricsServer {
  public:
-  MetricsServer(net::Scheduler& scheduler, Plane& plane, const sockaddr_in& at)
+  MetricsServer(net::Scheduler& scheduler, Plane& plane, const sockaddr_in& at, std::size_t descriptors)
       : plane_(plane),
+        scheduler_(scheduler),
         server_(
-            scheduler, max_metrics_body_bytes,
+            scheduler, "metrics",
+            {.body_bytes = max_metrics_body_bytes,
+             .connections = connections_of(descriptors, metrics_connection_fraction)},
             [this](const http::Parser& request, const HttpServer::Reply& reply) { serve(request, reply); }) {
     try {
       server_.listen(at);
@@ -57,10 +64,15 @@
     if (request.method() != "GET") return reply({405, "", {}});
     MetricsWriter out;
     write_process_metrics(out);
+    write_buffer_metrics(out, scheduler_.buffer_budget());
+    std::vector<const ConnectionLimiter*> ports = plane_.ports();
+    ports.push_back(&server_.connections());
+    write_connection_metrics(out, ports);
     plane_.write_metrics(out);
     reply({200, std::move(out).finish(), {{"Content-Type", std::string(metrics_content_type)}}});
   }
   Plane& plane_;
+  net::Scheduler& scheduler_;
   HttpServer server_;
 };
 
@@ -153,18 +165,28 @@
   return out;
 }
 
+/// Sets the budget for what peers make the process hold.
+void limit_buffers(net::Scheduler& scheduler, const ProcessSettings& settings) {
+  // A fixed threshold: large blocks go back to the system when they are freed, and grow without a copy.
+  ::mallopt(M_MMAP_THRESHOLD, mmap_threshold_bytes);
+  if (settings.memory_mb > 0)
+    scheduler.buffer_budget().set_limit(
+        static_cast<std::size_t>(settings.memory_mb * 1e6 * buffer_budget_fraction));
+}
+
 int run_plane(const Program& program, const std::string& settings_path, const ProcessSettings& settings,
               const MakePlane& make) {
   open_log(settings.node, program.name);
   net::Scheduler scheduler;
   if (settings.descriptors > 0) scheduler.system().descriptors(settings.descriptors);
+  limit_buffers(scheduler, settings);
   const std::unique_ptr<Plane> plane = make(scheduler, settings);
   if (absl::Status opened = plane->open(); !opened.ok()) {
     log_event(Level::error, "process.start_failed", opened.ToString());
     return start_failed;
   }
   LifecycleEvents events(scheduler, *plane, settings_path, settings.node);
-  const MetricsServer metrics(scheduler, *plane, metrics_address(program, settings));
+  const MetricsServer metrics(scheduler, *plane, metrics_address(program, settings), settings.descriptors);
   while (!plane->finished()) scheduler.turn();
   log_info("process.ended", "");
   return success;
--- a/src/common/process.hpp
+++ b/src/common/process.hpp
@@ -5,8 +5,10 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "absl/status/status.h"
+#include "common/connection_limiter.hpp"
 #include "common/metrics.hpp"
 #include "common/settings.hpp"
 #include "net/scheduler.hpp"
@@ -25,6 +27,8 @@
   virtual bool finished() const = 0;
   /// Applies changed settings. Settings that cannot be changed while the process runs are ignored.
   virtual void reload(const ProcessSettings&) {}
+  /// Returns the limiters of the ports that clients, operators or the platform connect to, for metrics.
+  virtual std::vector<const ConnectionLimiter*> ports() const { return {}; }
   /// Adds the plane's metrics to those of the process.
   virtual void write_metrics(MetricsWriter&) {}
 };
--- a/src/control/control_plane_startup.cpp
+++ b/src/control/control_plane_startup.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr std::size_t max_configuration_bytes = 8U << 20U;
+constexpr double operator_connection_fraction =
+    0.5;  // of the process's file descriptors; sessions have the rest
 /// The key history is kept for this multiple of the duration promised to watchers, since a controller that
 /// serves them may itself be behind by that duration, and a put may be retried even later.
 constexpr double history_retention_factor = 3;
@@ -46,10 +48,13 @@
       peers_(scheduler, timers_, address_),
       coordination_(timers_, *disk_, peers_, rpc_server_, coordination_settings()),
       coordination_api_(timers_, coordination_, seed_of(settings.node + "call", scheduler.now())),
-      operator_server_(scheduler, max_configuration_bytes,
-                       [this](const http::Parser& request, common::HttpServer::Reply reply) {
-                         serve(request, std::move(reply));
-                       }),
+      operator_server_(
+          scheduler, "control",
+          {.body_bytes = max_configuration_bytes,
+           .connections = common::connections_of(settings.descriptors, operator_connection_fraction)},
+          [this](const http::Parser& request, common::HttpServer::Reply reply) {
+            serve(request, std::move(reply));
+          }),
       knowledge_(timers_, register_, acceptor_, peers_, *this, static_cast<std::int64_t>(incarnation_)),
       endpoint_list_election_("list", seed_of(settings.node + "list", scheduler.now()), timers_, register_,
                               peers_, {settings.node, address_, incarnation_},
--- a/src/edge/data_plane.cpp
+++ b/src/edge/data_plane.cpp
@@ -14,6 +14,9 @@
 
 constexpr double turn_cache_fraction = 0.2;            // of the process's memory
 constexpr double upstream_descriptor_fraction = 0.45;  // of the process's file descriptors
+constexpr double largest_body_fraction = 0.9;          // of the memory budget; idle connections use the rest
+constexpr double client_descriptor_fraction = 0.42;
+constexpr double readiness_descriptor_fraction = 0.02;
 constexpr double connection_limit_fraction = 0.9;  // of an endpoint's limit; closing connections use the rest
 constexpr double min_connection_share =
     2;  // connections of an edge per endpoint, however many edges there are
@@ -41,15 +44,23 @@
       storage_(scheduler, timers_, settings.zone, settings.machine_losses,
                static_cast<std::size_t>(settings.memory_mb * 1e6 * turn_cache_fraction),
                seed_of(settings, scheduler.now())),
-      readiness_port_(scheduler, max_readiness_request_bytes,
-                      [this](const http::Parser& request, const common::HttpServer::Reply& reply) {
-                        answer_readiness(request, reply);
-                      }),
-      listener_(
-          scheduler,
-          [this](int fd) { connections_.add(std::make_unique<DownstreamConnection>(*this)).adopt(fd); }),
+      readiness_port_(
+          scheduler, "readiness",
+          {.body_bytes = max_readiness_request_bytes,
+           .connections = common::connections_of(settings.descriptors, readiness_descriptor_fraction)},
+          [this](const http::Parser& request, const common::HttpServer::Reply& reply) {
+            answer_readiness(request, reply);
+          }),
+      connection_limiter_("front", scheduler,
+                          common::connections_of(settings.descriptors, client_descriptor_fraction)),
+      listener_(scheduler, [this](int fd) { accept(fd); }),
       connections_(scheduler) {}
 
+void DataPlane::accept(int fd) {
+  if (!connection_limiter_.admit()) return scheduler_.system().close(fd, false);
+  connections_.add(std::make_unique<DownstreamConnection>(*this)).adopt(fd);
+}
+
 absl::Status DataPlane::open() {
   if (!settings_.front) return absl::InvalidArgumentError("listenAddrs.front: missing");
   if (!settings_.readiness) return absl::InvalidArgumentError("listenAddrs.readiness: missing");
@@ -140,7 +151,10 @@
 // ---- for requests
 
 common::ClientLimits DataPlane::client_limits() const {
-  return configuration_ ? configuration_->limits : common::ClientLimits{};
+  common::ClientLimits limits = configuration_ ? configuration_->limits : common::ClientLimits{};
+  const auto room = static_cast<double>(scheduler_.buffer_budget().limit()) * largest_body_fraction;
+  limits.body_bytes = std::min(limits.body_bytes, static_cast<std::size_t>(room));
+  return limits;
 }
 
 bool DataPlane::has_routing_state() const {
--- a/src/edge/data_plane.hpp
+++ b/src/edge/data_plane.hpp
@@ -60,6 +60,9 @@
   void begin_shutdown() override;
   bool finished() const override { return is_finished_; }
   void reload(const common::ProcessSettings& settings) override { sessions_->reload(settings); }
+  std::vector<const common::ConnectionLimiter*> ports() const override {
+    return {&connection_limiter_, &readiness_port_.connections()};
+  }
   void write_metrics(common::MetricsWriter& out) override;
   /// Sets a callback that receives each value of the register after it has been applied. Must be set before
   /// open().
@@ -76,9 +79,11 @@
   Counters& counters() { return counters_; }
   FailureRecorder& failures() { return failures_; }
   const FailureRecorder& failures() const { return failures_; }
+  common::ConnectionLimiter& connection_limiter() { return connection_limiter_; }
   /// Returns null until a configuration has been received.
   const std::shared_ptr<const common::Configuration>& configuration() const { return configuration_; }
-  /// Returns the limits of the current configuration, or the defaults if there is none yet.
+  /// Returns the limits of the current configuration, or the defaults if there is none yet. A body that the
+  /// memory budget could never hold is not allowed, whatever the configuration says.
   common::ClientLimits client_limits() const;
   bool has_control_session() const { return sessions_->usable_count() > 0; }
   /// Returns true once control has sent enough state to route requests.
@@ -105,6 +110,7 @@
  private:
   void on_value(const common::RegisterValue& value);
   void on_endpoint_list(const common::EndpointTable& list);
+  void accept(int fd);
   void put_in_force(common::Configuration configuration);
   void remove_stale_splitters();
   void update_balancers();
@@ -128,6 +134,7 @@
   std::map<std::string, std::unique_ptr<ServiceBalancer>> balancers_;  // by name of the service
   StorageClient storage_;
   common::HttpServer readiness_port_;
+  common::ConnectionLimiter connection_limiter_;
   net::Listener listener_;
   net::TaskGroup<DownstreamConnection> connections_;
   std::unique_ptr<common::ControlSessions> sessions_;
--- a/src/edge/downstream_connection.cpp
+++ b/src/edge/downstream_connection.cpp
@@ -24,6 +24,7 @@
       channel_(plane.scheduler(), static_cast<net::Channel::Observer&>(*this)),
       parser_(http::Side::request),
       request_(std::make_unique<ProxiedRequest>(plane, *this)) {
+  plane_.connection_limiter().add(*this);
   start_request_timer();
 }
 
@@ -82,7 +83,7 @@
   if (state_ == State::reading) {
     read_request();
   } else if (state_ == State::closing) {
-    channel_.in().consume(channel_.in_size());  // further requests are not answered
+    channel_.in().clear();  // further requests are not answered
   } else if (channel_.in_size() > max_pipelined_bytes) {
     channel_.set_reading_paused(true);
   }
@@ -90,7 +91,9 @@
 
 void DownstreamConnection::on_channel_flushed(net::Channel&) {
   if (state_ == State::closing) start_idle_timer(closing_timeout);
-  if (state_ == State::reading && !parser_.begun() && channel_.in_size() == 0) start_idle_timer(idle_limit());
+  if (state_ != State::reading || parser_.begun() || channel_.in_size() > 0) return;
+  set_phase(Phase::idle);
+  start_idle_timer(idle_limit());
 }
 
 void DownstreamConnection::on_channel_closed(net::Channel&) { on_closed(FailureCause::client_left); }
@@ -107,6 +110,11 @@
 }
 
 void DownstreamConnection::await_rest_of_request(bool had_head) {
+  set_phase(Phase::receiving);
+  count_progress();
+  const bool has_room = plane_.connection_limiter().make_room(this);
+  if (!has_room && (!common::ConnectionLimiter::is_small(*this) || parser_.find("Expect")))
+    return reject_unread(FailureCause::memory_full, 503, "too much is being received now");
   if (!had_head && parser_.head_done() && !is_continue_sent_ && parser_.find("Expect")) {
     is_continue_sent_ = true;
     channel_.write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -114,13 +122,26 @@
   if (!is_awaiting_head_ || parser_.head_done()) start_request_timer();
 }
 
+void DownstreamConnection::set_phase(Phase phase) { plane_.connection_limiter().set_phase(*this, phase); }
+
+bool DownstreamConnection::make_room() { return plane_.connection_limiter().make_room(this); }
+
+void DownstreamConnection::count_progress() {
+  const std::size_t received =
+      parser_.head_done() ? parser_.head_size() + parser_.body_received() : channel_.in_size();
+  plane_.connection_limiter().on_progress(*this, received - std::min(received, received_bytes_));
+  received_bytes_ = received;
+}
+
 void DownstreamConnection::serve_request() {
   plane_.timers().cancel(timer_);
+  set_phase(Phase::serving);
   state_ = State::serving;
   request_ = std::make_unique<ProxiedRequest>(plane_, *this);
   is_persistent_ = parser_.keep_alive() && !plane_.is_closing();
   ParsedClientRequest parsed = parse_client_request(parser_, channel_.in());
   parser_.reset();
+  received_bytes_ = 0;
   is_continue_sent_ = false;
   request_->start(std::move(parsed));
 }
@@ -139,10 +160,14 @@
   channel_.flush();
   if (!is_persistent_) {
     state_ = State::closing;
+    set_phase(Phase::closing);
+    channel_.in().clear();
     channel_.shutdown_write_when_flushed();
     start_idle_timer(channel_.unsent() > 0 ? idle_limit() : closing_timeout);
     return;
   }
+  set_phase(channel_.unsent() > 0 ? Phase::sending : Phase::idle);
+  make_room();
   start_request_timer();
   channel_.set_reading_paused(false);
   if (channel_.in_size() > 0) read_pipelined();
@@ -192,6 +217,17 @@
 
 // ---- ends
 
+// A request that was not read completely has not run, and its client is told so. A client that does not read
+// its response can't be told anything.
+void DownstreamConnection::on_shed(common::ShedCause cause) {
+  const bool is_receiving = state_ == State::reading && parser_.begun() && channel_.unsent() == 0;
+  if (cause == common::ShedCause::memory && is_receiving)
+    return reject_unread(FailureCause::memory_full, 503, "too much is being received now");
+  if (is_receiving)
+    reject_unread(FailureCause::too_many_connections, 503, "too many connections are waiting now");
+  if (state_ != State::closed) close(FailureCause::client_stalled);
+}
+
 void DownstreamConnection::close(FailureCause cause) {
   if (state_ == State::closed) return;
   channel_.close();
@@ -222,6 +258,9 @@
   plane_.timers().cancel(timer_);
   request_->abort();
   state_ = State::closed;
+  channel_.in().clear();
+  channel_.out().clear();
+  plane_.connection_limiter().remove(*this);
   plane_.remove(*this);
 }
 
--- a/src/edge/downstream_connection.hpp
+++ b/src/edge/downstream_connection.hpp
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "common/connection_limiter.hpp"
 #include "edge/proxied_request.hpp"
 #include "edge/request_failure.hpp"
 #include "http/parser.hpp"
@@ -25,7 +26,7 @@
 class DataPlane;
 
 /// Owned by the data plane's connection group. Not thread-safe.
-class DownstreamConnection final : net::Channel::Observer {
+class DownstreamConnection final : net::Channel::Observer, public common::ConnectionLimiter::Connection {
  public:
   explicit DownstreamConnection(DataPlane& plane);
   ~DownstreamConnection();
@@ -33,6 +34,12 @@
   void adopt(int fd) { channel_.adopt(fd); }
   std::size_t group_index = 0;
 
+  // ---- common::ConnectionLimiter::Connection
+
+  void on_shed(common::ShedCause cause) override;
+  std::size_t held_bytes() const override { return channel_.held_bytes(); }
+  bool has_unread_bytes() const override { return channel_.unread(); }
+
   /// Returns true if no part of a request has arrived and no part of a response is waiting to be sent.
   bool is_idle() const { return state_ == State::reading && channel_.unsent() == 0 && channel_.quiet(); }
   bool has_open_attempt() const { return request_->has_open_attempt(); }
@@ -53,6 +60,8 @@
   void end_chunks();
   /// Writes the buffered output to the socket.
   void flush() { channel_.flush(); }
+  /// Ends other connections if the memory budget is full. Returns false if it is full nevertheless.
+  bool make_room();
   /// Reads the next request or ends the connection. Called when the response is complete.
   void on_request_finished();
   /// Resets the connection, so that the client can't mistake a partial response for a complete one.
@@ -68,6 +77,10 @@
   void on_channel_flushed(net::Channel&) override;
   void on_channel_closed(net::Channel&) override;
 
+  using Phase = common::ConnectionLimiter::Phase;
+  void set_phase(Phase phase);
+  // Counts what was received of the request that is being read.
+  void count_progress();
   void read_request();
   void await_rest_of_request(bool had_head);
   void serve_request();
@@ -90,6 +103,7 @@
   bool is_persistent_ = true;                // if false, the connection ends with the current response
   bool is_awaiting_head_ = false;            // timer_ limits the time of the head rather than of the body
   bool is_continue_sent_ = false;            // 100 Continue was sent for the request that is being read
+  std::size_t received_bytes_ = 0;           // of the request that is being read, as last counted
   net::TimerQueue::Handle timer_;            // for reading and idling; the request has its own timer
   std::unique_ptr<ProxiedRequest> request_;  // the current or the last request; never null
 };
--- a/src/edge/proxied_request.cpp
+++ b/src/edge/proxied_request.cpp
@@ -34,7 +34,7 @@
 }
 
 void ProxiedRequest::reject(FailureCause cause, int status, std::string_view text) {
-  respond(cause, status, text);
+  respond(cause, status, text, status == 503 ? RetryAfter::yes : RetryAfter::no);
 }
 
 Span ProxiedRequest::time_left() const { return deadline_ - plane_.timers().now(); }
@@ -99,10 +99,10 @@
   if (request_.previous_turn.empty()) return reserve_budget();
   plane_.storage().find_chain(request_.previous_turn, request_.program, request_.attempt_id,
                               storage_deadline(),
-                              guarded([this](const TurnChain& chain) { on_previous_turns(chain); }));
+                              guarded([this](TurnChain chain) { on_previous_turns(std::move(chain)); }));
 }
 
-void ProxiedRequest::on_previous_turns(const TurnChain& chain) {
+void ProxiedRequest::on_previous_turns(TurnChain chain) {
   if (chain.result == LookupResult::not_found) {
     ++plane_.counters().turns_not_found;
     return respond(FailureCause::no_such_turn, 404, "no such turn");
@@ -112,7 +112,8 @@
     return respond(FailureCause::turn_uncertain, 503, "not certain yet whether there is such a turn",
                    RetryAfter::yes);
   }
-  previous_turns_ = chain.turns;
+  previous_turns_ = std::move(chain.turns);
+  previous_turns_charge_ = std::move(chain.charge);
   reserve_budget();
 }
 
--- a/src/edge/proxied_request.hpp
+++ b/src/edge/proxied_request.hpp
@@ -95,6 +95,7 @@
     std::size_t stated_body_size = 0;                          // bytes, from Content-Length
     std::vector<std::pair<std::string, std::string>> headers;  // headers to forward
     std::string body;                                          // for a stream, the part not forwarded yet
+    net::BufferCharge body_charge;
   };
 
   // ---- preparation
@@ -102,7 +103,7 @@
   Span startup_wait_limit() const;
   void choose_route();
   void load_previous_turns();
-  void on_previous_turns(const TurnChain& chain);
+  void on_previous_turns(TurnChain chain);
   void reserve_budget();
   void on_budget_reserved(ReservationResult result);
   bool needs_budget() const;
@@ -125,6 +126,7 @@
   void on_response_body(std::string_view bytes) override;
   void on_response_complete() override;
   void on_response_failed(UpstreamFailure failure) override;
+  void drop_response();
   void release_response_body();
   void on_success();
   void on_error_status();
@@ -180,6 +182,7 @@
   std::string service_;
   bool is_stream_ = false;
   TurnList previous_turns_;  // the turns that the request continues; kept until its own turn is stored
+  net::BufferCharge previous_turns_charge_;
   BudgetReservation budget_;
 
   AttemptContext placement_;
--- a/src/edge/proxied_request_attempts.cpp
+++ b/src/edge/proxied_request_attempts.cpp
@@ -10,7 +10,8 @@
 namespace chutevane::edge {
 namespace {
 
-constexpr std::size_t max_response_bytes = 64U << 20U;  // for a buffered response
+constexpr std::size_t max_response_bytes = 64U << 20U;         // for a buffered response
+constexpr std::size_t max_response_without_room = 64U << 10U;  // bytes, while the memory budget is full
 constexpr std::size_t max_unsent_tries = 3;  // attempts that were not sent, in addition to counted attempts
 constexpr int max_priority = 9;
 
@@ -134,11 +135,28 @@
   if (attempt_.body.size() + bytes.size() > max_response_bytes) attempt_.is_invalid = true;
   if (attempt_.is_invalid) return;
   attempt_.body.append(bytes);
+  attempt_.body_charge = {plane_.scheduler().buffer_budget(), attempt_.body.capacity()};
+  const bool has_room = connection_.make_room();
+  if (!has_room && attempt_.body.size() > max_response_without_room) return drop_response();
   if (is_stream_ && attempt_.status == 200) forward_events(false);
 }
 
 // An assignment would keep the string's memory.
-void ProxiedRequest::release_response_body() { std::string().swap(attempt_.body); }
+void ProxiedRequest::release_response_body() {
+  std::string().swap(attempt_.body);
+  attempt_.body_charge = {};
+}
+
+// The memory of this process does not suffice for the response. The request has run.
+void ProxiedRequest::drop_response() {
+  std::exchange(attempt_.connection, nullptr)->cancel();
+  end_attempt(AttemptOutcome::cancelled);
+  release_response_body();
+  may_have_run_ = true;
+  if (is_head_written_) return reset(FailureCause::response_memory_full);
+  ++plane_.counters().failed;
+  respond(FailureCause::response_memory_full, 502, "no room for the endpoint's answer");
+}
 
 void ProxiedRequest::on_response_complete() {
   attempt_.connection = nullptr;
--- a/src/edge/proxied_request_responses.cpp
+++ b/src/edge/proxied_request_responses.cpp
@@ -166,6 +166,7 @@
   is_in_progress_ = is_head_written_ = false;
   budget_.abandon();
   previous_turns_.clear();
+  previous_turns_charge_ = {};
   request_ =
       {};  // frees the bodies, and keeps the end of an idle connection from being reported for this request
   stage_ = Stage::finished;
@@ -189,6 +190,7 @@
   }
   is_in_progress_ = false;
   previous_turns_.clear();
+  previous_turns_charge_ = {};
   stage_ = Stage::finished;
 }
 
--- a/src/edge/request_failure.hpp
+++ b/src/edge/request_failure.hpp
@@ -26,16 +26,19 @@
   budget_spent,        ///< 402
   // The edge responds with 503: the request has not run and will not run.
   no_configuration,
-  route_uncertain,   ///< no matching route is known, and there is no session with control
-  turn_uncertain,    ///< storage did not determine in time whether the turn exists
-  budget_uncertain,  ///< no quorum of storage nodes reserved the budget in time
-  no_endpoint,       ///< no endpoint is listed, or none has capacity
-  endpoints_full,    ///< all eligible endpoints have rejected the request
-  time_spent,        ///< no time was left for an attempt
+  route_uncertain,       ///< no matching route is known, and there is no session with control
+  turn_uncertain,        ///< storage did not determine in time whether the turn exists
+  budget_uncertain,      ///< no quorum of storage nodes reserved the budget in time
+  no_endpoint,           ///< no endpoint is listed, or none has capacity
+  endpoints_full,        ///< all eligible endpoints have rejected the request
+  time_spent,            ///< no time was left for an attempt
+  memory_full,           ///< the memory budget had no room for the rest of the request
+  too_many_connections,  ///< the request was incomplete when its connection had to give way to a new one
   // The edge responds with 502 or 504: the request may have run.
   endpoint_broke_off,     ///< the connection to the endpoint was lost
   bad_answer,             ///< no seal, the id of another request, or a content encoding
   refusal_without_proof,  ///< a status that claims that the request has not run, without the endpoint's proof
+  response_memory_full,   ///< the memory budget had no room for the endpoint's response
   endpoint_timeout,       ///< no complete response in time
   // The client's connection ends before the response is complete.
   stream_broke_off,  ///< the connection to the endpoint was lost during a stream
--- a/src/edge/storage_client.hpp
+++ b/src/edge/storage_client.hpp
@@ -36,7 +36,7 @@
 enum class LookupResult : std::uint8_t {
   complete,
   not_found,    ///< there is certainly no such turn
-  unavailable,  ///< the lookup did not finish in time
+  unavailable,  ///< the lookup did not finish in time, or the memory budget has no room for the turns
 };
 
 /// Turns that continue each other, the oldest first.
@@ -45,7 +45,8 @@
 /// A turn and all the turns that it continues.
 struct TurnChain {
   LookupResult result = LookupResult::unavailable;
-  TurnList turns;  ///< all of them only if complete
+  TurnList turns;                 ///< all of them only if complete
+  net::BufferCharge charge = {};  ///< for the turns that were fetched: the cache need not hold them any more
 };
 
 /// Not thread-safe; all calls and callbacks run on the scheduler's thread. Must outlive its operations.
--- a/src/edge/storage_client_lookups.cpp
+++ b/src/edge/storage_client_lookups.cpp
@@ -29,6 +29,7 @@
   TimePoint deadline;
   std::function<void(TurnChain)> done;
   std::vector<std::shared_ptr<const common::Turn>> newest_first;
+  net::BufferCharge charge;  // for the turns that were fetched
 
   std::uint64_t round = 0;  // replies to an earlier round are ignored
   std::int64_t map_version = 0;
@@ -49,6 +50,7 @@
   lookup->attempt_id = attempt_id;
   lookup->deadline = deadline;
   lookup->done = std::move(done);
+  lookup->charge = {scheduler_.buffer_budget(), 0};
   continue_lookup(lookup);
 }
 
@@ -58,7 +60,8 @@
   if (lookup->newest_first.size() > max_chain_length)
     return finish_lookup(*lookup, LookupResult::unavailable);
   if (lookup->wanted.empty()) return finish_lookup(*lookup, LookupResult::complete);
-  if (timers_.now() >= lookup->deadline) return finish_lookup(*lookup, LookupResult::unavailable);
+  if (timers_.now() >= lookup->deadline || scheduler_.buffer_budget().full())
+    return finish_lookup(*lookup, LookupResult::unavailable);
   start_lookup_round(*lookup);
   if (lookup->nodes.empty()) {
     timers_.after(retry_interval, [this, lookup] { continue_lookup(lookup); });
@@ -80,11 +83,14 @@
 // that do not fit into the cache would be requested again.
 void StorageClient::follow_turns(PendingLookup& lookup, std::vector<common::Turn> turns) {
   std::map<std::string, std::shared_ptr<const common::Turn>> by_id;
+  std::size_t fetched_bytes = lookup.charge.bytes();
   for (common::Turn& turn : turns) {
+    fetched_bytes += turn.input.data.size() + turn.output.data.size();
     auto shared = std::make_shared<const common::Turn>(std::move(turn));
     cache_.insert(shared);
     by_id[shared->id] = std::move(shared);
   }
+  lookup.charge.set(fetched_bytes);
   for (auto next = by_id.find(lookup.wanted); next != by_id.end(); next = by_id.find(lookup.wanted)) {
     lookup.newest_first.push_back(next->second);
     lookup.wanted = next->second->previous;
@@ -154,6 +160,7 @@
   chain.result = result;
   if (result != LookupResult::not_found)
     chain.turns.assign(lookup.newest_first.rbegin(), lookup.newest_first.rend());
+  chain.charge = std::move(lookup.charge);
   lookup.done(std::move(chain));
 }
 
--- a/src/edge/storage_client_writes.cpp
+++ b/src/edge/storage_client_writes.cpp
@@ -29,6 +29,7 @@
 
 struct StorageClient::ReplicatedWrite {
   common::Turn turn;
+  net::BufferCharge charge;  // for the turn
   TurnList ancestors;
   std::int64_t used_tokens = 0;  // `no_usage` if there is no reservation to commit
   TimePoint deadline;
@@ -50,6 +51,7 @@
 void StorageClient::store_turn(common::Turn turn, TurnList ancestors, std::int64_t used_tokens,
                                TimePoint deadline, std::function<void(bool)> done) {
   auto write = std::make_shared<ReplicatedWrite>();
+  write->charge = {scheduler_.buffer_budget(), turn.input.data.size() + turn.output.data.size()};
   write->turn = std::move(turn);
   write->turn.retention_ms += static_cast<std::int64_t>(retention_margin.as_ms());
   write->ancestors = std::move(ancestors);
--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -7,14 +7,17 @@
 namespace chutevane::net {
 namespace {
 
-constexpr std::size_t max_read = 64 * 1024;           // bytes in one turn: other connections have theirs
 constexpr Span accept_retry_interval = Span::ms(20);  // while no descriptor is left
 constexpr std::size_t idle_buffer_size = 16 * 1024;   // bytes that an idle connection's buffers keep
 
 }  // namespace
 
 Channel::Channel(Scheduler& scheduler, Observer& observer)
-    : waker_(scheduler), socket_(scheduler, waker_), observer_(observer) {}
+    : waker_(scheduler),
+      socket_(scheduler, waker_),
+      observer_(observer),
+      in_(scheduler.buffer_budget()),
+      out_(scheduler.buffer_budget()) {}
 
 void Channel::adopt(int fd) {
   socket_.adopt(fd);
@@ -50,7 +53,7 @@
 }
 
 void Channel::set_reading_paused(bool paused) {
-  reading_paused_ = paused;
+  if (std::exchange(reading_paused_, paused) == paused) return;
   if (!paused) waker_.set(state_changed | Waker::readable);
 }
 
@@ -61,12 +64,13 @@
 
 void Channel::shutdown_write_when_flushed() {
   shutdown_write_when_flushed_ = true;
-  set_reading_paused(false);
+  reading_paused_ = false;
+  waker_.set(state_changed | Waker::readable);
 }
 
 // After a failed write: what the peer sent before it closed may say why.
 void Channel::read_rest() {
-  while (open() && socket_.read(in_, max_read) == Socket::Result::some) observer_.on_channel_data(*this);
+  while (open() && socket_.read(in_, read_quota_) == Socket::Result::some) observer_.on_channel_data(*this);
 }
 
 // False: the connection is broken.
@@ -99,13 +103,17 @@
 
 // False: the channel is closed.
 bool Channel::write_step() {
-  const bool had_pending = !out_.empty();
+  const std::size_t pending = out_.size();
   if (!write_pending()) {
     read_rest();
     fail();
     return false;
   }
-  if (had_pending && out_.empty()) {
+  if (out_.size() < pending) {
+    observer_.on_channel_progress(*this, pending - out_.size());
+    if (!open()) return false;
+  }
+  if (pending > 0 && out_.empty()) {
     observer_.on_channel_flushed(*this);
     if (!open()) return false;
   }
@@ -120,7 +128,7 @@
 // False: the channel is closed.
 bool Channel::read_step() {
   if (reading_paused_) return true;
-  const Socket::Result result = socket_.read(in_, max_read);
+  const Socket::Result result = socket_.read(in_, read_quota_);
   if (result == Socket::Result::later) return true;
   if (result != Socket::Result::some) {
     fail();
--- a/src/net/channel.hpp
+++ b/src/net/channel.hpp
@@ -28,6 +28,8 @@
     virtual void on_channel_open(Channel&) {}
     /// in() has more bytes.
     virtual void on_channel_data(Channel&) = 0;
+    /// The socket has taken so many bytes that had to wait.
+    virtual void on_channel_progress(Channel&, std::size_t /*bytes*/) {}
     /// All that was written has gone out.
     virtual void on_channel_flushed(Channel&) {}
     /// The connection has ended or failed: nothing more arrives or goes out. Called once, and not after
@@ -51,6 +53,8 @@
   /// Bytes that have arrived; the observer consumes them.
   Buffer& in() { return in_; }
   std::size_t in_size() const { return in_.size(); }
+  /// Memory of both buffers, in bytes.
+  std::size_t held_bytes() const { return in_.capacity() + out_.capacity(); }
   /// Bytes that are to go out; call flush() after appending.
   Buffer& out() { return out_; }
   void write(std::string_view bytes) {
@@ -70,6 +74,11 @@
   bool unread() const { return open() && !socket_.quiet(); }
   /// While paused nothing is read, so that TCP's flow control stops the peer.
   void set_reading_paused(bool paused);
+  /// Limits the bytes that are read before the observer is told, about. The default suits a peer that is owed
+  /// attention; less suits one that sends ahead of its turn.
+  void set_read_quota(std::size_t bytes) { read_quota_ = bytes; }
+  static constexpr std::size_t default_read_quota =
+      64 * 1024;  // bytes in one turn: other connections have theirs
   /// Closes once all bytes have gone out; on_channel_closed() follows.
   void close_when_flushed();
   /// Ends the writing side once all bytes have gone out, and goes on reading until the peer has ended too.
@@ -97,6 +106,7 @@
   Socket socket_;
   Observer& observer_;
   Buffer in_, out_;
+  std::size_t read_quota_ = default_read_quota;
   bool up_ = false, reading_paused_ = false, close_when_flushed_ = false,
        shutdown_write_when_flushed_ = false;
   Task task_;  // last: its frame refers to the members above
--- a/src/net/scheduler.hpp
+++ b/src/net/scheduler.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "chutevane/types.hpp"
+#include "net/buffer_budget.hpp"
 #include "net/system.hpp"
 
 namespace chutevane::net {
@@ -112,6 +113,9 @@
 
   TimePoint now() const { return system_.now(); }
   System& system() { return system_; }
+  /// The budget of all channels of this process, and of what they have delivered. Unlimited until a limit is
+  /// set.
+  BufferBudget& buffer_budget() { return buffer_budget_; }
   /// Waits for events or the next timer, and runs everything that they make ready: ends of connections first,
   /// then timers that are due, then what has arrived.
   void turn();
@@ -134,6 +138,7 @@
   void sift(std::size_t index);
   void put(std::size_t index, Timer* timer);
 
+  BufferBudget buffer_budget_;
   std::unique_ptr<System> own_;  // empty where the system was given
   System& system_;
   std::vector<Source> sources_;
--- a/tests/common/http_server_test.cpp
+++ b/tests/common/http_server_test.cpp
@@ -21,6 +21,7 @@
 using chutevane::Span;
 using chutevane::common::HttpResponse;
 using chutevane::common::HttpServer;
+using chutevane::common::ShedCause;
 using chutevane::http::Parser;
 
 namespace {
@@ -52,12 +53,13 @@
   std::map<std::string, HttpServer::Reply> pending;
   std::size_t requests = 0;
   bool reply_immediately = false;
-  HttpServer server{scheduler, 1U << 20U, [this](const Parser& request, HttpServer::Reply reply) {
-                      ++requests;
-                      const std::string target(request.target());
-                      if (reply_immediately) return reply({200, "to " + target, {}});
-                      pending[target] = std::move(reply);
-                    }};
+  HttpServer server{
+      scheduler, "test", {.body_bytes = 1U << 20U}, [this](const Parser& request, HttpServer::Reply reply) {
+        ++requests;
+        const std::string target(request.target());
+        if (reply_immediately) return reply({200, "to " + target, {}});
+        pending[target] = std::move(reply);
+      }};
 };
 
 class Connection {
@@ -209,3 +211,20 @@
   }
   CHECK_EQUAL(static_cast<std::size_t>(3), server.requests);
 }
+
+// A body that stops short gives way to the next one when the budget is full, and its client is told so.
+TEST(HttpServerReplies, AnIncompleteBodyGivesWayWhenMemoryIsFull) {
+  constexpr std::size_t body = 100 * 1024;  // bytes
+  server.scheduler.buffer_budget().set_limit(body + body / 2);
+  Connection stalled(server);
+  stalled.send("POST /a HTTP/1.1\r\nContent-Length: 200000\r\n\r\n" + std::string(body, 'x'));
+  server.turn([&] { return server.scheduler.buffer_budget().bytes() > body; });
+  Connection next(server);
+  next.send("POST /b HTTP/1.1\r\nContent-Length: 102400\r\n\r\n" + std::string(body, 'x'));
+  CHECK_TRUE(server.has_request("/b"));
+  server.reply_to("/b");
+  CHECK_TRUE(next.receive_bodies(1).size() == 1);
+  const auto received = stalled.receive_bodies(1);
+  CHECK_TRUE(received.size() == 1 && received[0] == "too much is being received");
+  CHECK_EQUAL(static_cast<std::uint64_t>(1), server.server.connections().shed_count(ShedCause::memory));
+}
