Edge: what a client does not read, and what it sends ahead, is bounded

What callers saw: 32 clients that pipelined requests and read no answers took 97 MB of an edge, 120 requests for answers of 1 MiB that were not read 141 MB.

Cause: the next pipelined request was read and answered whatever of the last answer was unsent; a stream was read from its endpoint whatever its client read; and while one pipelined request a turn was served, up to 64 KB a turn were received.

Change: with over 64 KB unsent nothing more is read for a client: its requests wait, its endpoint is held up. Ahead of its turn a client may send 16 KB. A client that reads makes progress in the order of the limiter; one that does not is ended when memory is full.

--- a/src/edge/downstream_connection.cpp
+++ b/src/edge/downstream_connection.cpp
@@ -11,7 +11,8 @@
 namespace chutevane::edge {
 namespace {
 
-constexpr std::size_t max_pipelined_bytes = 256U << 10U;  // buffered while a request is being served
+constexpr std::size_t max_pipelined_bytes = 16U << 10U;  // buffered while a request is being served
+constexpr std::size_t pipelined_read_quota = 4U << 10U;  // bytes: a client's next request is not awaited
 constexpr std::size_t max_header_fields = 100;
 constexpr Span closing_timeout = Span::ms(1000);  // for the client to close after the last response
 constexpr Span unread_grace = Span::ms(1);        // for reading the bytes that are already in the socket
@@ -90,16 +91,26 @@
 }
 
 void DownstreamConnection::on_channel_flushed(net::Channel&) {
-  if (state_ == State::closing) start_idle_timer(closing_timeout);
-  if (state_ != State::reading || parser_.begun() || channel_.in_size() > 0) return;
-  set_phase(Phase::idle);
-  start_idle_timer(idle_limit());
+  switch (state_) {
+    case State::closing: return start_idle_timer(closing_timeout);
+    case State::serving: set_phase(Phase::serving); return request_->on_response_read();
+    case State::reading:
+      if (parser_.begun()) return;
+      set_phase(Phase::idle);
+      channel_.set_reading_paused(channel_.in_size() > max_pipelined_bytes);
+      return channel_.in_size() > 0 ? read_pipelined() : start_idle_timer(idle_limit());
+    case State::closed: return;
+  }
+}
+
+void DownstreamConnection::on_channel_progress(net::Channel&, std::size_t bytes) {
+  plane_.connection_limiter().on_progress(*this, bytes);
 }
 
 void DownstreamConnection::on_channel_closed(net::Channel&) { on_closed(FailureCause::client_left); }
 
 void DownstreamConnection::read_request() {
-  if (state_ != State::reading || channel_.in_size() == 0) return;
+  if (state_ != State::reading || channel_.in_size() == 0 || has_unread_response()) return;
   if (!parser_.begun()) parser_.set_limits(request_limits());
   const bool had_head = parser_.head_done();
   const http::Progress progress = parser_.feed(channel_.in());
@@ -110,6 +121,7 @@
 }
 
 void DownstreamConnection::await_rest_of_request(bool had_head) {
+  channel_.set_reading_paused(false);
   set_phase(Phase::receiving);
   count_progress();
   const bool has_room = plane_.connection_limiter().make_room(this);
@@ -136,6 +148,7 @@
 void DownstreamConnection::serve_request() {
   plane_.timers().cancel(timer_);
   set_phase(Phase::serving);
+  channel_.set_read_quota(pipelined_read_quota);
   state_ = State::serving;
   request_ = std::make_unique<ProxiedRequest>(plane_, *this);
   is_persistent_ = parser_.keep_alive() && !plane_.is_closing();
@@ -157,6 +170,7 @@
 
 void DownstreamConnection::on_request_finished() {
   state_ = State::reading;
+  channel_.set_read_quota(net::Channel::default_read_quota);
   channel_.flush();
   if (!is_persistent_) {
     state_ = State::closing;
@@ -168,8 +182,13 @@
   }
   set_phase(channel_.unsent() > 0 ? Phase::sending : Phase::idle);
   make_room();
+  if (has_unread_response()) {  // the next request waits until the client has read this one's response
+    channel_.set_reading_paused(true);
+    return start_idle_timer(idle_limit());
+  }
   start_request_timer();
-  channel_.set_reading_paused(false);
+  // Many small requests that were sent ahead are read before more of them is received.
+  channel_.set_reading_paused(channel_.in_size() > max_pipelined_bytes);
   if (channel_.in_size() > 0) read_pipelined();
 }
 
@@ -215,6 +234,11 @@
 
 void DownstreamConnection::end_chunks() { channel_.out().append(last_chunk); }
 
+void DownstreamConnection::flush() {
+  channel_.flush();
+  if (state_ == State::serving && has_unread_response()) set_phase(Phase::sending);
+}
+
 // ---- ends
 
 // A request that was not read completely has not run, and its client is told so. A client that does not read
--- a/src/edge/downstream_connection.hpp
+++ b/src/edge/downstream_connection.hpp
@@ -59,7 +59,9 @@
   /// Ends a chunked body, which completes the response.
   void end_chunks();
   /// Writes the buffered output to the socket.
-  void flush() { channel_.flush(); }
+  void flush();
+  /// Returns true if the client has yet to read so much that nothing more should be forwarded to it.
+  bool has_unread_response() const { return channel_.unsent() > max_unsent_bytes; }
   /// Ends other connections if the memory budget is full. Returns false if it is full nevertheless.
   bool make_room();
   /// Reads the next request or ends the connection. Called when the response is complete.
@@ -75,6 +77,7 @@
 
   void on_channel_data(net::Channel&) override;
   void on_channel_flushed(net::Channel&) override;
+  void on_channel_progress(net::Channel&, std::size_t bytes) override;
   void on_channel_closed(net::Channel&) override;
 
   using Phase = common::ConnectionLimiter::Phase;
@@ -96,6 +99,8 @@
 
   void on_closed(FailureCause cause);
 
+  static constexpr std::size_t max_unsent_bytes = 64 * 1024;  // before nothing more is read for the client
+
   DataPlane& plane_;
   net::Channel channel_;
   http::Parser parser_;
--- a/src/edge/proxied_request.hpp
+++ b/src/edge/proxied_request.hpp
@@ -52,6 +52,8 @@
   void start(ParsedClientRequest parsed);
   /// Answers a request that could not be read completely.
   void reject(FailureCause cause, int status, std::string_view text);
+  /// Reads on, after the client has read what was forwarded to it.
+  void on_response_read();
   /// Ends the attempt in flight and releases or commits the budget. Called when the client's connection
   /// closes.
   void abort();
@@ -139,6 +141,7 @@
   static std::string_view name_of(AttemptResult result);
 
   // ---- responses (proxied_request_responses.cpp)
+  void pause_if_unread();
   void forward_response();
   void forward_events(bool is_end);
   void write_event(std::string_view text, const ServerSentEvent& event);
--- a/src/edge/proxied_request_responses.cpp
+++ b/src/edge/proxied_request_responses.cpp
@@ -65,6 +65,17 @@
   attempt_.body.erase(0, forwarded);
   if (attempt_.body.empty() && attempt_.body.capacity() > max_kept_body_bytes) release_response_body();
   if (forwarded > 0) connection_.flush();
+  pause_if_unread();
+}
+
+// A client that does not read holds up its endpoint, not the memory of this process.
+void ProxiedRequest::pause_if_unread() {
+  if (attempt_.connection != nullptr && connection_.has_unread_response())
+    attempt_.connection->set_reading_paused(true);
+}
+
+void ProxiedRequest::on_response_read() {
+  if (attempt_.connection != nullptr) attempt_.connection->set_reading_paused(false);
 }
 
 void ProxiedRequest::on_first_event(TimePoint now) {
--- a/src/edge/upstream_connection.cpp
+++ b/src/edge/upstream_connection.cpp
@@ -208,6 +208,7 @@
       idle_timeout_ <= Span()) {
     close();
   } else {
+    channel_.set_reading_paused(false);
     endpoint_->idle_connections.push_back(this);
     timers_.cancel(timer_);
     timer_ = timers_.after(idle_timeout_, [this] { close(); });
--- a/src/edge/upstream_connection.hpp
+++ b/src/edge/upstream_connection.hpp
@@ -64,6 +64,8 @@
   /// Starts connecting. The waiting request fails if that takes too long. Returns false if it has already
   /// failed.
   bool connect(const sockaddr_in& address);
+  /// While paused, nothing of the response is read, so that TCP's flow control stops the endpoint.
+  void set_reading_paused(bool paused) { channel_.set_reading_paused(paused); }
   /// Closes the connection without further calls to the handler. Returns true if any part of the request may
   /// have been sent.
   bool cancel();
