Simulation and soak: crowds that stop short of the end of large bodies

Change: tier simulation, scenario `crowds`: calm-traffic with edges of 1 MiB for what peers make them hold, and 20 to 59 clients at a time that send 64 to 256 KB of a body, stop and stay, one crowd after the other. All others are served; the budget is kept but for one turn's reads and is given back (rule edge-memory). Soak, trouble `crowd`: 80 connections with 2 MiB each at an edge or controller, beside any other trouble; the machine is not excused for it. Drawn apart: the rest of a story stays as it was.

--- a/src/lab/tier/fault_plan.cpp
+++ b/src/lab/tier/fault_plan.cpp
@@ -21,13 +21,14 @@
 constexpr int stories_beyond = 3;               // one of so many
 constexpr double wipe_beside_absence = 0.7;     // of these
 constexpr double faults_of_controllers = 0.8;   // of these
+constexpr Span crowd_least = Span::ms(1500), crowd_spread = Span::ms(2500);
 constexpr Span rolling_least = Span::ms(100),
                rolling_spread = Span::ms(900);  // between two SIGTERM in series
 
 class Drawer {
  public:
   Drawer(std::uint64_t seed, const FaultPlanBounds& bounds)
-      : bounds_(bounds), chance_(seed, "story"), controllers_(seed, "controllers") {}
+      : bounds_(bounds), chance_(seed, "story"), crowds_(seed, "crowds"), controllers_(seed, "controllers") {}
 
   FaultPlan draw() {
     story_.beyond_tolerance = chance_.below(stories_beyond) == 0;
@@ -38,6 +39,7 @@
       draw_single_losses();
     }
     draw_beside();
+    draw_crowds();
     std::stable_sort(story_.troubles.begin(), story_.troubles.end(),
                      [](const Fault& a, const Fault& b) { return a.at < b.at; });
     return std::move(story_);
@@ -93,7 +95,8 @@
       case FaultKind::race:
       case FaultKind::drain_endpoint:
       case FaultKind::replace_endpoint:
-      case FaultKind::endpoint_dies: break;
+      case FaultKind::endpoint_dies:
+      case FaultKind::crowd: break;
     }
     trouble.lasts = std::min(trouble.lasts, bounds_.active - trouble.at);
   }
@@ -244,9 +247,23 @@
       if (!busy(one)) story_.troubles.push_back(one);
     }
   }
+  // Crowds take no machine away: they may come beside anything else.
+  void draw_crowds() {
+    for (Span at = first_at; at < bounds_.active * 0.8;
+         at = at + crowd_least + bounds_.active * crowds_.unit()) {
+      Fault one;
+      one.kind = FaultKind::crowd;
+      one.at = at;
+      one.plane = crowds_.one_in(0.7) ? MachinePlane::edge : MachinePlane::control;
+      one.place = crowds_.below(size_of(one.plane));
+      one.lasts = std::min(crowd_least + crowd_spread * crowds_.unit(), bounds_.active - at);
+      story_.troubles.push_back(one);
+    }
+  }
 
   const FaultPlanBounds bounds_;
   Chance chance_;
+  Chance crowds_;       // the same for what is drawn of crowds
   Chance controllers_;  // for what is drawn of controllers alone: the rest of a story does not depend on it
   FaultPlan story_;
 };
@@ -260,7 +277,8 @@
     case FaultKind::reload:
     case FaultKind::cut:
     case FaultKind::slow_way:
-    case FaultKind::lose_answers: return true;
+    case FaultKind::lose_answers:
+    case FaultKind::crowd: return true;
     default: return false;
   }
 }
@@ -271,10 +289,10 @@
 
 const char* name_of(FaultKind kind) {
   constexpr std::array<const char*, fault_kinds> names = {
-      "pause",        "kill",   "wipe", "kill_all",       "kill_controllers",
-      "terminate",    "reload", "cut",  "halves",         "slow_way",
-      "lose_answers", "change", "race", "drain_endpoint", "replace_endpoint",
-      "endpoint_dies"};
+      "pause",         "kill",   "wipe", "kill_all",       "kill_controllers",
+      "terminate",     "reload", "cut",  "halves",         "slow_way",
+      "lose_answers",  "change", "race", "drain_endpoint", "replace_endpoint",
+      "endpoint_dies", "crowd"};
   return names[static_cast<std::size_t>(kind)];
 }
 
--- a/src/lab/tier/fault_plan.hpp
+++ b/src/lab/tier/fault_plan.hpp
@@ -27,8 +27,9 @@
   drain_endpoint,    // one drains and another comes
   replace_endpoint,  // another process is at its address
   endpoint_dies,     // one ends without a word
+  crowd,             // clients send large bodies to one machine, stop short of their end and stay
 };
-constexpr std::size_t fault_kinds = static_cast<std::size_t>(FaultKind::endpoint_dies) + 1;
+constexpr std::size_t fault_kinds = static_cast<std::size_t>(FaultKind::crowd) + 1;
 const char* name_of(FaultKind kind);
 
 enum class CutDirection : std::uint8_t { both, to_it, from_it };
--- a/src/lab/tier/fault_player.cpp
+++ b/src/lab/tier/fault_player.cpp
@@ -2,18 +2,28 @@
 
 #include <algorithm>
 
+#include "lab/tier/load.hpp"
+
 namespace chutevane::lab::tier {
 namespace {
 
 constexpr Span restart_pause = Span::ms(400);   // before a process that has ended is started again
 constexpr Span restart_spread = Span::ms(130);  // machines that went together come back one by one
-constexpr Span order_again = Span::ms(50);      // where another order of the operator is under way
+constexpr std::size_t crowd_connections = 80, crowd_block = 64U << 10U;  // bytes
+constexpr std::size_t crowd_body =
+    2U << 20U;  // bytes; all together they are more than a process may hold for them
+constexpr Span order_again = Span::ms(50);  // where another order of the operator is under way
 
 }  // namespace
 
-FaultPlayer::FaultPlayer(net::TimerQueue& timers, Machines& machines, LinkRelays& ways,
-                         EndpointSet& endpoints, OperatorStandIn& operators)
-    : timers_(timers), machines_(machines), relays_(ways), endpoints_(endpoints), operators_(operators) {}
+FaultPlayer::FaultPlayer(net::Scheduler& scheduler, net::TimerQueue& timers, Machines& machines,
+                         LinkRelays& ways, EndpointSet& endpoints, OperatorStandIn& operators)
+    : scheduler_(scheduler),
+      timers_(timers),
+      machines_(machines),
+      relays_(ways),
+      endpoints_(endpoints),
+      operators_(operators) {}
 
 void FaultPlayer::after(Span span, std::function<void()> what) {
   ++open_;
@@ -64,6 +74,7 @@
     case FaultKind::drain_endpoint:
     case FaultKind::replace_endpoint:
     case FaultKind::endpoint_dies: return change_endpoint(trouble);
+    case FaultKind::crowd: return crowd(trouble);
   }
 }
 
@@ -166,6 +177,23 @@
   }
 }
 
+// Bodies of legal size, all at once, that stop a byte short of their end. The machine is not excused for
+// them.
+void FaultPlayer::crowd(const Fault& trouble) {
+  const Machines::Machine& m = machine_of(trouble);
+  const bool is_edge = trouble.plane == MachinePlane::edge;
+  const sockaddr_in to = is_edge ? Machines::front_of(m) : Machines::control_of(m);
+  const char* const target = is_edge ? "/turns/crowd" : "/v1/Configuration.Replace";
+  crowds_.push_back(std::make_unique<Crowd>(scheduler_));
+  Crowd& crowd = *crowds_.back();
+  crowd.connect(
+      to, crowd_connections,
+      {std::string("POST ") + target + " HTTP/1.1\r\nHost: " + host +
+           "\r\nContent-Length: " + std::to_string(crowd_body) + "\r\n\r\n",
+       std::string(crowd_block, 'x'), crowd_body / crowd_block - 1, std::string(crowd_block - 1, 'x')});
+  after(trouble.lasts, [&crowd] { crowd.leave(); });
+}
+
 void FaultPlayer::change(bool race) {
   if (operators_.busy()) return after(order_again, [this, race] { change(race); });
   const std::int64_t version = operators_.acknowledged() + 1;
--- a/src/lab/tier/fault_player.hpp
+++ b/src/lab/tier/fault_player.hpp
@@ -5,8 +5,11 @@
 #include <cstdint>
 #include <functional>
 #include <initializer_list>
+#include <memory>
 #include <string>
+#include <vector>
 
+#include "lab/tier/crowd.hpp"
 #include "lab/tier/endpoint_set.hpp"
 #include "lab/tier/fault_plan.hpp"
 #include "lab/tier/link_relays.hpp"
@@ -17,8 +20,8 @@
 
 class FaultPlayer {
  public:
-  FaultPlayer(net::TimerQueue& timers, Machines& machines, LinkRelays& ways, EndpointSet& endpoints,
-              OperatorStandIn& operators);
+  FaultPlayer(net::Scheduler& scheduler, net::TimerQueue& timers, Machines& machines, LinkRelays& ways,
+              EndpointSet& endpoints, OperatorStandIn& operators);
   void play(const FaultPlan& story, TimePoint begin);
   // All that was taken away is back, and no order is under way.
   bool over() const { return open_ == 0; }
@@ -38,6 +41,7 @@
   void lose_answers(const Fault& trouble);
   void change_endpoint(const Fault& trouble);
   void change(bool race);
+  void crowd(const Fault& trouble);
   // The ways are ill for the trouble's time.
   void begin_link_fault(const Fault& trouble, LinkRelays::LinkFaultOf fault_of);
   Machines::Machine& machine_of(const Fault& trouble) { return machines_.at(trouble.plane, trouble.place); }
@@ -45,6 +49,7 @@
   /// The same, where what is under way is a fault of a machine or of the ways between machines.
   void end_fault_after(Span span, std::function<void()> what);
 
+  net::Scheduler& scheduler_;
   net::TimerQueue& timers_;
   Machines& machines_;
   LinkRelays& relays_;
@@ -52,6 +57,7 @@
   OperatorStandIn& operators_;
   std::size_t open_ = 0, open_faults_ = 0;
   TimePoint calm_since_;
+  std::vector<std::unique_ptr<Crowd>> crowds_;
   std::array<std::uint64_t, fault_kinds> played_{};
 };
 
--- a/src/lab/tier/fleet.cpp
+++ b/src/lab/tier/fleet.cpp
@@ -114,7 +114,8 @@
   }
   operator_ =
       std::make_unique<OperatorStandIn>(scheduler_, timers_, lines_, auditor_, operators_see, spec_.seed);
-  fault_player_ = std::make_unique<FaultPlayer>(timers_, machines_, relays_, endpoints_, *operator_);
+  fault_player_ =
+      std::make_unique<FaultPlayer>(scheduler_, timers_, machines_, relays_, endpoints_, *operator_);
   Load::Spec load;
   load.seed = spec_.seed;
   load.programs_per_s = spec_.programs_per_s;
--- a/src/tier_simulation/deployment.cpp
+++ b/src/tier_simulation/deployment.cpp
@@ -75,6 +75,7 @@
   machines_.push_back(std::make_unique<Machine>(simulator_, role, ip_of(role, number),
                                                 settings_of(role, number), draw_bits(random_)));
   Machine& out = *machines_.back();
+  if (role == Role::edge) out.set_buffer_limit(shape_.edge_buffer_bytes);
   if (has_started_) disk_since_[&out] = simulator_.now();
   out.on_value = [this](Machine& m, const common::RegisterValue& value) {
     if (on_value) on_value(m, value);
--- a/src/tier_simulation/deployment.hpp
+++ b/src/tier_simulation/deployment.hpp
@@ -38,6 +38,8 @@
   /// Of an edge, 10^6 bytes. A fifth of it caches turns: a few chains, so that turns of other edges are asked
   /// of storage.
   double edge_memory_mb = 0.1;
+  /// The budget of an edge for what its peers make it hold, in bytes; 0: unlimited.
+  std::size_t edge_buffer_bytes = 0;
   Span history = Span::ms(20000);  ///< for how long watchers of keys may resume from a revision
 };
 
--- a/src/tier_simulation/machine.cpp
+++ b/src/tier_simulation/machine.cpp
@@ -69,6 +69,10 @@
   return nullptr;
 }
 
+const net::BufferBudget* Machine::buffer_budget() const {
+  return is_running() ? &incarnation_->scheduler.buffer_budget() : nullptr;
+}
+
 void Machine::start(bool initial) {
   kill();
   const CurrentMachineScope scope(*this);
@@ -76,6 +80,7 @@
   settings_.initial_start = initial;
   process_.set_powered_off(false);
   incarnation_ = std::make_unique<Incarnation>(process_);
+  if (buffer_limit_ > 0) incarnation_->scheduler.buffer_budget().set_limit(buffer_limit_);
   process_.run(
       incarnation_->scheduler, [this] { return run_turn(); }, max_descriptors);
   incarnation_->plane = make_plane();
--- a/src/tier_simulation/machine.hpp
+++ b/src/tier_simulation/machine.hpp
@@ -41,6 +41,10 @@
   void pause(Span duration) { process_.pause(duration); }
   /// SIGHUP with these seeds in its settings; also for later starts.
   void reload(const std::vector<sockaddr_in>& seeds);
+  /// Limits what peers may make its process hold, from its next start on; 0: unlimited.
+  void set_buffer_limit(std::size_t bytes) { buffer_limit_ = bytes; }
+  /// The budget of the running process; null if it does not run.
+  [[nodiscard]] const net::BufferBudget* buffer_budget() const;
 
   [[nodiscard]] Role role() const { return role_; }
   [[nodiscard]] const std::string& name() const { return settings_.node; }
@@ -76,6 +80,7 @@
   std::shared_ptr<MachineDisk> disk_;
   std::unique_ptr<Incarnation> incarnation_;
   std::uint64_t incarnations_ = 0;
+  std::size_t buffer_limit_ = 0;  // bytes; 0: unlimited
 };
 
 /// The machine whose process has its turn, to which lines of the log belong; null outside of turns.
--- a/src/tier_simulation/scenarios.cpp
+++ b/src/tier_simulation/scenarios.cpp
@@ -361,6 +361,19 @@
   return out;
 }
 
+// Clients that stop short of the end of large bodies, one crowd after the other, and otherwise no faults: all
+// other clients are served.
+Plan crowds(RandomGenerator& random) {
+  Plan out = calm_traffic(random);
+  out.shape.edge_buffer_bytes = 1U << 20U;
+  CrowdLoad& load = out.traffic.crowds;
+  load.connections = 20 + random.below(40);
+  load.body_bytes = random.choose({std::size_t{64} << 10U, std::size_t{128} << 10U, std::size_t{256} << 10U});
+  load.interval = random.uniform(500, 2000);
+  load.duration = random.uniform(300, 4000);
+  return out;
+}
+
 // All of the above at once: losses of machines, faults of edges, endpoints and the platform.
 Plan traffic(RandomGenerator& random) {
   Plan out = everything(random);
@@ -457,6 +470,7 @@
                                       {"overlapping-losses", overlapping_losses},
                                       {"coordination", coordination},
                                       {"calm-traffic", calm_traffic},
+                                      {"crowds", crowds},
                                       {"endpoint-changes", endpoint_changes},
                                       {"traffic", traffic},
                                       {"short-retention", short_retention}};
--- a/src/tier_simulation/traffic.cpp
+++ b/src/tier_simulation/traffic.cpp
@@ -16,6 +16,8 @@
 constexpr Span expectation_interval = Span::ms(100);
 constexpr std::size_t streaming_endpoints = 4, plain_endpoints = 2;
 constexpr std::size_t continued_conversations = 40;
+constexpr std::size_t crowd_block_bytes = 4096;
+constexpr std::size_t max_bytes_over_budget = 4 * 64 * 1024;  // reads of one turn
 
 sockaddr_in address_of(std::uint32_t ip, std::uint16_t port) {
   sockaddr_in out{};
@@ -95,9 +97,46 @@
 void Traffic::begin() {
   front_.begin(readiness_interval);
   load_.begin();
+  if (load_spec_.crowds.connections > 0) send_crowds();
 }
 
-void Traffic::stop() { load_.stop(); }
+void Traffic::stop() {
+  is_stopped_ = true;
+  load_.stop();
+}
+
+// Each edge in turn. The load's own clients are to be served all the same.
+void Traffic::send_crowds() {
+  if (is_stopped_) return;
+  const CrowdLoad& load = load_spec_.crowds;
+  const std::vector<Machine*> edges = deployment_.machines_of(Role::edge);
+  crowds_.push_back(std::make_unique<lab::tier::Crowd>(clients_.scheduler));
+  lab::tier::Crowd& crowd = *crowds_.back();
+  const std::string head =
+      "POST /turns/crowd HTTP/1.1\r\nHost: " + std::string(lab::tier::host) +
+      "\r\nX-Chutevane-Attempt-Id: crowd{n}\r\nContent-Length: " + std::to_string(load.body_bytes + 1) +
+      "\r\n\r\n";
+  crowd.connect(*edges[crowds_.size() % edges.size()]->settings().front, load.connections,
+                {head, std::string(crowd_block_bytes, 'x'), load.body_bytes / crowd_block_bytes});
+  clients_.timers.after(load.duration, [&crowd] { crowd.leave(); });
+  clients_.timers.after(load.interval, [this] { send_crowds(); });
+}
+
+/// What crowds make an edge hold stays within its budget, but for what it reads in one turn, and is given
+/// back.
+void Traffic::check_memory() {
+  if (load_spec_.crowds.connections == 0) return;
+  for (const Machine* edge : deployment_.machines_of(Role::edge)) {
+    const net::BufferBudget* const budget = edge->buffer_budget();
+    if (budget == nullptr) continue;
+    if (budget->peak() > budget->limit() + max_bytes_over_budget)
+      checker_.report_violation("edge-memory", edge->name() + " held " + std::to_string(budget->peak()) +
+                                                   " bytes of " + std::to_string(budget->limit()));
+    if (is_stopped_ && budget->tight())
+      checker_.report_violation("edge-memory",
+                                edge->name() + " still holds " + std::to_string(budget->bytes()) + " bytes");
+  }
+}
 
 void Traffic::continue_old_conversations() { load_.go_on_from_old(continued_conversations); }
 
@@ -150,6 +189,7 @@
 }
 
 void Traffic::finish() {
+  check_memory();
   if (load_.open() > 0)
     checker_.report_violation("traffic-endless", std::to_string(load_.open()) + " programs have no end");
   collect_violations();
--- a/src/tier_simulation/traffic.hpp
+++ b/src/tier_simulation/traffic.hpp
@@ -7,7 +7,10 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
+#include <vector>
 
+#include "lab/tier/crowd.hpp"
 #include "lab/tier/endpoint_set.hpp"
 #include "lab/tier/load.hpp"
 #include "net/timer_queue.hpp"
@@ -16,12 +19,20 @@
 
 namespace chutevane::tier_simulation {
 
+/// Crowds of clients that send a large part of a body, stop short of its end and stay connected for a while.
+struct CrowdLoad {
+  std::size_t connections = 0;  ///< of a crowd; 0: there are none
+  std::size_t body_bytes = 0;   ///< that each of them sends
+  Span interval, duration;      ///< from one crowd to the next, and how long it stays
+};
+
 /// The clients' load, and how clients and endpoints misbehave.
 struct TrafficLoad {
   bool is_on = false;
   double programs_per_s = 3;
   bool expects_all_served = false;  ///< no program is given up, as nothing fails
   lab::tier::Misbehavior misbehavior;
+  CrowdLoad crowds;
 };
 
 /// Where the platform's list can be read by a control machine, it is read at least so often: the holder of
@@ -74,6 +85,8 @@
   /// Whether some control machine in contact with a majority reaches the platform, and that has no fault.
   [[nodiscard]] bool is_list_readable() const;
   void check_list_reads();
+  void send_crowds();
+  void check_memory();
   void update_expectations();
 
   Deployment& deployment_;
@@ -86,6 +99,8 @@
   lab::tier::HttpConnector lines_;
   lab::tier::Front front_;
   lab::tier::Load load_;
+  std::vector<std::unique_ptr<lab::tier::Crowd>> crowds_;
+  bool is_stopped_ = false;
   std::size_t reported_ = 0;     // of the auditor's violations
   TimePoint unreadable_at_;      // when the list could last not be read
   TimePoint platform_fault_at_;  // when the platform last had a fault
--- a/tests/tier_simulation/tier_simulation_test.cpp
+++ b/tests/tier_simulation/tier_simulation_test.cpp
@@ -161,6 +161,12 @@
   return outcome;
 }
 
+// Clients that stop short of the end of large bodies: all others are served, and memory is given back.
+TEST(Traffic, CrowdsHoldUpNobodyElse) {
+  for (std::uint64_t seed = 1; seed <= 6; ++seed)
+    EXPECT_GT(expect_all_promises_kept(make_plan("crowds", seed), seed).turns_completed, 100U);
+}
+
 TEST(Traffic, ACalmDayIsServed) {
   for (std::uint64_t seed = 1; seed <= 4; ++seed)
     EXPECT_GT(expect_all_promises_kept(make_plan("calm-traffic", seed), seed).turns_completed, 100U);
