--- a/review/support/http.cpp
+++ b/review/support/http.cpp
@@ -135,7 +135,8 @@
     pollfd wait{descriptor, POLLOUT, 0};
     int error = 0;
     socklen_t size = sizeof error;
-    const bool is_up = errno == EINPROGRESS && ::poll(&wait, 1, static_cast<int>(std::max<long>(left, 0))) == 1 &&
+    const bool is_up = errno == EINPROGRESS &&
+                       ::poll(&wait, 1, static_cast<int>(std::max<long>(left, 0))) == 1 &&
                        ::getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == 0;
     if (!is_up) {
       ::close(descriptor);
@@ -307,8 +308,8 @@
   }
   const std::size_t one = head->first_line.find(' ');
   const std::size_t two = head->first_line.rfind(' ');
-  Exchange exchange(descriptor, head->first_line.substr(0, one), head->first_line.substr(one + 1, two - one - 1),
-                    head->headers, std::move(body));
+  Exchange exchange(descriptor, head->first_line.substr(0, one),
+                    head->first_line.substr(one + 1, two - one - 1), head->headers, std::move(body));
   handler_(exchange);
   if (exchange.must_reset()) {
     const linger at_once{.l_onoff = 1, .l_linger = 0};
--- a/review/support/tier.cpp
+++ b/review/support/tier.cpp
@@ -110,7 +110,8 @@
   const auto add = [&](std::vector<std::unique_ptr<Process>>& to, Plane plane, std::size_t count, int from) {
     for (std::size_t i = 0; i < count; ++i)
       to.push_back(std::make_unique<Process>(plane, std::string(name_of(plane)) + "-" + std::to_string(i + 1),
-                                             zone_of(i), network_ + std::to_string(from + static_cast<int>(i))));
+                                             zone_of(i),
+                                             network_ + std::to_string(from + static_cast<int>(i))));
   };
   add(controllers_, Plane::control, size.controllers, controllers_from);
   add(storage_, Plane::storage, size.storage_nodes, storage_from);
@@ -123,7 +124,9 @@
   }
 }
 
-Address Tier::stand_in_address(int number, int port) const { return {network_ + std::to_string(number), port}; }
+Address Tier::stand_in_address(int number, int port) const {
+  return {network_ + std::to_string(number), port};
+}
 
 std::string Tier::path_of(const Process& process, const std::string& ending) const {
   return arguments_.folder + "/" + process.node() + ending;
@@ -240,10 +243,11 @@
 
 bool Tier::put_configuration(const std::string& text, std::int64_t base, milliseconds timeout) {
   const Clock::time_point until = Clock::now() + timeout;
-  const Request request{"POST",
-                        "/v1/Configuration.Replace",
-                        {{"X-Chutevane-Base-Version", std::to_string(base)}, {"Content-Type", "application/json"}},
-                        text};
+  const Request request{
+      "POST",
+      "/v1/Configuration.Replace",
+      {{"X-Chutevane-Base-Version", std::to_string(base)}, {"Content-Type", "application/json"}},
+      text};
   for (std::size_t i = 0; Clock::now() < until; ++i) {
     const Response response = send_request(control(i % controllers_.size()), request, milliseconds(1000));
     if (response.status == 200) return true;
@@ -256,6 +260,26 @@
   return false;
 }
 
+std::string Tier::status(std::size_t controller_index) const {
+  const Request request{"GET", "/v1/Status.Retrieve", {}, ""};
+  const Response response = send_request(control(controller_index), request, milliseconds(500));
+  return response.status == 200 ? response.body : "";
+}
+
+std::size_t Tier::holder_of(const std::string& role) const {
+  const std::string wanted = R"("name":")" + role + '"';
+  std::size_t index = 0;
+  while (index < controllers_.size()) {
+    const std::string text = status(index);
+    const std::size_t duties = text.find(R"("duties":)");
+    const std::size_t end = text.find(']', std::min(duties, text.size()));
+    if (duties != std::string::npos && text.substr(duties, end - duties).find(wanted) != std::string::npos)
+      break;
+    ++index;
+  }
+  return index;
+}
+
 bool Tier::wait_until_ready(milliseconds timeout) {
   const Clock::time_point until = Clock::now() + timeout;
   for (std::size_t i = 0; i < edges_.size();) {
@@ -329,9 +353,9 @@
     const std::lock_guard lock(mutex_);
     runs_.push_back({instance_.id, attempt, exchange.body(), ""});
   }
-  exchange.respond(200,
-                   {{"X-Chutevane-Attempt-Id", attempt}, {"X-Chutevane-Server-Seal", seal}, {"Versions", "1"}},
-                   "answer to " + attempt);
+  exchange.respond(
+      200, {{"X-Chutevane-Attempt-Id", attempt}, {"X-Chutevane-Server-Seal", seal}, {"Versions", "1"}},
+      "answer to " + attempt);
 }
 
 void Endpoint::stream(Exchange& exchange, const std::string& attempt) {
@@ -403,11 +427,9 @@
                          bool is_retained) {
     std::ostringstream out;
     out << R"({"name":")" << name << R"(","host":")" << host_name << R"(","pathPrefix":")" << prefix
-        << R"(","routeType":")" << type
-        << R"(","timeoutMs":6000,"targetMs":200,"priority":1,"service":")" << service
-        << R"(","maxAttempts":2,"retained":)" << (is_retained ? "true" : "false")
-        << R"(,"retentionS":)" << retention_s
-        << R"(,"affinity":false,"resumable":false,"gap_aim_ms":400})";
+        << R"(","routeType":")" << type << R"(","timeoutMs":6000,"targetMs":200,"priority":1,"service":")"
+        << service << R"(","maxAttempts":2,"retained":)" << (is_retained ? "true" : "false")
+        << R"(,"retentionS":)" << retention_s << R"(,"affinity":false,"resumable":false,"gap_aim_ms":400})";
     return out.str();
   };
   return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" +
--- a/review/support/tier.hpp
+++ b/review/support/tier.hpp
@@ -33,10 +33,10 @@
 
 /// What a case is called with.
 struct Arguments {
-  std::string root;        ///< of the repository
-  std::string folder;      ///< a temporary folder
-  std::string record;      ///< path of the record
-  bool is_troubled = true; ///< false: no disruption (TROUBLE=0)
+  std::string root;         ///< of the repository
+  std::string folder;       ///< a temporary folder
+  std::string record;       ///< path of the record
+  bool is_troubled = true;  ///< false: no disruption (TROUBLE=0)
 };
 Arguments parse_arguments(int argc, char** argv);
 
@@ -107,6 +107,11 @@
   /// Sends a configuration to one controller after the other until it gets 200. Returns false after
   /// `timeout`.
   bool put_configuration(const std::string& text, std::int64_t base, milliseconds timeout);
+  /// Returns what the controller answers to `GET /v1/Status.Retrieve`; empty if it does not.
+  std::string status(std::size_t controller_index) const;
+  /// Returns the index of the controller that says that it holds the role, or the number of controllers if
+  /// none does.
+  std::size_t holder_of(const std::string& role) const;
   /// Waits until each edge answers 200 at its readiness address. Returns false after `timeout`.
   bool wait_until_ready(milliseconds timeout);
 
@@ -161,9 +166,9 @@
 
 /// Behaviour of the model servers' stand-ins.
 struct EndpointBehavior {
-  int events = 5;                    ///< of a stream
-  milliseconds first_event{10};      ///< until the first event
-  milliseconds event_interval{5};    ///< between events
+  int events = 5;                  ///< of a stream
+  milliseconds first_event{10};    ///< until the first event
+  milliseconds event_interval{5};  ///< between events
 };
 
 /// A sound endpoint: streams events, or answers a plain request, and remembers what it ran.
@@ -190,11 +195,11 @@
   std::string program;
   std::string previous;
   std::string input;
-  std::string output;        ///< the data of its events, each with a line feed behind
+  std::string output;  ///< the data of its events, each with a line feed behind
   int status = 0;
-  bool is_whole = false;     ///< the answer came whole
+  bool is_whole = false;  ///< the answer came whole
   std::string error;
-  double ended_at_ms = 0;    ///< by the clock of the record
+  double ended_at_ms = 0;  ///< by the clock of the record
 };
 
 /// Sends a turn to an edge, as a client of PROTOCOL.md does.
