--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -15,10 +15,10 @@
   jobs+=($!)
 done
 wait_for_jobs
-for case in review/[4-8]/case.cpp; do
-  [ -e "$case" ] || continue
-  number=$(basename "$(dirname "$case")")
-  g++ "${flags[@]}" "$case" target/review-2/http.o target/review-2/tier.o -o "target/review-2/case-$number" &
+for source in review/[4-8]/*.cpp; do
+  [ -e "$source" ] || continue
+  number=$(basename "$(dirname "$source")")
+  g++ "${flags[@]}" "$source" target/review-2/http.o target/review-2/tier.o -o "target/review-2/case-$number" &
   jobs+=($!)
 done
 wait_for_jobs
