--- a/review/4/restart.cpp
+++ b/review/4/restart.cpp
@@ -143,6 +143,7 @@
       const review::Turn turn = review::send_turn(tier_.front(program.edge), record_, program.id,
                                                   program.last.attempt, input, turn_time_ms);
       ++turns_;
+      note(turn, program.edge);
       if (turn.is_whole) {
         program.chain += input + turn.output;
         program.last = turn;
@@ -167,6 +168,7 @@
     std::vector<std::thread> clients;
     for (Program& program : programs_) clients.emplace_back([this, &program] { take_next_turn(program); });
     for (std::thread& client : clients) client.join();
+    note_runs();
     record_.line("of " + std::to_string(programs_.size()) +
                  " programs that went on: " + std::to_string(served_) + " answered whole, " +
                  std::to_string(denied_) + " got 404 or 410, " + std::to_string(wrong_) +
@@ -181,6 +183,7 @@
     for (int tried = 0; tried < tries_per_turn && !program.last.attempt.empty(); ++tried) {
       turn = review::send_turn(tier_.front(edge), record_, program.id, program.last.attempt, "next",
                                turn_time_ms);
+      note(turn, edge);
       if (turn.is_whole || turn.status == 404 || turn.status == 410) break;
       std::this_thread::sleep_for(milliseconds(300));
     }
@@ -200,6 +203,21 @@
     }
   }
 
+  void note(const review::Turn& turn, std::size_t edge) {
+    record_.detail("turn " + turn.attempt + " of " + turn.program + " after " +
+                   (turn.previous.empty() ? "none" : turn.previous) + " at edge-" + std::to_string(edge + 1) +
+                   ": " + std::to_string(turn.status) + (turn.is_whole ? ", whole" : ", not whole"));
+  }
+
+  // Writes what the endpoints have run.
+  void note_runs() {
+    for (const auto& endpoint : endpoints_) {
+      for (const review::Run& run : endpoint->runs())
+        record_.detail("run at " + run.endpoint + ": " + run.attempt + ", body of " +
+                       std::to_string(run.body.size()) + " bytes");
+    }
+  }
+
   bool has_run(const std::string& attempt, const std::string& body) const {
     return std::any_of(endpoints_.begin(), endpoints_.end(), [&](const auto& endpoint) {
       const std::vector<review::Run> runs = endpoint->runs();
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -8,7 +8,6 @@
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
 record=$here/record.txt
-[ "${TROUBLE:-1}" = 0 ] && record=$folder/record.txt
 timeout -s KILL 118 "$program" "$root" "$folder" "$record"
 status=$?
 [ "$status" -gt 2 ] && status=2
--- a/review/support/tier.cpp
+++ b/review/support/tier.cpp
@@ -84,11 +84,16 @@
 // ---- Record
 
 void Record::line(const std::string& text) {
+  detail(text);
+  const std::lock_guard lock(mutex_);
+  std::cout << text << "\n" << std::flush;
+}
+
+void Record::detail(const std::string& text) {
   const std::lock_guard lock(mutex_);
   char time[32];
   std::snprintf(time, sizeof time, "%9.1f ms  ", now_ms());
   out_ << time << text << "\n" << std::flush;
-  std::cout << time << text << "\n" << std::flush;
 }
 
 double Record::now_ms() const {
--- a/review/support/tier.hpp
+++ b/review/support/tier.hpp
@@ -22,6 +22,8 @@
  public:
   explicit Record(const std::string& path) : out_(path, std::ios::trunc), began_(Clock::now()) {}
   void line(const std::string& text);
+  /// Writes to the file alone.
+  void detail(const std::string& text);
   /// Milliseconds since the start of the record.
   double now_ms() const;
 
