Storage: a node that drained and stays fetches its replicas before it answers

Cause: a draining node holds no replicas, so it is complete under the map that marks it. When the mark is cleared, replicas are placed on it again by a map that has lost no member, and has_lost_member() asked only whether others have lost a part. The node called itself complete without a transfer and lacked for good what had been stored meanwhile; a disk lost outside of the group was then not made up for. The same node answered reservations without those made meanwhile. A restart is not needed: the mark taken back while the process lives has the same effect.

Change: may_gain_replicas() (storage/placement.hpp) compares the two maps by what replica_group() depends on, names and zones of the nodes that hold replicas, in place of conditions listed by hand. This also covers a node that comes back in another zone, whose former groups were filled up by others that did not fetch anything. A node that holds nothing by the new map gains nothing.

Placement.WhoGainsReplicasIsKnown compares may_gain_replicas() with the groups themselves on 600 drawn changes of a map.

--- a/src/storage/placement.hpp
+++ b/src/storage/placement.hpp
@@ -59,4 +59,27 @@
   return group;
 }
 
+/// Returns true if a change of the storage map from `before` to `after` may place replicas on `node` that
+/// were not placed on it before.
+///
+/// Which nodes hold replicas, and in which zones, determines every replica group. A node that starts to hold
+/// replicas only takes them from others. The others therefore gain replicas only if a node stops to hold
+/// them, or holds them in another zone.
+inline bool may_gain_replicas(const std::string& node, const std::vector<common::StorageNode>& before,
+                              const std::vector<common::StorageNode>& after) {
+  const auto holds_replicas_in = [](const std::vector<common::StorageNode>& storage_nodes,
+                                    const common::StorageNode& wanted) {
+    return std::any_of(storage_nodes.begin(), storage_nodes.end(), [&](const common::StorageNode& other) {
+      return !other.draining && other.node == wanted.node && other.zone == wanted.zone;
+    });
+  };
+  const auto own = std::find_if(after.begin(), after.end(),
+                                [&](const common::StorageNode& other) { return other.node == node; });
+  if (own == after.end() || own->draining) return false;
+  if (!holds_replicas_in(before, *own)) return true;
+  return std::any_of(before.begin(), before.end(), [&](const common::StorageNode& other) {
+    return !other.draining && !holds_replicas_in(after, other);
+  });
+}
+
 }  // namespace chutevane::storage
--- a/src/storage/storage_plane.cpp
+++ b/src/storage/storage_plane.cpp
@@ -32,17 +32,6 @@
   return static_cast<std::size_t>(mb * 1e6);
 }
 
-/// Returns true if a node that was not draining in `before` is draining or missing in `after`: the programs
-/// placed on it are then assigned to other nodes.
-bool has_lost_member(const ServedMap& before, const ServedMap& after) {
-  const auto stays = [&](const std::string& name) {
-    return std::any_of(after.nodes.begin(), after.nodes.end(),
-                       [&](const common::StorageNode& node) { return node.node == name && !node.draining; });
-  };
-  return std::any_of(before.nodes.begin(), before.nodes.end(),
-                     [&](const common::StorageNode& node) { return !node.draining && !stays(node.node); });
-}
-
 }  // namespace
 
 StoragePlane::StoragePlane(net::Scheduler& scheduler, const common::ProcessSettings& settings,
@@ -234,8 +223,9 @@
   const bool was_complete = previous.version > 0 && transfer_.is_ready() && transfer_.is_complete();
   // A skipped map may have removed this node, which then missed what was stored under that map.
   const bool is_next_map = map_.version == previous.version + 1;
-  return was_complete && is_next_map && previous.contains(settings_.node, identity_.disk) &&
-         !has_lost_member(previous, map_);
+  const bool was_in_map = previous.contains(settings_.node, identity_.disk);
+  return was_complete && is_next_map && was_in_map && map_.contains(settings_.node, identity_.disk) &&
+         !may_gain_replicas(settings_.node, previous.nodes, map_.nodes);
 }
 
 void StoragePlane::on_value(const common::RegisterValue& value) {
--- a/src/storage/storage_plane.hpp
+++ b/src/storage/storage_plane.hpp
@@ -98,7 +98,8 @@
   // Maps
   /// Handles a newer value of the register, which may contain a newer map.
   void on_value(const common::RegisterValue& value);
-  /// Returns true if the node was complete under `previous` and the current map assigns nothing new to it.
+  /// Returns true if the node was complete under `previous` and the current map assigns nothing new to it. A
+  /// draining node has nothing assigned to it, and is complete until a map assigns replicas to it again.
   bool stays_complete(const ServedMap& previous) const;
   /// Returns true if the map marks this node as bootstrapping: it was added by a map that other nodes may not
   /// have received yet, and has not been complete since.
--- a/tests/storage/placement_test.cpp
+++ b/tests/storage/placement_test.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <iterator>
 #include <map>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -11,6 +12,7 @@
 #include "unit.hpp"
 
 using chutevane::common::StorageNode;
+using chutevane::storage::may_gain_replicas;
 using chutevane::storage::quorum_size;
 using chutevane::storage::replica_group;
 using chutevane::storage::replica_group_size;
@@ -129,3 +131,66 @@
   for (StorageNode& node : draining) node.draining = true;
   CHECK_TRUE(replica_group("p", draining, 1).empty());
 }
+
+// Guards against a node that states that it is complete although a change of the map has placed replicas on
+// it: whatever the change, may_gain_replicas() says so wherever the groups themselves do.
+TEST(Placement, WhoGainsReplicasIsKnown) {
+  std::mt19937 random(1);
+  const auto below = [&](int limit) { return std::uniform_int_distribution<int>(0, limit - 1)(random); };
+  const auto draw_map = [&] {
+    std::vector<StorageNode> out = storage_nodes(3 + below(5));
+    for (StorageNode& node : out) {
+      node.zone = numbered("z", below(3));
+      node.draining = below(5) == 0;
+    }
+    return out;
+  };
+  // Most changes are small: one node joins, goes, drains, stays after all, or comes back in another zone.
+  const auto draw_change = [&](std::vector<StorageNode> map) {
+    const auto at = static_cast<std::size_t>(below(static_cast<int>(map.size())));
+    switch (below(5)) {
+      case 0: map.erase(map.begin() + static_cast<std::ptrdiff_t>(at)); break;
+      case 1: map.push_back({"storage-new", "d", "a", numbered("z", below(4)), false}); break;
+      case 2: map[at].draining = !map[at].draining; break;
+      case 3: map[at].zone = numbered("z", below(4)); break;
+      default: map = draw_map(); break;
+    }
+    return map;
+  };
+  int gains = 0, none = 0;
+  for (int round = 0; round < 600; ++round) {
+    const std::vector<StorageNode> before = draw_map(), after = draw_change(before);
+    for (const StorageNode& node : after) {
+      if (may_gain_replicas(node.node, before, after)) {
+        ++gains;
+        continue;
+      }
+      ++none;
+      for (int p = 0; p < 40; ++p) {
+        const std::string program = numbered("p", p);
+        const bool gained = group_names(program, after, 1).contains(node.node) &&
+                            !group_names(program, before, 1).contains(node.node);
+        CHECK_FALSE(gained);
+      }
+    }
+  }
+  CHECK_TRUE(gains > 300 && none > 300);
+}
+
+// Not each change is one in which the others gain: it would cost a transfer at each node.
+TEST(Placement, OnlyTheNodeThatJoinsOrStaysGainsReplicas) {
+  const std::vector<StorageNode> four = storage_nodes(4), five = storage_nodes(5);
+  CHECK_TRUE(may_gain_replicas(five[4].node, four, five));
+  CHECK_FALSE(may_gain_replicas(five[0].node, four, five));
+  CHECK_TRUE(may_gain_replicas(five[0].node, five, four));
+  std::vector<StorageNode> draining = five;
+  draining[2].draining = true;
+  CHECK_TRUE(may_gain_replicas(five[2].node, draining, five));  // it stays after all
+  CHECK_FALSE(may_gain_replicas(five[0].node, draining, five));
+  CHECK_FALSE(may_gain_replicas(five[2].node, five, draining));  // nothing is placed on it
+  CHECK_TRUE(may_gain_replicas(five[0].node, five, draining));
+  std::vector<StorageNode> gone = five;
+  gone.erase(gone.begin() + 2);
+  CHECK_FALSE(may_gain_replicas(five[0].node, draining, gone));  // the drained one goes: groups stay
+  CHECK_FALSE(may_gain_replicas(five[2].node, draining, gone));
+}
--- a/tests/storage/storage_plane_test.cpp
+++ b/tests/storage/storage_plane_test.cpp
@@ -192,6 +192,46 @@
   EXPECT_EQ(node.reserve(2), ReplicaStatus::not_ready);
 }
 
+// Guards against turns and reservations that are missing for good at a node that was to be drained: it holds
+// no replicas while it is draining, so what is stored meanwhile is sent to others. If it stays after all, it
+// has to fetch that before it answers as a replica again.
+TEST(StorageNodes, ANodeThatNoLongerDrainsTransfersItsReplicas) {
+  StorageNodeFixture node;
+  node.own.draining = true;
+  ASSERT_TRUE(node.set_map({node.own}));
+  ASSERT_TRUE(node.is_complete_under(1));
+  node.own.draining = false;
+  ASSERT_TRUE(node.set_map({node.own, node.other}, 2));
+  EXPECT_EQ(node.reserve(2), ReplicaStatus::not_ready);
+}
+
+// Guards against the same after a restart: the record that the node was complete under the map by which it
+// was draining says nothing about the map by which it stays.
+TEST(StorageNodes, ANodeThatRestartsWhileDrainingTransfersItsReplicasIfItStays) {
+  StorageNodeFixture node;
+  node.own.draining = true;
+  ASSERT_TRUE(node.set_map({node.own}));
+  ASSERT_TRUE(node.is_complete_under(1));
+  ASSERT_TRUE(node.restart());
+  node.own.draining = false;
+  ASSERT_TRUE(node.set_map({node.own, node.other}, 2));
+  EXPECT_EQ(node.reserve(2), ReplicaStatus::not_ready);
+}
+
+// Guards against turns that are missing at a node to which they were assigned when another node came back in
+// another zone: the groups of that node's former zone are filled up with others.
+TEST(StorageNodes, ANodeTransfersIfAnotherMovesToAnotherZone) {
+  StorageNodeFixture node;
+  node.other.zone = zone;
+  ASSERT_TRUE(node.set_map({node.own}));
+  ASSERT_TRUE(node.is_complete_under(1));
+  ASSERT_TRUE(node.set_map({node.own, node.other}, 2));  // a node that joins takes replicas, and gives none
+  ASSERT_TRUE(node.is_complete_under(2));
+  node.other.zone = numbered("z", 2);
+  ASSERT_TRUE(node.set_map({node.own, node.other}, 3));
+  EXPECT_EQ(node.reserve(3), ReplicaStatus::not_ready);
+}
+
 // The node has answered under a later map, and these answers must remain valid. It therefore ignores an
 // earlier map, which a controller that lags may still push, also after a restart.
 TEST(StorageNodes, DoesNotGoBackToAnEarlierMap) {
