Storage map: a node that no longer drains is bootstrapping until it is complete

A disk that is lost meanwhile sets a mark, and the planner clears the mark early once the node of that disk is complete, if no node is bootstrapping or draining: "groups are those of before". They are not: replicas have moved to the node that stays, and the lost disk may have had one of only two copies. From then on the map says that nothing is missing, a transfer may skip a source again, and the next lost disk takes the last copy.

Change: clearing the mark of draining sets the mark of bootstrapping, as for a node that joins.

Seen to fail before, on: StorageMapPlanning. NodeThatNoLongerDrainsIsBootstrapping. No run of processes showed this loss.

--- a/src/control/storage_map_planner.cpp
+++ b/src/control/storage_map_planner.cpp
@@ -60,14 +60,15 @@
 }
 
 /// Marks a node as draining if it is to be retired, or if it got SIGTERM and its disk may be lost with it, so
-/// that the others take over before it exits. Clears the mark if the node was only restarted. Returns true if
-/// the mark has changed.
+/// that the others take over before it exits. Clears the mark if the node was only restarted: it is
+/// bootstrapping then, because it has missed what was stored meanwhile. Returns true if the mark has changed.
 bool update_draining(RegisterValue& value, StorageNode& node, const Member& member, std::size_t losses) {
   const bool is_retiring = find_retirement(value, node.node) != nullptr;
   const bool enough_stay = staying_node_count(value, node.node) >= replicas_for(losses);
   const bool draining = is_retiring || (member.draining && enough_stay);
   if (draining == node.draining) return false;
   node.draining = draining;
+  node.bootstrapping = node.bootstrapping || !draining;
   return true;
 }
 
--- a/src/control/storage_map_planner.hpp
+++ b/src/control/storage_map_planner.hpp
@@ -2,10 +2,11 @@
 /// No I/O.
 ///
 /// The leader of the role `roster` calls plan() with each tick and submits the result as a change of the
-/// register. A node of the map is `bootstrapping` until it has taken over the replicas assigned to it,
-/// `draining` while the others take over from it, and `disk_replaced` if its disk replaced one whose replicas
-/// are still missing. A node that was removed while its replicas were needed stays on the list of `absent`
-/// nodes until the others have rebuilt them (common/storage_map.hpp, docs/state.md).
+/// register. A node of the map is `bootstrapping` from when it is added, or is no longer draining, until it
+/// has taken over the replicas assigned to it, `draining` while the others take over from it, and
+/// `disk_replaced` if its disk replaced one whose replicas are still missing. A node that was removed while
+/// its replicas were needed stays on the list of `absent` nodes until the others have rebuilt them
+/// (common/storage_map.hpp, docs/state.md).
 #pragma once
 
 #include <cstddef>
--- a/tests/control/storage_map_planner_test.cpp
+++ b/tests/control/storage_map_planner_test.cpp
@@ -252,6 +252,27 @@
   CHECK_FALSE(planner.plan(value, members({1, 2, 3, 4}, 6), now).has_value());
 }
 
+// Guards against a map that says that no replicas are missing while a node that is no longer draining still
+// lacks those that are placed on it again: it is bootstrapping until it has fetched them.
+TEST(StorageMapPlanning, NodeThatNoLongerDrainsIsBootstrapping) {
+  RegisterValue value = with_storage_nodes({1, 2, 3, 4});
+  value.storage_nodes[3].draining = true;
+  const auto stays = planner.plan(value, members({1, 2, 3, 4}, 7), now);
+  CHECK_TRUE(stays.has_value() && stays->storage_nodes[3].bootstrapping);
+  // Node 2 loses its disk and fetches what its new map assigns to it. Node 4 is not complete yet.
+  std::vector<Member> live = members({1, 2, 3, 4}, 8);
+  live[1].disk = "new";
+  live[3].complete_map_version = 7;
+  const auto lost = planner.plan(*stays, live, now);
+  CHECK_TRUE(lost.has_value() && lost->storage_nodes[1].disk_replaced);
+  for (Member& m : live) m.complete_map_version = m.node == "n4" ? 7 : lost->map_version;
+  CHECK_FALSE(planner.plan(*lost, live, now).has_value());  // the replicas on the lost disk may be missing
+  live[3].complete_map_version = lost->map_version;
+  const auto rebuilt = planner.plan(*lost, live, now);
+  CHECK_TRUE(rebuilt.has_value());
+  LONGS_EQUAL(0, chutevane::common::missing_replicas(*rebuilt));
+}
+
 TEST(StorageMapPlanning, TwoNodesAreRetiredInSequence) {
   RegisterValue value = with_storage_nodes({1, 2, 3, 4, 5});
   CHECK_TRUE(request_retirement(value, "n4", 1) == RetirementOutcome::accepted &&
