Storage map: a node in another zone is drained before it moves

Replica groups depend on the zones of the nodes.

Change: the zone in the map stays. The node is drained first, as after SIGTERM, where enough others stay, and joins again in its new zone. Without a spare node it keeps its replicas and its former zone in the map.

Seen to fail before, on: StorageMapPlanning. NodeInAnotherZoneIsDrainedBeforeItMoves.

--- a/src/control/storage_map_planner.cpp
+++ b/src/control/storage_map_planner.cpp
@@ -48,24 +48,26 @@
   return true;
 }
 
-/// Updates the disk and the address of a node in the map. Returns true if they have changed.
+/// Updates the disk and the address of a node in the map. Returns true if they have changed. The zone stays,
+/// as the replica groups depend on it: a node whose zone has changed is drained first.
 bool update_identity(StorageNode& node, const Member& member) {
   if (node.disk == member.disk && node.address == member.address) return false;
   // The replicas were lost with the former disk, and the nodes that take over must know of that loss.
   node.disk_replaced = node.disk_replaced || node.disk != member.disk;
   node.disk = member.disk;
   node.address = member.address;
-  node.zone = member.zone;
   return true;
 }
 
-/// Marks a node as draining if it is to be retired, or if it got SIGTERM and its disk may be lost with it, so
-/// that the others take over before it exits. Clears the mark if the node was only restarted: it is
-/// bootstrapping then, because it has missed what was stored meanwhile. Returns true if the mark has changed.
+/// Marks a node as draining if it is to be retired, if it got SIGTERM and its disk may be lost with it, or if
+/// it has to join again in another zone, so that the others take over first. Clears the mark if the node was
+/// only restarted: it is bootstrapping then, because it has missed what was stored meanwhile. Returns true if
+/// the mark has changed.
 bool update_draining(RegisterValue& value, StorageNode& node, const Member& member, std::size_t losses) {
   const bool is_retiring = find_retirement(value, node.node) != nullptr;
   const bool enough_stay = staying_node_count(value, node.node) >= replicas_for(losses);
-  const bool draining = is_retiring || (member.draining && enough_stay);
+  const bool is_leaving = member.draining || member.zone != node.zone;
+  const bool draining = is_retiring || (is_leaving && enough_stay);
   if (draining == node.draining) return false;
   node.draining = draining;
   node.bootstrapping = node.bootstrapping || !draining;
--- a/tests/control/storage_map_planner_test.cpp
+++ b/tests/control/storage_map_planner_test.cpp
@@ -273,6 +273,32 @@
   LONGS_EQUAL(0, chutevane::common::missing_replicas(*rebuilt));
 }
 
+// Guards against replica groups that change while a node keeps its replicas: a node that comes back in
+// another zone is drained under its former zone, and joins again in the new one.
+TEST(StorageMapPlanning, NodeInAnotherZoneIsDrainedBeforeItMoves) {
+  std::vector<Member> live = members({1, 2, 3, 4}, 7);
+  live[3].zone = "y";
+  live[3].address = "new address";
+  const auto marked = planner.plan(with_storage_nodes({1, 2, 3, 4}), live, now);
+  CHECK_TRUE(marked.has_value() && marked->storage_nodes[3].draining);
+  STRCMP_EQUAL("z", marked->storage_nodes[3].zone.c_str());
+  STRCMP_EQUAL("new address", marked->storage_nodes[3].address.c_str());
+  for (Member& m : live) m.complete_map_version = marked->map_version;
+  const auto removed = planner.plan(*marked, live, now);
+  CHECK_TRUE(removed.has_value() && !contains_node(*removed, "n4"));
+  const auto back = planner.plan(*removed, live, now);
+  CHECK_TRUE(back.has_value() && contains_node(*back, "n4"));
+  STRCMP_EQUAL("y", back->storage_nodes.back().zone.c_str());
+  CHECK_TRUE(back->storage_nodes.back().bootstrapping && !back->storage_nodes.back().draining);
+}
+
+// Without a spare node it keeps its replicas, and its former zone.
+TEST(StorageMapPlanning, NodeInAnotherZoneStaysIfThereIsNoSpareNode) {
+  std::vector<Member> live = members({1, 2, 3}, 7);
+  live[2].zone = "y";
+  CHECK_FALSE(watched(with_storage_nodes({1, 2, 3}), live, Span::ms(10000), &after).has_value());
+}
+
 TEST(StorageMapPlanning, TwoNodesAreRetiredInSequence) {
   RegisterValue value = with_storage_nodes({1, 2, 3, 4, 5});
   CHECK_TRUE(request_retirement(value, "n4", 1) == RetirementOutcome::accepted &&
