Model of retirement: the mark of a machine that leaves is taken back

model/retire.pml knew only machines that are emptied and go. Added: TAKE_BACKS, by which a machine that got SIGTERM and was started again stays after all, and START_LEAVING, by which the turn was kept by the others while it was leaving. `gains` is may_gain_replicas(). Disks are lost one after the other, each once all that stay are whole again.

--- a/model/retire.pml
+++ b/model/retire.pml
@@ -7,7 +7,8 @@
  * Four storage nodes, one loss borne: the group is the nearest three of those that stay. LEAVES machines are
  * emptied, one after the other, and are gone with their disks as soon as no map names them. LOSSES disks are lost,
  * each once the one before is made up for: its machine is whole again with its new disk or, where it was leaving,
- * the others have taken over. Emptying is no loss: a disk may go at any moment of it, and right after it.
+ * the others have taken over. Emptying is no loss: a disk may go at any moment of it, and right after it. TAKE_BACKS:
+ * a machine that got SIGTERM and is started again stays after all, and has to take over what was kept meanwhile.
  */
 #ifndef LOSSES
 #define LOSSES 2
@@ -15,6 +16,9 @@
 #ifndef LEAVES
 #define LEAVES 1
 #endif
+#ifndef TAKE_BACKS /* how often the mark of a machine that leaves is taken back before it is emptied */
+#define TAKE_BACKS 0
+#endif
 #ifndef MAPS /* the first one counted */
 #define MAPS 5
 #endif
@@ -41,7 +45,7 @@
 byte map[NODES], next[NODES];
 bool second_disk[NODES], whole[NODES], copy[NODES], gone[NODES];
 
-byte losses = 0, leaves = 0;
+byte losses = 0, leaves = 0, take_backs = 0;
 byte pending = NOBODY; /* the machine whose loss is not made up for */
 
 /* The edge: StorageClient::store_turn */
@@ -91,10 +95,18 @@
 #define ask_first(s, m) next[s] = ask_from(s, 0, m)
 #define ask_next(s) next[s] = ask_from(s, next[s] + 1, map[s])
 
-/* value_came */
+/* may_gain_replicas(): it holds copies by the newest map, and did not before, or another one stops to hold them */
+#ifdef PLANT_TAKEN_BACK_WHOLE
+#define gains(s) ((staying(map[s]) & ~staying(newest)) != 0)
+#else
+#define gains(s) (has_bit(staying(newest), s) && \
+  (!has_bit(staying(map[s]), s) || (staying(map[s]) & ~staying(newest)) != 0))
+#endif
+
+/* StoragePlane::on_value */
 inline map_came(s) {
   if
-  :: whole[s] && named(s, map[s]) && newest == map[s] + 1 && (staying(map[s]) & ~staying(newest)) == 0 -> skip
+  :: whole[s] && named(s, map[s]) && newest == map[s] + 1 && !gains(s) -> skip
   :: else -> whole[s] = false; ask_first(s, newest)
   fi;
   map[s] = newest
@@ -141,9 +153,14 @@
 #define taken_over all_up_to_date
 #endif
 
+/* `catchUpS` after the end of a trouble all that stay are whole */
+#if TAKE_BACKS
+#define made_up all_up_to_date
+#else
 #define made_up (!has_bit(in_map[newest], pending) || \
   (has_bit(staying(newest), pending) && whole[pending] && named(pending, map[pending])) || \
   (has_bit(leaving[newest], pending) && named(pending, newest) && all_up_to_date))
+#endif
 
 inline next_map() {
   in_map[newest + 1] = in_map[newest]; leaving[newest + 1] = leaving[newest]; second[newest + 1] = second[newest];
@@ -175,6 +192,11 @@
        go(s);
 #endif
        s = 0 }
+  /* update_draining(): a machine that got SIGTERM was started again before it was emptied */
+  :: atomic { newest < MAPS && take_backs < TAKE_BACKS && leaving[newest] != 0 ->
+       take_backs++;
+       next_map();
+       leaving[newest] = 0 }
   /* give_up_emptied */
   :: atomic { newest < MAPS && leaving[newest] != 0 && taken_over ->
        next_map();
@@ -199,7 +221,15 @@
   in_map[1] = 15;
   map[0] = 1; map[1] = 1; map[2] = 1; map[3] = 1;
   whole[0] = true; whole[1] = true; whole[2] = true; whole[3] = true;
-#if KEEPING
+#ifdef START_LEAVING /* the nearest one leaves, and the turn was kept by the others meanwhile */
+  leaving[1] = 1;
+  if
+  :: copy[1] = true; copy[2] = true
+  :: copy[1] = true; copy[3] = true
+  :: copy[2] = true; copy[3] = true
+  fi;
+  kept = true; edge_map = 0;
+#elif KEEPING
   run edge();
 #else
   if
