Soak: storage nodes are killed while they are drained

Fault interrupt_drain, in six of ten stories beyond the tolerance, twice where there is room: SIGTERM of a storage node, and 150 to 650 ms later SIGKILL of it and of all controllers. The node is started again before the controllers are. What else a seed means is drawn as before, though other faults may give way.

--- a/src/lab/tier/fault_plan.cpp
+++ b/src/lab/tier/fault_plan.cpp
@@ -21,6 +21,8 @@
 constexpr int stories_beyond = 3;               // one of so many
 constexpr double wipe_beside_absence = 0.7;     // of these
 constexpr double faults_of_controllers = 0.8;   // of these
+constexpr double interrupted_drains = 0.6;      // of these
+constexpr Span drain_least = Span::ms(150), drain_spread = Span::ms(500);
 constexpr Span crowd_least = Span::ms(1500), crowd_spread = Span::ms(2500);
 constexpr Span rolling_least = Span::ms(100),
                rolling_spread = Span::ms(900);  // between two SIGTERM in series
@@ -28,7 +30,11 @@
 class Drawer {
  public:
   Drawer(std::uint64_t seed, const FaultPlanBounds& bounds)
-      : bounds_(bounds), chance_(seed, "story"), crowds_(seed, "crowds"), controllers_(seed, "controllers") {}
+      : bounds_(bounds),
+        chance_(seed, "story"),
+        crowds_(seed, "crowds"),
+        controllers_(seed, "controllers"),
+        drains_(seed, "drains") {}
 
   FaultPlan draw() {
     story_.beyond_tolerance = chance_.below(stories_beyond) == 0;
@@ -96,7 +102,8 @@
       case FaultKind::drain_endpoint:
       case FaultKind::replace_endpoint:
       case FaultKind::endpoint_dies:
-      case FaultKind::crowd: break;
+      case FaultKind::crowd:
+      case FaultKind::interrupt_drain: break;
     }
     trouble.lasts = std::min(trouble.lasts, bounds_.active - trouble.at);
   }
@@ -145,6 +152,7 @@
   void draw_overlapping_losses() {
     bool wiped = chance_.one_in(wipe_beside_absence);
     if (wiped) draw_wipe_beside_an_absence();
+    if (drains_.one_in(interrupted_drains)) draw_interrupted_drains();
     if (controllers_.one_in(faults_of_controllers)) draw_faults_of_controllers();
     for (Span at = between(first_at, beside_spread); at < bounds_.active * 0.8;
          at = at + beside_spread * chance_.unit()) {
@@ -162,6 +170,21 @@
       story_.troubles.push_back(one);
     }
   }
+  // A storage node is killed while it is drained, before the others have taken over from it, and no
+  // controller lets it go: it is back before they are. Twice in a story, where there is room for it.
+  void draw_interrupted_drains() {
+    for (const double begin : {0.05, 0.5}) {
+      Fault drain;
+      drain.kind = FaultKind::interrupt_drain;
+      drain.plane = MachinePlane::storage;
+      drain.place = drains_.below(bounds_.storage_nodes);
+      drain.at = bounds_.active * (begin + 0.1 * drains_.unit());
+      drain.delay = drain_least + drain_spread * drains_.unit();
+      drain.lasts =
+          std::min(drain.delay + down_least + down_spread * drains_.unit(), bounds_.active - drain.at);
+      add_unless_busy({drain});
+    }
+  }
   // Faults that overlap at the controllers, in a part of the story where no controller has another.
   void draw_faults_of_controllers() {
     const std::size_t first = controllers_.below(bounds_.controllers);
@@ -210,14 +233,21 @@
     if (!any_busy) story_.troubles.insert(story_.troubles.end(), faults.begin(), faults.end());
   }
   static Span until(const Fault& trouble) {
-    return trouble.at + (trouble.kind == FaultKind::terminate ? Span::ms(10000) : trouble.lasts) +
-           Span::ms(100);
+    const bool is_told_to_end =
+        trouble.kind == FaultKind::terminate || trouble.kind == FaultKind::interrupt_drain;
+    return trouble.at + (is_told_to_end ? Span::ms(10000) : trouble.lasts) + Span::ms(100);
+  }
+  static bool takes_all_controllers(const Fault& trouble) {
+    return trouble.kind == FaultKind::kill_controllers || trouble.kind == FaultKind::interrupt_drain;
+  }
+  static bool is_at_a_controller(const Fault& trouble) {
+    return trouble.plane == MachinePlane::control || trouble.kind == FaultKind::interrupt_drain;
   }
   bool busy(const Fault& wanted) const {
     return std::any_of(story_.troubles.begin(), story_.troubles.end(), [&](const Fault& t) {
-      const bool is_any_controller =
-          t.kind == FaultKind::kill_controllers || wanted.kind == FaultKind::kill_controllers;
-      const bool same = t.plane == wanted.plane && (is_any_controller || t.place == wanted.place);
+      const bool is_any_controller = (takes_all_controllers(t) && is_at_a_controller(wanted)) ||
+                                     (takes_all_controllers(wanted) && is_at_a_controller(t));
+      const bool same = is_any_controller || (t.plane == wanted.plane && t.place == wanted.place);
       return until(t) > wanted.at && t.at < until(wanted) && (same || t.kind == FaultKind::kill_all);
     });
   }
@@ -265,6 +295,7 @@
   Chance chance_;
   Chance crowds_;       // the same for what is drawn of crowds
   Chance controllers_;  // for what is drawn of controllers alone: the rest of a story does not depend on it
+  Chance drains_;       // the same for interrupted drains
   FaultPlan story_;
 };
 
@@ -278,7 +309,8 @@
     case FaultKind::cut:
     case FaultKind::slow_way:
     case FaultKind::lose_answers:
-    case FaultKind::crowd: return true;
+    case FaultKind::crowd:
+    case FaultKind::interrupt_drain: return true;
     default: return false;
   }
 }
@@ -288,11 +320,24 @@
 }  // namespace
 
 const char* name_of(FaultKind kind) {
-  constexpr std::array<const char*, fault_kinds> names = {
-      "pause",         "kill",   "wipe", "kill_all",       "kill_controllers",
-      "terminate",     "reload", "cut",  "halves",         "slow_way",
-      "lose_answers",  "change", "race", "drain_endpoint", "replace_endpoint",
-      "endpoint_dies", "crowd"};
+  constexpr std::array<const char*, fault_kinds> names = {"pause",
+                                                          "kill",
+                                                          "wipe",
+                                                          "kill_all",
+                                                          "kill_controllers",
+                                                          "terminate",
+                                                          "reload",
+                                                          "cut",
+                                                          "halves",
+                                                          "slow_way",
+                                                          "lose_answers",
+                                                          "change",
+                                                          "race",
+                                                          "drain_endpoint",
+                                                          "replace_endpoint",
+                                                          "endpoint_dies",
+                                                          "crowd",
+                                                          "interrupt_drain"};
   return names[static_cast<std::size_t>(kind)];
 }
 
--- a/src/lab/tier/fault_plan.hpp
+++ b/src/lab/tier/fault_plan.hpp
@@ -28,8 +28,10 @@
   replace_endpoint,  // another process is at its address
   endpoint_dies,     // one ends without a word
   crowd,             // clients send large bodies to one machine, stop short of their end and stay
+  interrupt_drain,   // SIGTERM of a storage node, which is killed with all controllers `delay` later; it is
+                     // started again at once, and they are after `lasts`
 };
-constexpr std::size_t fault_kinds = static_cast<std::size_t>(FaultKind::crowd) + 1;
+constexpr std::size_t fault_kinds = static_cast<std::size_t>(FaultKind::interrupt_drain) + 1;
 const char* name_of(FaultKind kind);
 
 enum class CutDirection : std::uint8_t { both, to_it, from_it };
@@ -44,7 +46,7 @@
   std::size_t place = 0;  // of the machine in its plane, from 0 on
   CutDirection direction = CutDirection::both;
   bool resets = false;  // a cut: connections that stand are reset, else nothing more is heard on them
-  Span delay;           // of a slow way
+  Span delay;           // of a slow way; of the kill that interrupts a drain
 };
 std::string describe(const Fault& trouble);
 
--- a/src/lab/tier/fault_player.cpp
+++ b/src/lab/tier/fault_player.cpp
@@ -75,6 +75,7 @@
     case FaultKind::replace_endpoint:
     case FaultKind::endpoint_dies: return change_endpoint(trouble);
     case FaultKind::crowd: return crowd(trouble);
+    case FaultKind::interrupt_drain: return interrupt_drain(trouble);
   }
 }
 
@@ -113,6 +114,15 @@
   });
 }
 
+// Whether it is killed or has ended by itself before: terminate() starts it again.
+void FaultPlayer::interrupt_drain(const Fault& trouble) {
+  terminate(trouble);
+  end_fault_after(trouble.delay, [this, trouble] {
+    machines_.kill(machine_of(trouble));
+    kill_planes(trouble.lasts - trouble.delay, {MachinePlane::control});
+  });
+}
+
 void FaultPlayer::begin_link_fault(const Fault& trouble, LinkRelays::LinkFaultOf fault_of) {
   if (trouble.resets)
     relays_.reset([fault_of](const std::string& opener, const std::string& listener) {
--- a/src/lab/tier/fault_player.hpp
+++ b/src/lab/tier/fault_player.hpp
@@ -35,6 +35,7 @@
   void kill(const Fault& trouble);
   void kill_planes(Span back, std::initializer_list<MachinePlane> planes);
   void terminate(const Fault& trouble);
+  void interrupt_drain(const Fault& trouble);
   void cut(const Fault& trouble);
   void halves(const Fault& trouble);
   void slow_way(const Fault& trouble);
--- a/tests/fault_plan_test.cpp
+++ b/tests/fault_plan_test.cpp
@@ -24,6 +24,7 @@
     case FaultKind::slow_way: return counted;
     case FaultKind::kill_all:
     case FaultKind::kill_controllers:
+    case FaultKind::interrupt_drain:
     case FaultKind::halves: return true;
     default: return false;
   }
@@ -31,6 +32,10 @@
 
 Span away_until(const Fault& t) { return t.at + (t.kind == FaultKind::terminate ? grace : t.lasts); }
 
+bool takes_all_controllers(const Fault& t) {
+  return t.kind == FaultKind::kill_controllers || t.kind == FaultKind::interrupt_drain;
+}
+
 TEST(Stories, TheSameSeedIsTheSameStory) {
   std::set<std::string> all;
   for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
@@ -106,8 +111,8 @@
     std::map<std::size_t, Span> controller_free_from;
     for (const Fault& t : story.troubles) {
       if (!is_loss(t) || t.kind == FaultKind::halves || t.kind == FaultKind::kill_all) continue;
-      if (t.plane != MachinePlane::control) continue;
-      const bool is_of_all = t.kind == FaultKind::kill_controllers;
+      if (t.plane != MachinePlane::control && !takes_all_controllers(t)) continue;
+      const bool is_of_all = takes_all_controllers(t);
       for (std::size_t place = 0; place < FaultPlanBounds{}.controllers; ++place) {
         if (!is_of_all && place != t.place) continue;
         EXPECT_GE(t.at, controller_free_from[place]) << "seed " << seed << "\n" << describe(story);
@@ -117,6 +122,26 @@
   }
 }
 
+// A storage node is killed with all controllers while it is drained, and has no other loss until it is back.
+TEST(Stories, DrainsAreInterrupted) {
+  std::size_t interrupted = 0;
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    const FaultPlan story = draw_fault_plan(seed, {});
+    std::map<std::size_t, Span> storage_free_from;
+    for (const Fault& t : story.troubles) {
+      if (!is_loss(t) || t.plane != MachinePlane::storage) continue;
+      if (t.kind == FaultKind::halves || t.kind == FaultKind::kill_all) continue;
+      EXPECT_GE(t.at, storage_free_from[t.place]) << "seed " << seed << "\n" << describe(story);
+      storage_free_from[t.place] = away_until(t);
+      if (t.kind != FaultKind::interrupt_drain) continue;
+      ++interrupted;
+      EXPECT_TRUE(story.beyond_tolerance);
+      EXPECT_LT(t.delay, t.lasts) << "seed " << seed;
+    }
+  }
+  EXPECT_GT(interrupted, 50U);
+}
+
 TEST(Stories, EveryKindIsDrawnAndEndsInTime) {
   std::map<FaultKind, std::size_t> drawn;
   const FaultPlanBounds bounds;
