--- a/src/tier_simulation/fault.hpp
+++ b/src/tier_simulation/fault.hpp
@@ -34,10 +34,10 @@
   halves,           ///< control and storage partitioned in two; edges and clients reach both halves
   interrupted_drain,  ///< SIGTERM of a storage machine, which is killed once the map shows that it is
                       ///< draining, at times with the machine that plans the map; it is back before that one
-  endpoint_drain,    ///< an endpoint drains, and another comes
-  endpoint_replace,  ///< another process takes an endpoint's address
-  endpoint_crash,    ///< an endpoint ends without notice, and another comes
-  platform_cut,      ///< the platform's API is partitioned from one control machine
+  endpoint_drain,     ///< an endpoint drains, and another comes
+  endpoint_replace,   ///< another process takes an endpoint's address
+  endpoint_crash,     ///< an endpoint ends without notice, and another comes
+  platform_cut,       ///< the platform's API is partitioned from one control machine
   platform_unavailable,
   platform_stale,  ///< it shows the endpoints as they were when the fault began
   platform_slow,
