Edge tests: the ports of an environment differ from each other

Cause: the ports of the edge's front and of its readiness were found free one after the other, each closed before the next was drawn, so the second could be the first again, and DataPlane::open() listens on both. Any test of the environment can fail so, and none that listens at a port at once.

free_addresses() keeps its probes open until all ports are known. No product code is at fault.

--- a/tests/edge/downstream_connection_test.cpp
+++ b/tests/edge/downstream_connection_test.cpp
@@ -2,6 +2,7 @@
 /// ends in a way that loses a request or a part of a response.
 #include <gtest/gtest.h>
 
+#include <set>
 #include <string>
 
 #include "harness.hpp"
@@ -357,5 +358,20 @@
   EXPECT_TRUE(client->responses.empty() && client->unsolicited.empty());
 }
 
+// ---- the test environment itself
+
+// Guards against an environment that fails to start: the ports of the edge's front and of its readiness were
+// drawn one after the other, and were the same once in some 6,500 environments.
+TEST(FreeAddresses, PortsDiffer) {
+  constexpr std::size_t draws = 100, addresses_per_draw = 64;
+  Loop loop;
+  for (std::size_t draw = 0; draw < draws; ++draw) {
+    std::set<std::uint16_t> ports;
+    for (const sockaddr_in& address : free_addresses(loop.scheduler, addresses_per_draw))
+      ports.insert(address.sin_port);
+    ASSERT_EQ(ports.size(), addresses_per_draw);
+  }
+}
+
 }  // namespace
 }  // namespace chutevane::edge::harness
--- a/tests/edge/harness.cpp
+++ b/tests/edge/harness.cpp
@@ -43,12 +43,20 @@
   return out;
 }
 
-sockaddr_in free_address(net::Scheduler& scheduler) {
-  net::Listener probe(scheduler, [](int fd) { ::close(fd); });
-  probe.listen(loopback(0));
-  const std::optional<sockaddr_in> at = probe.address();
-  if (!at) throw std::runtime_error("no free loopback port found");
-  return *at;
+sockaddr_in free_address(net::Scheduler& scheduler) { return free_addresses(scheduler, 1).front(); }
+
+std::vector<sockaddr_in> free_addresses(net::Scheduler& scheduler, std::size_t count) {
+  // All probes stay open until the last port is known: a closed one would be given out again.
+  std::vector<std::unique_ptr<net::Listener>> probes;
+  std::vector<sockaddr_in> out;
+  for (std::size_t i = 0; i < count; ++i) {
+    probes.push_back(std::make_unique<net::Listener>(scheduler, [](int fd) { ::close(fd); }));
+    probes.back()->listen(loopback(0));
+    const std::optional<sockaddr_in> at = probes.back()->address();
+    if (!at) throw std::runtime_error("no free loopback port found");
+    out.push_back(*at);
+  }
+  return out;
 }
 
 // ---- Loop
@@ -458,7 +466,8 @@
   control = std::make_unique<ScriptedControl>(loop, control_address);
   const sockaddr_in storage_address = free_address(loop.scheduler);
   storage = std::make_unique<ScriptedStorage>(loop, storage_address);
-  front = free_address(loop.scheduler);
+  const std::vector<sockaddr_in> edge_addresses = free_addresses(loop.scheduler, 2);
+  front = edge_addresses.front();
 
   storage_node.node = "storage-1";
   storage_node.disk = "disk-1";
@@ -473,7 +482,7 @@
   settings.node = "edge-1";
   settings.zone = "z";
   settings.front = front;
-  settings.readiness = free_address(loop.scheduler);
+  settings.readiness = edge_addresses.back();
   settings.first_port = port_of(control_address);
   settings.last_port = static_cast<std::uint16_t>(settings.first_port + 1);
   settings.seeds = {control_address};
--- a/tests/edge/harness.hpp
+++ b/tests/edge/harness.hpp
@@ -36,6 +36,8 @@
 std::string numbered(const char* word, std::size_t number);
 // Returns a loopback address with a port that is currently free.
 sockaddr_in free_address(net::Scheduler& scheduler);
+// Returns `count` loopback addresses with ports that are currently free and differ from each other.
+std::vector<sockaddr_in> free_addresses(net::Scheduler& scheduler, std::size_t count);
 
 // The event loop shared by everything in a test.
 class Loop {
